Open a server's breaker after two failed connects on end, not after one

Symptom: 37 to 47% refused, hardly any errors, time-outs or full answers at the servers, but about 100 resets in each 5 s. A new one that breaks before the request is written ends as a failed connect (107 of 9,400), and judge() opened the breaker on the spot for 1 s and more. With nine servers, each was shut out every few seconds; the rest were overrun, timed out, and tripped as well.

A lone failed connect now counts as one failure like any other; a second with no answer between, or one of a half-open trial, opens at once as before.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -155,10 +155,7 @@
 
 @dataclass(slots=True, eq=False)
 class Part:
-    """One class's requests at one server: the same ring, states and weight, for failures of that class alone.
-
-    Guards against a server bad for one class only: a verdict on all of it would waste what it does well.
-    """
+    """One class's requests at one server: ring, states and weight, lest one bad class condemn all of it."""
 
     breaker: Breaker
     weight: float = CEILING
@@ -177,6 +174,7 @@
     out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
     spent_us: float = 0.0  # cold only: work sent and not yet paid off
     spent_at_us: int = 0
+    unreachable: bool = False  # the last outcome was a failed connect
 
     def part(self, klass: int) -> Part:
         if klass not in self.parts:
@@ -689,9 +687,11 @@
         self.adjust_weight(server, failed or ratio > SLOW)
         common = self.common_share(server, None) if failed else 0.0
         changed = server.breaker.record(self.now_us, failed, attempt.trial_of, common)
-        if outcome is Outcome.CONNECT_FAILED and server.breaker.state is not State.OPEN:
-            # Guards against asking again and again at a dead process or a full connection table: one such
-            # outcome is verdict enough, of a trial too.
+        unreachable, server.unreachable = server.unreachable, outcome is Outcome.CONNECT_FAILED
+        verdict = server.unreachable and (unreachable or attempt.trial_of)
+        if verdict and server.breaker.state is not State.OPEN:
+            # Guards against asking again and again at a dead process or a full connection table: two of these
+            # on end, or a trial's, are enough. A lone one may be a single broken connection.
             changed = server.breaker.reopen(self.now_us)
         self.log_change(server, server.breaker, changed)
 
