Close a connection to a host that was called off as it came up; never keep it

Symptom: 7 to 10% time-outs, and one swap sent again with no proof that its first attempt had not run. (2) The program's own log held 9 tracebacks a gateway, "the handler is closed", from writing to a kept connection, each of which also cost a client its connection.

Lines at fault: Pools.cancel() cancelled the opening of a connection also where the loop had already made it; on_connected() then put it among the idle ones, and a step later the cancelled opening closed the transport with no word to the protocol. Kept, the dead connection failed the next write (its descriptor's number was in use again, so that the poll took it for fresh). Taken up within that step by another attempt, on_opened() told that one "could not connect" although its request was written whole: the module was right to send such a swap again. It also left the counts of open connections too high.

An opening is now cancelled only while no transport is up, what comes up all the same is closed, a connection is counted down once, and "could not connect" is only said where nothing came up.

The test walks the moment of the call-off through the loop's turns and fails without the change.

--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "address",
         "attempt",
+        "closed",
         "flushed",
         "host",
         "idle_since_us",
@@ -82,6 +83,7 @@
         self.replies = ReplyReader()
         self.flushed = True  # the last byte of what was written is with the kernel
         self.idle_since_us = 0
+        self.closed = False  # its descriptor is given back
         self.poll = select.poll()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -236,11 +238,12 @@
             return
         connection, opening = attempt.connection, attempt.opening
         self.end(attempt, outcome)
-        if opening is not None and not opening.done():
+        if connection is None:
+            return
+        connection.attempt = None
+        if opening is not None and connection.transport is None:
             opening.cancel()
-        if connection is not None:
-            connection.attempt = None
-            connection.close()
+        connection.close()
 
     def end(self, attempt: Attempt, outcome: Outcome, reply: Reply | None = None) -> None:
         if attempt.ended:
@@ -271,8 +274,9 @@
     def on_connected(self, connection: HostConnection) -> None:
         attempt = connection.attempt
         if attempt is None or attempt.ended:
+            # Called off in the moment it came up: its opening is cancelled, and the loop ends it unasked.
             connection.attempt = None
-            self.keep(connection)
+            connection.close()
         elif not self.may_send(connection.host) or not self.put_on(connection, attempt):
             connection.attempt = None
             connection.close()
@@ -282,10 +286,10 @@
         """Account for a connection that did not come up."""
         if not opening.cancelled() and opening.exception() is None:
             return
-        if connection.transport is None:
-            self.count_closed(connection)
+        self.count_closed(connection)
         if connection.attempt is not None:
-            self.end(connection.attempt, Outcome.CONNECT_FAILED)
+            written = connection.transport is not None
+            self.end(connection.attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
 
     def on_reply(self, connection: HostConnection, reply: Reply) -> None:
         attempt, connection.attempt = connection.attempt, None
@@ -313,6 +317,9 @@
             self.end(attempt, Outcome.RESET if connection.flushed else Outcome.CONNECT_FAILED)
 
     def count_closed(self, connection: HostConnection) -> None:
+        if connection.closed:
+            return
+        connection.closed = True
         connection.host.open -= 1
         self.open -= 1
 
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -214,3 +214,31 @@
         for opened in (1, 2):
             assert (await run.ask(request())).body == b"mine"
             assert host.opened == opened
+
+
+@on_loop
+async def test_an_attempt_called_off_while_its_connection_comes_up_harms_no_other() -> None:
+    """What took up such a connection was told "could not connect" of a request that the host had in hand."""
+    async with peer() as host, running(configuration(host)) as run:
+        pools, known = run.gateway.pools, run.gateway.pools.hosts[host_id(0)]
+        ended: list[Outcome] = []
+
+        def on_end(attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
+            ended.append(outcome)
+
+        for turns in range(12):  # of the loop between the call and its end: one of them meets the moment
+            for after in range(3):
+                ended.clear()
+                first = Attempt(known, request("transfer"), on_end)
+                pools.send(first, 20_000_000)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                pools.cancel(first)
+                for _ in range(after):
+                    await asyncio.sleep(0)
+                pools.send(Attempt(known, request("transfer"), on_end), 20_000_000)
+                await until(lambda: len(ended) == 2)
+                assert ended[1] is Outcome.OK
+                pools.close_idle(known.id)
+                await until(lambda: pools.open == 0)
+        assert known.open == 0 and not known.idle
