Take SIGHUP: read the file again and go on at the discovery that it names

The watch now goes on at the new address with a call for the whole list, as versions need not agree; before the program is ready the signal is ignored. The test fails without the change: the process ends.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -17,6 +17,7 @@
 def main() -> int:
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what it would change is read below
     # Imported late: a signal during the start must find its handler.
     from cloverkeel.config import ConfigError, load
 
@@ -35,6 +36,16 @@
     from cloverkeel.http1 import log
     from cloverkeel.server import Server
 
+    def reload(gateway: Gateway) -> None:
+        """Take up the address of discovery that the file names now; what cannot be used changes nothing."""
+        try:
+            gateway.discovery.move(load().discovery)
+        except ConfigError as error:
+            log(f"not reconfigured: {error}")
+        else:
+            host, port = gateway.discovery.address
+            log(f"reconfigured: discovery is at {host}:{port}")
+
     async def serve() -> int:
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
@@ -47,6 +58,7 @@
         except OSError as error:
             log(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}")
             return 1
+        loop.add_signal_handler(signal.SIGHUP, reload, gateway)
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -136,15 +136,31 @@
     """Asks for the list when told to, and tells `on_list` what came; failures too."""
 
     def __init__(self, address: Address, names: Names, on_list: OnList, pushed: bool) -> None:
-        self.address, self.names, self.on_list = address, names, on_list
+        self.names, self.on_list = names, on_list
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.failures = 0
         self.closed = False
         self.index: int | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
+        self.set_address(address)
+
+    def set_address(self, address: Address) -> None:
+        self.address = address
         self.host = f"{address[0]}:{address[1]}".encode()
 
+    def move(self, address: Address) -> None:
+        """Go on at another address; its versions need not be those of the old one, so all is asked for."""
+        self.set_address(address)
+        self.index, self.failures = None, 0
+        if self.watching is not None or self.pushed:
+            self.watch(False)
+            self.watch(True)
+        if self.fetching is not None:
+            self.fetching.cancel()
+            self.fetching = None
+            self.fetch()
+
     def take_known(self, raw: dict[str, Any]) -> None:
         """Begin with the list that this gateway had before it was restarted."""
         entries: list[Entry] = []
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -19,6 +19,8 @@
     Exchange,
     answers,
     configuration,
+    endpoint,
+    list_reply,
     on_loop,
     peer,
     reply,
@@ -145,6 +147,36 @@
         client.close()
 
 
+@on_loop
+async def test_a_changed_file_and_a_signal_move_it_to_another_discovery(tmp_path: Path) -> None:
+    """SIGHUP ended the program, and all that it held was lost."""
+    async with peer(silent) as before, peer() as after, peer(silent) as host, peer() as other:
+        config = configuration(host, discovery=before.address)
+        async with program(tmp_path, config) as (process, port):
+            await until(lambda: before.seen)
+            busy = await connect(port)
+            busy.send(request("transfer", b"held"))
+            await until(lambda: host.seen)
+            file = tmp_path / "config.json"
+            kept = json.loads(file.read_text())
+            file.write_text("{")
+            process.send_signal(signal.SIGHUP)  # cannot be used: all stays as it is
+            assert process.stderr is not None
+            while b"not reconfigured" not in await process.stderr.readline():
+                pass
+            whole = list_reply(3, endpoint("s-9", other.address))
+            after.script = lambda e: None if "from" in e.message.first else e.answer(whole)
+            file.write_text(json.dumps(kept | {"discovery": after.address}))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: after.seen)
+            await until(lambda: before.ended == before.opened)
+            while not other.seen:
+                assert await ask(port, request("transfer", budget_ms=5_000)) in (200, 502, 504)
+            host.seen[0].answer(reply(200, b"done"))
+            assert (await busy.answer()).body == b"done"
+        assert after.seen[0].message.first.split(" ")[1] == "/registry/instances"
+
+
 @on_loop
 async def test_a_signal_during_the_start_ends_it_with_0(tmp_path: Path) -> None:
     pipe = tmp_path / "config.json"
