Answer or close, within 2.4 s, a peer that does not end its request

Nothing watched the time of a request being read: a peer that sent nothing, or half a request, kept its connection and its descriptor for good. Served connections may rest between requests as before. The test fails without the change.

--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 from collections import deque
 from functools import partial
@@ -19,6 +20,8 @@
 READY_PATH = b"/health/ready"
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
+READ_S = 2.2  # for a request to come whole, from the connection's beginning or from its own
+SWEEP_S = 0.2
 LINGER_S = 1.0  # for the client to read an answer that it did not expect
 POLL_S = 0.02
 PIPELINED = 16  # requests read ahead on one connection
@@ -28,8 +31,8 @@
 NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 
 
@@ -64,6 +67,7 @@
         self.connections: set[ClientConnection] = set()
         self.draining = False
         self.listener: asyncio.Server | None = None
+        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
         gateway.pools.room = self.make_room
 
     async def start(self) -> None:
@@ -96,6 +100,14 @@
         for connection in [c for c in self.connections if c.is_idle()]:
             connection.close()
 
+    def sweep(self) -> None:
+        """Guards against peers that connect and send nothing, or never end what they began."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(SWEEP_S, self.sweep)
+        since_s = loop.time() - READ_S
+        for connection in [c for c in self.connections if c.awaits_since_s < since_s]:
+            connection.on_unfinished()
+
     def make_room(self) -> None:
         """Give up idle connections first when descriptors run short."""
         pools = self.gateway.pools
@@ -120,6 +132,7 @@
         self.in_head = True
         self.passed_end = False  # a request has ended in the piece that was read last
         self.opened_s = 0.0
+        self.awaits_since_s = math.inf  # when the request that is awaited began, or the connection's first
         self.served = False  # has had an answer
         self.waiting: deque[Request] = deque()
         self.current: Request | None = None  # read and not yet answered
@@ -132,7 +145,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        self.opened_s = asyncio.get_running_loop().time()
+        self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
         self.server.connections.add(self)
         self.server.make_room()
 
@@ -181,14 +194,31 @@
         if fault is None and self.head_size > HEAD_LIMIT:
             fault = RequestError(431, "the head is too long")
         if fault is not None:
-            self.deaf = True
-            request = Request()
-            request.fault = fault
-            self.waiting.append(request)
+            self.refuse_rest(fault)
+        elif self.reading is not None and self.awaits_since_s == math.inf:
+            self.awaits_since_s = asyncio.get_running_loop().time()
         if len(self.waiting) > PIPELINED and self.transport is not None:
             self.transport.pause_reading()
         self.take_next()
 
+    def refuse_rest(self, fault: RequestError) -> None:
+        """Answer for what is wrong, after what came before it, and read no further."""
+        self.deaf = True
+        self.awaits_since_s = math.inf
+        request = Request()
+        request.fault = fault
+        self.waiting.append(request)
+
+    def on_unfinished(self) -> None:
+        """The request that was awaited has not come whole in time."""
+        if self.poll.poll(0):
+            return  # more of it is here, not yet read
+        if self.reading is None and not self.head_size:
+            self.close()  # unanswered: a request that crosses it is sent once more
+            return
+        self.refuse_rest(RequestError(408, "the request did not come in time"))
+        self.take_next()
+
     def on_message_begin(self) -> None:
         self.reading = Request()
         self.body_size = 0
@@ -226,6 +256,7 @@
         request = self.reading
         assert request is not None
         self.reading = None
+        self.awaits_since_s = math.inf
         self.passed_end = True
         request.keep_alive = self.parser.should_keep_alive()
         self.waiting.append(request)
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -217,3 +217,21 @@
             loop = asyncio.get_running_loop()
             answer = await loop.run_in_executor(None, client.recv, 65536)
             assert answer.startswith(b"HTTP/1.1 200 ")
+
+
+@on_loop
+async def test_a_peer_that_does_not_end_its_request_is_answered_and_one_that_sends_nothing_closed() -> None:
+    """Either held its connection, and a descriptor, for as long as it liked."""
+    async with peer() as host, running(configuration(host)) as run:
+        kept = await run.connect()
+        assert (await kept.ask(request())).status == 200
+        mute, slow = await run.connect(), await run.connect()
+        slow.send(request()[:-2])
+        await until(lambda: len(run.server.connections) == 3)
+        await until(lambda: any(connection.reading for connection in run.server.connections))
+        for connection in run.server.connections:
+            connection.awaits_since_s -= 60
+        assert (await slow.answer()).status == 408
+        assert await slow.reader.read() == b"" == await mute.reader.read()
+        assert (await kept.ask(request())).status == 200  # between requests a client may take its time
+        assert len(host.seen) == 2
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -162,8 +162,10 @@
             file.write_text("{")
             process.send_signal(signal.SIGHUP)  # cannot be used: all stays as it is
             assert process.stderr is not None
-            while b"not reconfigured" not in await process.stderr.readline():
-                pass
+            line = b"-"
+            while line and b"not reconfigured" not in line:
+                line = await process.stderr.readline()
+            assert line  # it has not ended
             whole = list_reply(3, endpoint("s-9", other.address))
             after.script = lambda e: None if "from" in e.message.first else e.answer(whole)
             file.write_text(json.dumps(kept | {"discovery": after.address}))
