Count a light request as a quarter of the mean at least in smoothed latency

A line of the module's state each second showed a smoothed latency for swap of 370 to 7,208 ms where the aim is 230 ms and no answer can take over 460.

learn_latency() divides each latency by the request's size (hinted work over the class's mean). A hint of a thousandth of the mean turned 20 ms of plain waiting into 20 s, and 5% of that went into the smoothed value at once. is_silent() and the overdue timers wait for four times that value: servers that hung were not seen as silent, and got more.

The test fails without the change.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -35,10 +35,10 @@
 SLOW = 2.0  # times the smoothed latency: a slow reply
 SMOOTHING = 0.05  # share of the newest sample in smoothed values
 # The draw
+LEAST_SIZE = 0.25  # of a request: latency over a smaller one is mostly wait, and blew up the smoothed values
 SUBSET = 3  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
-UNHINDERED_DOWN = 0.05  # share of the way that the unhindered latency falls to a shorter one
-UNHINDERED_UP = 0.0005  # relative rise with each longer one: a jam must not pass for the usual within seconds
+UNHINDERED_UP = 0.0005  # relative rise of the unhindered latency with each answer: no jam is usual at once
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
@@ -292,7 +292,7 @@
         if event.work_us:
             mean = self.mean_work[event.klass] or float(event.work_us)
             self.mean_work[event.klass] = mean + SMOOTHING * (event.work_us - mean)
-            size = event.work_us / mean
+            size = max(LEAST_SIZE, event.work_us / mean)
         if first_try:
             self.retry_tokens = min(self.retry_tokens + RETRY_SHARE, RETRY_BURST)
             self.asked[event.klass] += 1
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -112,6 +112,19 @@
     assert not sends(driver.arrive(klass=2)[1])
 
 
+def test_a_light_request_does_not_hide_a_silent_server() -> None:
+    """Its answer took what any takes; divided by its tiny size that passed for seconds, usual for all."""
+    driver = Driver()
+    for work_us in [1_000] * 20 + [1] * 3:
+        name, actions = driver.arrive(work_us=work_us)
+        driver.end(name, sends(actions)[0].server, latency_us=20_000)
+    _, actions = driver.arrive(work_us=1_000)
+    driver.now_us += 350_000
+    _, others = driver.arrive()
+    assert driver.balancer.is_silent(driver.balancer.servers[sends(actions)[0].server])
+    assert sends(others)[0].server != sends(actions)[0].server
+
+
 def test_refusal_names_the_shortest_cooldown_when_all_are_open() -> None:
     driver = Driver(servers=2)
     for number, server in driver.balancer.servers.items():
