Close clients' rested connections first when descriptors run short; count why pools close

Ruled out: called-off attempts (1,018), connections ended by servers (414 idle, 133 under an attempt), the limit on spare ones (none), memory, CPU (0.29 s in the worst second).

The changed test fails without the change.

--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -57,7 +57,12 @@
     opened: int = 0
     reused: int = 0
     failed: int = 0
-    stale: int = 0
+    stale: int = 0  # taken from the idle ones and found ended, or too old
+    called_off: int = 0  # closed under an attempt: cancelled or timed out
+    lost: int = 0  # ended by the host under an attempt
+    ended_idle: int = 0  # ended by the host while idle
+    spare: int = 0  # idle for too long
+    given_up: int = 0  # idle, closed to gain a descriptor
 
 
 class HostConnection(asyncio.Protocol):
@@ -241,6 +246,7 @@
         if connection is None:
             return
         connection.attempt = None
+        self.counts.called_off += 1
         if opening is not None and connection.transport is None:
             opening.cancel()
         connection.close()
@@ -313,7 +319,9 @@
         attempt, connection.attempt = connection.attempt, None
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
+            self.counts.ended_idle += 1
         if attempt is not None:
+            self.counts.lost += 1
             self.end(attempt, Outcome.RESET if connection.flushed else Outcome.CONNECT_FAILED)
 
     def count_closed(self, connection: HostConnection) -> None:
@@ -343,6 +351,7 @@
                 if host.idle[0].idle_since_us >= limit_us:
                     break
                 host.idle.pop(0).close()
+                self.counts.spare += 1
 
     def give_up_idle(self) -> bool:
         """Close the connection that was idle for the longest time, to gain a descriptor."""
@@ -350,6 +359,7 @@
         if not hosts:
             return False
         min(hosts, key=lambda host: host.idle[0].idle_since_us).idle.pop(0).close()
+        self.counts.given_up += 1
         return True
 
     def close(self) -> None:
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import select
 from collections import deque
@@ -15,17 +16,19 @@
 
 from cloverkeel.config import Config, stable_id
 from cloverkeel.gateway import Call, Gateway
-from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, Reply, end_to_end, header
+from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, Reply, end_to_end, header, log
 
 READY_PATH = b"/health/ready"
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
 READ_S = 2.2  # for a request to come whole, from the connection's beginning or from its own
 SWEEP_S = 0.2
+REPORT_S = 10.0
 LINGER_S = 1.0  # for the client to read an answer that it did not expect
 POLL_S = 0.02
 PIPELINED = 16  # requests read ahead on one connection
 BACKLOG = 1024
+CLIENT_IDLE_S = 2.0  # a client's connection is left alone for so long after an answer
 RESERVE = 64  # descriptors kept free of pools and idle clients
 NOT_PASSED_ON = frozenset({b"x-budget-ms"})
 NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
@@ -64,10 +67,11 @@
 
     def __init__(self, config: Config, gateway: Gateway) -> None:
         self.config, self.gateway = config, gateway
-        self.connections: set[ClientConnection] = set()
+        self.connections: dict[ClientConnection, None] = {}  # the longest without an answer first
         self.draining = False
         self.listener: asyncio.Server | None = None
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+        asyncio.get_running_loop().call_later(REPORT_S, self.report)
         gateway.pools.room = self.make_room
 
     async def start(self) -> None:
@@ -108,15 +112,24 @@
         for connection in [c for c in self.connections if c.awaits_since_s < since_s]:
             connection.on_unfinished()
 
+    def report(self) -> None:
+        """Tell now and then what holds descriptors, and why connections were opened and closed."""
+        asyncio.get_running_loop().call_later(REPORT_S, self.report)
+        pools = self.gateway.pools
+        log(f"connections: {len(self.connections)} of clients, {pools.open} to hosts; {pools.counts}")
+
     def make_room(self) -> None:
-        """Give up idle connections first when descriptors run short."""
+        """Give up idle connections when descriptors run short: first a client's, which costs no host work."""
         pools = self.gateway.pools
         if len(self.connections) + pools.open + RESERVE < self.config.sockets:
             return
-        if not pools.give_up_idle():
-            idle = next((c for c in self.connections if c.is_idle()), None)
-            if idle is not None:
-                idle.close()
+        since_s = asyncio.get_running_loop().time() - CLIENT_IDLE_S
+        rested = itertools.takewhile(lambda c: c.rests_since_s < since_s, self.connections)
+        idle = next((c for c in rested if c.is_idle()), None)
+        if idle is not None:
+            idle.close()
+        else:
+            pools.give_up_idle()
 
 
 class ClientConnection(asyncio.Protocol):
@@ -133,6 +146,7 @@
         self.passed_end = False  # a request has ended in the piece that was read last
         self.opened_s = 0.0
         self.awaits_since_s = math.inf  # when the request that is awaited began, or the connection's first
+        self.rests_since_s = 0.0  # the last answer, or the connection's beginning
         self.served = False  # has had an answer
         self.waiting: deque[Request] = deque()
         self.current: Request | None = None  # read and not yet answered
@@ -146,16 +160,21 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
-        self.server.connections.add(self)
+        self.rest()
         self.server.make_room()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
         self.deaf = True
         self.waiting.clear()
         if self.current is not None and self.current_id:
             self.server.gateway.leave(self.current_id)
 
+    def rest(self) -> None:
+        self.rests_since_s = asyncio.get_running_loop().time()
+        self.server.connections.pop(self, None)
+        self.server.connections[self] = None
+
     def is_idle(self) -> bool:
         """Whether it may be closed: nothing is owed, nothing has begun, nothing waits to be read.
 
@@ -348,6 +367,8 @@
         assert request is not None and transport is not None
         self.current, self.current_id = None, ""
         self.served = True
+        if not transport.is_closing():
+            self.rest()
         more = bool(self.waiting) or self.reading is not None  # what was read is answered, on the way out too
         last = not request.keep_alive or (self.server.draining and not more)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
