Close the idle connections of a host that is gone; its descriptors leaked

Kept for correctness; no gain is claimed. Both tests (word that it is gone, a whole list without it) fail without the change.

--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -170,7 +170,8 @@
     def drain(self, host: Host) -> None:
         if host.drained_us is None:
             host.drained_us = now_us()
-        self.close_idle(host.id)
+        while host.idle:
+            host.idle.pop().close()
 
     def remove(self, id_: int) -> None:
         """Forget a host that is gone; what is out there still ends as it will."""
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from caperdrift.interface import ListKind, Outcome
 from cloverkeel.clock import now_us
 from cloverkeel.config import parse
@@ -136,6 +138,21 @@
         assert len(host.seen) == 1
 
 
+@pytest.mark.parametrize("whole", [False, True])
+@on_loop
+async def test_a_host_that_is_gone_keeps_no_idle_connection(whole: bool) -> None:
+    """They stayed open and nobody knew of them: neither swept nor given up when descriptors ran short."""
+    async with peer() as host, running(configuration(host)) as run:
+        assert (await run.ask(request())).status == 200
+        assert idle(run)
+        names = parse(configuration(host)).names
+        entries = [] if whole else [endpoint("s-0", host.address, status="DELETED")]
+        run.gateway.on_list(
+            ListKind.FULL if whole else ListKind.DELTA, parse_list(hosts_list(8, *entries), names)[2]
+        )
+        await until(lambda: host.ended == 1 and run.gateway.pools.open == 0)
+
+
 @on_loop
 async def test_nothing_starts_after_the_grace_of_a_drain() -> None:
     """A connection that comes up too late carries nothing, even if the attempt was begun in time."""
