Ask a silent discovery again 1.5 s after its answer was due, not 8 s

PROTOCOL counts news as told 2 s after a watch's wait is over, heard or not; the call was kept for 8 s after that, so that drains told to the agent meanwhile could be broken in good faith. A local agent answers at once. The test records the waits asked for and fails without the change.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -15,7 +15,7 @@
 
 LIST = b"/registry/instances"
 HOLD_MS = 20_000  # how long a watch may wait for news
-CALL_TIMEOUT_S = 8.0  # for an answer beyond that wait
+CALL_TIMEOUT_S = 1.5  # for an answer beyond that wait: 2 s after it, what was to be told counts as told
 FIRST_RETRY_S, LAST_RETRY_S = 0.2, 5.0  # between calls where the module does not ask itself
 LIST_LIMIT = 16 * 1024 * 1024
 STATUSES = {
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -8,6 +8,7 @@
 import pytest
 
 from caperdrift.interface import FetchList, ListKind, ServerList, WatchList
+from cloverkeel.discovery import HOLD_MS
 from tests.sockets import (
     Exchange,
     Peer,
@@ -149,6 +150,28 @@
         registry.script = silent
 
 
+@on_loop
+async def test_a_silent_discovery_is_asked_again_before_its_news_counts_as_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An answer that never came was waited for until 8 s after it was due; news counts as told after 2 s."""
+    waits: list[float] = []
+
+    def timeout(wait_s: float) -> asyncio.Timeout:
+        waits.append(wait_s)
+        return asyncio.timeout_at(None)
+
+    async with (
+        peer(silent) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        run.gateway.discovery.watch(False)
+        monkeypatch.setattr("cloverkeel.discovery.asyncio.timeout", timeout)
+        run.gateway.discovery.watch(True)
+        await until(lambda: len(waits) == 2)
+    assert waits[0] < 2.0 and waits[1] < HOLD_MS / 1000 + 2.0
+
+
 @on_loop
 async def test_bad_entries_and_unknown_fields_are_survived() -> None:
     async with peer() as host:
