Size a gateway's subset by users for each server, not by all that it has out

Evidence: each gateway has 23 requests a second and some nine attempts out; SUBSET + self.out, in try_send(), spread them over twelve hosts, so that each met a host once in half a second or less often, a ring needed 5 s and more to fill to its minimum, and the controller's cuts came as slowly. Own attempts out say how much one of three gateways loads its hosts; one of forty has a fortieth of that load, and only thins its evidence.

Now 4 plus a quarter of the attempts out, and at the least what gives each server three users (settings carry the number of gateways): all servers for 3 gateways, 5 to 8 of 60 for 40.

The test fails without the change.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -36,7 +36,9 @@
 SMOOTHING = 0.05  # share of the newest sample in smoothed values
 # The draw
 LEAST_SIZE = 0.25  # of a request: latency over a smaller one is mostly wait, and blew up the smoothed values
-SUBSET = 3  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
+SUBSET = 4  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
+USERS = 3.0  # proxies that spread over a server on average, at the least: load is even and known to each
+CROWD = 4  # attempts out for each server beyond
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
 UNHINDERED_UP = 0.0005  # relative rise of the unhindered latency with each answer: no jam is usual at once
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
@@ -500,7 +502,8 @@
         request.out += 1
         server.out[attempt] = self.now_us
         self.out += 1
-        self.reach = max(SUBSET + self.out, SUBSET + (self.reach - SUBSET) * REACH_MEMORY)
+        needed = max(SUBSET + self.out / CROWD, USERS * len(self.ranked) / self.settings.proxies)
+        self.reach = max(needed, SUBSET + (self.reach - SUBSET) * REACH_MEMORY)
         if self.cold_share(server) < 1.0:
             server.spent_us += self.cold_cost_us(request)
         self.actions.append(Send(request.id, server.entry.server, max(1, self.end_us(request) - self.now_us)))
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -551,6 +551,15 @@
     assert sends(driver.arrive(klass=1)[1])[0].timeout_us > SAFE.aim_us
 
 
+def test_a_gateway_of_many_keeps_to_few_servers_and_one_of_three_uses_all() -> None:
+    """Forty gateways with nine attempts out each spread over twelve servers, and met each once a second."""
+    for proxies, count, reached in ((40, 60, 7), (3, 12, 12)):
+        driver = Driver(replace(SETTINGS, proxies=proxies), servers=count)
+        for _ in range(9):
+            driver.arrive()
+        assert len(driver.balancer.subset(0)) == reached
+
+
 def test_long_waits_shed_the_least_worth_first_and_prompt_answers_end_it() -> None:
     cheap = replace(SAFE, worth=1.0)
     dear = replace(SAFE, worth=10.0)
