Rank the servers of a subset by how idle their listed weights show them of late

Symptom: while hosts with up to 21 users time out, others of the same make have one to six users, 50 to 160 ms of work a second and their full listed weight; hosts that just started, and are no longer cold, stay that way.

The draw does weigh by the listed weight, but Server.rank, which decides who is drawn among, was set once, in list_server(), and no gateway can see how many others use a host.

The rank now divides by the smoothed share of its greatest listed weight that a server is listed with, and by its cold share. Sites whose weights do not tell of load rank as before.

The test fails without the change.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -40,6 +40,7 @@
 USERS = 3.0  # proxies that spread over a server on average, at the least: load is even and known to each
 CROWD = 4  # attempts out for each server beyond
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
+IDLE_SMOOTHING = 0.15  # share of the newest list in how idle a server is: all hear the same, none must swarm
 UNHINDERED_UP = 0.0005  # relative rise of the unhindered latency with each answer: no jam is usual at once
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
 # Keys that warm a server
@@ -170,7 +171,10 @@
 
     entry: ListedServer
     weight: float  # of the controller
-    rank: float  # rendezvous hash of this proxy and the server: its place in the subset, lowest first
+    hash: float  # rendezvous hash of this proxy and the server
+    rank: float  # the same over how idle it is listed: its place in the subset, lowest first
+    size: float = 0.0  # the most it was listed with
+    idle: float = 1.0  # smoothed share of its size that it is listed with: live weights tell of load
     breaker: Breaker = field(default_factory=Breaker)
     parts: dict[int, Part] = field(default_factory=dict)  # by class
     out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
@@ -781,6 +785,10 @@
             self.servers = {number: s for number, s in self.servers.items() if number in named}
         for entry in event.servers:
             self.list_server(entry)
+        for server in self.servers.values():
+            server.size = max(server.size, server.entry.weight)
+            server.idle += IDLE_SMOOTHING * (server.entry.weight / server.size - server.idle)
+            server.rank = server.hash / (server.idle * self.cold_share(server))
         self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
 
     def list_server(self, entry: ListedServer) -> None:
@@ -791,7 +799,7 @@
             weights = [s.weight for s in self.servers.values() if s is not known]
             mean = sum(weights) / len(weights) if weights else CEILING
             rank = rendezvous(self.settings.proxy, entry.server, self.nearness(entry))
-            server = Server(entry, mean, rank, spent_at_us=self.now_us)
+            server = Server(entry, mean, rank, rank, spent_at_us=self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
             server.spent_us = self.random.random() * max(*self.smoothed, self.fall_budget_us() / 2)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -560,6 +560,16 @@
         assert len(driver.balancer.subset(0)) == reached
 
 
+def test_a_server_whose_live_weight_stays_low_leaves_the_subset_until_it_rises() -> None:
+    """Idle servers stood beside overrun ones all day, as the rank was drawn once and for all."""
+    driver = Driver(replace(SETTINGS, proxies=40), servers=60)
+    member = driver.balancer.subset(0)[0]
+    for weight, lists, kept in ((0.1, 1, True), (0.1, 20, False), (1.0, 40, True)):
+        for _ in range(lists):
+            driver.list_servers(ListedServer(member.entry.server, weight=weight), kind=ListKind.DELTA)
+        assert (member in driver.balancer.subset(0)) is kept
+
+
 def test_long_waits_shed_the_least_worth_first_and_prompt_answers_end_it() -> None:
     cheap = replace(SAFE, worth=1.0)
     dear = replace(SAFE, worth=10.0)
