Cut subsets from one ring of servers, evenly, so that no server has many users

Each gateway drew its own, by rendezvous in list_server(): five users of sixty hosts on average is a Poisson draw, from one to ten; and nearness made a zone with more gateways than hosts crowd its own.

All gateways now sort the servers into the same ring, and each takes the stretch from its own start. Starts lie a golden ratio of the ring apart, so that those of any run of numbers are evenly spread without knowing which zone or fleet they are in. A server that comes or goes moves a subset by one or two.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -39,6 +39,7 @@
 SUBSET = 4  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
 USERS = 3.0  # proxies that spread over a server on average, at the least: load is even and known to each
 CROWD = 4  # attempts out for each server beyond
+GOLDEN = 0.6180339887  # of the ring from one proxy's start to the next: any few of them lie evenly spread
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
 IDLE_SMOOTHING = 0.15  # share of the newest list in how idle a server is: all hear the same, none must swarm
 UNHINDERED_UP = 0.0005  # relative rise of the unhindered latency with each answer: no jam is usual at once
@@ -171,8 +172,8 @@
 
     entry: ListedServer
     weight: float  # of the controller
-    hash: float  # rendezvous hash of this proxy and the server
-    rank: float  # the same over how idle it is listed: its place in the subset, lowest first
+    hash: float  # its place on the ring of servers, the same for all proxies
+    rank: float = 0.0  # steps from this proxy's start over how idle it is: lowest first
     size: float = 0.0  # the most it was listed with
     idle: float = 1.0  # smoothed share of its size that it is listed with: live weights tell of load
     breaker: Breaker = field(default_factory=Breaker)
@@ -785,10 +786,13 @@
             self.servers = {number: s for number, s in self.servers.items() if number in named}
         for entry in event.servers:
             self.list_server(entry)
-        for server in self.servers.values():
+        ring = sorted(self.servers.values(), key=attrgetter("hash"))
+        start = self.settings.proxy * GOLDEN % 1.0 * len(ring)
+        for place, server in enumerate(ring):
             server.size = max(server.size, server.entry.weight)
             server.idle += IDLE_SMOOTHING * (server.entry.weight / server.size - server.idle)
-            server.rank = server.hash / (server.idle * self.cold_share(server))
+            steps = (place - start) % len(ring) + 1.0
+            server.rank = steps / (server.idle * self.cold_share(server))
         self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
 
     def list_server(self, entry: ListedServer) -> None:
@@ -798,8 +802,7 @@
         elif known is None or known.entry.started_us != entry.started_us:
             weights = [s.weight for s in self.servers.values() if s is not known]
             mean = sum(weights) / len(weights) if weights else CEILING
-            rank = rendezvous(self.settings.proxy, entry.server, self.nearness(entry))
-            server = Server(entry, mean, rank, rank, spent_at_us=self.now_us)
+            server = Server(entry, mean, rendezvous(0, entry.server, 1.0), spent_at_us=self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
             server.spent_us = self.random.random() * max(*self.smoothed, self.fall_budget_us() / 2)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from itertools import pairwise
 
@@ -28,7 +29,7 @@
     TimerFired,
     WatchList,
 )
-from caperdrift.balance import LOG_GAP_US, OVERDUE, SHED_STEP, SUBSET, State, rendezvous
+from caperdrift.balance import LOG_GAP_US, OVERDUE, SHED_STEP, SUBSET, State
 
 
 def test_an_unsafe_request_that_may_have_run_fails_at_once() -> None:
@@ -459,14 +460,17 @@
 
 
 def test_subsets_are_even_and_move_little() -> None:
-    used = [0] * 40
-    for proxy in range(400):
-        ranks = sorted(range(40), key=lambda server: rendezvous(proxy, server, 1.0))
-        without = [server for server in ranks if server != 3]
-        assert [r for r in ranks[:4] if r != 3] == without[: 4 - (3 in ranks[:4])]
-        for server in ranks[:4]:
-            used[server] += 1
-    assert min(used) > 20 and max(used) < 65
+    """Subsets drawn by each proxy for itself gave servers of the same make one to twenty-one users."""
+    used: Counter[int] = Counter()
+    for proxy in range(40):
+        driver = Driver(replace(SETTINGS, proxies=40, proxy=proxy), servers=60)
+        before = {server.entry.server for server in driver.balancer.subset(0)}
+        used.update(before)
+        driver.list_servers(ListedServer(3, ServerStatus.GONE), ListedServer(60), kind=ListKind.DELTA)
+        after = {server.entry.server for server in driver.balancer.subset(0)}
+        assert len(before) == len(after) == SUBSET and len(after - before) <= 2
+    assert sorted(used) == list(range(60))
+    assert max(used.values()) <= 2 * 40 * SUBSET / 60
 
 
 def test_a_proxy_with_more_in_hand_reaches_further() -> None:
