Let own attempts out widen a subset in full below ten gateways, less beyond

Cause: the floor by users, needed only because subsets were uneven, made all servers of a fleet of 3 gateways members, also where few were needed and keys stay warmer at few.

Own attempts out are the right measure where a gateway is a good part of a server's load, and the wrong one where it is a fortieth: they count in full up to 10 gateways, less beyond, a quarter at least, since one with much in hand must not crush a few servers (the inherited test of that). The floor by users goes. Nearness counts in the rank again.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -37,8 +37,8 @@
 # The draw
 LEAST_SIZE = 0.25  # of a request: latency over a smaller one is mostly wait, and blew up the smoothed values
 SUBSET = 4  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
-USERS = 3.0  # proxies that spread over a server on average, at the least: load is even and known to each
-CROWD = 4  # attempts out for each server beyond
+CROWD = 10  # proxies beyond which own attempts out tell little of a server's load, and widen the subset less
+LEAST_WIDENING = 0.25  # of the subset by an attempt out: one with much in hand must not crush a few servers
 GOLDEN = 0.6180339887  # of the ring from one proxy's start to the next: any few of them lie evenly spread
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
 IDLE_SMOOTHING = 0.15  # share of the newest list in how idle a server is: all hear the same, none must swarm
@@ -173,7 +173,7 @@
     entry: ListedServer
     weight: float  # of the controller
     hash: float  # its place on the ring of servers, the same for all proxies
-    rank: float = 0.0  # steps from this proxy's start over how idle it is: lowest first
+    rank: float = 0.0  # steps from this proxy's start over how near and idle it is: lowest first
     size: float = 0.0  # the most it was listed with
     idle: float = 1.0  # smoothed share of its size that it is listed with: live weights tell of load
     breaker: Breaker = field(default_factory=Breaker)
@@ -507,7 +507,7 @@
         request.out += 1
         server.out[attempt] = self.now_us
         self.out += 1
-        needed = max(SUBSET + self.out / CROWD, USERS * len(self.ranked) / self.settings.proxies)
+        needed = SUBSET + self.out * min(1.0, max(LEAST_WIDENING, CROWD / self.settings.proxies))
         self.reach = max(needed, SUBSET + (self.reach - SUBSET) * REACH_MEMORY)
         if self.cold_share(server) < 1.0:
             server.spent_us += self.cold_cost_us(request)
@@ -792,7 +792,7 @@
             server.size = max(server.size, server.entry.weight)
             server.idle += IDLE_SMOOTHING * (server.entry.weight / server.size - server.idle)
             steps = (place - start) % len(ring) + 1.0
-            server.rank = steps / (server.idle * self.cold_share(server))
+            server.rank = steps / (server.idle * self.cold_share(server) * self.nearness(server.entry))
         self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
 
     def list_server(self, entry: ListedServer) -> None:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -557,7 +557,7 @@
 
 def test_a_gateway_of_many_keeps_to_few_servers_and_one_of_three_uses_all() -> None:
     """Forty gateways with nine attempts out each spread over twelve servers, and met each once a second."""
-    for proxies, count, reached in ((40, 60, 7), (3, 12, 12)):
+    for proxies, count, reached in ((40, 60, 7), (3, 13, 13)):
         driver = Driver(replace(SETTINGS, proxies=proxies), servers=count)
         for _ in range(9):
             driver.arrive()
