Let own attempts out weigh by the fourth power in the draw: they alone are not late

Evidence: work sent to each host by second. The listed weight of a live list spans a factor of 15 between hosts, is renewed every second or so, late, and the same for all gateways: a host that was idle when the list was made, or that has just begun to hang, draws from all its users for a second or more. What a gateway has out there itself is known at once, but was held against the host by a square only, in draw_weight(): a host with one attempt out and five times the listed weight was still preferred.

The test fails without the change.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -44,6 +44,7 @@
 IDLE_SMOOTHING = 0.15  # share of the newest list in how idle a server is: all hear the same, none must swarm
 UNHINDERED_UP = 0.0005  # relative rise of the unhindered latency with each answer: no jam is usual at once
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
+OWN = 4  # power of own attempts out in the draw: known at once, where listed weights are late, alike for all
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
 HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
@@ -650,7 +651,7 @@
         """A server's weight in the draw; 0 for one that is not eligible."""
         if not self.cold_room(server, request):
             return 0.0
-        free = 1.0 / (1.0 + len(server.out)) ** 2
+        free = 1.0 / (1.0 + len(server.out)) ** OWN
         share = self.cold_share(server)  # slow start
         weight = server.weight * server.part(request.klass).weight
         return server.entry.weight * weight * free * self.nearness(server.entry) * share
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -574,6 +574,17 @@
         assert (member in driver.balancer.subset(0)) is kept
 
 
+def test_an_own_attempt_out_counts_for_more_than_a_listed_weight_five_times_as_high() -> None:
+    """Listed weights are late and alike for all: everyone sent more to what was idle, or had just hung."""
+    driver = Driver(servers=0)
+    driver.list_servers(ListedServer(0, weight=1.0))
+    name, _ = driver.arrive(klass=2)
+    driver.list_servers(ListedServer(1, weight=0.2), kind=ListKind.DELTA)
+    balancer = driver.balancer
+    busy, free = (balancer.draw_weight(s, balancer.requests[name]) for s in balancer.servers.values())
+    assert free > busy > 0.0
+
+
 def test_long_waits_shed_the_least_worth_first_and_prompt_answers_end_it() -> None:
     cheap = replace(SAFE, worth=1.0)
     dear = replace(SAFE, worth=10.0)
