Rank also servers that are listed without weight or may start without capacity

Found in review of the ranks by idleness: a listed weight of 0 or a start capacity of 0, which other sites' settings allow, divided by zero in on_list(). No recording shows it; kept for correctness. The test fails without the change.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -791,9 +791,10 @@
         start = self.settings.proxy * GOLDEN % 1.0 * len(ring)
         for place, server in enumerate(ring):
             server.size = max(server.size, server.entry.weight)
-            server.idle += IDLE_SMOOTHING * (server.entry.weight / server.size - server.idle)
+            server.idle += IDLE_SMOOTHING * (server.entry.weight / (server.size or 1.0) - server.idle)
             steps = (place - start) % len(ring) + 1.0
-            server.rank = steps / (server.idle * self.cold_share(server) * self.nearness(server.entry))
+            fit = server.idle * self.cold_share(server) * self.nearness(server.entry)
+            server.rank = steps / max(FLOOR, fit)
         self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
 
     def list_server(self, entry: ListedServer) -> None:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -574,6 +574,15 @@
         assert (member in driver.balancer.subset(0)) is kept
 
 
+def test_servers_without_weight_or_capacity_are_ranked_too() -> None:
+    """Either brought the module down: how near, warm and idle a server is divides its place in the subset."""
+    driver = Driver(replace(COLD, start_capacity=0.0), servers=0)
+    cold = ListedServer(2, started_us=driver.now_us)
+    driver.list_servers(ListedServer(1, weight=0.0), cold, ListedServer(3))
+    assert {server.entry.server for server in driver.balancer.ranked} == {1, 2, 3}
+    assert sends(driver.arrive()[1])[0].server == 3
+
+
 def test_an_own_attempt_out_counts_for_more_than_a_listed_weight_five_times_as_high() -> None:
     """Listed weights are late and alike for all: everyone sent more to what was idle, or had just hung."""
     driver = Driver(servers=0)
