Answer operators at an address of their own; adopt the inherited listening socket

`operator.py` listens where `operator` or $LB_OPERATOR says, one call to a connection, and answers /api/ready. `Server` takes the socket of $LB_ACCEPT_FD; on SIGTERM it stops accepting at once and leaves idle connections open while there is time for one more request on them.

Without the change the tests of the take-over and of the descriptors fail.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -6,8 +6,6 @@
 import signal
 import sys
 
-END_S = 3.4  # after the signal, whatever is left: the longest a client waits, and the time that new ones come
-
 
 def _end_early(signum: int, frame: object) -> None:
     """A signal before anything is held: there is nothing to finish."""
@@ -19,10 +17,10 @@
         signal.signal(signum, _end_early)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what it would change is read below
     # Imported late: a signal during the start must find its handler.
-    from cloverkeel.config import ConfigError, load
+    from cloverkeel.config import ConfigError, inherited_listener, load
 
     try:
-        config = load()
+        config, inherited = load(), inherited_listener()
     except ConfigError as error:
         print(f"cloverkeel: {error}", file=sys.stderr)
         return 2
@@ -34,6 +32,7 @@
 
     from cloverkeel.gateway import Gateway
     from cloverkeel.http1 import log
+    from cloverkeel.operator import Answer, Operator
     from cloverkeel.server import Server
 
     def reload(gateway: Gateway) -> None:
@@ -52,24 +51,32 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
         gateway = Gateway(config)
-        server = Server(config, gateway)
+        server = Server(config, gateway, inherited)
+        calls = {b"/api/ready": lambda: Answer(200 if server.is_ready else 503)}
+        operator = Operator(config.operator, calls) if config.operator else None
+        address = config.operator or config.listen
         try:
+            if operator is not None:
+                await operator.start()
+            address = config.listen
             await server.start()
         except OSError as error:
-            log(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}")
+            log(f"cannot listen on {address[0]}:{address[1]}: {error.strerror}")
             return 1
         loop.add_signal_handler(signal.SIGHUP, reload, gateway)
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
         try:
-            async with asyncio.timeout(END_S):
+            async with asyncio.timeout(server.end_s):
                 await server.drain()
         except TimeoutError:
             log(f"ended with {len(gateway.held)} requests unanswered")
         counts = gateway.pools.counts
         log(f"ends; connections to hosts: {counts}")
         gateway.close()
+        if operator is not None:
+            operator.close()
         return 0
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -5,8 +5,9 @@
 import hashlib
 import json
 import os
+import socket
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from caperdrift.interface import Settings
@@ -39,6 +40,7 @@
     known: dict[str, Any]  # in discovery's form
     settings: Settings
     names: Names
+    operator: Address | None = None  # where operators call; None: nowhere
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -59,7 +61,28 @@
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"{path} is not JSON: {error}") from None
-    return parse(raw)
+    config = parse(raw)
+    named = environment.get("LB_OPERATOR")  # a new process by an old one has another than the file may name
+    return replace(config, operator=parse_address(named, "LB_OPERATOR")) if named else config
+
+
+def inherited_listener(environment: Mapping[str, str] = os.environ) -> socket.socket | None:
+    """The clients' listening socket, where the platform holds it for every process."""
+    text = environment.get("LB_ACCEPT_FD")
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise ConfigError(f"LB_ACCEPT_FD is no descriptor: {text!r:.40}")
+    try:
+        # A copy: its number is this process's own, and closing it leaves the platform's open.
+        listener = socket.socket(fileno=os.dup(int(text)))
+    except OSError as error:
+        raise ConfigError(f"LB_ACCEPT_FD {text}: {error.strerror}") from None
+    is_tcp = listener.family == socket.AF_INET and listener.type == socket.SOCK_STREAM
+    if not is_tcp or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        listener.close()
+        raise ConfigError(f"LB_ACCEPT_FD {text} is not a listening socket")
+    return listener
 
 
 def parse(raw: object) -> Config:
@@ -81,6 +104,7 @@
             known=known,
             settings=parse_settings(json.dumps(settings)),
             names=_names(settings),
+            operator=parse_address(raw["operator"], "operator") if raw.get("operator") else None,
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from collections.abc import Iterable
 
@@ -11,11 +12,18 @@
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 64 * 1024
+LINGER_S = 1.0  # for the other side to read an answer that it did not expect
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer"
     b" transfer-encoding upgrade expect content-length".split()
 )
 
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+    408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+}  # fmt: skip
+
 
 def end_to_end(headers: Iterable[Header], without: frozenset[bytes] = frozenset()) -> list[Header]:
     """Headers that may pass on: none that is meant for this connection only, here or by `Connection`."""
@@ -34,6 +42,31 @@
     return next((value for name, value in headers if name.lower() == wanted), None)
 
 
+def write_answer(
+    transport: asyncio.Transport, status: int, headers: list[Header], body: bytes, last: bool, head_only: bool
+) -> None:
+    """Write a whole answer."""
+    lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
+    lines += [b"%s: %s" % pair for pair in headers]
+    lines += [b"Content-Length: %d" % len(body)]
+    if last:
+        lines.append(b"Connection: close")
+    transport.write(b"%s\r\n\r\n%s" % (b"\r\n".join(lines), b"" if head_only else body))
+
+
+def end_writing(transport: asyncio.Transport) -> None:
+    """End an answer's connection so that the answer is read.
+
+    Guards against a reset that overtakes the answer where the other side has still more to say: then it is
+    left to read first.
+    """
+    if transport.can_write_eof():
+        transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, transport.close)
+    else:
+        transport.close()
+
+
 def log(line: str) -> None:
     """One line of the program's log; nothing is logged for each request."""
     print(f"cloverkeel: {line}", file=sys.stderr, flush=True)
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 import select
+import socket
 from collections import deque
 from functools import partial
 from typing import cast
@@ -16,15 +17,28 @@
 
 from cloverkeel.config import Config, stable_id
 from cloverkeel.gateway import Call, Gateway
-from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, Reply, end_to_end, header, log
+from cloverkeel.http1 import (
+    BODY_LIMIT,
+    HEAD_LIMIT,
+    Header,
+    Reply,
+    end_to_end,
+    end_writing,
+    header,
+    log,
+    write_answer,
+)
 
 READY_PATH = b"/health/ready"
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
+KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
+LONGEST_S = 3.0
+LAST_MOMENT_S = 0.1  # before that, this process ends by itself
+END_S = 3.4  # after SIGTERM: the longest a client waits, and the time that new ones come
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
 READ_S = 2.2  # for a request to come whole, from the connection's beginning or from its own
 SWEEP_S = 0.2
 REPORT_S = 10.0
-LINGER_S = 1.0  # for the client to read an answer that it did not expect
 POLL_S = 0.02
 PIPELINED = 16  # requests read ahead on one connection
 BACKLOG = 1024
@@ -32,11 +46,6 @@
 RESERVE = 64  # descriptors kept free of pools and idle clients
 NOT_PASSED_ON = frozenset({b"x-budget-ms"})
 NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
-REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-    408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
-}  # fmt: skip
 
 
 class RequestError(ValueError):
@@ -65,37 +74,64 @@
 class Server:
     """All connections of clients."""
 
-    def __init__(self, config: Config, gateway: Gateway) -> None:
+    def __init__(self, config: Config, gateway: Gateway, inherited: socket.socket | None = None) -> None:
         self.config, self.gateway = config, gateway
         self.connections: dict[ClientConnection, None] = {}  # the longest without an answer first
         self.draining = False
         self.listener: asyncio.Server | None = None
+        self.inherited = inherited  # others accept from it too
+        self.accepting = False
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
         asyncio.get_running_loop().call_later(REPORT_S, self.report)
         gateway.pools.room = self.make_room
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(
-            lambda: ClientConnection(self), *self.config.listen, backlog=BACKLOG, start_serving=False
-        )
+        made = partial(ClientConnection, self)
+        if self.inherited is not None:
+            self.listener = await loop.create_server(
+                made, sock=self.inherited, backlog=BACKLOG, start_serving=False
+            )
+        else:
+            self.listener = await loop.create_server(
+                made, *self.config.listen, backlog=BACKLOG, start_serving=False
+            )
         self.gateway.start()  # nobody is let in before there is a list of hosts to serve from
         await self.listener.start_serving()
+        self.accepting = True
 
     @property
     def is_ready(self) -> bool:
-        return not self.draining and self.gateway.can_serve
+        return self.accepting and not self.draining and self.gateway.can_serve
+
+    @property
+    def end_s(self) -> float:
+        """How long after the signal this process may take to end, whatever is left."""
+        if self.inherited is None:
+            return END_S
+        longest_s = max(c.give_up_us for c in self.config.settings.classes) / 1e6
+        return min(LONGEST_S, longest_s) + KILL_AFTER_S - LAST_MOMENT_S
 
     async def drain(self) -> None:
         """The way out: every request that was taken, or waits to be accepted, is answered first."""
         self.draining = True
         loop = asyncio.get_running_loop()
-        stop_accepting = loop.time() + ACCEPT_ON_S
-        while loop.time() < stop_accepting:
-            self.close_idle()
-            await asyncio.sleep(POLL_S)
-        if self.listener is not None:
-            self.listener.close()
+        if self.inherited is not None:
+            # Another process has taken over: it accepts what waits and what comes. Closing an idle connection
+            # may cross a request on it, so each is left to its next answer while there is time for that.
+            if self.listener is not None:
+                self.listener.close()
+            longest_aim_s = max(c.aim_us for c in self.config.settings.classes) / 1e6
+            last_s = loop.time() + self.end_s - longest_aim_s
+            while self.connections and loop.time() < last_s:
+                await asyncio.sleep(POLL_S)
+        else:
+            stop_accepting = loop.time() + ACCEPT_ON_S
+            while loop.time() < stop_accepting:
+                self.close_idle()
+                await asyncio.sleep(POLL_S)
+            if self.listener is not None:
+                self.listener.close()
         while self.connections:
             self.close_idle()
             await asyncio.sleep(POLL_S)
@@ -377,14 +413,7 @@
         # Guards against a rush of new connections: all too fresh to close, they left none for the hosts.
         crowded = self.server.spare < RESERVE // 2
         last = not request.keep_alive or ((self.server.draining or crowded) and not more)
-        lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
-        lines += [b"%s: %s" % pair for pair in headers]
-        lines += [b"Content-Length: %d" % len(body)]
-        if last:
-            lines.append(b"Connection: close")
-        if request.method == b"HEAD":
-            body = b""
-        transport.write(b"%s\r\n\r\n%s" % (b"\r\n".join(lines), body))
+        write_answer(transport, status, headers, body, last, request.method == b"HEAD")
         if last:
             self.waiting.clear()
             self.end(linger=request.fault is not None)
@@ -396,16 +425,11 @@
             asyncio.get_running_loop().call_soon(self.take_next)
 
     def end(self, linger: bool) -> None:
-        """Close once the answer is written.
-
-        Guards against a reset that overtakes the answer where the client has still more to say: then it is
-        left to read first.
-        """
+        """Close once the answer is written."""
         self.deaf = True
         assert self.transport is not None
-        if linger and self.transport.can_write_eof():
-            self.transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER_S, self.transport.close)
+        if linger:
+            end_writing(self.transport)
         else:
             self.transport.close()
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -30,19 +31,18 @@
 )
 
 ROOT = Path(__file__).parent.parent
+OPERATORS_READY = b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n"
 READY = b"GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"
 
 
-async def start(environment: dict[str, str]) -> asyncio.subprocess.Process:
+async def start(environment: dict[str, str], *descriptors: int) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cloverkeel", cwd=ROOT, env=os.environ | environment,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE, pass_fds=descriptors,
     )  # fmt: skip
 
 
 def free_port() -> int:
-    import socket
-
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port = probe.getsockname()[1]
@@ -52,15 +52,24 @@
 
 @asynccontextmanager
 async def program(
-    folder: Path, config: dict[str, Any]
+    folder: Path, config: dict[str, Any], operator: int = 0, listener: socket.socket | None = None
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
-    """The program, once it is ready, and its port."""
-    port = free_port()
+    """The program, once it is ready, and its port; on a socket that it inherits, ready for its operators."""
+    port = listener.getsockname()[1] if listener is not None else free_port()
     file = folder / "config.json"
     file.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}"}))
-    process = await start({"LB_CONFIG": str(file)})
+    environment = {"LB_CONFIG": str(file)}
+    if operator:
+        environment["LB_OPERATOR"] = f"127.0.0.1:{operator}"
+    if listener is not None:
+        process = await start(environment | {"LB_ACCEPT_FD": str(listener.fileno())}, listener.fileno())
+    else:
+        process = await start(environment)
     try:
-        while (await ask(port, READY)) != 200:
+        while listener is not None and (await ask(operator, OPERATORS_READY)) != 200:
+            assert process.returncode is None
+            await asyncio.sleep(0.01)
+        while listener is None and (await ask(port, READY)) != 200:
             assert process.returncode is None
             await asyncio.sleep(0.01)
         yield process, port
@@ -78,12 +87,60 @@
     try:
         client = await connect(port)
         status = (await client.ask(data)).status
-    except OSError:
+    except (OSError, asyncio.IncompleteReadError):
         return 0
     client.close()
     return status
 
 
+async def slowly(exchange: Exchange) -> None:
+    await asyncio.sleep(0.005)
+    exchange.answer(reply(200, exchange.message.body))
+
+
+class Clients:
+    """Twelve clients that send without a pause, over connections that they keep while they may."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.served = self.lost = self.turned_back = 0
+        self.closed = 0  # connections ended with an answer
+        self.stopping = False
+        self.tasks = [asyncio.create_task(self.run(number)) for number in range(12)]
+
+    async def stop(self) -> None:
+        self.stopping = True
+        await asyncio.gather(*self.tasks)
+
+    async def run(self, number: int) -> None:
+        open_: Client | None = None
+        while not self.stopping:
+            data = request("transfer", b"%d" % number)
+            for again in (False, True):
+                used = open_ is not None
+                try:
+                    open_ = open_ or await connect(self.port)
+                    answer = await open_.ask(data)
+                except (OSError, asyncio.IncompleteReadError):
+                    if open_ is not None:
+                        open_.close()
+                    open_ = None
+                    if again or not used:
+                        self.lost += 1
+                        break
+                    self.turned_back += 1
+                    continue
+                assert answer.status in (200, 503)
+                self.served += 1
+                if answer.headers.get("connection") == "close":
+                    self.closed += 1
+                    open_.close()
+                    open_ = None
+                break
+        if open_ is not None:
+            open_.close()
+
+
 @on_loop
 async def test_it_serves_and_ends_with_0(tmp_path: Path) -> None:
     async with peer() as host, program(tmp_path, configuration(host)) as (process, port):
@@ -245,47 +302,104 @@
     A connection that ends between requests may have crossed one: that is sent once more, on a new one.
     """
 
-    async def slowly(exchange: Exchange) -> None:
-        await asyncio.sleep(0.005)
-        exchange.answer(reply(200, exchange.message.body))
-
     async with peer(slowly) as host, program(tmp_path, configuration(host)) as (process, port):
-        loop = asyncio.get_running_loop()
-        end_s: list[float] = []
-        served, lost = 0, 0
-
-        async def client(number: int) -> None:
-            nonlocal served, lost
-            open_: Client | None = None
-            while not end_s or loop.time() < end_s[0]:
-                data = request("transfer", b"%d" % number)
-                for again in (False, True):
-                    used = open_ is not None
-                    try:
-                        open_ = open_ or await connect(port)
-                        answer = await open_.ask(data)
-                    except (OSError, asyncio.IncompleteReadError):
-                        if open_ is not None:
-                            open_.close()
-                        open_ = None
-                        if again or not used:
-                            lost += 1
-                            break
-                        continue
-                    assert answer.status in (200, 503)
-                    served += 1
-                    if answer.headers.get("connection") == "close":
-                        open_.close()
-                        open_ = None
-                    break
-            if open_ is not None:
-                open_.close()
-
-        clients = [asyncio.create_task(client(number)) for number in range(12)]
-        await until(lambda: served > 50)
+        clients = Clients(port)
+        await until(lambda: clients.served > 50)
         process.send_signal(signal.SIGTERM)
-        end_s.append(loop.time() + 0.4)
-        before = served
-        await asyncio.gather(*clients)
+        before = clients.served
+        await asyncio.sleep(0.4)
+        await clients.stop()
         assert await process.wait() == 0
-        assert lost == 0 and served > before
+        assert clients.lost == 0 and clients.served > before
+
+
+def listening() -> socket.socket:
+    """The clients' socket, as a platform holds it."""
+    held = socket.create_server(("127.0.0.1", 0), backlog=256)
+    held.set_inheritable(True)
+    return held
+
+
+@on_loop
+async def test_a_new_version_takes_over_on_the_inherited_socket_and_nobody_is_turned_back(
+    tmp_path: Path,
+) -> None:
+    """The new process could not bind the address in use, and ended with 1."""
+
+    async def script(exchange: Exchange) -> None:
+        if exchange.message.body != b"held":
+            await slowly(exchange)
+
+    async with peer(script) as host:
+        with listening() as held:
+            ports, config = (free_port(), free_port()), configuration(host)
+            for lane in config["settings"]["lanes"]:
+                lane |= {"aimUs": 500_000}  # what is kept free of the time to the end
+            async with program(tmp_path, config, ports[0], held) as (old, port):
+                resting, busy = await connect(port), await connect(port)
+                assert (await resting.ask(READY)).status == (await busy.ask(READY)).status == 200
+                clients = Clients(port)
+                await until(lambda: clients.served > 50)
+                async with program(tmp_path, config, ports[1], held) as (new, _):
+                    busy.send(request("transfer", b"held"))
+                    await until(lambda: any(e.message.body == b"held" for e in host.seen))
+                    old.send_signal(signal.SIGTERM)
+                    while await ask(ports[0], OPERATORS_READY) == 200:
+                        await asyncio.sleep(0.002)
+                    # The old process owes one answer, and still takes a request on a connection that rested.
+                    answer = await resting.ask(request("transfer", b"late"))
+                    assert (answer.status, answer.headers["connection"]) == (200, "close")
+                    await until(lambda: clients.closed >= 6)
+                    for exchange in host.seen:
+                        if exchange.message.body == b"held":
+                            exchange.answer(reply(200, b"held"))
+                    assert (await busy.answer()).body == b"held"
+                    assert await old.wait() == 0
+                    before = clients.served
+                    await until(lambda: clients.served > before + 50)
+                    await clients.stop()
+                    assert new.returncode is None
+                    assert clients.lost == clients.turned_back == 0
+                    resting.close()
+                    busy.close()
+
+
+@on_loop
+async def test_what_rests_until_the_end_is_closed_in_time(tmp_path: Path) -> None:
+    async with peer() as host:
+        with listening() as held:
+            config = configuration(host)
+            for lane in config["settings"]["lanes"]:
+                lane |= {"aimUs": 100_000, "giveUpUs": 300_000}
+            async with program(tmp_path, config, free_port(), held) as (process, port):
+                resting = await connect(port)
+                assert (await resting.ask(READY)).status == 200
+                process.send_signal(signal.SIGTERM)
+                assert await resting.reader.read() == b""
+                assert await process.wait() == 0
+                resting.close()
+
+
+@pytest.mark.parametrize("text", ["x", "-1", "9999", "1.5", "0"])
+@on_loop
+async def test_a_descriptor_that_is_no_listening_socket_is_one_line_and_2(tmp_path: Path, text: str) -> None:
+    async with peer() as host:
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(host)))
+        process = await start({"LB_CONFIG": str(file), "LB_ACCEPT_FD": text})
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert errors.startswith(b"cloverkeel: LB_ACCEPT_FD ") and errors.count(b"\n") == 1
+
+
+@on_loop
+async def test_a_connected_socket_is_no_listening_one(tmp_path: Path) -> None:
+    async with peer() as host:
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(host)))
+        with socket.socket() as idle:
+            idle.set_inheritable(True)
+            number = idle.fileno()
+            process = await start({"LB_CONFIG": str(file), "LB_ACCEPT_FD": str(number)}, number)
+            _, errors = await process.communicate()
+        assert process.returncode == 2 and b"not a listening socket" in errors
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,93 @@
+"""The operators' front: its calls, what it says to wrong ones, and callers that hold on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from cloverkeel import operator as front
+from cloverkeel.operator import Answer, Operator
+from tests.sockets import Client, Message, on_loop, until
+
+READY = b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n"
+
+
+@asynccontextmanager
+async def operators(status: int = 200) -> AsyncIterator[tuple[Operator, int]]:
+    made = Operator(("127.0.0.1", 0), {b"/api/ready": lambda: Answer(status, b"so\n")})
+    await made.start()
+    assert made.listener is not None
+    try:
+        yield made, made.listener.sockets[0].getsockname()[1]
+    finally:
+        made.close()
+
+
+async def caller(port: int) -> Client:
+    return Client(*await asyncio.open_connection("127.0.0.1", port))
+
+
+async def call(port: int, data: bytes) -> Message:
+    """The answer, once the connection has ended with it."""
+    client = await caller(port)
+    answer = await client.ask(data)
+    assert await client.reader.read() == b""
+    assert answer.headers["connection"] == "close"
+    client.close()
+    return answer
+
+
+@on_loop
+async def test_a_call_is_answered_and_closed_whichever_way_it_is_cut() -> None:
+    async with operators() as (_, port):
+        assert (await call(port, READY)).body == b"so\n"
+        client = await caller(port)
+        for byte in READY:
+            client.send(bytes([byte]))
+            await asyncio.sleep(0)
+        assert (await client.answer()).status == 200
+        client.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (READY.replace(b"ready", b"ready?x=1"), 200),
+        (READY.replace(b"ready", b"other"), 404),
+        (READY.replace(b"GET", b"POST"), 405),
+        (READY.replace(b"GET", b"DELETE"), 405),
+        (b"nonsense\r\n\r\n", 400),
+        (b"\x16\x03\x01" + bytes(40), 400),
+        (READY[:-2] + b"Content-Length: x\r\n\r\n", 400),
+        (READY[:-2] + b"A: " + b"a" * 200_000, 413),
+    ],
+)
+@on_loop
+async def test_wrong_calls_have_http_s_own_answers(data: bytes, status: int) -> None:
+    async with operators() as (_, port):
+        assert (await call(port, data)).status == status
+
+
+@on_loop
+async def test_one_call_to_a_connection() -> None:
+    async with operators() as (_, port):
+        assert (await call(port, READY + READY)).status == 200
+
+
+@on_loop
+async def test_callers_that_hold_on_give_way_and_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "MOST", 3)
+    monkeypatch.setattr(front, "CALL_S", 0.2)
+    async with operators() as (made, port):
+        holding = [await caller(port) for _ in range(5)]
+        for client in holding:
+            client.send(READY[:9])
+        assert (await call(port, READY)).status == 200  # beside them
+        assert len(made.connections) <= 3
+        assert (await holding[-1].answer()).status == 408
+        for client in holding:
+            client.close()
+        await until(lambda: not made.connections)
