Serve the figures at /api/telemetry, each counted where its thing happens

`telemetry.py` holds the counters. Gateway.finish counts a request's end, Pools.on_written an attempt whose last byte is with the kernel. Skipped servers are asked of the module: `may_use` is the part of `is_eligible` that changes nothing, and both go by it.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -94,18 +94,21 @@
     trials_out: int = 0
     trial_results: list[bool] = field(default_factory=list)
 
+    def may_pass(self, now_us: int) -> bool:
+        """True if closed, half-open with trials left to give, or open with its cooldown over."""
+        if self.state is State.HALF_OPEN:
+            return self.trials_out + len(self.trial_results) < TRIALS
+        return self.state is State.CLOSED or now_us >= self.open_until_us
+
     def lets_through(self, now_us: int) -> bool:
-        """True if closed, or half-open with trials left to give; ends a cooldown that is over."""
-        if self.state is State.CLOSED:
-            return True
-        if self.state is State.OPEN:
-            if now_us < self.open_until_us:
-                return False
+        """The same, and a cooldown that is over ends."""
+        passes = self.may_pass(now_us)
+        if passes and self.state is State.OPEN:
             self.state = State.HALF_OPEN
             self.episode += 1
             self.trials_out = 0
             self.trial_results = []
-        return self.trials_out + len(self.trial_results) < TRIALS
+        return passes
 
     def take_trial(self) -> int:
         """The episode an attempt is a trial of, or 0 for an ordinary attempt."""
@@ -661,8 +664,21 @@
         return 1.0 / (1.0 + AWAY * self.settings.prices.cross_zone * (entry.zone != self.settings.zone))
 
     def is_eligible(self, server: Server, klass: int) -> bool:
-        ready = server.entry.status is ServerStatus.READY and server.breaker.lets_through(self.now_us)
-        return ready and server.part(klass).breaker.lets_through(self.now_us) and not self.is_silent(server)
+        """Whether it may be used; cooldowns that are over end."""
+        breakers = server.breaker, server.part(klass).breaker
+        return self.may_use(server, klass) and all(b.lets_through(self.now_us) for b in breakers)
+
+    def may_use(self, server: Server, klass: int) -> bool:
+        if server.entry.status is not ServerStatus.READY or not server.breaker.may_pass(self.now_us):
+            return False
+        part = server.parts.get(klass)
+        return (part is None or part.breaker.may_pass(self.now_us)) and not self.is_silent(server)
+
+    def skipped(self, now_us: int) -> int:
+        """How many listed servers may not be used for any class now."""
+        self.now_us = max(now_us, self.now_us)
+        classes = range(len(self.settings.classes))
+        return sum(not any(self.may_use(s, klass) for klass in classes) for s in self.servers.values())
 
     def is_silent(self, server: Server) -> bool:
         """True while the oldest attempt out is overdue: nothing more until it is answered or times out."""
--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -34,12 +34,15 @@
     from cloverkeel.http1 import log
     from cloverkeel.operator import Answer, Operator
     from cloverkeel.server import Server
+    from cloverkeel.telemetry import CONTENT_TYPE
 
     def reload(gateway: Gateway) -> None:
         """Take up the address of discovery that the file names now; what cannot be used changes nothing."""
         try:
             gateway.discovery.move(load().discovery)
+            gateway.telemetry.loads += 1
         except ConfigError as error:
+            gateway.telemetry.load_errors += 1
             log(f"not reconfigured: {error}")
         else:
             host, port = gateway.discovery.address
@@ -52,7 +55,10 @@
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
         gateway = Gateway(config)
         server = Server(config, gateway, inherited)
-        calls = {b"/api/ready": lambda: Answer(200 if server.is_ready else 503)}
+        calls = {
+            b"/api/ready": lambda: Answer(200 if server.is_ready else 503),
+            b"/api/telemetry": lambda: Answer(200, gateway.figures(), (b"Content-Type", CONTENT_TYPE)),
+        }
         operator = Operator(config.operator, calls) if config.operator else None
         address = config.operator or config.listen
         try:
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -25,6 +25,7 @@
     """The names behind the module's numbers: each list is in the order of the settings."""
 
     classes: dict[bytes, int]
+    by_class: tuple[bytes, ...]  # the name of each class that ever had a number
     tenants: dict[bytes, int]
     zones: dict[str, int]
     kinds: dict[str, int]
@@ -130,4 +131,5 @@
     def in_bytes(key: str) -> dict[bytes, int]:
         return {name.encode(): number for name, number in numbered(key).items()}
 
-    return Names(in_bytes("lanes"), in_bytes("tenants"), numbered("zones"), numbered("shapes"))
+    classes = in_bytes("lanes")
+    return Names(classes, tuple(classes), in_bytes("tenants"), numbered("zones"), numbered("shapes"))
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -43,6 +43,7 @@
 from cloverkeel.discovery import Discovery, Entry
 from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, Pools, load_of
 from cloverkeel.http1 import Reply, log
+from cloverkeel.telemetry import Result, Telemetry
 
 
 @dataclass(slots=True, eq=False)
@@ -78,9 +79,12 @@
 class Gateway:
     def __init__(self, config: Config) -> None:
         self.loop = asyncio.get_running_loop()
-        self.settings = config.settings
+        self.settings, self.names = config.settings, config.names
+        self.telemetry = Telemetry()
+        for klass in self.names.by_class:
+            self.telemetry.know(klass)
         self.balancer = Balancer(config.settings, config.seed)
-        self.pools = Pools(config.settings)
+        self.pools = Pools(config.settings, self.telemetry)
         pushed = config.settings.list_is_pushed
         self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
         self.events: deque[Callable[[], Event | None]] = deque()
@@ -98,6 +102,16 @@
         """Whether there is any host to send to."""
         return bool(self.pools.hosts)
 
+    def figures(self) -> bytes:
+        """What operators read, as it is now."""
+        return self.telemetry.render(
+            {
+                "in_progress": sum(not held.closed for held in self.held.values()),
+                "known_hosts": len(self.pools.hosts),
+                "skipped_hosts": self.balancer.skipped(now_us()),
+            }
+        )
+
     def close(self) -> None:
         self.closed = True
         self.discovery.close()
@@ -145,7 +159,7 @@
         held = self.held.get(id_)
         if held is None or held.closed:
             return
-        self.finish(id_, held)
+        self.finish(id_, held, None)
         self.post(lambda: RequestGone(id_))
 
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
@@ -177,11 +191,11 @@
                 event = TimerFired(action.token)
                 self.loop.call_later(delay_s, self.post, lambda: event)
             case Refuse():
-                held = self.owed(action.request)
+                held = self.owed(action.request, Result.DROPPED)
                 if held is not None:
                     held.call.on_refused(action.retry_after_us)
             case Fail():
-                held = self.owed(action.request)
+                held = self.owed(action.request, Result.BAD_GATEWAY)
                 if held is not None:
                     held.call.on_failed(held.timed_out)
             case Cancel():
@@ -199,16 +213,19 @@
             case _:
                 log(f"not carried out: {action!r}")
 
-    def owed(self, id_: str) -> Held | None:
+    def owed(self, id_: str, result: Result) -> Held | None:
         """The request, if it still waits for its final answer, which it has from now on."""
         held = self.held.get(id_)
         if held is None or held.closed:
             return None
-        self.finish(id_, held)
+        self.finish(id_, held, result)
         return held
 
-    def finish(self, id_: str, held: Held) -> None:
+    def finish(self, id_: str, held: Held, result: Result | None) -> None:
+        """Nothing is owed from now on; None: the client has gone, and nothing is counted."""
         held.closed = True
+        if result is not None:
+            self.telemetry.count(self.names.by_class[held.call.klass], result)
         if held.out == 0:
             del self.held[id_]
 
@@ -246,7 +263,7 @@
         held.out -= 1
         held.timed_out = outcome is Outcome.TIMEOUT
         if not held.closed and outcome is Outcome.OK and reply is not None:
-            self.finish(id_, held)
+            self.finish(id_, held, Result.PASSED)
             held.call.on_served(reply)
         elif held.closed and held.out == 0:
             self.held.pop(id_, None)
@@ -272,4 +289,4 @@
         path = b"/health/live" if self.settings.reports is Reports.NONE else b"/stats"
         address = f"{host.address[0]}:{host.address[1]}".encode()
         payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
-        self.pools.send(Attempt(host, payload, on_end), PROBE_TIMEOUT_US)
+        self.pools.send(Attempt(host, payload, on_end, is_probe=True), PROBE_TIMEOUT_US)
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -14,6 +14,7 @@
 from cloverkeel.clock import now_us
 from cloverkeel.config import Address
 from cloverkeel.http1 import Reply, ReplyError, ReplyReader, header
+from cloverkeel.telemetry import Telemetry
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
 SPARE_IDLE_US = 5_000_000  # the same for what only a burst has needed
@@ -42,6 +43,7 @@
     host: Host
     payload: bytes
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
+    is_probe: bool = False
     sent_us: int = 0
     latency_us: int = 0
     connection: HostConnection | None = None
@@ -111,7 +113,11 @@
         """False if the connection turned out broken before the last byte was written."""
         assert self.transport is not None
         self.transport.write(data)
-        return not self.transport.is_closing()
+        if self.transport.is_closing():
+            return False
+        if self.flushed:
+            self.pools.on_written(self)
+        return True
 
     def close(self) -> None:
         if self.transport is not None:
@@ -122,6 +128,7 @@
 
     def resume_writing(self) -> None:
         self.flushed = True
+        self.pools.on_written(self)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -141,8 +148,10 @@
 class Pools:
     """Carries attempts to hosts. Every attempt that is sent ends once, by its `on_end`."""
 
-    def __init__(self, settings: Settings, room: Callable[[], None] = lambda: None) -> None:
-        self.settings = settings
+    def __init__(
+        self, settings: Settings, telemetry: Telemetry, room: Callable[[], None] = lambda: None
+    ) -> None:
+        self.settings, self.telemetry = settings, telemetry
         self.loop = asyncio.get_running_loop()
         self.room = room  # called before a descriptor is taken
         self.hosts: dict[int, Host] = {}
@@ -289,6 +298,11 @@
             connection.close()
             self.end(attempt, Outcome.CONNECT_FAILED)
 
+    def on_written(self, connection: HostConnection) -> None:
+        """The last byte of what was sent is with the kernel."""
+        if connection.attempt is not None and not connection.attempt.is_probe:
+            self.telemetry.upstream_tries += 1
+
     def on_opened(self, opening: asyncio.Task[object], connection: HostConnection) -> None:
         """Account for a connection that did not come up."""
         if not opening.cancelled() and opening.exception() is None:
