--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -16,8 +16,8 @@
 
 from caperdrift.interface import (
     NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, ListedServer, ListKind, Log, Outcome,
-    Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer, Settings,
-    StreamStarted, TimerFired, WatchList,
+    Refuse, RequestArrived, RequestClass, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer,
+    Settings, SettingsChanged, StreamStarted, TimerFired, WatchList,
 )
 
 # The breaker
@@ -208,6 +208,8 @@
 class Request:
     id: str
     klass: int
+    rules: RequestClass  # of its class when it came: settings may change meanwhile
+    max_attempts: int  # likewise
     key: int | None
     work_us: int  # hinted; 0: unknown
     deadline_us: int
@@ -279,15 +281,37 @@
             self.on_list(event)
         elif isinstance(event, StreamStarted):
             self.on_stream(event)
+        elif isinstance(event, SettingsChanged):
+            self.on_settings(event.settings)
         return self.actions
 
+    def on_settings(self, settings: Settings) -> None:
+        """Go by other settings from now on; what was learned stays, and open requests keep their rules."""
+        old, self.settings = self.settings, settings
+        known = len(old.classes)
+        for values in (self.smoothed, self.unhindered):
+            values += [c.aim_us / 4 for c in settings.classes[known:]]
+        for values in (self.mean_work, self.asked, self.served):
+            values += [0.0] * (len(settings.classes) - known)
+        self.patience += [(c.give_up_us, 0) for c in settings.classes[known:]]
+        for index, (was, now) in enumerate(zip(old.classes, settings.classes, strict=False)):
+            if was.give_up_us != now.give_up_us:
+                self.patience[index] = (now.give_up_us, 0)
+            if now.dropped:
+                self.asked[index] = self.served[index] = 0.0
+        self.tries += [t.share / (1.0 - TENANT_MEMORY) for t in settings.tenants[len(self.tries) :]]
+        if old.list_is_pushed and not settings.list_is_pushed:
+            self.actions.append(SetTimer(self.now_us, LIST_TOKEN))
+        self.rank_servers()
+
     # Requests
 
     def on_request(self, event: RequestArrived) -> None:
         if event.request in self.requests:
             self.log(f"request {event.request} came twice; the second is ignored")
             return
-        if not 0 <= event.klass < len(self.settings.classes):
+        classes = self.settings.classes
+        if not 0 <= event.klass < len(classes) or classes[event.klass].dropped:
             self.log(f"request {event.request} is of unknown class {event.klass}")
             self.actions.append(Fail(event.request))
             return
@@ -312,8 +336,9 @@
                 self.asked = [n / 2 for n in self.asked]
                 self.served = [n / 2 for n in self.served]
         return Request(
-            event.request, event.klass, event.key, event.work_us or 0, self.now_us + event.patience_us,
-            self.now_us + max(0, klass.aim_us - used_us), size, first_try, self.excess(event.tenant),
+            event.request, event.klass, klass, self.settings.max_attempts, event.key, event.work_us or 0,
+            self.now_us + event.patience_us, self.now_us + max(0, klass.aim_us - used_us), size, first_try,
+            self.excess(event.tenant),
         )
 
     def excess(self, tenant: int) -> float:
@@ -335,7 +360,7 @@
 
         A line grows no longer than can be served from: who would come too late is refused when that is clear.
         """
-        if request.key is None or not self.settings.classes[request.klass].in_order:
+        if request.key is None or not request.rules.in_order:
             return False
         line = self.lines.setdefault(request.key, deque())
         last_us = self.end_us(request) - int(self.expected_us(request))
@@ -382,7 +407,7 @@
 
         Guards against queues that grow past every aim: what gains the goal least for its work goes first.
         """
-        if self.settings.classes[request.klass].late_worth <= 0.0 and self.now_us >= request.aim_us:
+        if request.rules.late_worth <= 0.0 and self.now_us >= request.aim_us:
             return True  # a repeat whose aim is over earns nothing
         if self.shed <= 0.0 and self.shed_dear <= 0.0:
             return False
@@ -414,8 +439,9 @@
 
     def adjust_shed(self, request: Request, event: AttemptEnded) -> None:
         """Feedback like the weights': more after an answer that waited too long, less after a prompt one."""
-        klass, unhindered_us = self.settings.classes[request.klass], self.unhindered[request.klass]
-        if event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.FULL):
+        klass, unhindered_us = request.rules, self.unhindered[request.klass]
+        dropped = self.settings.classes[request.klass].dropped
+        if dropped or event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.FULL):
             return
         waited = event.latency_us - unhindered_us * request.size
         bad = event.outcome is not Outcome.OK
@@ -438,7 +464,7 @@
         """The final answer when no attempt is out and none is to come."""
         if request.done:
             return
-        klass = self.settings.classes[request.klass]
+        klass = request.rules
         ran = any(a.may_have_run for a in request.attempts)
         dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
         if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
@@ -504,7 +530,6 @@
         server = self.pick(request)
         if server is None:
             return False
-        klass = self.settings.classes[request.klass]
         part_trial_of = server.part(request.klass).breaker.take_trial()
         attempt = Attempt(server, self.now_us, server.breaker.take_trial(), part_trial_of)
         request.attempts.append(attempt)
@@ -517,13 +542,13 @@
             server.spent_us += self.cold_cost_us(request)
         self.actions.append(Send(request.id, server.entry.server, max(1, self.end_us(request) - self.now_us)))
         overdue_us = self.now_us + int(OVERDUE * self.expected_us(request))
-        if klass.effect is not Effect.UNSAFE and overdue_us < request.deadline_us:
+        if request.rules.effect is not Effect.UNSAFE and overdue_us < request.deadline_us:
             self.set_timer(overdue_us, request)
         return True
 
     def end_us(self, request: Request) -> int:
         """When an attempt stops being worth waiting for."""
-        if self.settings.classes[request.klass].late_worth > 0.0:
+        if request.rules.late_worth > 0.0:
             return request.deadline_us
         return min(request.deadline_us, self.now_us + int(AIM_SHARE * (request.aim_us - self.now_us)))
 
@@ -534,7 +559,7 @@
             attempt.overdue = True
         if not late or request.streaming or not self.settings.second_copies or not self.may_repeat():
             return
-        if len(request.attempts) < self.settings.max_attempts and self.try_send(request):
+        if len(request.attempts) < request.max_attempts and self.try_send(request):
             self.retry_tokens -= 1
 
     def may_repeat(self) -> bool:
@@ -564,7 +589,8 @@
             if request.out == 0:
                 self.free(request)
         elif event.finished or event.outcome is Outcome.OK:
-            if event.outcome is Outcome.OK and request.first_try and self.now_us <= request.aim_us:
+            in_time = event.outcome is Outcome.OK and self.now_us <= request.aim_us
+            if in_time and request.first_try and not self.settings.classes[request.klass].dropped:
                 self.served[request.klass] += 1
             self.finish(request)
         elif request.out == 0:
@@ -572,11 +598,10 @@
 
     def try_again(self, request: Request) -> None:
         """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
-        klass = self.settings.classes[request.klass]
         ran = any(a.may_have_run for a in request.attempts)
         time_left = self.end_us(request) - self.now_us > self.unhindered[request.klass] * request.size
-        allowed = not ran or (klass.effect is not Effect.UNSAFE and self.may_repeat())
-        room = len(request.attempts) < self.settings.max_attempts
+        allowed = not ran or (request.rules.effect is not Effect.UNSAFE and self.may_repeat())
+        room = len(request.attempts) < request.max_attempts
         if allowed and time_left and room and self.try_send(request):
             self.retry_tokens -= ran
         else:
@@ -600,7 +625,7 @@
     def allowed_servers(self, request: Request) -> list[Server]:
         """Servers that another attempt may go to."""
         tried = [a.server for a in request.attempts]
-        klass = self.settings.classes[request.klass]
+        klass = request.rules
         ran = [a for a in request.attempts if a.may_have_run]
         servers = [s for s in self.subset(request.klass) if s not in tried]
         if ran and klass.effect is Effect.UNSAFE:
@@ -622,7 +647,7 @@
     def pick(self, request: Request) -> Server | None:
         """Weighted random choice among the servers that may take this request now."""
         candidates = self.allowed_servers(request) if request.attempts else self.subset(request.klass)
-        repeatable = self.settings.classes[request.klass].effect is not Effect.UNSAFE
+        repeatable = request.rules.effect is not Effect.UNSAFE
         weights: list[tuple[float, Server]] = []
         total = 0.0
         for server in candidates:
@@ -677,13 +702,18 @@
     def skipped(self, now_us: int) -> int:
         """How many listed servers may not be used for any class now."""
         self.now_us = max(now_us, self.now_us)
-        classes = range(len(self.settings.classes))
+        classes = [index for index, klass in enumerate(self.settings.classes) if not klass.dropped]
         return sum(not any(self.may_use(s, klass) for klass in classes) for s in self.servers.values())
 
     def is_silent(self, server: Server) -> bool:
         """True while the oldest attempt out is overdue: nothing more until it is answered or times out."""
         sent_us = next(iter(server.out.values()), self.now_us)
-        return self.now_us - sent_us > OVERDUE * max(self.smoothed)
+        return self.now_us - sent_us > OVERDUE * self.longest_us()
+
+    def longest_us(self) -> float:
+        """The longest smoothed latency of any class."""
+        pairs = zip(self.smoothed, self.settings.classes, strict=True)
+        return max((latency for latency, klass in pairs if not klass.dropped), default=0.0)
 
     # Judging servers
 
@@ -803,11 +833,15 @@
             self.servers = {number: s for number, s in self.servers.items() if number in named}
         for entry in event.servers:
             self.list_server(entry)
+        for server in self.servers.values():
+            server.size = max(server.size, server.entry.weight)
+            server.idle += IDLE_SMOOTHING * (server.entry.weight / (server.size or 1.0) - server.idle)
+        self.rank_servers()
+
+    def rank_servers(self) -> None:
         ring = sorted(self.servers.values(), key=attrgetter("hash"))
         start = self.settings.proxy * GOLDEN % 1.0 * len(ring)
         for place, server in enumerate(ring):
-            server.size = max(server.size, server.entry.weight)
-            server.idle += IDLE_SMOOTHING * (server.entry.weight / (server.size or 1.0) - server.idle)
             steps = (place - start) % len(ring) + 1.0
             fit = server.idle * self.cold_share(server) * self.nearness(server.entry)
             server.rank = steps / max(FLOOR, fit)
@@ -823,7 +857,7 @@
             server = Server(entry, mean, rendezvous(0, entry.server, 1.0), spent_at_us=self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
-            server.spent_us = self.random.random() * max(*self.smoothed, self.fall_budget_us() / 2)
+            server.spent_us = self.random.random() * max(self.longest_us(), self.fall_budget_us() / 2)
             self.servers[entry.server] = server
         else:
             known.entry = entry
--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -82,6 +82,7 @@
     scope: Scope = Scope.ALL  # for KEYED
     window_us: int = 0  # for KEYED: how long repeats are dropped, from the first attempt's sending
     in_order: bool = False  # requests with one key run one at a time, in the order taken
+    dropped: bool = False  # takes no new requests, and counts for nothing: its number stays taken
     aim_stretch: float = 0.0  # the aim grows by this many times the request's own work, up to the deadline
 
     def __post_init__(self) -> None:
@@ -257,6 +258,13 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class SettingsChanged:
+    """Other settings hold from now on. A class and a tenant keep their number; new ones come behind."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     token: int
@@ -284,6 +292,7 @@
     | AttemptEnded
     | RequestGone
     | StreamStarted
+    | SettingsChanged
     | TimerFired
     | Probed
     | PeerMessage
--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -36,18 +36,6 @@
     from cloverkeel.server import Server
     from cloverkeel.telemetry import CONTENT_TYPE
 
-    def reload(gateway: Gateway) -> None:
-        """Take up the address of discovery that the file names now; what cannot be used changes nothing."""
-        try:
-            gateway.discovery.move(load().discovery)
-            gateway.telemetry.loads += 1
-        except ConfigError as error:
-            gateway.telemetry.load_errors += 1
-            log(f"not reconfigured: {error}")
-        else:
-            host, port = gateway.discovery.address
-            log(f"reconfigured: discovery is at {host}:{port}")
-
     async def serve() -> int:
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
@@ -69,7 +57,7 @@
         except OSError as error:
             log(f"cannot listen on {address[0]}:{address[1]}: {error.strerror}")
             return 1
-        loop.add_signal_handler(signal.SIGHUP, reload, gateway)
+        loop.add_signal_handler(signal.SIGHUP, server.reload)
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -4,13 +4,14 @@
 
 import hashlib
 import json
+import math
 import os
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, TypeVar
 
-from caperdrift.interface import Settings
+from caperdrift.interface import Settings, Tenant
 from caperdrift.wire import WireError, parse_settings
 
 Address = tuple[str, int]
@@ -50,8 +51,95 @@
     return int.from_bytes(hashlib.blake2b(data, digest_size=size).digest())
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
-    """Read the file that LB_CONFIG names."""
+# What a file has to have that a running process takes up. At the start less will do: a gateway that serves
+# by defaults is better than none. Here defaults would overwrite what it knows.
+REQUIRED: dict[str, tuple[str, ...]] = {
+    "": ("name", "listen", "discovery", "limits", "settings"),
+    "limits": ("cores", "memory_mb", "sockets"),
+    "settings": (
+        "balancers", "caps", "contract", "index", "lanes", "membershipMode", "objectiveMix", "prices",
+        "report", "shapes", "tenants", "zone", "zones",
+    ),
+    "settings.caps": ("connectTimeoutUs", "keepaliveUs", "maxAttempts", "mayCancel", "secondCopies"),
+    "settings.contract": (
+        "answerSlackUs", "fallUs", "mustAskInUs", "startCapacity", "stopSendingWithinUs", "tipMultiple",
+        "warmAfterUs",
+    ),
+    "settings.lanes": (
+        "name", "effect", "group", "aimUs", "giveUpUs", "value", "lateValue", "windowUs",
+    ),
+    "settings.tenants": ("name", "fraction"),
+}  # fmt: skip
+POSITIVE = {
+    "settings.caps": ("connectTimeoutUs", "keepaliveUs", "maxAttempts"),
+    "settings.lanes": ("aimUs", "giveUpUs"),
+}
+
+
+def check_complete(raw: object) -> None:
+    """Raise for a file that is not whole, or whose deadlines and limits are no positive numbers."""
+    for place, keys in REQUIRED.items():
+        found: Any = raw
+        for key in filter(None, place.split(".")):
+            found = found[key]  # its own presence was required before
+        is_list = place in ("settings.lanes", "settings.tenants")
+        if is_list and not isinstance(found, list):
+            raise ConfigError(f"{place} is not a list")
+        for entry in found if is_list else (found,):
+            if not isinstance(entry, dict):
+                raise ConfigError(f"{place or 'the configuration'} is not an object")
+            for key in keys:
+                if entry.get(key) is None:
+                    raise ConfigError(f"{place or 'the configuration'} has no {key}")
+            for key in POSITIVE.get(place, ()):
+                number = entry[key]
+                is_number = isinstance(number, int | float) and not isinstance(number, bool)
+                if not is_number or not 0 < number < math.inf:
+                    raise ConfigError(f"{place}: {key} is no positive number")
+
+
+def follow(old: Config, new: Config) -> Config:
+    """The new configuration, in numbers that go on from the old one's: those last as long as the process.
+
+    What kept its name keeps its number and what is new comes behind. A class that is gone stays in the
+    settings, dropped. The addresses to listen on and the seed are those of the start.
+    """
+    was, now = old.names, new.names
+    by_class = was.by_class + tuple(name for name in now.by_class if name not in was.by_class)
+    classes = tuple(
+        new.settings.classes[now.classes[name]]
+        if name in now.classes
+        else replace(old.settings.classes[number], dropped=True)
+        for number, name in enumerate(by_class)
+    )
+    tenants = _appended(was.tenants, now.tenants)
+    shares = tuple(
+        new.settings.tenants[now.tenants[name]] if name in now.tenants else Tenant(0.0, 0.0)
+        for name in tenants
+    )
+    zones = _appended(was.zones, now.zones)
+    by_number = {number: name for name, number in now.zones.items()}
+    zone = zones.get(by_number.get(new.settings.zone, ""), new.settings.zone)
+    names = Names(
+        {name: number for number, name in enumerate(by_class) if name in now.classes},
+        by_class, tenants, zones, _appended(was.kinds, now.kinds),
+    )  # fmt: skip
+    settings = replace(new.settings, classes=classes, tenants=shares, zone=zone)
+    return replace(
+        new, settings=settings, names=names, listen=old.listen, operator=old.operator, seed=old.seed
+    )
+
+
+Name = TypeVar("Name")
+
+
+def _appended(old: dict[Name, int], new: dict[Name, int]) -> dict[Name, int]:
+    """The old numbers, and behind them those of what is new."""
+    return {name: number for number, name in enumerate(dict.fromkeys([*old, *new]))}
+
+
+def load(environment: Mapping[str, str] = os.environ, complete: bool = False) -> Config:
+    """Read the file that LB_CONFIG names; `complete` where it is to replace what is in use."""
     path = environment.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -62,6 +150,10 @@
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"{path} is not JSON: {error}") from None
+    except RecursionError:
+        raise ConfigError(f"{path} is nested too deep") from None
+    if complete:
+        check_complete(raw)
     config = parse(raw)
     named = environment.get("LB_OPERATOR")  # a new process by an old one has another than the file may name
     return replace(config, operator=parse_address(named, "LB_OPERATOR")) if named else config
@@ -109,7 +201,7 @@
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
+    except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
         if isinstance(error, ConfigError):
             raise
         raise ConfigError(f"the configuration cannot be used: {error}") from None
@@ -125,8 +217,10 @@
 def _names(settings: dict[str, Any]) -> Names:
     def numbered(key: str) -> dict[str, int]:
         entries = settings.get(key, [])
-        named = [entry["name"] if isinstance(entry, dict) else entry for entry in entries]
-        return {str(name): number for number, name in enumerate(named)}
+        named = [str(entry["name"] if isinstance(entry, dict) else entry) for entry in entries]
+        if len(set(named)) < len(named):
+            raise ConfigError(f"{key} names one thing twice")
+        return {name: number for number, name in enumerate(named)}
 
     def in_bytes(key: str) -> dict[bytes, int]:
         return {name.encode(): number for name, number in numbered(key).items()}
--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -181,12 +181,12 @@
             self.watching.cancel()
             self.watching = None
         elif on and self.watching is None:
-            self.watching = asyncio.get_running_loop().create_task(self._guard(self._watch()))
+            self.watching = asyncio.get_running_loop().create_task(self._guard(self._watch))
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
         if self.fetching is None:
-            self.fetching = asyncio.get_running_loop().create_task(self._guard(self._fetch()))
+            self.fetching = asyncio.get_running_loop().create_task(self._guard(self._fetch))
 
     def close(self) -> None:
         self.closed = True
@@ -194,10 +194,10 @@
             if task is not None:
                 task.cancel()
 
-    async def _guard(self, call: Coroutine[Any, Any, None]) -> None:
+    async def _guard(self, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Turn a failure of a call into word of it; the module decides when to ask again."""
         try:
-            await call
+            await call()
         except (OSError, CallError, TimeoutError, ValueError, KeyError, TypeError) as error:
             # Cleared first: the module may ask again while it hears of this.
             self._forget(asyncio.current_task())
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -33,6 +33,7 @@
     Send,
     ServerList,
     ServerStatus,
+    SettingsChanged,
     SetTimer,
     TimerFired,
     WatchList,
@@ -70,6 +71,7 @@
 
     call: Call
     deadline_us: int
+    max_attempts: int  # by the settings that it came under
     attempts: list[Attempt | None] = field(default_factory=list)  # None: never sent
     out: int = 0
     closed: bool = False
@@ -112,6 +114,17 @@
             }
         )
 
+    def reconfigure(self, config: Config) -> None:
+        """Go by another configuration, numbered like the one before."""
+        self.settings, self.names = config.settings, config.names
+        for klass in self.names.by_class:
+            self.telemetry.know(klass)
+        self.pools.settings = config.settings
+        event = SettingsChanged(config.settings)
+        self.post(lambda: event)
+        self.discovery.names, self.discovery.pushed = config.names, config.settings.list_is_pushed
+        self.discovery.move(config.discovery)
+
     def close(self) -> None:
         self.closed = True
         self.discovery.close()
@@ -147,7 +160,7 @@
         """Take a request; False if one with its id is held already."""
         if call.id in self.held:
             return False
-        self.held[call.id] = Held(call, now_us() + call.patience_us)
+        self.held[call.id] = Held(call, now_us() + call.patience_us, self.settings.max_attempts)
         event = RequestArrived(
             call.id, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant
         )
@@ -237,7 +250,7 @@
         number = len(held.attempts)
         left_us = held.deadline_us - now_us()
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
-        if host is None or held.closed or wait_us <= 0 or number >= self.settings.max_attempts:
+        if host is None or held.closed or wait_us <= 0 or number >= held.max_attempts:
             held.attempts.append(None)
             self.post(lambda: self.moot(action, number))
             return
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -15,7 +15,7 @@
 
 from caperdrift.interface import Effect
 
-from cloverkeel.config import Config, stable_id
+from cloverkeel.config import Config, ConfigError, follow, load, stable_id
 from cloverkeel.gateway import Call, Gateway
 from cloverkeel.http1 import (
     BODY_LIMIT,
@@ -148,6 +148,20 @@
         for connection in [c for c in self.connections if c.awaits_since_s < since_s]:
             connection.on_unfinished()
 
+    def reload(self) -> None:
+        """Take up what the configuration's file says now: all of it, or nothing where it cannot be used."""
+        telemetry = self.gateway.telemetry
+        try:
+            self.config = follow(self.config, load(complete=True))
+        except ConfigError as error:
+            telemetry.load_errors += 1
+            log(f"not reconfigured: {error}")
+            return
+        self.gateway.reconfigure(self.config)
+        telemetry.loads += 1
+        host, port = self.config.discovery
+        log(f"reconfigured: {len(self.config.names.classes)} classes; discovery is at {host}:{port}")
+
     def report(self) -> None:
         """Tell now and then what holds descriptors, and why connections were opened and closed."""
         asyncio.get_running_loop().call_later(REPORT_S, self.report)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -158,28 +158,33 @@
 def configuration(*hosts: Peer | str, discovery: str = "127.0.0.1:9", **caps: object) -> dict[str, Any]:
     """A configuration for these hosts; no list is asked for unless `membershipMode` is changed."""
     addresses = [host if isinstance(host, str) else host.address for host in hosts]
-    lane = {"aimUs": 20_000_000, "giveUpUs": 20_000_000, "lateValue": 0.5}
+    lane = {"aimUs": 20_000_000, "giveUpUs": 20_000_000, "lateValue": 0.5, "value": 1.0, "group": "all"}
+    lane["windowUs"] = 15_000_000
     return {
         "name": "n0",
         "listen": "127.0.0.1:0",
         "discovery": discovery,
         "seed": "5eed",
-        "limits": {"sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": hosts_list(7, *(endpoint(f"s-{n}", a) for n, a in enumerate(addresses))),
         "settings": {
             "zones": ["a", "b"],
             "shapes": ["m"],
-            "tenants": [{"name": "acme"}, {"name": "zeta"}],
+            "tenants": [{"name": "acme", "fraction": 0.0}, {"name": "zeta", "fraction": 0.0}],
+            "balancers": 1, "index": 0, "zone": 0, "objectiveMix": {}, "prices": {},
             "membershipMode": "pushed",
             "report": {"how": "piggyback", "fields": ["queue"]},
             "caps": {
                 "maxAttempts": 4, "mayCancel": True, "connectTimeoutUs": 5_000_000,
                 "keepaliveUs": 60_000_000, "secondCopies": False,
             } | caps,
-            "contract": {"stopSendingWithinUs": 1_000_000, "mustAskInUs": 400_000},
+            "contract": {
+                "stopSendingWithinUs": 1_000_000, "mustAskInUs": 400_000, "answerSlackUs": 0,
+                "startCapacity": 1.0, "warmAfterUs": 0, "tipMultiple": 1.0, "fallUs": 1_000_000,
+            },
             "lanes": [
-                lane | {"name": "search", "effect": "free", "value": 1.0},
-                lane | {"name": "hold", "effect": "guarded", "group": "all", "windowUs": 15_000_000},
+                lane | {"name": "search", "effect": "free"},
+                lane | {"name": "hold", "effect": "guarded"},
                 lane | {"name": "transfer", "effect": "single_shot"},
             ],
         },
--- /dev/null
+++ b/tests/test_retuning.py
@@ -0,0 +1,306 @@
+"""Other settings at SIGHUP: all of a good file, nothing of a broken one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from caperdrift.interface import Outcome, RequestClass, SettingsChanged
+from cloverkeel.config import REQUIRED
+from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE, Driver, finals, sends, trip
+from tests.sockets import (
+    Running,
+    answers,
+    configuration,
+    endpoint,
+    list_reply,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+from tests.test_telemetry import handled, read
+
+Edit = Callable[[dict[str, Any]], object]
+
+
+@asynccontextmanager
+async def retuned(
+    folder: Path, monkeypatch: pytest.MonkeyPatch, config: dict[str, Any]
+) -> AsyncIterator[tuple[Running, Callable[[object], None]]]:
+    """The gateway, and what writes a file and signals it."""
+    file = folder / "config.json"
+    monkeypatch.setenv("LB_CONFIG", str(file))
+
+    async with running(config) as gateway:
+
+        def retune(content: object) -> None:
+            file.write_text(content if isinstance(content, str) else json.dumps(content))
+            gateway.server.reload()
+
+        yield gateway, retune
+
+
+def copied(config: dict[str, Any]) -> Any:
+    return json.loads(json.dumps(config))
+
+
+def lane(config: dict[str, Any], name: str) -> dict[str, Any]:
+    found = next(lane for lane in config["settings"]["lanes"] if lane["name"] == name)
+    assert isinstance(found, dict)
+    return found
+
+
+def without(place: str, key: str) -> Edit:
+    def edit(config: dict[str, Any]) -> None:
+        found: Any = config
+        for part in filter(None, place.split(".")):
+            found = found[part]
+        del (found[-1] if isinstance(found, list) else found)[key]
+
+    return edit
+
+
+def setting(path: str, value: object) -> Edit:
+    def edit(config: dict[str, Any]) -> None:
+        *parts, last = [int(part) if part.isdigit() else part for part in path.split(".")]
+        found: Any = config
+        for part in parts:
+            found = found[part]
+        found[last] = value
+
+    return edit
+
+
+NO_NUMBERS: list[object] = [0, -1, math.inf, math.nan, True, "5", None, [5], 0.5]
+BROKEN: dict[str, Edit | str] = {
+    "empty": "",
+    "blank": " \n",
+    "no object": "[]",
+    "no value": "null",
+    "too deep": "[" * 100_000,
+    "no classes": setting("settings.lanes", []),
+    "classes no list": setting("settings.lanes", {}),
+    "a class no object": setting("settings.lanes.0", 5),
+    "a class twice": setting("settings.lanes.0.name", "transfer"),
+    "an unknown effect": setting("settings.lanes.0.effect", "whatever"),
+    "an unknown group": setting("settings.lanes.0.group", "whatever"),
+    "limits no object": setting("limits", [1]),
+    "sockets without end": setting("limits.sockets", math.inf),
+    "no address": setting("discovery", "nowhere"),
+    **{f"{place}: no {key}": without(place, key) for place, keys in REQUIRED.items() for key in keys},
+    **{f"attempts {value}": setting("settings.caps.maxAttempts", value) for value in NO_NUMBERS},
+    **{f"deadline {value}": setting("settings.lanes.1.giveUpUs", value) for value in NO_NUMBERS},
+    **{f"aim {value}": setting("settings.lanes.2.aimUs", value) for value in NO_NUMBERS},
+}
+
+
+@on_loop
+async def test_nothing_is_taken_from_a_broken_file(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with peer() as host:
+        config = configuration(host)
+        async with retuned(tmp_path, monkeypatch, config) as (gateway, retune):
+            before = gateway.server.config, gateway.gateway.settings, gateway.gateway.discovery.address
+            whole = json.dumps(config)
+            kinds = list(BROKEN.items()) + [(f"cut off at {n}", whole[:n]) for n in range(1, len(whole), 97)]
+            for count, (kind, edit) in enumerate(kinds, 1):
+                if isinstance(edit, str):
+                    retune(edit)
+                else:
+                    broken = copied(config) | {"discovery": "127.0.0.1:7"}
+                    lane(broken, "search")["effect"] = "single_shot"
+                    edit(broken)
+                    retune(broken)
+                now = gateway.server.config, gateway.gateway.settings, gateway.gateway.discovery.address
+                assert all(a is b for a, b in zip(now, before, strict=True)), kind
+                assert gateway.gateway.telemetry.load_errors == count, kind
+            assert gateway.gateway.telemetry.loads == 0
+            assert gateway.gateway.balancer.settings is before[1]
+            assert (await gateway.ask(request("search"))).status == 200
+
+
+@on_loop
+async def test_a_file_that_is_missing_is_a_broken_one(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async with running(configuration("127.0.0.1:1")) as gateway:
+        monkeypatch.setenv("LB_CONFIG", str(tmp_path / "none"))
+        gateway.server.reload()
+        assert (read(gateway)["lb_load_errors"], read(gateway)["lb_loads"]) == (1, 0)
+
+
+@on_loop
+async def test_a_class_comes_and_its_rules_bind(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with peer() as host:
+        config = configuration(host)
+        async with retuned(tmp_path, monkeypatch, config) as (gateway, retune):
+            assert (await gateway.ask(request("audit"))).status == 400
+            other = copied(config)
+            # First in the file: the numbers of the others must not move.
+            other["settings"]["lanes"].insert(
+                0, lane(config, "transfer") | {"name": "audit", "effect": "guarded"}
+            )
+            retune(other)
+            assert (await gateway.ask(request("audit"))).status == 400  # a guarded class wants its key
+            assert (await gateway.ask(request("audit", idempotency_key="k"))).status == 200
+            assert (await gateway.ask(request("transfer"))).status == 200
+            now = read(gateway)
+            assert handled(now, "audit") == handled(now, "transfer") == [1, 0, 0]
+            assert handled(now, "search") == [0, 0, 0]
+
+
+@on_loop
+async def test_a_class_goes_while_its_requests_are_open_and_returns_under_its_number(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with peer(silent) as host:
+        config = configuration(host)
+        async with retuned(tmp_path, monkeypatch, config) as (gateway, retune):
+            client = await gateway.connect()
+            client.send(request("search"))
+            await until(lambda: host.seen)
+            other = copied(config)
+            other["settings"]["lanes"] = [lane(other, "transfer")]
+            retune(other)
+            assert (await gateway.ask(request("search"))).status == 400
+            # Open ones end by the class they came with: what is safe to repeat is refused, not failed.
+            host.seen[0].answer(reply(500))
+            host.script = answers(reply())
+            assert (await client.answer()).status == 503
+            assert (await gateway.ask(request("transfer"))).status == 200
+            retune(config)
+            assert (await gateway.ask(request("search"))).status == 200
+            now = read(gateway)
+            assert sum(handled(now, "search")) == 2 and handled(now, "transfer") == [1, 0, 0]
+            assert gateway.server.config.names.classes == {b"search": 0, b"hold": 1, b"transfer": 2}
+            client.close()
+
+
+@on_loop
+async def test_an_open_request_keeps_its_attempts_and_new_ones_have_the_new_limit(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Three hosts that refuse one after the other: what never ran is tried again while attempts are left."""
+    async with peer(silent) as one, peer(silent) as two, peer(silent) as three:
+        hosts = (one, two, three)
+        config = configuration(*hosts, maxAttempts=3)
+        full = reply(503, b"", "X-Rejected: 1")
+        async with retuned(tmp_path, monkeypatch, config) as (gateway, retune):
+            client = await gateway.connect()
+            client.send(request("transfer"))
+            await until(lambda: any(h.seen for h in hosts))
+            other = copied(config)
+            other["settings"]["caps"]["maxAttempts"] = 1
+            retune(other)
+            for attempt in (1, 2, 3):
+                await until(lambda n=attempt: sum(len(h.seen) for h in hosts) == n)  # type: ignore[misc]
+                last = next(h.seen[-1] for h in hosts if h.seen and h.script is silent)
+                for host in hosts:
+                    if last in host.seen:
+                        host.script = answers(full)
+                last.answer(full)
+            assert (await client.answer()).status == 503
+            assert (await gateway.ask(request("transfer"))).status == 503
+            assert sum(len(h.seen) for h in hosts) == 4
+            client.close()
+
+
+@on_loop
+async def test_signals_in_quick_succession_end_with_the_last_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with peer() as host, peer(answers(list_reply(3, endpoint("s-0", host.address)))) as found:
+        config = configuration(host)
+        async with retuned(tmp_path, monkeypatch, config) as (gateway, retune):
+            for number in range(20):
+                other = copied(config) | {"discovery": "127.0.0.1:9" if number < 19 else found.address}
+                other["settings"]["lanes"].append(lane(config, "search") | {"name": f"c{number}"})
+                retune("{" if number % 4 == 1 else other)
+            assert (read(gateway)["lb_loads"], read(gateway)["lb_load_errors"]) == (15, 5)
+            assert (await gateway.ask(request("c19", content_length=""))).status == 405  # a class: wants GET
+            assert (await gateway.ask(request("c18", content_length=""))).status == 400
+            await until(lambda: found.seen)
+            assert (await gateway.ask(request("transfer"))).status == 200
+
+
+@on_loop
+async def test_zones_keep_their_numbers_whatever_their_order(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    config = configuration("127.0.0.1:1")
+    async with retuned(tmp_path, monkeypatch, config) as (gateway, retune):
+        other = copied(config)
+        other["settings"] |= {"zones": ["c", "b", "a"], "zone": 0}
+        retune(other)
+        assert gateway.server.config.names.zones == {"a": 0, "b": 1, "c": 2}
+        assert gateway.gateway.balancer.settings.zone == 2
+
+
+NEW = RequestClass(aim_us=100_000, give_up_us=200_000, effect=SAFE.effect)
+
+
+def test_what_was_learned_of_servers_outlives_other_settings() -> None:
+    driver = Driver()
+    trip(driver.balancer.servers[0].breaker, driver.now_us)
+    driver.balancer.servers[1].weight = 0.3
+    smoothed = list(driver.balancer.smoothed)
+    driver.handle(SettingsChanged(replace(SETTINGS, classes=(*SETTINGS.classes, NEW), max_attempts=1)))
+    assert driver.balancer.skipped(driver.now_us) == 1
+    assert driver.balancer.servers[1].weight == 0.3
+    assert driver.balancer.smoothed == [*smoothed, 25_000.0]
+    name, actions = driver.arrive(klass=3, patience_us=200_000)
+    assert sends(actions)[0].server in (1, 2)
+    assert not driver.end(name, sends(actions)[0].server)
+
+
+def test_an_open_request_of_a_class_that_became_unsafe_is_still_repeated() -> None:
+    driver = Driver(servers=3)
+    name, actions = driver.arrive()
+    driver.handle(SettingsChanged(replace(SETTINGS, classes=(UNSAFE, KEYED, UNSAFE))))
+    again = driver.end(name, sends(actions)[0].server, Outcome.ERROR)
+    assert len(sends(again)) == 1
+    later, actions = driver.arrive(patience_us=1_000_000)
+    assert not sends(driver.end(later, sends(actions)[0].server, Outcome.ERROR))
+
+
+def test_a_dropped_class_takes_nothing_new_and_has_no_part_in_worths_or_shedding() -> None:
+    driver = Driver(servers=3)
+    balancer = driver.balancer
+    open_, actions = driver.arrive(klass=2, patience_us=1_000_000)
+    balancer.smoothed[2] = 9e9
+    changed = replace(SETTINGS, classes=(SAFE, KEYED, replace(UNSAFE, dropped=True)))
+    driver.handle(SettingsChanged(changed))
+    assert balancer.longest_us() == max(balancer.smoothed[:2])
+    refused = driver.arrive(klass=2, patience_us=1_000_000)[1]
+    assert len(finals(refused)) == 1 and not sends(refused)
+    shed = balancer.shed
+    driver.end(
+        open_, sends(actions)[0].server, latency_us=900_000
+    )  # far too late, and yet no sign of a crowd
+    assert balancer.shed == shed
+    assert balancer.asked[2] == balancer.served[2] == 0.0
+
+
+@on_loop
+async def test_asking_for_the_list_begins_where_it_was_pushed_before(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with peer(silent) as found:
+        config = configuration("127.0.0.1:1")
+        async with retuned(tmp_path, monkeypatch, config) as (_, retune):
+            other = copied(config) | {"discovery": found.address}
+            other["settings"]["membershipMode"] = "on_request"
+            retune(other)
+            await until(lambda: found.seen)
+            await asyncio.sleep(0)
