--- a/caperdrift/__init__.py
+++ b/caperdrift/__init__.py
@@ -4,6 +4,8 @@
 from caperdrift.interface import (
     Action,
     AttemptEnded,
+    BodyEnded,
+    BodyPassing,
     Cancel,
     CloseIdle,
     Effect,
@@ -43,6 +45,8 @@
     "Action",
     "AttemptEnded",
     "Balancer",
+    "BodyEnded",
+    "BodyPassing",
     "Cancel",
     "CloseIdle",
     "Effect",
--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -15,9 +15,9 @@
 from operator import attrgetter
 
 from caperdrift.interface import (
-    NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, ListedServer, ListKind, Log, Outcome,
-    Refuse, RequestArrived, RequestClass, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer,
-    Settings, SettingsChanged, StreamStarted, TimerFired, WatchList,
+    NEVER_RAN, Action, AttemptEnded, BodyEnded, BodyPassing, Cancel, Effect, Event, Fail, ListedServer,
+    ListKind, Log, Outcome, Refuse, RequestArrived, RequestClass, RequestGone, Scope, Send, ServerList,
+    ServerStatus, SetTimer, Settings, SettingsChanged, StreamStarted, TimerFired, WatchList,
 )
 
 # The breaker
@@ -202,6 +202,7 @@
     ended: bool = False
     may_have_run: bool = True
     overdue: bool = False
+    streaming: bool = False  # its answer has begun, and was judged by that
 
 
 @dataclass(slots=True, eq=False)
@@ -221,6 +222,8 @@
     out: int = 0
     done: bool = False
     streaming: bool = False
+    opened_us: int = 0  # its body is still coming since then; 0: it is whole
+    tied: bool = False  # its body has gone on, or its answer has begun: no further copy
     rests_until_us: int = 0  # in order: its key rests, as an attempt may still be running
 
 
@@ -281,6 +284,10 @@
             self.on_list(event)
         elif isinstance(event, StreamStarted):
             self.on_stream(event)
+        elif isinstance(event, BodyPassing):
+            self.on_body_passing(event)
+        elif isinstance(event, BodyEnded):
+            self.on_body_ended(event.request)
         elif isinstance(event, SettingsChanged):
             self.on_settings(event.settings)
         return self.actions
@@ -338,7 +345,7 @@
         return Request(
             event.request, event.klass, klass, self.settings.max_attempts, event.key, event.work_us or 0,
             self.now_us + event.patience_us, self.now_us + max(0, klass.aim_us - used_us), size, first_try,
-            self.excess(event.tenant),
+            self.excess(event.tenant), opened_us=self.now_us if event.open else 0,
         )
 
     def excess(self, tenant: int) -> float:
@@ -501,11 +508,52 @@
             self.finish(request)
 
     def on_stream(self, event: StreamStarted) -> None:
-        request = self.requests.get(event.request)
-        if request is None or request.done or not 0 <= event.attempt < len(request.attempts):
+        """The answer's first bytes are here: they tell of the server, the rest of the line and the client."""
+        request = self.tie(event.request, event.attempt)
+        if request is None:
             return
         request.streaming = True
-        self.call_off(request, spared=event.attempt)
+        attempt = request.attempts[event.attempt]
+        latency_us = self.now_us - attempt.sent_us
+        ended = AttemptEnded(request.id, event.attempt, attempt.server.entry.server, Outcome.OK, latency_us)
+        self.stop_work(attempt)
+        self.judge(request, attempt, ended)
+        attempt.streaming = True
+        attempt.trial_of = attempt.part_trial_of = 0  # it has had its say
+        self.count_served(request)
+
+    def tie(self, name: str, number: int) -> Request | None:
+        """Leave a request to one attempt of it: what is out besides is called off."""
+        request = self.requests.get(name)
+        if request is None or request.done or not 0 <= number < len(request.attempts):
+            return None
+        request.tied = True
+        self.call_off(request, spared=number)
+        return None if request.attempts[number].ended or request.streaming else request
+
+    def on_body_passing(self, event: BodyPassing) -> None:
+        self.tie(event.request, event.attempt)
+
+    def on_body_ended(self, name: str) -> None:
+        """The last byte has come: the request's time, and that of the attempt that carries it, begin."""
+        request = self.requests.get(name)
+        if request is None or not request.opened_us:
+            return
+        taken_us = self.now_us - request.opened_us
+        request.opened_us = 0
+        request.deadline_us += taken_us
+        request.aim_us += taken_us
+        for attempt in request.attempts:
+            if not attempt.ended:
+                self.start_work(attempt)
+
+    def start_work(self, attempt: Attempt) -> None:
+        attempt.sent_us = attempt.server.out[attempt] = self.now_us
+        self.out += 1
+
+    def stop_work(self, attempt: Attempt) -> None:
+        if attempt.server.out.pop(attempt, None) is not None:
+            self.out -= 1
 
     def set_timer(self, due_us: int, request: Request) -> None:
         self.timers[self.next_token] = request
@@ -534,8 +582,8 @@
         attempt = Attempt(server, self.now_us, server.breaker.take_trial(), part_trial_of)
         request.attempts.append(attempt)
         request.out += 1
-        server.out[attempt] = self.now_us
-        self.out += 1
+        if not request.opened_us:
+            self.start_work(attempt)  # a server begins a request once its last byte has come
         needed = SUBSET + self.out * min(1.0, max(LEAST_WIDENING, CROWD / self.settings.proxies))
         self.reach = max(needed, SUBSET + (self.reach - SUBSET) * REACH_MEMORY)
         if self.cold_share(server) < 1.0:
@@ -557,7 +605,7 @@
         late = [a for a in request.attempts if not a.ended]
         for attempt in late:
             attempt.overdue = True
-        if not late or request.streaming or not self.settings.second_copies or not self.may_repeat():
+        if not late or request.tied or not self.settings.second_copies or not self.may_repeat():
             return
         if len(request.attempts) < request.max_attempts and self.try_send(request):
             self.retry_tokens -= 1
@@ -582,26 +630,30 @@
         if event.outcome in MAY_STILL_RUN:
             request.rests_until_us = self.now_us + self.settings.key_rest_us
         request.out -= 1
-        attempt.server.out.pop(attempt, None)
-        self.out -= 1
-        self.judge(request, attempt, event)
+        self.stop_work(attempt)
+        if not attempt.streaming or event.outcome not in (Outcome.OK, Outcome.CANCELLED):
+            self.judge(request, attempt, event)
         if request.done:
             if request.out == 0:
                 self.free(request)
         elif event.finished or event.outcome is Outcome.OK:
-            in_time = event.outcome is Outcome.OK and self.now_us <= request.aim_us
-            if in_time and request.first_try and not self.settings.classes[request.klass].dropped:
-                self.served[request.klass] += 1
+            if event.outcome is Outcome.OK and not attempt.streaming:
+                self.count_served(request)
             self.finish(request)
         elif request.out == 0:
             self.try_again(request)
 
+    def count_served(self, request: Request) -> None:
+        in_time = request.first_try and self.now_us <= request.aim_us
+        if in_time and not self.settings.classes[request.klass].dropped:
+            self.served[request.klass] += 1
+
     def try_again(self, request: Request) -> None:
         """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
         ran = any(a.may_have_run for a in request.attempts)
         time_left = self.end_us(request) - self.now_us > self.unhindered[request.klass] * request.size
         allowed = not ran or (request.rules.effect is not Effect.UNSAFE and self.may_repeat())
-        room = len(request.attempts) < request.max_attempts
+        room = len(request.attempts) < request.max_attempts and not request.tied
         if allowed and time_left and room and self.try_send(request):
             self.retry_tokens -= ran
         else:
--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -218,6 +218,22 @@
     work_us: int | None = None  # expected work on a standard core
     is_retry: bool = False
     tenant: int = 0  # its place in the settings
+    open: bool = False  # its body is still coming: its time begins with BodyEnded
+
+
+@dataclass(slots=True, frozen=True)
+class BodyPassing:
+    """Part of the body has gone on with this attempt and is no longer held: it cannot be sent again."""
+
+    request: str
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class BodyEnded:
+    """The last byte of an open request's body has come."""
+
+    request: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -289,6 +305,8 @@
 Event = (
     ServerList
     | RequestArrived
+    | BodyPassing
+    | BodyEnded
     | AttemptEnded
     | RequestGone
     | StreamStarted
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -39,6 +39,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     known: dict[str, Any]  # in discovery's form
     settings: Settings
     names: Names
@@ -194,6 +195,7 @@
             discovery=parse_address(raw.get("discovery"), "discovery"),
             seed=stable_id(str(raw.get("seed", "")), 8),
             sockets=int(limits.get("sockets", 1024)),
+            memory_mb=float(limits.get("memory_mb", 192)),
             known=known,
             settings=parse_settings(json.dumps(settings)),
             names=_names(settings),
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -16,6 +16,8 @@
 from caperdrift.interface import (
     Action,
     AttemptEnded,
+    BodyEnded,
+    BodyPassing,
     Cancel,
     CloseIdle,
     Event,
@@ -35,6 +37,7 @@
     ServerStatus,
     SettingsChanged,
     SetTimer,
+    StreamStarted,
     TimerFired,
     WatchList,
 )
@@ -42,8 +45,9 @@
 from cloverkeel.clock import now_us
 from cloverkeel.config import Config
 from cloverkeel.discovery import Discovery, Entry
-from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, Pools, load_of
+from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, HostConnection, Pools, load_of
 from cloverkeel.http1 import Reply, log
+from cloverkeel.streams import Buffer, Upload
 from cloverkeel.telemetry import Result, Telemetry
 
 
@@ -59,8 +63,13 @@
     is_retry: bool
     tenant: int
     head: bytes  # request line and headers to pass on, all but the budget and the end
-    body: bytes
+    body: bytes  # all of it, or what is held of a long one
+    upload: Upload | None  # the rest of a long one
     on_served: Callable[[Reply], None]
+    on_begun: Callable[[Reply, HostConnection], None]  # a long answer's head, and where its body comes from
+    on_piece: Callable[[bytes], None]
+    on_ended: Callable[[], None]
+    on_broken: Callable[[], None]  # a long answer will not be whole
     on_refused: Callable[[int], None]  # with the time after which to come back, in microseconds
     on_failed: Callable[[bool], None]  # with whether time ran out
 
@@ -75,6 +84,8 @@
     attempts: list[Attempt | None] = field(default_factory=list)  # None: never sent
     out: int = 0
     closed: bool = False
+    is_open: bool = False  # its body is still coming
+    begun: Attempt | None = None  # whose long answer is passing to the client
     timed_out: bool = False
 
 
@@ -86,7 +97,8 @@
         for klass in self.names.by_class:
             self.telemetry.know(klass)
         self.balancer = Balancer(config.settings, config.seed)
-        self.pools = Pools(config.settings, self.telemetry)
+        self.buffer = Buffer(config.memory_mb)
+        self.pools = Pools(config.settings, self.telemetry, self.buffer)
         pushed = config.settings.list_is_pushed
         self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
         self.events: deque[Callable[[], Event | None]] = deque()
@@ -108,7 +120,7 @@
         """What operators read, as it is now."""
         return self.telemetry.render(
             {
-                "in_progress": sum(not held.closed for held in self.held.values()),
+                "in_progress": sum(not held.closed and not held.is_open for held in self.held.values()),
                 "known_hosts": len(self.pools.hosts),
                 "skipped_hosts": self.balancer.skipped(now_us()),
             }
@@ -160,9 +172,18 @@
         """Take a request; False if one with its id is held already."""
         if call.id in self.held:
             return False
-        self.held[call.id] = Held(call, now_us() + call.patience_us, self.settings.max_attempts)
+        held = Held(call, now_us() + call.patience_us, self.settings.max_attempts)
+        held.is_open = call.upload is not None
+        self.held[call.id] = held
         event = RequestArrived(
-            call.id, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant
+            call.id,
+            call.klass,
+            call.patience_us,
+            call.key,
+            call.work_us,
+            call.is_retry,
+            call.tenant,
+            held.is_open,
         )
         self.post(lambda: event)
         return True
@@ -174,6 +195,22 @@
             return
         self.finish(id_, held, None)
         self.post(lambda: RequestGone(id_))
+        for attempt in held.attempts:
+            # Not the module's to say: what has no source or no reader any more cannot go on.
+            if attempt is not None and (attempt is held.begun or attempt.upload is not None):
+                self.pools.cancel(attempt)
+
+    def body_ended(self, id_: str) -> None:
+        """The last byte of a long body has come."""
+        held = self.held.get(id_)
+        if held is None or not held.is_open:
+            return
+        held.is_open = False
+        held.deadline_us = now_us() + held.call.patience_us
+        if held.call.upload is not None:
+            held.call.upload.end()
+        if not held.closed:
+            self.post(lambda: BodyEnded(id_))
 
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
         self.post(lambda: self.take_list(kind, entries))
@@ -259,7 +296,16 @@
             self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
 
         payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, max(1, wait_us // 1000), held.call.body)
-        attempt = Attempt(host, payload, on_end)
+
+        def on_begin(attempt: Attempt, reply: Reply) -> Callable[[bytes], None] | None:
+            self.post(lambda: self.answer_begun(held, number, attempt, reply))
+            return held.call.on_piece if held.begun is attempt else None
+
+        def on_passing() -> None:
+            self.post(lambda: BodyPassing(id_, number))
+
+        upload = held.call.upload
+        attempt = Attempt(host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing)
         held.attempts.append(attempt)
         held.out += 1
         self.pools.send(attempt, wait_us)
@@ -269,13 +315,23 @@
         finished = held is None or held.closed
         return AttemptEnded(action.request, number, action.server, Outcome.MOOT, 0, finished)
 
+    def answer_begun(self, held: Held, number: int, attempt: Attempt, reply: Reply) -> Event | None:
+        if held.closed or held.begun is not None or attempt.connection is None:
+            return None
+        held.begun = attempt
+        held.call.on_begun(reply, attempt.connection)
+        return StreamStarted(held.call.id, number)
+
     def attempt_ended(
         self, held: Held, number: int, attempt: Attempt, outcome: Outcome, reply: Reply | None
     ) -> Event:
         id_ = held.call.id
         held.out -= 1
         held.timed_out = outcome is Outcome.TIMEOUT
-        if not held.closed and outcome is Outcome.OK and reply is not None:
+        if held.begun is attempt and not held.closed:
+            self.finish(id_, held, Result.PASSED if outcome is Outcome.OK else Result.BAD_GATEWAY)
+            (held.call.on_ended if outcome is Outcome.OK else held.call.on_broken)()
+        elif not held.closed and outcome is Outcome.OK and reply is not None:
             self.finish(id_, held, Result.PASSED)
             held.call.on_served(reply)
         elif held.closed and held.out == 0:
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -13,7 +13,8 @@
 
 from cloverkeel.clock import now_us
 from cloverkeel.config import Address
-from cloverkeel.http1 import Reply, ReplyError, ReplyReader, header
+from cloverkeel.http1 import BODY_LIMIT, Reply, ReplyError, ReplyReader, header
+from cloverkeel.streams import Buffer, Upload
 from cloverkeel.telemetry import Telemetry
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
@@ -21,6 +22,9 @@
 SPARED = 1  # connections of a host that may stay idle for longer than that
 SWEEP_S = 1.0
 PROBE_TIMEOUT_US = 250_000
+STALL_US = (
+    30_000_000  # a long body of which nothing moves for so long, and not for want of a reader, has ended
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -44,7 +48,12 @@
     payload: bytes
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
     is_probe: bool = False
-    sent_us: int = 0
+    # A long answer begins: returns what takes its pieces, or None if nobody does.
+    on_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = lambda attempt, reply: None
+    upload: Upload | None = None  # the rest of a long body
+    on_passing: Callable[[], None] = lambda: None  # what was held of it has gone on
+    timeout_us: int = 0
+    sent_us: int = 0  # with a long body: its last byte
     latency_us: int = 0
     connection: HostConnection | None = None
     opening: asyncio.Task[object] | None = None
@@ -67,7 +76,7 @@
     given_up: int = 0  # idle, closed to gain a descriptor
 
 
-class HostConnection(asyncio.Protocol):
+class HostConnection(asyncio.BufferedProtocol):
     """One connection to a host; it carries one attempt at a time."""
 
     __slots__ = (
@@ -77,18 +86,24 @@
         "flushed",
         "host",
         "idle_since_us",
+        "moved_us",
+        "on_piece",
         "poll",
         "pools",
         "replies",
         "transport",
+        "upload",
     )
 
     def __init__(self, pools: Pools, host: Host, attempt: Attempt | None) -> None:
         self.pools, self.host, self.attempt = pools, host, attempt
         self.address = host.address
         self.transport: asyncio.Transport | None = None
-        self.replies = ReplyReader()
-        self.flushed = True  # the last byte of what was written is with the kernel
+        self.replies = ReplyReader(BODY_LIMIT, wants_long=True)
+        self.on_piece: Callable[[bytes], None] | None = None  # of the long answer that passes
+        self.upload: Upload | None = None  # the long body that passes
+        self.moved_us = 0  # when a long body last did
+        self.flushed = True  # what was written is with the kernel
         self.idle_since_us = 0
         self.closed = False  # its descriptor is given back
         self.poll = select.poll()
@@ -115,10 +130,33 @@
         self.transport.write(data)
         if self.transport.is_closing():
             return False
-        if self.flushed:
+        if self.is_written:
             self.pools.on_written(self)
         return True
 
+    @property
+    def is_written(self) -> bool:
+        """Whether the last byte of the request is with the kernel."""
+        return self.flushed and (self.upload is None or self.upload.ended)
+
+    def write_on(self, data: bytes, ended: bool) -> None:
+        """A further piece of a long body; broken connections are found out by reading."""
+        self.moved_us = now_us()
+        if data and self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+        if ended:
+            self.pools.on_body_end(self)
+
+    def hold(self) -> None:
+        """Read no more for now: the answer's reader is slower."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        self.moved_us = now_us()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -128,18 +166,33 @@
 
     def resume_writing(self) -> None:
         self.flushed = True
-        self.pools.on_written(self)
+        self.moved_us = now_us()
+        if self.is_written:
+            self.pools.on_written(self)
+        elif self.upload is not None:
+            self.upload.on_room()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        buffer = self.pools.buffer
+        return buffer.for_long() if self.on_piece is not None else buffer.view
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
         try:
-            reply = self.replies.feed(data)
+            reply = self.replies.feed(bytes(self.pools.buffer.view[:nbytes]))
         except ReplyError:
             self.pools.on_garbage(self)
             return
+        if self.attempt is None:
+            self.close()
+        elif self.replies.begun is not None and not self.pools.pass_on(self, self.replies.begun):
+            return
+        elif reply is not None:
+            self.pools.on_reply(self, reply)
+
+    def eof_received(self) -> None:
+        reply = self.replies.feed_eof()
         if reply is not None:
             self.pools.on_reply(self, reply)
-        elif self.attempt is None:
-            self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pools.on_lost(self)
@@ -149,9 +202,14 @@
     """Carries attempts to hosts. Every attempt that is sent ends once, by its `on_end`."""
 
     def __init__(
-        self, settings: Settings, telemetry: Telemetry, room: Callable[[], None] = lambda: None
+        self,
+        settings: Settings,
+        telemetry: Telemetry,
+        buffer: Buffer,
+        room: Callable[[], None] = lambda: None,
     ) -> None:
-        self.settings, self.telemetry = settings, telemetry
+        self.settings, self.telemetry, self.buffer = settings, telemetry, buffer
+        self.long: set[HostConnection] = set()  # those that long bodies pass over
         self.loop = asyncio.get_running_loop()
         self.room = room  # called before a descriptor is taken
         self.hosts: dict[int, Host] = {}
@@ -197,9 +255,10 @@
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         """Begin an attempt on a kept connection, or on a new one where none is free."""
-        attempt.sent_us = now_us()
+        attempt.sent_us, attempt.timeout_us = now_us(), timeout_us
         later = self.loop.call_later
-        attempt.timers.append(later(timeout_us / 1e6, self.on_timeout, attempt))
+        if attempt.upload is None:
+            attempt.timers.append(later(timeout_us / 1e6, self.on_timeout, attempt))
         if not self.may_send(attempt.host):
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
@@ -240,10 +299,18 @@
         return None
 
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
+        if attempt.upload is not None and attempt.upload.carrier is not None:
+            return False  # its body goes on with another attempt
         connection.attempt, attempt.connection = attempt, connection
+        connection.upload = attempt.upload
         if connection.write(attempt.payload):
+            if attempt.upload is not None:
+                self.set_long(connection, True)
+                attempt.on_passing()
+                if connection.attempt is attempt:
+                    attempt.upload.attach(connection)
             return True
-        connection.attempt = attempt.connection = None
+        connection.attempt = attempt.connection = connection.upload = None
         connection.close()
         return False
 
@@ -283,7 +350,50 @@
 
     def is_written(self, attempt: Attempt) -> bool:
         connection = attempt.connection
-        return connection is not None and connection.transport is not None and connection.flushed
+        return connection is not None and connection.transport is not None and connection.is_written
+
+    # Long bodies
+
+    def set_long(self, connection: HostConnection, passes: bool) -> None:
+        connection.moved_us = now_us()
+        (self.long.add if passes else self.long.discard)(connection)
+        self.buffer.long = len(self.long)
+
+    def on_body_end(self, connection: HostConnection) -> None:
+        """The last byte of a long body was written, or waits to be: the request's time begins."""
+        attempt = connection.attempt
+        if attempt is None or attempt.ended:
+            return
+        attempt.sent_us = now_us()
+        if connection.on_piece is None:
+            self.set_long(connection, False)
+            timeout_s = attempt.timeout_us / 1e6
+            attempt.timers.append(self.loop.call_later(timeout_s, self.on_timeout, attempt))
+        if connection.is_written:
+            self.on_written(connection)
+
+    def pass_on(self, connection: HostConnection, head: Reply) -> bool:
+        """Hand on what has come of a long answer; False if it is of no use."""
+        attempt = connection.attempt
+        assert attempt is not None
+        if connection.on_piece is None:
+            outcome = outcome_of(head)
+            if outcome is Outcome.OK:
+                for timer in attempt.timers:
+                    timer.cancel()
+                connection.on_piece = attempt.on_begin(attempt, head)
+            if connection.on_piece is None:
+                connection.attempt = None
+                connection.close()
+                # A probe's answer is not long; a request's that nobody takes is called off.
+                self.end(attempt, Outcome.CANCELLED if outcome is Outcome.OK else outcome, head)
+                return False
+            self.set_long(connection, True)
+        connection.moved_us = now_us()
+        data = connection.replies.take()
+        if data:
+            connection.on_piece(data)
+        return connection.attempt is attempt
 
     # Connections
 
@@ -317,12 +427,21 @@
         if attempt is None:
             connection.close()
             return
-        if reply.keep_alive and connection.flushed:
+        keep = reply.keep_alive and connection.is_written
+        self.release(connection)
+        if keep:
             self.keep(connection)
         else:
             connection.close()
         self.end(attempt, outcome_of(reply), reply)
 
+    def release(self, connection: HostConnection) -> None:
+        """No long body passes over it any more."""
+        if connection.on_piece is not None or connection.upload is not None:
+            connection.on_piece = connection.upload = None
+            self.set_long(connection, False)
+            connection.go_on()
+
     def on_garbage(self, connection: HostConnection) -> None:
         attempt, connection.attempt = connection.attempt, None
         connection.close()
@@ -337,11 +456,12 @@
             self.counts.ended_idle += 1
         if attempt is not None:
             self.counts.lost += 1
-            self.end(attempt, Outcome.RESET if connection.flushed else Outcome.CONNECT_FAILED)
+            self.end(attempt, Outcome.RESET if connection.is_written else Outcome.CONNECT_FAILED)
 
     def count_closed(self, connection: HostConnection) -> None:
         if connection.closed:
             return
+        self.set_long(connection, False)
         connection.closed = True
         connection.host.open -= 1
         self.open -= 1
@@ -358,6 +478,9 @@
         """Close what has been idle for too long, well before the host does it."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
         now = now_us()
+        for connection in [c for c in self.long if now - c.moved_us > STALL_US]:
+            if connection.transport is not None and connection.transport.is_reading():
+                connection.close()
         oldest_us = now - int(self.settings.keepalive_us * IDLE_SHARE)
         spare_us = now - SPARE_IDLE_US
         for host in self.hosts.values():
