Let the attempts of clients that left run to their end where calling off ends a connection

Ruled out: the gateway's processor time (0.7 of a core at most).

Lines at fault: on_gone called off whatever was out. With one attempt to a connection that costs the server a handshake (a fifth of a view's work), while what runs goes on anyhow. What is overdue is still called off.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -504,8 +504,16 @@
 
     def on_gone(self, event: RequestGone) -> None:
         request = self.requests.get(event.request)
-        if request is not None and not request.done:
+        if request is None or request.done:
+            return
+        if self.settings.attempts_per_connection > 1 or any(a.overdue for a in request.attempts):
             self.finish(request)
+        else:
+            # Calling off ends the connection: the next costs the server more than the rest of the work, which
+            # goes on anyhow, and what the attempt would still tell of the server is lost.
+            request.done = True
+            if request.out == 0:
+                self.free(request)
 
     def on_stream(self, event: StreamStarted) -> None:
         """The answer's first bytes are here: they tell of the server, the rest of the line and the client."""
