Pass answers of unknown length on after 50 ms instead of holding them to their time-out

Log lines at time-outs: 137 of 170 attempts that ran out of time were within a chunked answer of which 5 to 56 KB were held; each also counted as a sign of a crowd. Ruled out: the latency that the module learns (by first bytes: no gain).

Lines at fault: ReplyReader handed on an answer without a length only from 64 KiB on.

A head alone is still held, as the request may go elsewhere.

--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -22,9 +22,8 @@
 SPARED = 1  # connections of a host that may stay idle for longer than that
 SWEEP_S = 1.0
 PROBE_TIMEOUT_US = 250_000
-STALL_US = (
-    30_000_000  # a long body of which nothing moves for so long, and not for want of a reader, has ended
-)
+HOLD_S = 0.05  # for a body of unknown length to come whole; else it passes on as a long one
+STALL_US = 30_000_000  # a long body of which nothing moves for so long, though it is read, has ended
 
 
 @dataclass(slots=True, eq=False)
@@ -58,6 +57,7 @@
     connection: HostConnection | None = None
     opening: asyncio.Task[object] | None = None
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
+    holding: asyncio.TimerHandle | None = None  # one of them
     ended: bool = False
 
 
@@ -188,6 +188,8 @@
             return
         elif reply is not None:
             self.pools.on_reply(self, reply)
+        elif self.replies.is_unsized and self.on_piece is None:
+            self.pools.hold(self)
 
     def eof_received(self) -> None:
         reply = self.replies.feed_eof()
@@ -373,6 +375,23 @@
         if connection.is_written:
             self.on_written(connection)
 
+    def hold(self, connection: HostConnection) -> None:
+        """Wait a while for the end of an answer that may be short, so that it could still be tried again.
+
+        Guards against holding a long one that comes slowly until its time is out.
+        """
+        attempt = connection.attempt
+        assert attempt is not None
+        if attempt.holding is None:
+            attempt.holding = self.loop.call_later(HOLD_S, self.on_held, connection, attempt)
+            attempt.timers.append(attempt.holding)
+
+    def on_held(self, connection: HostConnection, attempt: Attempt) -> None:
+        attempt.holding = None
+        replies = connection.replies
+        if connection.attempt is attempt and replies.begin() and replies.begun is not None:
+            self.pass_on(connection, replies.begun)
+
     def pass_on(self, connection: HostConnection, head: Reply) -> bool:
         """Hand on what has come of a long answer; False if it is of no use."""
         attempt = connection.attempt
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -104,13 +104,14 @@
 
     __slots__ = (
         "_body", "_headers", "_in_body", "_limit", "_overhead", "_parser", "_replies", "_size",
-        "_to_the_end", "_wants_long", "begun",
+        "_to_the_end", "_unsized", "_wants_long", "begun",
     )  # fmt: skip
 
     def __init__(self, limit: int = BODY_LIMIT, wants_long: bool = False) -> None:
         self._limit, self._wants_long = limit, wants_long
         self.begun: Reply | None = None  # the head of a long answer
         self._in_body = False
+        self._unsized = False
         self._to_the_end = False  # the body ends with the connection
         self._overhead = 0  # bytes since the last that meant something
         self._parser = httptools.HttpResponseParser(self)
@@ -144,6 +145,17 @@
         self._body.clear()
         return data
 
+    def begin(self) -> bool:
+        """Make an answer of unknown length, of which part is here, a long one; False if there is none."""
+        if self.begun is None and self.is_unsized and self._size:
+            self._begin()
+        return self.begun is not None
+
+    @property
+    def is_unsized(self) -> bool:
+        """Whether a body is coming of which nobody has said how long it is."""
+        return self._in_body and self._unsized
+
     def feed_eof(self) -> Reply | None:
         """The answer that the end of the connection completes, if it does."""
         if not self._to_the_end or not self._in_body:
@@ -172,6 +184,7 @@
         coding, length = coding_of(self._headers), header(self._headers, b"content-length")
         if coding not in (b"", b"chunked"):
             raise ReplyError("the transfer coding is unknown")
+        self._unsized = length is None
         self._to_the_end = not coding and length is None
         if self._wants_long and length is not None and int(length) > self._limit:
             self._begin()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -279,6 +279,48 @@
         assert (answer.status, answer.body) == (200, BODY[:100_000])
 
 
+@on_loop
+async def test_an_answer_of_unknown_length_that_comes_slowly_passes_before_it_is_long() -> None:
+    """Held until 64 KiB were there, it ran out of time."""
+    rest = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(chunked(BODY[:10_000])[:-5])
+        await rest.wait()
+        writer.write(chunked(BODY[10_000:]))
+
+    async with raw_host(serve) as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        client.send(request("transfer", budget_ms=1_000))
+        status, headers = await read_head(client.reader)
+        assert (status, headers["transfer-encoding"]) == (200, "chunked")
+        assert await client.reader.readline() == b"2710\r\n"
+        assert await client.reader.readexactly(10_002) == BODY[:10_000] + b"\r\n"
+        rest.set()
+        assert await read_chunked(client.reader) == BODY[10_000:]
+        client.close()
+
+
+@on_loop
+async def test_a_head_alone_is_not_passed_on() -> None:
+    """The host may have died behind it, and the request may still go elsewhere."""
+    heads = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal heads
+        await reader.readuntil(b"\r\n\r\n")
+        heads += 1
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        await asyncio.sleep(0.2)
+        writer.transport.abort()
+
+    async with raw_host(serve) as one, raw_host(serve) as two, running(configuration(one, two)) as gateway:
+        assert (await gateway.ask(request("search"))).status == 503
+        assert heads == 2
+
+
 # Requests
 
 
