Read a body that was answered early to its end, and keep its connection

Ruled out by log lines: time-outs of bodies (none), idle connections closed (none).

Lines at fault: must_end ended the connection of every request that was refused before its body had come, under a client that was still sending. The answer still goes out at once; what follows of the body is read and dropped.

--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -73,7 +73,8 @@
     """One request as it was read; `fault` tells what is wrong with it."""
 
     __slots__ = (
-        "body", "expects", "fault", "headers", "is_old", "keep_alive", "method", "target", "upload", "whole",
+        "answered", "body", "expects", "fault", "headers", "is_old", "keep_alive", "method", "target",
+        "upload", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -85,6 +86,7 @@
         self.is_old = False  # HTTP/1.0
         self.expects = False  # waits for word before it sends its body
         self.whole = False
+        self.answered = False  # before its body had come: the rest is read and dropped
         self.upload: Upload | None = None  # the rest of a body too long to be held
         self.fault: RequestError | None = None
 
@@ -352,6 +354,9 @@
 
     def refuse_rest(self, fault: RequestError) -> None:
         """Answer for what is wrong, after what came before it, and read no further."""
+        if self.reading is not None and self.reading.answered:
+            self.close()  # it has its answer
+            return
         self.deaf = True
         self.awaits_since_s = math.inf
         upload = self.reading if self.reading is not None and self.reading.upload is not None else None
@@ -360,6 +365,7 @@
         elif upload is not None and upload is self.current:
             # Its host has part of it, and must not get an end that nobody has sent.
             self.server.gateway.leave(self.current_id)
+            upload.keep_alive = False
             self.answer(fault.status, fault.headers, f"{fault}\n".encode())
             return
         request = Request()
@@ -423,6 +429,8 @@
         self.body_size += len(data)
         if self.body_size > BODY_MOST:
             raise RequestError(413, "the body is too long")
+        if request.answered:
+            return
         if request.upload is None:
             request.body.append(data)
         elif not request.upload.feed(data):
@@ -436,7 +444,7 @@
         self.passed_end = request.whole = True
         if request.upload is None:
             self.waiting.append(request)
-        else:
+        elif not request.answered:
             self.server.gateway.body_ended(self.current_id)
 
     # Answering
@@ -587,9 +595,10 @@
 
     def must_end(self, request: Request) -> bool:
         """Whether the connection ends with this request's answer."""
-        if not request.keep_alive or not (request.whole or request.fault):
-            return True  # the rest of a body that was answered early is not waited for
-        more = bool(self.waiting) or self.reading is not None  # what was read is answered, on the way out too
+        if not request.keep_alive:
+            return True
+        # What was read is answered, on the way out too; the rest of this one's body is not waited for then.
+        more = bool(self.waiting) or (self.reading is not None and self.reading is not request)
         # Guards against a rush of new connections: all too fresh to close, they left none for the hosts.
         crowded = self.server.spare < RESERVE // 2
         return (self.server.draining or crowded) and not more
@@ -608,6 +617,9 @@
         if not transport.is_closing():
             self.rest()
         if not last:
+            if not request.whole and request.fault is None:
+                request.answered = True
+                self.go_on()
             if self.waiting:
                 asyncio.get_running_loop().call_soon(self.take_next)
             self.ask_for_body()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -470,6 +470,34 @@
         client.close()
 
 
+@on_loop
+async def test_a_body_that_is_answered_early_is_read_to_its_end_and_the_connection_goes_on() -> None:
+    """Its connection was ended under the client, which was still sending."""
+    async with running(configuration("127.0.0.1:1")) as gateway:
+        client = await gateway.connect()
+        data = request("transfer", BODY)
+        client.send(data[:100_000])
+        early = await client.answer()
+        assert early.status == 503 and "connection" not in early.headers
+        client.send(data[100_000:])
+        for _ in range(2):
+            assert (await client.ask(request("transfer"))).status == 503
+        connection = next(iter(gateway.server.connections))
+        assert not connection.is_late(1e9) and connection.is_idle()
+        client.close()
+
+
+@on_loop
+async def test_a_body_that_is_answered_early_and_turns_out_bad_gets_no_second_answer() -> None:
+    async with running(configuration("127.0.0.1:1")) as gateway:
+        client = await gateway.connect()
+        client.send(in_chunks(chunked(BODY)[:-5]))
+        assert (await client.answer()).status == 503
+        client.send(b"zz\r\n")
+        assert await client.reader.read() == b""
+        client.close()
+
+
 @on_loop
 async def test_a_long_body_goes_elsewhere_while_none_of_it_has_gone_on() -> None:
     sink = Sink()
