Hold the first unhindered latency to a third of the aim, lest a crowd pass for usual

Cause: a process that begins in that crowd learns up to half of the aim as unhindered, sheds too little and overruns the servers.

Half of the aim becomes a third.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -828,7 +828,7 @@
         self.smoothed[index] += share * (latency - self.smoothed[index])
         if self.answers[index] <= FIRST_ANSWERS:
             # Guards against a guess that is too low: it rises so slowly that work is shed for half a minute.
-            self.unhindered[index] = min(self.smoothed[index], request.rules.aim_us / 2)
+            self.unhindered[index] = min(self.smoothed[index], request.rules.aim_us / 3)
             return
         floor = self.unhindered[index]
         self.unhindered[index] += min(0.0, self.smoothed[index] - floor) + UNHINDERED_UP * floor
