Take the first answers' latency out again: a process that begins in a crowd learned it as usual

A third of the aim in place of a half did not mend it. Open: hand the old process's latencies to the new one, then begin with first answers.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -42,8 +42,6 @@
 GOLDEN = 0.6180339887  # of the ring from one proxy's start to the next: any few of them lie evenly spread
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
 IDLE_SMOOTHING = 0.15  # share of the newest list in how idle a server is: all hear the same, none must swarm
-PRIOR = 4  # answers that the first guess of a latency weighs as much as
-FIRST_ANSWERS = 20  # of a class, before the least latency seen is held to be the unhindered one
 UNHINDERED_UP = 0.0005  # relative rise of the unhindered latency with each answer: no jam is usual at once
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
 OWN = 4  # power of own attempts out in the draw: known at once, where listed weights are late, alike for all
@@ -260,7 +258,6 @@
         classes = settings.classes
         self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
-        self.answers = [0] * len(classes)  # that latencies were learned from
         self.mean_work = [0.0] * len(classes)  # of hints
         self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
         self.asked = [0.0] * len(classes)
@@ -303,7 +300,6 @@
             values += [c.aim_us / 4 for c in settings.classes[known:]]
         for values in (self.mean_work, self.asked, self.served):
             values += [0.0] * (len(settings.classes) - known)
-        self.answers += [0] * (len(settings.classes) - known)
         self.patience += [(c.give_up_us, 0) for c in settings.classes[known:]]
         for index, (was, now) in enumerate(zip(old.classes, settings.classes, strict=False)):
             if was.give_up_us != now.give_up_us:
@@ -823,13 +819,7 @@
 
     def learn_latency(self, request: Request, latency_us: int) -> None:
         index, latency = request.klass, latency_us / request.size
-        self.answers[index] += 1
-        share = max(SMOOTHING, 1.0 / (PRIOR + self.answers[index]))
-        self.smoothed[index] += share * (latency - self.smoothed[index])
-        if self.answers[index] <= FIRST_ANSWERS:
-            # Guards against a guess that is too low: it rises so slowly that work is shed for half a minute.
-            self.unhindered[index] = min(self.smoothed[index], request.rules.aim_us / 3)
-            return
+        self.smoothed[index] += SMOOTHING * (latency - self.smoothed[index])
         floor = self.unhindered[index]
         self.unhindered[index] += min(0.0, self.smoothed[index] - floor) + UNHINDERED_UP * floor
 
