Tell an old client one thing about its connection; close what a passing body cannot use

Found by reading the change again: an answer without a length to an HTTP/1.0 client that asked to keep its connection said both `close` and `keep-alive`, and a free connection offered to a body that already goes on with another attempt was neither used nor kept.

--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -302,6 +302,7 @@
 
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
         if attempt.upload is not None and attempt.upload.carrier is not None:
+            connection.close()
             return False  # its body goes on with another attempt
         connection.attempt, attempt.connection = attempt, connection
         connection.upload = attempt.upload
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -541,7 +541,7 @@
         # Without a length, what an old client gets ends with the connection.
         self.is_last = self.must_end(request) or (length is None and request.is_old)
         transport.set_write_buffer_limits(high=0)
-        transport.write(answer_head(200, self.kept_for(request, headers), self.is_last))
+        transport.write(answer_head(200, kept_for(request, headers, self.is_last), self.is_last))
 
     def on_piece(self, request: Request, data: bytes) -> None:
         if self.current is request and self.transport is not None and not self.transport.is_closing():
@@ -589,7 +589,7 @@
         assert request is not None and transport is not None
         last = self.must_end(request)
         if not transport.is_closing():
-            headers = self.kept_for(request, headers)
+            headers = kept_for(request, headers, last)
             write_answer(transport, status, headers, body, last, request.method == b"HEAD")
         self.answered(last)
 
@@ -603,11 +603,6 @@
         crowded = self.server.spare < RESERVE // 2
         return (self.server.draining or crowded) and not more
 
-    def kept_for(self, request: Request, headers: list[Header]) -> list[Header]:
-        """An old client is told that its connection stays open."""
-        stays = request.is_old and not self.must_end(request)
-        return [*headers, (b"Connection", b"keep-alive")] if stays else headers
-
     def answered(self, last: bool) -> None:
         """The answer is written: go on with the next request, or end."""
         request, transport = self.current, self.transport
@@ -634,6 +629,11 @@
             transport.close()
 
 
+def kept_for(request: Request, headers: list[Header], last: bool) -> list[Header]:
+    """An old client is told that its connection stays open."""
+    return headers if last or not request.is_old else [*headers, (b"Connection", b"keep-alive")]
+
+
 def _whole(text: bytes | None, name: str) -> int | None:
     if text is None:
         return None
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -141,6 +141,19 @@
         client.close()
 
 
+@pytest.mark.parametrize("head", [whole(BODY), "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n"])
+@on_loop
+async def test_an_old_client_hears_one_word_about_its_connection(head: str) -> None:
+    data = BODY if "Length" in head else chunked(BODY)
+    async with raw_host(answering(head, data)) as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        client.send(request("search", connection="keep-alive").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        said = (await client.reader.readuntil(b"\r\n\r\n")).lower()
+        assert said.count(b"connection:") == 1
+        assert (b"connection: keep-alive" in said) is ("Length" in head)
+        client.close()
+
+
 @pytest.mark.parametrize("size", [10, BODY_LIMIT])
 @on_loop
 async def test_a_short_answer_may_end_with_its_connection_too(size: int) -> None:
