--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -15,9 +15,10 @@
 from operator import attrgetter
 
 from caperdrift.interface import (
-    NEVER_RAN, Action, AttemptEnded, BodyEnded, BodyPassing, Cancel, Effect, Event, Fail, ListedServer,
-    ListKind, Log, Outcome, Refuse, RequestArrived, RequestClass, RequestGone, Scope, Send, ServerList,
-    ServerStatus, SetTimer, Settings, SettingsChanged, StreamStarted, TimerFired, WatchList,
+    NEVER_RAN, Action, AttemptEnded, BodyEnded, BodyPassing, Cancel, Effect, Event, Fail, Learned,
+    LearnedBreaker, LearnedServer, ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestClass,
+    RequestGone, Restore, Scope, Send, ServerList, ServerStatus, SetTimer, Settings, SettingsChanged,
+    StreamStarted, TimerFired, WatchList,
 )
 
 # The breaker
@@ -160,6 +161,19 @@
         self.cooldown_us = COOLDOWN_US
         return self.state
 
+    def learned(self, now_us: int) -> LearnedBreaker:
+        left_us = max(0, self.open_until_us - now_us) if self.state is State.OPEN else 0
+        return LearnedBreaker(tuple(self.ring), self.state.value, left_us, self.cooldown_us)
+
+    def restore(self, now_us: int, learned: LearnedBreaker) -> None:
+        """Take up a breaker as it was; one that was half-open is open with its cooldown over: its trials
+        were another process's."""
+        self.ring = deque(learned.ring[-RING:], maxlen=RING)
+        self.failures = sum(self.ring)
+        self.state = State.CLOSED if learned.state == State.CLOSED.value else State.OPEN
+        self.cooldown_us = min(max(COOLDOWN_US, learned.cooldown_us), LONGEST_COOLDOWN_US)
+        self.open_until_us = now_us + min(max(0, learned.open_left_us), self.cooldown_us)
+
 
 @dataclass(slots=True, eq=False)
 class Part:
@@ -290,8 +304,45 @@
             self.on_body_ended(event.request)
         elif isinstance(event, SettingsChanged):
             self.on_settings(event.settings)
+        elif isinstance(event, Restore):
+            self.on_restore(event.learned, max(0, event.age_us))
         return self.actions
 
+    def learned(self) -> Learned:
+        """What this proxy has learned, for a process after it (see Restore); changes nothing."""
+        now_us = self.now_us
+        servers = tuple(
+            LearnedServer(
+                number, s.entry.started_us, s.weight, s.idle, s.breaker.learned(now_us),
+                tuple((k, p.weight, p.breaker.learned(now_us)) for k, p in s.parts.items()),
+            )
+            for number, s in self.servers.items()
+        )  # fmt: skip
+        return Learned(servers, tuple(self.smoothed), tuple(self.unhindered))
+
+    def on_restore(self, learned: Learned, age_us: int) -> None:
+        known = len(self.settings.classes)
+        latencies = zip(learned.smoothed_us, learned.unhindered_us, strict=False)
+        for index, (smoothed, unhindered) in enumerate(latencies):
+            if index < known and min(smoothed, unhindered) > 0 and max(smoothed, unhindered) < math.inf:
+                self.smoothed[index], self.unhindered[index] = smoothed, unhindered
+        taken = 0
+        for was in learned.servers:
+            server = self.servers.get(was.server)
+            if server is None or server.entry.started_us != was.started_us:
+                continue
+            taken += 1
+            server.weight = min(CEILING, max(FLOOR, was.weight))
+            server.idle = min(1.0, max(0.0, was.idle))
+            server.breaker.restore(self.now_us - age_us, was.breaker)
+            for klass, weight, breaker in was.parts:
+                if 0 <= klass < known:
+                    part = server.part(klass)
+                    part.weight = min(CEILING, max(FLOOR, weight))
+                    part.breaker.restore(self.now_us - age_us, breaker)
+        self.rank_servers()
+        self.actions.append(Log(f"restored {taken} of {len(learned.servers)} servers learned before"))
+
     def on_settings(self, settings: Settings) -> None:
         """Go by other settings from now on; what was learned stays, and open requests keep their rules."""
         old, self.settings = self.settings, settings
--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -302,8 +302,49 @@
     payload: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class LearnedBreaker:
+    """A breaker as it was: its ring, oldest outcome first (True: failed), and its state."""
+
+    ring: tuple[bool, ...]
+    state: str  # "closed", "open" or "half-open"
+    open_left_us: int  # of its cooldown, where open
+    cooldown_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class LearnedServer:
+    """What was learned of one server: it is the same server only with the same number and start."""
+
+    server: int
+    started_us: int
+    weight: float  # of the controller
+    idle: float
+    breaker: LearnedBreaker
+    parts: tuple[tuple[int, float, LearnedBreaker], ...] = ()  # class, its weight, its breaker
+
+
+@dataclass(slots=True, frozen=True)
+class Learned:
+    """A balancer's learned state, for another process of the same proxy: latencies by class, in us."""
+
+    servers: tuple[LearnedServer, ...]
+    smoothed_us: tuple[float, ...]
+    unhindered_us: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Restore:
+    """Take up what a process before this one learned. Servers not listed now, or listed with another start,
+    and classes beyond the settings are passed over; what is restored is logged in one line."""
+
+    learned: Learned
+    age_us: int = 0  # since it was taken: cooldowns have run on meanwhile
+
+
 Event = (
     ServerList
+    | Restore
     | RequestArrived
     | BodyPassing
     | BodyEnded
--- /dev/null
+++ b/cloverkeel/fleet/events.py
@@ -0,0 +1,46 @@
+"""Structured lines of the fleet's parts: one event a line, `cloverkeel: event=NAME key=value ...`.
+
+Standard `logging` carries them, so that a handler of the operators' own may take them instead of
+standard error.
+A value with a space, a quote or an equals sign is quoted as JSON would quote it.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+
+LOGGER = logging.getLogger("cloverkeel.fleet")
+
+
+class KeyValue(logging.Formatter):
+    """`cloverkeel: event=state.corrupt path=/x reason="not a database"` for `event("state.corrupt", ...)`."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        fields: dict[str, object] = getattr(record, "fields", {})
+        words = [f"event={record.getMessage()}"]
+        words += [f"{key}={_value(value)}" for key, value in fields.items()]
+        return "cloverkeel: " + " ".join(words)
+
+
+def _value(value: object) -> str:
+    text = f"{value:g}" if isinstance(value, float) else str(value)
+    if not text or any(c in text for c in ' "=\n\\'):
+        return json.dumps(text)
+    return text
+
+
+def event(name: str, **fields: object) -> None:
+    """Log one event with its fields, in the order given."""
+    LOGGER.info(name, extra={"fields": fields})
+
+
+def setup() -> None:
+    """Lines to standard error, once however often it is called."""
+    if not LOGGER.handlers:
+        handler = logging.StreamHandler(sys.stderr)
+        handler.setFormatter(KeyValue())
+        LOGGER.addHandler(handler)
+        LOGGER.setLevel(logging.INFO)
+        LOGGER.propagate = False
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,113 @@
+"""The learned state: out of one balancer, through the store's file, into another."""
+
+import os
+import sqlite3
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.helpers import Driver, sends, trip
+from caperdrift.interface import Learned, LearnedBreaker, LearnedServer, ListedServer, Outcome, Restore
+from caperdrift.balance import COOLDOWN_US, State
+from cloverkeel.fleet import state
+from cloverkeel.fleet.state import Figures, Snapshot, Store
+
+
+def learned_driver() -> Driver:
+    driver = Driver(servers=3)
+    trip(driver.balancer.servers[1].breaker, driver.now_us)
+    name, actions = driver.arrive()
+    driver.now_us += 30_000
+    driver.end(name, sends(actions)[0].server, latency_us=30_000)
+    return driver
+
+
+def test_a_new_balancer_takes_up_what_an_old_one_learned() -> None:
+    old = learned_driver()
+    learned = old.balancer.learned()
+    new = Driver(servers=3)
+    new.now_us = old.now_us + 200_000
+    new.handle(Restore(learned, age_us=200_000))
+    breaker = new.balancer.servers[1].breaker
+    assert breaker.state is State.OPEN
+    assert breaker.open_until_us == old.balancer.servers[1].breaker.open_until_us == 50_000_000 + COOLDOWN_US
+    assert new.balancer.smoothed == old.balancer.smoothed
+    again = new.balancer.learned().servers
+    assert [(s.weight, s.breaker.ring, s.parts[:1]) for s in again] == [
+        (s.weight, s.breaker.ring, s.parts[:1]) for s in learned.servers
+    ]
+
+
+def test_servers_of_another_list_or_start_are_passed_over() -> None:
+    old = learned_driver()
+    new = Driver(servers=0)
+    new.list_servers(ListedServer(0), ListedServer(1, started_us=5))  # 1 started again; 2 is gone
+    actions = new.handle(Restore(old.balancer.learned()))
+    assert new.balancer.servers[1].breaker.state is State.CLOSED
+    assert [a.line for a in actions if hasattr(a, "line")] == ["restored 1 of 3 servers learned before"]
+
+
+breakers = st.builds(
+    LearnedBreaker,
+    st.lists(st.booleans(), max_size=30).map(tuple),
+    st.sampled_from(["closed", "open", "half-open"]),
+    st.integers(-(10**12), 10**12),
+    st.integers(-(10**12), 10**12),
+)
+servers = st.builds(
+    LearnedServer, st.integers(0, 4), st.just(0), st.floats(allow_nan=True), st.floats(),
+    breakers, st.lists(st.tuples(st.integers(-3, 5), st.floats(), breakers), max_size=3).map(tuple),
+)  # fmt: skip
+
+
+@given(st.lists(servers, max_size=5), st.lists(st.floats(), max_size=4), st.lists(st.floats(), max_size=4))
+def test_any_learned_state_leaves_the_balancer_serving(
+    learned: list[LearnedServer], smoothed: list[float], unhindered: list[float]
+) -> None:
+    driver = Driver(servers=5)
+    driver.handle(Restore(Learned(tuple(learned), tuple(smoothed), tuple(unhindered))))
+    for server in driver.balancer.servers.values():
+        assert 0.0 < server.weight <= 1.0 and 0.0 <= server.idle <= 1.0
+        assert server.breaker.open_until_us <= driver.now_us + 8_000_000
+    assert all(0 < latency < float("inf") for latency in driver.balancer.smoothed)
+    driver.now_us += 10_000_000
+    name, actions = driver.arrive()
+    assert sends(actions), "a restored balancer sends once cooldowns are over"
+    driver.end(name, sends(actions)[0].server, Outcome.OK)
+
+
+def test_a_snapshot_survives_the_file_and_a_damaged_row_falls_back(tmp_path: Path) -> None:
+    learned = learned_driver().balancer.learned()
+    figures = Figures()
+    fd = Store.take_lock(str(tmp_path))
+    assert fd is not None and Store.take_lock(str(tmp_path)) is None
+    store, found = Store.open(str(tmp_path), fd, figures, 0.0)
+    assert found == []
+    store.write(Snapshot(1.0, learned, {"index": 3}))
+    store.write(Snapshot(2.0, learned))
+    store.write(Snapshot(3.0, learned))
+    store.connection.execute("UPDATE snapshot SET sha256 = 'x' WHERE taken_unix_s = 3.0")
+    good, findings = state.verify(store.connection)
+    assert [s.taken_unix_s for s in good] == [2.0] and len(findings) == 1
+    assert good[0].learned == learned
+    assert store.bump("boots") == 1 and store.bump("boots") == 2
+    store.close()
+
+
+def test_a_file_that_is_no_database_is_moved_aside(tmp_path: Path) -> None:
+    (tmp_path / state.FILE).write_bytes(b"not a database at all" * 50)
+    figures = Figures()
+    keeper, snapshot = state.start(str(tmp_path), 5.0, 60.0, False, figures)
+    assert keeper is not None and snapshot is None and figures.corrupt == 1
+    assert any(name.startswith(state.FILE + ".corrupt-") for name in os.listdir(tmp_path))
+    keeper.close(None, 5.0)
+    with sqlite3.connect(tmp_path / state.FILE) as connection:
+        assert state.counters(connection) == {"boots": 1}
+
+
+def test_old_snapshots_are_judged_stale() -> None:
+    snapshot = Snapshot(100.0, Learned((), (), ()))
+    assert state.judge(snapshot, 150.0, 60.0) is None
+    assert "over the bound" in str(state.judge(snapshot, 161.0, 60.0))
+    assert "from now" in str(state.judge(snapshot, 98.0, 60.0))
