Keep the learned state in the store while serving, and start warm from it

Change: state_dir (or $LB_STATE_DIR), state_snapshot_s (5) and state_max_age_s (60) in the configuration; without a directory nothing changes. Counters lb_state_corrupt_total, lb_state_snapshots_written_total and lb_state_write_failures_total in telemetry while the store is on.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -5,6 +5,13 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from cloverkeel.fleet.state import Keeper
+    from cloverkeel.gateway import Gateway
 
 
 def _end_early(signum: int, frame: object) -> None:
@@ -12,6 +19,20 @@
     os._exit(0)
 
 
+FINAL_WRITE_S = 0.3  # the last snapshot's time at the end: within the platform's time after SIGTERM
+
+
+def keep(loop: asyncio.AbstractEventLoop, keeper: Keeper, gateway: Gateway, interval_s: float) -> None:
+    """Hand the state store a snapshot every `interval_s`; the writing is the store's thread's."""
+
+    def tick() -> None:
+        if not gateway.closed:
+            keeper.offer(gateway.snapshot())
+            loop.call_later(interval_s, tick)
+
+    loop.call_later(interval_s, tick)
+
+
 def main() -> int:
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
@@ -30,6 +51,7 @@
 
     import uvloop
 
+    from cloverkeel.fleet import events, state
     from cloverkeel.gateway import Gateway
     from cloverkeel.http1 import log
     from cloverkeel.operator import Answer, Operator
@@ -41,7 +63,14 @@
         stop = asyncio.Event()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
-        gateway = Gateway(config)
+        keeper, warm, kept = None, None, state.Figures()
+        if config.state.directory:
+            events.setup()
+            settings = config.state
+            keeper, warm = state.start(
+                settings.directory, settings.snapshot_s, settings.max_age_s, inherited is not None, kept
+            )
+        gateway = Gateway(config, warm, kept if keeper is not None else None)
         server = Server(config, gateway, inherited)
         calls = {
             b"/api/ready": lambda: Answer(200 if server.is_ready else 503),
@@ -58,9 +87,13 @@
             log(f"cannot listen on {address[0]}:{address[1]}: {error.strerror}")
             return 1
         loop.add_signal_handler(signal.SIGHUP, server.reload)
+        if keeper is not None:
+            keep(loop, keeper, gateway, config.state.snapshot_s)
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
+        if keeper is not None:
+            keeper.offer(gateway.snapshot())  # for a new process that starts beside this one
         try:
             async with asyncio.timeout(server.end_s):
                 await server.drain()
@@ -68,6 +101,8 @@
             log(f"ended with {len(gateway.held)} requests unanswered")
         counts = gateway.pools.counts
         log(f"ends; connections to hosts: {counts}")
+        if keeper is not None:
+            keeper.close(gateway.snapshot(), FINAL_WRITE_S)
         gateway.close()
         if operator is not None:
             operator.close()
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -32,6 +32,18 @@
     kinds: dict[str, int]
 
 
+@dataclass(slots=True, frozen=True)
+class StateSettings:
+    """Where the state store keeps its file, how often it writes, and how old a snapshot may be to be used."""
+
+    directory: str  # "": none, and nothing is kept
+    snapshot_s: float = 5.0
+    max_age_s: float = 60.0
+
+
+NO_STATE = StateSettings("")
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
@@ -44,6 +56,7 @@
     settings: Settings
     names: Names
     operator: Address | None = None  # where operators call; None: nowhere
+    state: StateSettings = NO_STATE
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -157,7 +170,12 @@
         check_complete(raw)
     config = parse(raw)
     named = environment.get("LB_OPERATOR")  # a new process by an old one has another than the file may name
-    return replace(config, operator=parse_address(named, "LB_OPERATOR")) if named else config
+    if named:
+        config = replace(config, operator=parse_address(named, "LB_OPERATOR"))
+    directory = environment.get("LB_STATE_DIR")
+    if directory:
+        config = replace(config, state=replace(config.state, directory=directory))
+    return config
 
 
 def inherited_listener(environment: Mapping[str, str] = os.environ) -> socket.socket | None:
@@ -200,6 +218,7 @@
             settings=parse_settings(json.dumps(settings)),
             names=_names(settings),
             operator=parse_address(raw["operator"], "operator") if raw.get("operator") else None,
+            state=_state(raw),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
@@ -209,6 +228,20 @@
         raise ConfigError(f"the configuration cannot be used: {error}") from None
 
 
+def _state(raw: dict[str, Any]) -> StateSettings:
+    """`state_dir`, `state_snapshot_s` and `state_max_age_s` of the file; the first is `$LB_STATE_DIR` too."""
+    directory = raw.get("state_dir") or ""
+    if not isinstance(directory, str):
+        raise ConfigError("state_dir is not a path")
+    times = {}
+    for key, default in (("state_snapshot_s", 5.0), ("state_max_age_s", 60.0)):
+        value = raw.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+            raise ConfigError(f"{key} is no positive number of seconds")
+        times[key] = float(value)
+    return StateSettings(directory, times["state_snapshot_s"], times["state_max_age_s"])
+
+
 def parse_address(text: object, what: str) -> Address:
     host, mark, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not mark or not host or not port.isascii() or not port.isdigit() or not int(port) < 65536:
--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -33,10 +33,11 @@
 class Entry:
     """One host of a list, for the module and for the pools."""
 
-    __slots__ = ("address", "listed", "name")
+    __slots__ = ("address", "listed", "name", "raw")
 
-    def __init__(self, name: str, address: Address, listed: ListedServer) -> None:
+    def __init__(self, name: str, address: Address, listed: ListedServer, raw: dict[str, Any]) -> None:
         self.name, self.address, self.listed = name, address, listed
+        self.raw = raw  # as discovery gave it, for the state store
 
 
 def parse_entry(raw: dict[str, Any], names: Names) -> Entry:
@@ -56,6 +57,7 @@
             kind=_number(kind, names.kinds),
             started_us=int(raw.get("since_ms") or 0) * 1000,
         ),
+        raw,
     )
 
 
--- a/cloverkeel/fleet/state.py
+++ b/cloverkeel/fleet/state.py
@@ -169,7 +169,13 @@
     corrupt: int = 0
     written: int = 0
     write_failures: int = 0
-    restored_servers: int = 0
+
+    def counters(self) -> dict[str, int]:
+        return {
+            "state_corrupt_total": self.corrupt,
+            "state_snapshots_written_total": self.written,
+            "state_write_failures_total": self.write_failures,
+        }
 
 
 class Store:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from caperdrift.balance import Balancer
 from caperdrift.interface import (
@@ -32,6 +34,7 @@
     Reports,
     RequestArrived,
     RequestGone,
+    Restore,
     Send,
     ServerList,
     ServerStatus,
@@ -45,6 +48,7 @@
 from cloverkeel.clock import now_us
 from cloverkeel.config import Config
 from cloverkeel.discovery import Discovery, Entry
+from cloverkeel.fleet.state import Figures, Snapshot
 from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, HostConnection, Pools, load_of
 from cloverkeel.http1 import Reply, log
 from cloverkeel.streams import Buffer, Upload
@@ -90,7 +94,7 @@
 
 
 class Gateway:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, warm: Snapshot | None = None, kept: Figures | None = None) -> None:
         self.loop = asyncio.get_running_loop()
         self.settings, self.names = config.settings, config.names
         self.telemetry = Telemetry()
@@ -106,10 +110,24 @@
         self.held: dict[str, Held] = {}
         self.closed = False
         self.known = config.known
+        self.warm, self.kept = warm, kept  # what the state store had, and what it has done
+        self.listed: dict[int, dict[str, Any]] = {}  # the hosts of the list as discovery gave them
+
+    def snapshot(self) -> Snapshot:
+        """What this process knows, for the state store: no I/O, a few milliseconds for hundreds of hosts."""
+        endpoints = list(self.listed.values())
+        known = {"index": self.discovery.index or 0, "snapshot": True, "endpoints": endpoints}
+        return Snapshot(time.time(), self.balancer.learned(), known)
 
     def start(self) -> None:
-        """Begin with the list from before, and ask for a newer one when the module says so."""
-        self.discovery.take_known(self.known)
+        """Begin with the list from before, and ask for a newer one when the module says so; then take up what
+        the process before learned, where the state store has it."""
+        warm = self.warm
+        self.discovery.take_known(self.known or (warm.known if warm is not None else {}))
+        if warm is not None:
+            age_us = max(0, int((time.time() - warm.taken_unix_s) * 1e6))
+            restore = Restore(warm.learned, age_us)
+            self.post(lambda: restore)
 
     @property
     def can_serve(self) -> bool:
@@ -123,7 +141,8 @@
                 "in_progress": sum(not held.closed and not held.is_open for held in self.held.values()),
                 "known_hosts": len(self.pools.hosts),
                 "skipped_hosts": self.balancer.skipped(now_us()),
-            }
+            },
+            self.kept.counters() if self.kept is not None else {},
         )
 
     def reconfigure(self, config: Config) -> None:
@@ -221,11 +240,14 @@
             named = {entry.listed.server for entry in entries}
             for id_ in [id_ for id_ in self.pools.hosts if id_ not in named]:
                 self.pools.remove(id_)
+            self.listed.clear()
         for entry in entries:
             listed = entry.listed
             if listed.status is ServerStatus.GONE:
                 self.pools.remove(listed.server)
+                self.listed.pop(listed.server, None)
             else:
+                self.listed[listed.server] = entry.raw
                 ready = listed.status is ServerStatus.READY
                 self.pools.put(listed.server, entry.name, entry.address, ready, listed.started_us)
         return ServerList(kind, tuple(entry.listed for entry in entries))
--- a/cloverkeel/telemetry.py
+++ b/cloverkeel/telemetry.py
@@ -31,7 +31,7 @@
     def count(self, klass: bytes, result: Result) -> None:
         self.handled[klass][result] += 1
 
-    def render(self, gauges: Mapping[str, int]) -> bytes:
+    def render(self, gauges: Mapping[str, int], counters: Mapping[str, int] | None = None) -> bytes:
         lines = ["# TYPE lb_handled counter"]
         for klass, counts in self.handled.items():
             category = _escaped(klass)
@@ -41,6 +41,8 @@
             ]
         for name in ("upstream_tries", "loads", "load_errors"):
             lines += [f"# TYPE lb_{name} counter", f"lb_{name} {getattr(self, name)}"]
+        for name, number in (counters or {}).items():
+            lines += [f"# TYPE lb_{name} counter", f"lb_{name} {number}"]
         for name, number in gauges.items():
             lines += [f"# TYPE lb_{name} gauge", f"lb_{name} {number}"]
         return ("\n".join(lines) + "\n").encode()
