state check and state show: an operator reads a state file offline

The file is opened read-only; nothing is moved. With no arguments the program is the gateway, as before.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -34,6 +34,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:
+        from cloverkeel.commands import run
+
+        return run(sys.argv[1:])
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what it would change is read below
--- /dev/null
+++ b/cloverkeel/commands.py
@@ -0,0 +1,111 @@
+"""The command line beside the gateway itself: `python -m cloverkeel state check|show DIR`.
+
+`python -m cloverkeel` with no arguments is the gateway, as the deploy file starts it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sqlite3
+import sys
+import time
+from typing import Any
+
+from cloverkeel.fleet import state
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(prog="python -m cloverkeel", description="A load-balancing gateway.")
+    parts = top.add_subparsers(dest="part", required=True)
+    store = parts.add_parser("state", help="the state store's file, offline")
+    verbs = store.add_subparsers(dest="verb", required=True)
+    check = verbs.add_parser("check", help="verify a state directory's file: exit 0 if sound, else 1")
+    show = verbs.add_parser("show", help="what a state directory's file holds")
+    for verb in (check, show):
+        verb.add_argument("directory", help="the state directory (state_dir, $LB_STATE_DIR)")
+        verb.add_argument("--json", action="store_true", help="one JSON object instead of lines")
+    return top
+
+
+def run(argv: list[str]) -> int:
+    arguments = parser().parse_args(argv)
+    path = os.path.join(arguments.directory, state.FILE)
+    findings, report = examine(path)
+    if arguments.verb == "check":
+        report = {"path": path, "sound": not findings, "findings": findings}
+        if arguments.json:
+            print(json.dumps(report))
+        else:
+            for finding in findings or ["sound"]:
+                print(f"{path}: {finding}")
+        return 1 if findings else 0
+    if arguments.json:
+        print(json.dumps(report | {"findings": findings}))
+    else:
+        print_report(path, report, findings)
+    return 1 if findings else 0
+
+
+def examine(path: str) -> tuple[list[str], dict[str, Any]]:
+    """What is wrong with a file (nothing: sound), and what it holds; nothing is moved or written."""
+    if os.path.isdir(path):
+        return ["is a directory, not a file"], {}
+    if not os.path.exists(path):
+        return ["no such file"], {}
+    if os.path.getsize(path) == 0:
+        return ["empty file"], {}
+    uri = f"file:{path}?mode=ro"
+    try:
+        connection = sqlite3.connect(uri, uri=True)
+    except sqlite3.Error as error:
+        return [f"cannot be opened: {error}"], {}
+    try:
+        snapshots, findings = state.verify(connection)
+        counters = state.counters(connection)
+    except (state.CorruptError, sqlite3.Error) as error:
+        return [str(error)], {}
+    finally:
+        connection.close()
+    now_s = time.time()
+    report = {
+        "counters": counters,
+        "snapshots": [
+            {
+                "taken_unix_s": s.taken_unix_s,
+                "age_s": round(now_s - s.taken_unix_s, 3),
+                "listed_hosts": len(s.known.get("endpoints", [])),
+                "servers": [
+                    {"server": v.server, "started_us": v.started_us, "weight": v.weight,
+                     "breaker": v.breaker.state, "open_left_us": v.breaker.open_left_us,
+                     "ring": "".join("x" if o else "." for o in v.breaker.ring)}
+                    for v in s.learned.servers
+                ],  # fmt: skip
+                "smoothed_us": s.learned.smoothed_us,
+            }
+            for s in snapshots
+        ],
+    }
+    return findings, report
+
+
+def print_report(path: str, report: dict[str, Any], findings: list[str]) -> None:
+    for finding in findings:
+        print(f"{path}: {finding}")
+    if not report:
+        return
+    counters = " ".join(f"{name}={value}" for name, value in report["counters"].items())
+    print(f"{path}: counters {counters or 'none'}")
+    for snapshot in report["snapshots"]:
+        servers = snapshot["servers"]
+        opened = sum(s["breaker"] != "closed" for s in servers)
+        print(f"snapshot taken {snapshot['age_s']:.1f} s ago: {len(servers)} servers, {opened} breakers not "
+              f"closed, {snapshot['listed_hosts']} hosts listed")  # fmt: skip
+        for s in servers:
+            print(f"  server {s['server']:>10} started_us={s['started_us']} weight={s['weight']:.3f} "
+                  f"breaker={s['breaker']} ring={s['ring'] or '-'}")  # fmt: skip
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1:]))
