--- a/cloverkeel/fleet/state.py
+++ b/cloverkeel/fleet/state.py
@@ -181,9 +181,16 @@
 class Store:
     """The file of one gateway, held by this process alone (an `flock` on the lock file beside it)."""
 
-    def __init__(self, directory: str, connection: sqlite3.Connection, lock_fd: int) -> None:
-        self.directory, self.connection, self.lock_fd = directory, connection, lock_fd
+    def __init__(self, directory: str, connection: sqlite3.Connection | None, lock_fd: int) -> None:
+        self.directory, self.lock_fd = directory, lock_fd
         self.path = os.path.join(directory, FILE)
+        self.opened = connection  # of a file that passed its checks; None: one is to be begun
+        self.boots = 0  # the counter `boots` once `prepare` has raised it
+
+    @property
+    def connection(self) -> sqlite3.Connection:
+        assert self.opened is not None, "prepare() first"
+        return self.opened
 
     @staticmethod
     def take_lock(directory: str) -> int | None:
@@ -201,8 +208,9 @@
     def open(
         cls, directory: str, lock_fd: int, figures: Figures, now_unix_s: float
     ) -> tuple[Store, list[Snapshot]]:
-        """Open the file under a lock already held, checking it first: one that fails is moved aside and a new
-        one begun. Returns the store and the file's sound snapshots, newest first."""
+        """Open the file under a lock already held, checking it first: one that fails is moved aside, and a
+        new one is begun by `prepare`. Returns the store and the file's sound snapshots, newest first; it
+        reads only."""
         path = os.path.join(directory, FILE)
         if os.path.isdir(path):
             raise OSError(errno.EISDIR, f"{path} is a directory")
@@ -223,13 +231,19 @@
                 aside = move_aside(path, now_unix_s)
                 event("state.corrupt", path=path, reason=str(error), moved_to=aside,
                       corrupt_total=figures.corrupt)  # fmt: skip
-        connection = connect(path)
-        with transaction(connection):
-            for statement in TABLES.split(";"):
-                if statement.strip():
-                    connection.execute(statement)
-            connection.execute("INSERT INTO meta VALUES ('schema', ?)", (str(SCHEMA),))
-        return cls(directory, connection, lock_fd), found
+        return cls(directory, None, lock_fd), found
+
+    def prepare(self) -> None:
+        """Begin a new file where there is none, and raise `boots`: the writes of a start, which wait for the
+        disk and so are the writer thread's. Raises sqlite3.Error or OSError."""
+        if self.opened is None:
+            self.opened = connect(self.path)
+            with transaction(self.opened):
+                for statement in TABLES.split(";"):
+                    if statement.strip():
+                        self.opened.execute(statement)
+                self.opened.execute("INSERT INTO meta VALUES ('schema', ?)", (str(SCHEMA),))
+        self.boots = self.bump("boots")
 
     def write(self, snapshot: Snapshot) -> None:
         """One transaction: the new snapshot in, all but the last KEPT out.
@@ -243,7 +257,10 @@
             )
             newest = "SELECT id FROM snapshot ORDER BY id DESC LIMIT ?"
             self.connection.execute(f"DELETE FROM snapshot WHERE id NOT IN ({newest})", (KEPT,))
-        self.connection.execute("PRAGMA wal_checkpoint(TRUNCATE)")  # the WAL stays one write long
+        # The WAL is kept one write long. The snapshot is committed already: a checkpoint that fails (a full
+        # disk) leaves it in the WAL, and the next write tries again.
+        with contextlib.suppress(sqlite3.Error):
+            self.connection.execute("PRAGMA wal_checkpoint(TRUNCATE)")
 
     def bump(self, name: str) -> int:
         """Raise a counter by one and return it: a number that this node never hands out twice."""
@@ -255,7 +272,8 @@
         return int(row[0])
 
     def close(self) -> None:
-        self.connection.close()
+        if self.opened is not None:
+            self.opened.close()
         os.close(self.lock_fd)  # the lock goes with it
 
 
@@ -319,14 +337,8 @@
         if why is not None:
             event("state.stale", directory=directory, reason=why)
             newest = None
-    if store is not None:
-        try:
-            boots = store.bump("boots")
-        except sqlite3.Error as error:
-            event("state.unusable", directory=directory, reason=str(error), store="off")
-            store.close()
-            return None, newest
-        event("state.opened", directory=directory, boots=boots, snapshots=len(found), warm=newest is not None)
+    event("state.opened", directory=directory, snapshots=len(found), warm=newest is not None,
+          writer="this process" if store is not None else "after the process before ends")  # fmt: skip
     return Keeper(directory, interval_s, figures, store), newest
 
 
@@ -361,20 +373,27 @@
         self.thread.join(wait_s)
 
     def _run(self) -> None:
+        self._ensure()
         while True:
             with self.ready:
                 self.ready.wait_for(lambda: self.pending is not None or self.closing, self.interval_s)
                 snapshot, self.pending = self.pending, None
                 closing = self.closing
-            if self.store is None:
-                self._take_over()
-            if snapshot is not None and self.store is not None:
+            if self._ensure() and snapshot is not None:
                 self._write(snapshot)
             if closing:
                 if self.store is not None:
                     self.store.close()
                 return
 
+    def _ensure(self) -> bool:
+        """Whether there is a file to write to: the lock taken and the file begun, where they were not."""
+        if self.store is None:
+            self._take_over()
+        if self.store is not None and not self.store.boots:
+            self._prepare(self.store)
+        return self.store is not None and self.store.boots > 0
+
     def _take_over(self) -> None:
         """The lock, once the process that held it has let go; then the file as an owner opens it."""
         try:
@@ -387,6 +406,14 @@
             return
         event("state.taken_over", directory=self.directory)
 
+    def _prepare(self, store: Store) -> None:
+        try:
+            store.prepare()
+        except (OSError, sqlite3.Error) as error:
+            self._failed(error)
+            return
+        event("state.ready", directory=self.directory, boots=store.boots)
+
     def _write(self, snapshot: Snapshot) -> None:
         assert self.store is not None
         try:
--- /dev/null
+++ b/faultlab/lab.py
@@ -0,0 +1,162 @@
+"""Real gateway processes on loopback, a client with a bounded count of requests, and readiness by polling.
+
+Every wait here is bounded: a process that never gets ready, or a request never answered, is a figure, not a
+hang.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+READY = b"GET /health/ready HTTP/1.1\r\nHost: lab\r\n\r\n"
+POLL_S = 0.005
+CALL_TIMEOUT_S = 2.0
+_ids = itertools.count()
+
+
+def configuration(name: str, port: int, discovery: str, endpoints: list[dict[str, Any]]) -> dict[str, Any]:
+    """A gateway with one class of each effect; the lab's requests are single-shot, so that a failure of a
+    host reaches the client and is counted."""
+    lane = {"aimUs": 500_000, "giveUpUs": 1_000_000, "lateValue": 0.5, "value": 1.0, "group": "all",
+            "windowUs": 1_000_000}  # fmt: skip
+    return {
+        "name": name, "listen": f"127.0.0.1:{port}", "discovery": discovery, "seed": name,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 1, "snapshot": True, "endpoints": endpoints},
+        "settings": {
+            "zones": ["a"], "shapes": ["m"], "tenants": [{"name": "lab", "fraction": 1.0}],
+            "balancers": 1, "index": 0, "zone": 0, "objectiveMix": {}, "prices": {},
+            "membershipMode": "pushed", "report": {"how": "piggyback", "fields": ["queue"]},
+            "caps": {"maxAttempts": 1, "mayCancel": True, "connectTimeoutUs": 500_000,
+                     "keepaliveUs": 60_000_000, "secondCopies": False},
+            "contract": {"stopSendingWithinUs": 1_000_000, "mustAskInUs": 400_000, "answerSlackUs": 0,
+                         "startCapacity": 1.0, "warmAfterUs": 0, "tipMultiple": 1.0, "fallUs": 1_000_000},
+            "lanes": [lane | {"name": "search", "effect": "free"},
+                      lane | {"name": "transfer", "effect": "single_shot"}],
+        },
+    }  # fmt: skip
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@dataclass
+class Gateway:
+    """One `python -m cloverkeel` process of the lab, with its configuration file and state directory."""
+
+    name: str
+    folder: Path
+    config: dict[str, Any]
+    state_dir: Path | None
+    process: asyncio.subprocess.Process | None = None
+    log: list[str] = field(default_factory=list)
+    reader: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        return int(self.config["listen"].rpartition(":")[2])
+
+    async def start(self) -> float:
+        """Start the process; returns the seconds until `/health/ready` answered 200 (inf: never, in 10 s)."""
+        file = self.folder / f"{self.name}.json"
+        file.write_text(json.dumps(self.config))
+        environment = os.environ | {"LB_CONFIG": str(file)}
+        environment.pop("LB_STATE_DIR", None)
+        if self.state_dir is not None:
+            environment["LB_STATE_DIR"] = str(self.state_dir)
+        began = time.monotonic()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cloverkeel", cwd=ROOT, env=environment,
+            stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        self.reader = asyncio.create_task(self._read_log(self.process))
+        while time.monotonic() - began < 10.0:
+            if self.process.returncode is not None:
+                return float("inf")
+            if await ask(self.port, READY, 0.5) == 200:
+                return time.monotonic() - began
+            await asyncio.sleep(POLL_S)
+        return float("inf")
+
+    async def _read_log(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        async for line in process.stderr:
+            self.log.append(line.decode(errors="replace").rstrip())
+
+    def events(self, name: str) -> list[str]:
+        return [line for line in self.log if f"event={name} " in line + " "]
+
+    async def signal(self, signum: int) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(signum)
+            if signum in (signal.SIGKILL, signal.SIGTERM):
+                await asyncio.wait_for(self.process.wait(), 10.0)
+                if self.reader is not None:
+                    await asyncio.wait_for(self.reader, 5.0)
+
+
+async def ask(port: int, head: bytes, timeout_s: float = CALL_TIMEOUT_S) -> int:
+    """One request on a connection of its own; its status, or 0 where none came in time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            try:
+                writer.write(head)
+                line = await reader.readline()
+                return int(line.split()[1]) if line.startswith(b"HTTP/1.1 ") else 0
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, ValueError, IndexError):
+        return 0
+
+
+def transfer() -> bytes:
+    return (b"POST /transfer HTTP/1.1\r\nHost: lab\r\nX-Call-Id: lab-%d\r\nContent-Length: 0\r\n\r\n"
+            % next(_ids))  # fmt: skip
+
+
+@dataclass
+class Tally:
+    """What a client saw: answers by status (0: none came)."""
+
+    statuses: dict[int, int] = field(default_factory=dict)
+
+    @property
+    def sent(self) -> int:
+        return sum(self.statuses.values())
+
+    @property
+    def failed(self) -> int:
+        return sum(n for status, n in self.statuses.items() if status != 200)
+
+
+async def traffic(port: int, count: int, rate_per_s: float) -> Tally:
+    """`count` single-shot requests at `rate_per_s`, each on its own connection: bounded in count and time."""
+    tally = Tally()
+
+    async def one() -> None:
+        status = await ask(port, transfer())
+        tally.statuses[status] = tally.statuses.get(status, 0) + 1
+
+    tasks = []
+    for _ in range(count):
+        tasks.append(asyncio.create_task(one()))
+        await asyncio.sleep(1 / rate_per_s)
+    await asyncio.gather(*tasks)
+    return tally
--- /dev/null
+++ b/faultlab/standins.py
@@ -0,0 +1,132 @@
+"""Stand-ins for what a gateway talks to, on loopback: hosts and a discovery service.
+
+They follow the platform's protocol page as the gateway reads it (`cloverkeel.discovery`, `cloverkeel.hosts`):
+HTTP/1.1 with keep-alive, a list of hosts as JSON at `/registry/instances`, and a watch that is held until
+the list changes or `hold_ms` has passed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+HOLD_CAP_S = 2.0  # a watch is held at most this long here, whatever it asks
+
+
+async def read_request(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes] | None:
+    """One request's target, headers (lower case) and body; None where the connection has ended."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    parts = lines[0].split(" ")
+    if len(parts) != 3:
+        return None
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", "0") or 0)
+    body = await reader.readexactly(length) if length else b""
+    return parts[1], headers, body
+
+
+def reply(status: int, body: bytes, reason: str = "X") -> bytes:
+    return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s" % (status, reason.encode(), len(body), body)
+
+
+@dataclass
+class Host:
+    """A host that answers every request with `status` after `delay_s`; `served` counts what it answered."""
+
+    name: str
+    status: int = 200
+    delay_s: float = 0.0
+    served: int = 0
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+
+    @property
+    def address(self) -> str:
+        assert self.server is not None
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await read_request(reader) is not None:
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                self.served += 1
+                writer.write(reply(self.status, b"ok" if self.status == 200 else b"failed"))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+
+def endpoint(host: Host, since_ms: int = 0) -> dict[str, Any]:
+    return {
+        "name": host.name, "address": host.address, "zone": "a", "type": "m", "group": 0,
+        "status": "SERVING", "weight": 1.0, "since_ms": since_ms,
+    }  # fmt: skip
+
+
+@dataclass
+class Discovery:
+    """The list of hosts, whole at each call; a watch (`?from=N`) waits for an index above N."""
+
+    endpoints: list[dict[str, Any]] = field(default_factory=list)
+    index: int = 1
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    server: asyncio.Server | None = None
+    calls: int = 0
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+
+    @property
+    def address(self) -> str:
+        assert self.server is not None
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    def listing(self) -> dict[str, Any]:
+        return {"index": self.index, "snapshot": True, "endpoints": self.endpoints}
+
+    def set(self, endpoints: list[dict[str, Any]]) -> None:
+        self.endpoints, self.index = endpoints, self.index + 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while (request := await read_request(reader)) is not None:
+                self.calls += 1
+                query = parse_qs(urlsplit(request[0]).query)
+                since = int(query.get("from", ["0"])[0])
+                if since >= self.index:
+                    hold_s = min(HOLD_CAP_S, int(query.get("hold_ms", ["0"])[0]) / 1000)
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(self.changed.wait(), hold_s)
+                writer.write(reply(200, json.dumps(self.listing()).encode(), "OK"))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
--- /dev/null
+++ b/faultlab/writer.py
@@ -0,0 +1,67 @@
+"""A process that writes snapshots to a state directory as fast as it can, for the lab to kill, copy, starve.
+
+Each snapshot is made from its sequence number alone (`synthetic`), so that whoever reads the file later can
+tell a snapshot that was written whole from anything else. Lines on standard output:
+
+    found SEQ        what this process found at its start (-1: nothing), after the store's own checks
+    committed SEQ    a write that returned
+    failed REASON    a write that raised
+"""
+
+from __future__ import annotations
+
+import sqlite3
+import sys
+import time
+
+from caperdrift.interface import Learned, LearnedBreaker, LearnedServer
+
+from cloverkeel.fleet import state
+
+SERVERS = 60  # enough that one snapshot spans pages of its own
+
+
+def synthetic(seq: int, taken_unix_s: float) -> state.Snapshot:
+    servers = tuple(
+        LearnedServer(
+            number, seq, 1.0 / (1 + (seq + number) % 9), 0.5,
+            LearnedBreaker(tuple(bool((seq >> b) & 1) for b in range(10)),
+                           "open" if number % 5 == 0 else "closed", 1000 * number, 1_000_000),
+            ((0, 0.5, LearnedBreaker((True,), "closed", 0, 1_000_000)),),
+        )
+        for number in range(SERVERS)
+    )  # fmt: skip
+    return state.Snapshot(taken_unix_s, Learned(servers, (float(seq) + 1.0,), (float(seq) + 1.0,)), {})
+
+
+def sequence(snapshot: state.Snapshot) -> int:
+    """The number a snapshot was made from; -1 where it is not one that `synthetic` made."""
+    seq = int(snapshot.learned.smoothed_us[0]) - 1 if snapshot.learned.smoothed_us else -1
+    return seq if snapshot == synthetic(seq, snapshot.taken_unix_s) else -1
+
+
+def main(directory: str, count: int) -> int:
+    fd = state.Store.take_lock(directory)
+    if fd is None:
+        print("locked", flush=True)
+        return 1
+    store, found = state.Store.open(directory, fd, state.Figures(), time.time())
+    store.prepare()
+    first = sequence(found[0]) if found else -1
+    if found and first < 0:
+        print("found wrong", flush=True)
+        return 1
+    print(f"found {first}", flush=True)
+    for seq in range(first + 1, first + 1 + count):
+        try:
+            store.write(synthetic(seq, time.time()))
+        except (OSError, sqlite3.Error) as error:
+            print(f"failed {error}", flush=True)
+            continue
+        print(f"committed {seq}", flush=True)
+    store.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1], int(sys.argv[2])))
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -84,6 +84,7 @@
     assert fd is not None and Store.take_lock(str(tmp_path)) is None
     store, found = Store.open(str(tmp_path), fd, figures, 0.0)
     assert found == []
+    store.prepare()
     store.write(Snapshot(1.0, learned, {"index": 3}))
     store.write(Snapshot(2.0, learned))
     store.write(Snapshot(3.0, learned))
@@ -91,7 +92,7 @@
     good, findings = state.verify(store.connection)
     assert [s.taken_unix_s for s in good] == [2.0] and len(findings) == 1
     assert good[0].learned == learned
-    assert store.bump("boots") == 1 and store.bump("boots") == 2
+    assert store.boots == 1 and store.bump("boots") == 2
     store.close()
 
 
