--- a/faultlab/lab.py
+++ b/faultlab/lab.py
@@ -64,9 +64,11 @@
     folder: Path
     config: dict[str, Any]
     state_dir: Path | None
+    listener: int | None = None  # a listening socket's descriptor to inherit ($LB_ACCEPT_FD)
     process: asyncio.subprocess.Process | None = None
     log: list[str] = field(default_factory=list)
     reader: asyncio.Task[None] | None = None
+    logged: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def port(self) -> int:
@@ -80,10 +82,14 @@
         environment.pop("LB_STATE_DIR", None)
         if self.state_dir is not None:
             environment["LB_STATE_DIR"] = str(self.state_dir)
+        if self.listener is not None:
+            environment["LB_ACCEPT_FD"] = str(self.listener)
+        self.log = []  # of this process only
         began = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "cloverkeel", cwd=ROOT, env=environment,
             stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+            pass_fds=() if self.listener is None else (self.listener,),
         )  # fmt: skip
         self.reader = asyncio.create_task(self._read_log(self.process))
         while time.monotonic() - began < 10.0:
@@ -98,10 +104,21 @@
         assert process.stderr is not None
         async for line in process.stderr:
             self.log.append(line.decode(errors="replace").rstrip())
+            self.logged.set()
+            self.logged = asyncio.Event()
 
     def events(self, name: str) -> list[str]:
         return [line for line in self.log if f"event={name} " in line + " "]
 
+    async def line(self, text: str, timeout_s: float = 10.0) -> str:
+        """The first line of its log that holds `text`, once it has come; TimeoutError if not in time."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                for line in self.log:
+                    if text in line:
+                        return line
+                await self.logged.wait()
+
     async def signal(self, signum: int) -> None:
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signum)
@@ -111,6 +128,15 @@
                     await asyncio.wait_for(self.reader, 5.0)
 
 
+async def snapshot_after(directory: Path, after_unix_s: float, timeout_s: float = 10.0) -> None:
+    """Once the state file in `directory` holds a snapshot taken after `after_unix_s`."""
+    from cloverkeel.fleet.state import read_only
+
+    async with asyncio.timeout(timeout_s):
+        while not any(s.taken_unix_s > after_unix_s for s in read_only(str(directory))):
+            await asyncio.sleep(POLL_S)
+
+
 async def ask(port: int, head: bytes, timeout_s: float = CALL_TIMEOUT_S) -> int:
     """One request on a connection of its own; its status, or 0 where none came in time."""
     try:
