--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -79,7 +79,8 @@
                 "servers": [
                     {"server": v.server, "started_us": v.started_us, "weight": v.weight,
                      "breaker": v.breaker.state, "open_left_us": v.breaker.open_left_us,
-                     "ring": "".join("x" if o else "." for o in v.breaker.ring)}
+                     "ring": "".join("x" if o else "." for o in v.breaker.ring),
+                     "classes": {k: b.state for k, _, b in v.parts}}
                     for v in s.learned.servers
                 ],  # fmt: skip
                 "smoothed_us": s.learned.smoothed_us,
@@ -99,12 +100,14 @@
     print(f"{path}: counters {counters or 'none'}")
     for snapshot in report["snapshots"]:
         servers = snapshot["servers"]
-        opened = sum(s["breaker"] != "closed" for s in servers)
-        print(f"snapshot taken {snapshot['age_s']:.1f} s ago: {len(servers)} servers, {opened} breakers not "
-              f"closed, {snapshot['listed_hosts']} hosts listed")  # fmt: skip
+        opened = sum(s["breaker"] != "closed" or "open" in s["classes"].values() for s in servers)
+        age_s, listed = snapshot["age_s"], snapshot["listed_hosts"]
+        print(f"snapshot taken {age_s:.1f} s ago: {len(servers)} servers, {opened} with a breaker not "
+              f"closed, {listed} hosts listed")  # fmt: skip
         for s in servers:
+            classes = ",".join(f"{k}:{state}" for k, state in s["classes"].items()) or "-"
             print(f"  server {s['server']:>10} started_us={s['started_us']} weight={s['weight']:.3f} "
-                  f"breaker={s['breaker']} ring={s['ring'] or '-'}")  # fmt: skip
+                  f"breaker={s['breaker']} ring={s['ring'] or '-'} classes={classes}")  # fmt: skip
 
 
 if __name__ == "__main__":
