--- a/faultlab/recovery.py
+++ b/faultlab/recovery.py
@@ -350,11 +350,45 @@
     return {"ready_s": medians, "store_start_cost": medians["cold"] / medians["none"] - 1.0}
 
 
+def check_costs(folder: Path, rounds: int) -> Figures:
+    """Milliseconds that `quick_check` and `integrity_check` take on a file of two snapshots (median)."""
+    directory = folder / "checks"
+    good_file(directory, 2)
+    costs: dict[str, float] = {}
+    with sqlite3.connect(directory / state.FILE) as connection:
+        for pragma in ("quick_check", "integrity_check"):
+            times = []
+            for _ in range(rounds):
+                began = time.perf_counter()
+                connection.execute(f"PRAGMA {pragma}").fetchall()
+                times.append((time.perf_counter() - began) * 1000)
+            costs[pragma] = statistics.median(times)
+    size_kib = (directory / state.FILE).stat().st_size / 1024
+    return {"check_ms": costs, "file_kib": size_kib}
+
+
+async def unmakeable(folder: Path) -> Figures:
+    """A state directory that cannot be made (a file stands in its path): the gateway serves without a store.
+    (Write permissions do not bind a process of root, so a read-only directory is tried as a full disk.)"""
+    host = Host("m0")
+    await host.start()
+    (folder / "a-file").write_bytes(b"")
+    config = configuration("mk", free_port(), "127.0.0.1:9", [endpoint(host)])
+    gateway = Gateway("mk", folder, config, folder / "a-file" / "state")
+    ready_s = await gateway.start()
+    await gateway.signal(signal.SIGTERM)
+    host.close()
+    lines = len(gateway.events("state.unusable"))
+    return {"unmakeable_ready": ready_s < float("inf"), "unmakeable_lines": lines}
+
+
 async def run(processes: int, rounds: int, seed: int, folder: Path) -> Figures:
     figures: Figures = {"processes": processes, "rounds": rounds, "seed": seed}
     figures |= await kills(folder, rounds, processes, seed)
     figures |= await damaged_starts(folder, max(1, rounds // 10), seed)
     figures |= await full_disk(folder)
+    figures |= await unmakeable(folder)
+    figures |= check_costs(folder, max(5, rounds))
     figures |= await two_on_one(folder)
     figures |= await start_costs(folder, max(3, rounds // 10))
     figures |= await warm_and_cold(folder, processes, max(1, rounds // 25))
--- a/tests/test_state_lab.py
+++ b/tests/test_state_lab.py
@@ -41,6 +41,11 @@
     assert figures["full_disk_reopened"] == "restored" and figures["full_disk_kept_last"]
 
 
+def test_a_directory_that_cannot_be_made_leaves_the_gateway_serving(tmp_path: Path) -> None:
+    figures = asyncio.run(recovery.unmakeable(tmp_path))
+    assert figures == {"unmakeable_ready": True, "unmakeable_lines": 1}
+
+
 def test_a_second_process_on_one_directory_runs_without_the_store(tmp_path: Path) -> None:
     figures = asyncio.run(recovery.two_on_one(tmp_path))
     assert figures == {"two_ready": True, "two_second_locked_lines": 1, "two_file_after": "sound"}
