--- a/faultlab/standins.py
+++ b/faultlab/standins.py
@@ -41,14 +41,9 @@
     return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s" % (status, reason.encode(), len(body), body)
 
 
-@dataclass
-class Host:
-    """A host that answers every request with `status` after `delay_s`; `served` counts what it answered."""
+class Listening:
+    """A server on a loopback port that the system chose; `serve` takes each connection."""
 
-    name: str
-    status: int = 200
-    delay_s: float = 0.0
-    served: int = 0
     server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -59,12 +54,27 @@
         assert self.server is not None
         return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+
+@dataclass
+class Host(Listening):
+    """A host that answers every request with `status` after `delay_s`."""
+
+    name: str
+    status: int = 200
+    delay_s: float = 0.0
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while await read_request(reader) is not None:
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                self.served += 1
                 writer.write(reply(self.status, b"ok" if self.status == 200 else b"failed"))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -72,10 +82,6 @@
         finally:
             writer.close()
 
-    def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-
 
 def endpoint(host: Host, since_ms: int = 0) -> dict[str, Any]:
     return {
@@ -85,22 +91,12 @@
 
 
 @dataclass
-class Discovery:
+class Discovery(Listening):
     """The list of hosts, whole at each call; a watch (`?from=N`) waits for an index above N."""
 
     endpoints: list[dict[str, Any]] = field(default_factory=list)
     index: int = 1
     changed: asyncio.Event = field(default_factory=asyncio.Event)
-    server: asyncio.Server | None = None
-    calls: int = 0
-
-    async def start(self) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-
-    @property
-    def address(self) -> str:
-        assert self.server is not None
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     def listing(self) -> dict[str, Any]:
         return {"index": self.index, "snapshot": True, "endpoints": self.endpoints}
@@ -113,7 +109,6 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while (request := await read_request(reader)) is not None:
-                self.calls += 1
                 query = parse_qs(urlsplit(request[0]).query)
                 since = int(query.get("from", ["0"])[0])
                 if since >= self.index:
@@ -126,7 +121,3 @@
             pass
         finally:
             writer.close()
-
-    def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
