--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -324,7 +324,8 @@
         known = len(self.settings.classes)
         latencies = zip(learned.smoothed_us, learned.unhindered_us, strict=False)
         for index, (smoothed, unhindered) in enumerate(latencies):
-            if index < known and min(smoothed, unhindered) > 0 and max(smoothed, unhindered) < math.inf:
+            bound = self.settings.classes[index].give_up_us if index < known else 0  # no good answer is later
+            if 0 < smoothed <= bound and 0 < unhindered <= bound:
                 self.smoothed[index], self.unhindered[index] = smoothed, unhindered
         taken = 0
         for was in learned.servers:
--- a/cloverkeel/fleet/state.py
+++ b/cloverkeel/fleet/state.py
@@ -113,7 +113,7 @@
     """The file's sound snapshots, newest first, and a finding for each row that is not.
 
     Raises CorruptError where the file as a whole cannot be trusted: not SQLite, damaged, without the schema
-    or with another one.
+    or with another one, or with snapshots none of which is sound.
     """
     try:
         answer = connection.execute("PRAGMA quick_check").fetchall()
@@ -137,6 +137,8 @@
             good.append(decode(payload))
         except ValueError as error:
             findings.append(f"snapshot {number}: {error}")
+    if rows and not good:
+        raise CorruptError(f"no sound snapshot: {'; '.join(findings)}")
     return good, findings
 
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -4,6 +4,7 @@
 import sqlite3
 from pathlib import Path
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -92,6 +93,9 @@
     good, findings = state.verify(store.connection)
     assert [s.taken_unix_s for s in good] == [2.0] and len(findings) == 1
     assert good[0].learned == learned
+    store.connection.execute("UPDATE snapshot SET payload = x'00' WHERE taken_unix_s = 2.0")
+    with pytest.raises(state.CorruptError, match="no sound snapshot"):
+        state.verify(store.connection)
     assert store.boots == 1 and store.bump("boots") == 2
     store.close()
 
