--- a/faultlab/recovery.py
+++ b/faultlab/recovery.py
@@ -25,7 +25,7 @@
 
 from cloverkeel.fleet import state
 from faultlab import writer
-from faultlab.lab import ROOT, Gateway, configuration, free_port, traffic
+from faultlab.lab import ROOT, Gateway, configuration, free_port, snapshot_after, traffic
 from faultlab.standins import Discovery, Host, endpoint
 
 Figures = dict[str, Any]
@@ -286,6 +286,36 @@
     }
 
 
+async def stopped(folder: Path, rounds: int, seed: int) -> Figures:
+    """A gateway SIGSTOPped at random moments of its writing, for up to half a second, then SIGCONTed: it goes
+    on writing, and the file is sound at each stop (read by another process meanwhile)."""
+    rng = random.Random(seed)
+    host = Host("p0")
+    await host.start()
+    directory = folder / "stopped"
+    config = configuration("stop", free_port(), "127.0.0.1:9", [endpoint(host)])
+    gateway = Gateway("stop", folder, config | {"state_snapshot_s": 0.01}, directory)
+    await gateway.start()
+    await snapshot_after(directory, 0.0)
+    sound = 0
+    try:
+        for _ in range(rounds):
+            await asyncio.sleep(rng.uniform(0.0, 0.05))
+            await gateway.signal(signal.SIGSTOP)
+            sound += bool(state.read_only(str(directory)))
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            await gateway.signal(signal.SIGCONT)
+        resumed = time.time()
+        await snapshot_after(directory, resumed)
+        await gateway.signal(signal.SIGTERM)
+    finally:
+        host.close()
+    process = gateway.process
+    assert process is not None
+    return {"stops": rounds, "stopped_file_sound": sound, "stopped_exit": process.returncode,
+            "stopped_write_failures": len(gateway.events("state.write_failed"))}  # fmt: skip
+
+
 async def warm_and_cold(folder: Path, processes: int, cycles: int) -> Figures:
     """Gateways that learned a failing and a slow host, SIGKILLed and started again: with their state (warm),
     with a new state directory (cold), and with none (no store). Requests failed in the first 5 s under
@@ -391,5 +421,6 @@
     figures |= check_costs(folder, max(5, rounds))
     figures |= await two_on_one(folder)
     figures |= await start_costs(folder, max(3, rounds // 10))
+    figures |= await stopped(folder, max(3, rounds // 5), seed)
     figures |= await warm_and_cold(folder, processes, max(1, rounds // 25))
     return figures
--- a/tests/test_state_lab.py
+++ b/tests/test_state_lab.py
@@ -41,6 +41,11 @@
     assert figures["full_disk_reopened"] == "restored" and figures["full_disk_kept_last"]
 
 
+def test_a_gateway_stopped_and_continued_mid_write_keeps_a_sound_file_and_writes_on(tmp_path: Path) -> None:
+    figures = asyncio.run(recovery.stopped(tmp_path, rounds=10, seed=5))
+    assert figures == {"stops": 10, "stopped_file_sound": 10, "stopped_exit": 0, "stopped_write_failures": 0}
+
+
 def test_a_directory_that_cannot_be_made_leaves_the_gateway_serving(tmp_path: Path) -> None:
     figures = asyncio.run(recovery.unmakeable(tmp_path))
     assert figures == {"unmakeable_ready": True, "unmakeable_lines": 1}
