--- a/faultlab/lab.py
+++ b/faultlab/lab.py
@@ -11,6 +11,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 from dataclasses import dataclass, field
@@ -48,8 +49,7 @@
 
 
 def free_port() -> int:
-    import socket
-
+    """A port that the system chose and that is free now."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port: int = probe.getsockname()[1]
--- a/faultlab/recovery.py
+++ b/faultlab/recovery.py
@@ -80,8 +80,8 @@
 
 
 async def kills(folder: Path, rounds: int, processes: int, seed: int) -> Figures:
-    """Writers SIGKILLed at random moments; each next writer's start says what it found. Every `power_every`
-    round also copies the files mid-write, as a power loss would leave them, and opens the copy."""
+    """Writers SIGKILLed at random moments; each next writer's start says what it found. Every fourth round
+    also copies the files mid-write, as a power loss would leave them, and opens the copy."""
     rng = random.Random(seed)
     outcomes: Counter[str] = Counter()
     power: Counter[str] = Counter()
@@ -106,16 +106,13 @@
                 process.kill()
                 await process.wait()
                 break
-            wait_s = rng.uniform(0.0, 0.03)
+            await asyncio.sleep(rng.uniform(0.0, 0.03))  # a random moment of its writing
             if round_ % 4 == 0:
-                await asyncio.sleep(wait_s)
                 copy = folder / f"power-{number}-{round_}"
                 copy_as_after_power_loss(directory, copy)
                 verdict, _ = open_copy(copy)
                 power[verdict] += 1
                 shutil.rmtree(copy)
-            else:
-                await asyncio.sleep(wait_s)
             process.kill()
             assert process.stdout is not None
             tail = (await process.stdout.read()).decode().split()
