Membership core: the queue of rumours that ride on messages

Change: Broadcasts in cloverkeel/fleet/members.py, pure: one rumour a name (a newer one replaces it), each sent at most 'limit' times, least-sent and then newest first, within a byte budget, as memberlist's transmit-limited queue is documented to do. Not yet used: the probe cycle comes next.

--- a/cloverkeel/fleet/members.py
+++ b/cloverkeel/fleet/members.py
@@ -2,13 +2,14 @@
 
 Follows docs/membership.md: SWIM (Das, Gupta, Motivala, 2002) for the states and their order, Lifeguard
 (Dadgar, Phillips, Currey, 2018) for the local health multiplier and the suspicion timeouts that shrink with
-independent confirmations. No clock and no socket: times are passed in, in seconds. The probe cycle and the
-messages come next (docs/ROADMAP.md).
+independent confirmations, memberlist's documented queue for piggybacked rumours. No clock and no socket:
+times are passed in, in seconds. The probe cycle and the messages come next (docs/ROADMAP.md).
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -110,6 +111,37 @@
         return self.score + 1
 
 
+@dataclass(slots=True)
+class Broadcasts:
+    """Rumours that wait to ride on outgoing messages (SWIM's piggybacking, section 4.1).
+
+    One a name: a newer rumour of a name replaces the one before, sent or not. Each goes out at most `limit`
+    times; those sent least go first, and among them the newest, as memberlist's transmit-limited queue does.
+    """
+
+    waiting: dict[str, tuple[int, int, Rumour]] = field(default_factory=dict)  # name: times sent, stamp, it
+    stamp: int = 0
+
+    def add(self, rumour: Rumour) -> None:
+        self.stamp += 1
+        self.waiting[rumour.name] = (0, self.stamp, rumour)
+
+    def take(self, budget: int, size: Callable[[Rumour], int], limit: int) -> list[Rumour]:
+        """As many as fit in `budget` bytes by `size`, in the order above; each taken counts as sent once."""
+        chosen: list[Rumour] = []
+        for sent, stamp, rumour in sorted(self.waiting.values(), key=lambda w: (w[0], -w[1])):
+            cost = size(rumour)
+            if cost > budget:
+                continue
+            budget -= cost
+            chosen.append(rumour)
+            if sent + 1 >= limit:
+                del self.waiting[rumour.name]
+            else:
+                self.waiting[rumour.name] = (sent + 1, stamp, rumour)
+        return chosen
+
+
 def retransmits(mult: int, members: int) -> int:
     """How many times a rumour rides on messages before it is dropped: `mult * ceil(log2(members + 1))`."""
     return mult * math.ceil(math.log2(members + 1))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,7 +3,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverkeel.fleet.members import LocalHealth, Rumour, Status, View, retransmits, suspicion_timeout_s
+from cloverkeel.fleet.members import (
+    Broadcasts,
+    LocalHealth,
+    Rumour,
+    Status,
+    View,
+    retransmits,
+    suspicion_timeout_s,
+)
 
 ME = Rumour("a", "127.0.0.1:1", 5, Status.ALIVE)
 names, addresses = st.sampled_from(["b", "c", "d"]), st.sampled_from(["127.0.0.1:2", "127.0.0.1:3"])
@@ -53,3 +61,20 @@
     assert health.scale == 9
     health.better()
     assert health.scale == 8 and retransmits(4, 50) == 24
+
+
+@given(st.lists(rumours, min_size=1, max_size=30), st.integers(1, 5), st.integers(40, 200))
+def test_each_rumour_rides_at_most_its_limit_and_the_newest_of_a_name_wins(
+    added: list[Rumour], limit: int, budget: int
+) -> None:
+    queue = Broadcasts()
+    for rumour in added:
+        queue.add(rumour)
+    sent: list[Rumour] = []
+    for _ in range(limit * len(added) + 1):
+        taken = queue.take(budget, lambda r: 40, limit)
+        assert len(taken) <= budget // 40
+        sent += taken
+    newest = {r.name: r for r in added}
+    assert sorted(sent, key=str) == sorted(list(newest.values()) * limit, key=str)
+    assert not queue.waiting
