One read-only connection for the lab's and the operators' readers of a state file

Change: state.reader() opens mode=ro with the store's busy timeout; read_only() and the commands both use it.

--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -56,9 +56,8 @@
         return ["no such file"], {}
     if os.path.getsize(path) == 0:
         return ["empty file"], {}
-    uri = f"file:{path}?mode=ro"
     try:
-        connection = sqlite3.connect(uri, uri=True)
+        connection = state.reader(path)
     except sqlite3.Error as error:
         return [f"cannot be opened: {error}"], {}
     try:
--- a/cloverkeel/fleet/state.py
+++ b/cloverkeel/fleet/state.py
@@ -266,6 +266,11 @@
     connection.execute("COMMIT")
 
 
+def reader(path: str) -> sqlite3.Connection:
+    """A connection that only reads: it sets no journal mode and cannot write. Raises sqlite3.Error."""
+    return sqlite3.connect(f"file:{path}?mode=ro", uri=True, timeout=BUSY_MS / 1000)
+
+
 def read_only(directory: str) -> list[Snapshot]:
     """The sound snapshots of a file that another process holds, newest first; nothing is moved or written.
     A file that fails a check gives none: its owner is the one to judge it."""
@@ -273,7 +278,7 @@
     if not os.path.isfile(path):
         return []
     try:
-        connection = connect(path)
+        connection = reader(path)
     except sqlite3.Error:
         return []
     try:
