--- a/cloverkeel/fleet/members.py
+++ b/cloverkeel/fleet/members.py
@@ -264,7 +264,6 @@
 class _Probe:
     seq: int
     target: Rumour
-    sent_s: float
     deadline_s: float  # no ack by then: ask others
     ends_s: float  # no ack by then: suspect
     acked: bool = False
@@ -535,7 +534,7 @@
             return actions
         seq = self._next_seq()
         timeout_s = self.timing.probe_timeout_s * scale
-        self.probe = _Probe(seq, pick, now_s, now_s + timeout_s, self.next_probe_s)
+        self.probe = _Probe(seq, pick, now_s + timeout_s, self.next_probe_s)
         suspect = pick.status is Status.SUSPECT
         actions.append(self._send(pick.address, lambda r: Ping(seq, self.me, pick.name, r, suspect)))
         return actions
