Membership core: derive left from the member's own state; drop heard times nothing read

Change: left is a property of me.status; heard_s goes until the shell's table needs it. Behaviour unchanged.

--- a/cloverkeel/fleet/members.py
+++ b/cloverkeel/fleet/members.py
@@ -307,10 +307,8 @@
         self.broadcasts = Broadcasts()
         self.suspicions: dict[str, tuple[float, set[str]]] = {}  # name: since_s, who suspected it
         self.gone_since: dict[str, float] = {}  # dead or left: since_s
-        self.heard_s: dict[str, float] = {}
         self.joining_until_s: float | None = None
         self.refused = False
-        self.left = False
         self.order: list[str] = []
         self.probe: _Probe | None = None
         self.relays: dict[int, _Relay] = {}
@@ -322,6 +320,10 @@
     def me(self) -> Rumour:
         return self.view.me
 
+    @property
+    def left(self) -> bool:
+        return self.me.status is Status.LEFT
+
     def members(self) -> dict[str, Rumour]:
         """Every member this one knows, itself included: name to rumour."""
         return {self.me.name: self.me} | self.view.members
@@ -359,7 +361,6 @@
         """A graceful leave: `left` at this member's own incarnation, told at once to every live member."""
         if self.refused or self.left:
             return []
-        self.left = True
         self.view.me = replace(self.me, status=Status.LEFT)
         return [Send(r.address, Push(self.me, (self.me,))) for r in self._live()]
 
@@ -421,7 +422,6 @@
         sender = message.sender
         if isinstance(message, Join):
             return self._push_to(sender.address, reply=False)
-        self.heard_s[sender.name] = now_s
         actions: list[Action] = []
         for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
             actions += self._learn(rumour, now_s, sender.name)
@@ -502,7 +502,6 @@
             if now_s - since_s >= self.timing.reap_after_s:
                 del self.gone_since[name]
                 self.view.members.pop(name, None)
-                self.heard_s.pop(name, None)
         return actions
 
     def _nack(self, address: str, seq: int) -> Send:
