Warm by neighbours: the median of what members learned, bounded so that one liar moves nothing

A cold gateway feeds each failing host until its own minimum fills. What up to three members of the zone learned is combined by the lower median; a breaker opens only where more than half of those that know the host, and two at least, hold it open. Shown by hypothesis over random answers.

--- /dev/null
+++ b/tests/test_warm_median.py
@@ -0,0 +1,111 @@
+"""Warm by neighbours: one that lies moves nothing beyond what honest ones say."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from caperdrift.interface import Learned, LearnedBreaker, LearnedServer, ListedServer, Restore
+from caperdrift.balance import State
+from cloverkeel.fleet.warm.median import checked, combine
+from tests.helpers import Driver
+
+OPEN = LearnedBreaker((True,) * 20, "open", 3_000_000, 4_000_000)
+FINE = LearnedBreaker((False,) * 20, "closed", 0, 1_000_000)
+HOSTS = 4
+
+breakers = st.builds(
+    LearnedBreaker,
+    st.lists(st.booleans(), max_size=20).map(tuple),
+    st.sampled_from(["closed", "open", "half-open"]),
+    st.integers(0, 10**9),
+    st.integers(0, 10**9),
+)
+weights = st.floats(0.0, 1e9)
+parts = st.dictionaries(st.integers(0, 2), st.tuples(weights, breakers), max_size=3).map(
+    lambda told: tuple((klass, weight, breaker) for klass, (weight, breaker) in told.items())
+)
+servers = st.builds(LearnedServer, st.integers(0, HOSTS), st.just(0), weights, weights, breakers, parts)
+figures = st.lists(st.floats(0.0, 1e9), max_size=3).map(tuple)
+learned = st.builds(
+    Learned, st.lists(servers, max_size=6, unique_by=lambda s: s.server).map(tuple), figures, figures
+)
+
+
+def honest(weight: float, *open_hosts: int) -> Learned:
+    told = (
+        LearnedServer(n, 0, weight, 1.0, OPEN if n in open_hosts else FINE, ((0, weight, FINE),))
+        for n in range(HOSTS)
+    )
+    return Learned(tuple(told), (20_000.0,), (10_000.0,))
+
+
+@given(learned, st.floats(0.3, 0.6), st.floats(0.6, 1.0), st.integers(0, 2))
+def test_one_liar_of_three_opens_nothing_and_pulls_no_weight(
+    lie: Learned, low: float, high: float, place: int
+) -> None:
+    answers = [honest(low), honest(high)]
+    answers.insert(place, checked(lie))
+    combined = combine(answers)
+    assert combined is not None
+    driver = Driver(servers=0)
+    driver.list_servers(*(ListedServer(n) for n in range(HOSTS + 1)))
+    driver.handle(Restore(combined))
+    for number in range(HOSTS):
+        server = driver.balancer.servers[number]
+        assert low <= server.weight <= high
+        for breaker in (server.breaker, *(part.breaker for part in server.parts.values())):
+            assert breaker.state is State.CLOSED and not any(breaker.ring)
+    # A host that the liar alone knows is as if nothing had been said.
+    only = driver.balancer.servers[HOSTS]
+    assert only.breaker.state is State.CLOSED and not only.breaker.ring and only.weight == 1.0
+
+
+@given(st.lists(learned, min_size=1, max_size=3))
+def test_whatever_is_said_weights_stay_in_bounds_and_one_answer_opens_nothing(answers: list[Learned]) -> None:
+    combined = combine([checked(answer) for answer in answers])
+    assert combined is not None
+    for server in combined.servers:
+        assert all(0.05 <= w <= 1.0 for w in (server.weight, *(w for _, w, _ in server.parts)))
+        told = [s for a in answers for s in a.servers if s.server == server.server]
+        if server.breaker.state == "open":
+            assert sum(s.breaker.state != "closed" for s in told) * 2 > len(told) > 1
+        if len(answers) == 1:
+            assert all(
+                not b.ring and b.state == "closed" for b in (server.breaker, *(b for *_, b in server.parts))
+            )
+
+
+def test_what_most_hold_open_is_open_for_the_median_of_what_is_left() -> None:
+    combined = combine([honest(0.5, 1), honest(0.6, 1), honest(0.7)])
+    assert combined is not None
+    by_number = {server.server: server for server in combined.servers}
+    assert by_number[1].breaker == LearnedBreaker((), "open", 3_000_000, 4_000_000)
+    assert by_number[0].breaker == replace(FINE, cooldown_us=0) and by_number[0].weight == 0.6
+    assert combined.smoothed_us == (20_000.0,) and combine([]) is None
+
+
+SERVER = honest(0.5).servers[0]
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        Learned((replace(SERVER, weight=math.nan),), (), ()),
+        Learned((replace(SERVER, idle=math.inf),), (), ()),
+        Learned((replace(SERVER, weight=-1.0),), (), ()),
+        Learned((SERVER, SERVER), (), ()),
+        Learned((replace(SERVER, parts=SERVER.parts * 2),), (), ()),
+        Learned((replace(SERVER, breaker=replace(FINE, open_left_us=-1)),), (), ()),
+        Learned((replace(SERVER, breaker=replace(FINE, ring=(True,) * 2000)),), (), ()),
+        Learned((), (math.nan,), ()),
+        Learned(tuple(replace(SERVER, server=n) for n in range(10_001)), (), ()),
+    ],
+)
+def test_what_no_module_could_have_learned_is_refused(bad: Learned) -> None:
+    with pytest.raises(ValueError):
+        checked(bad)
