Lab: each experiment registers its own command; __main__ only dispatches

More experiments come (membership, coldstart, storm), and each brought its arguments into one main(). Now a module has register(parts), which adds its sub-command and sets what it runs; what commands share (figures as table or JSON, a check for counts) is faultlab/report.py. A count below 1 is named with its argument as before.

--- a/faultlab/recovery.py
+++ b/faultlab/recovery.py
@@ -1,12 +1,13 @@
 """The recovery experiments: kills during writes, power loss, damaged files, a full disk, two processes on one
 directory, and warm against cold starts of real gateways under steady traffic.
 
-Each returns plain figures; `__main__` prints them. Nothing here is scored against anything but the goals of
+Each returns plain figures; `command` prints them. Nothing here is scored against anything but the goals of
 docs/recovery.md.
 """
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import hashlib
 import os
@@ -17,6 +18,7 @@
 import sqlite3
 import statistics
 import sys
+import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -26,6 +28,7 @@
 from cloverkeel.fleet import state
 from faultlab import writer
 from faultlab.lab import ROOT, Gateway, configuration, free_port, snapshot_after, traffic
+from faultlab.report import Parts, positive, report
 from faultlab.standins import Discovery, Host, endpoint
 
 Figures = dict[str, Any]
@@ -421,3 +424,20 @@
     figures |= await stopped(folder, max(3, rounds // 5), seed)
     figures |= await warm_and_cold(folder, processes, max(1, rounds // 25))
     return figures
+
+
+def register(parts: Parts) -> None:
+    """Add `recovery` and its arguments to the lab's commands."""
+    lab = parts.add_parser("recovery", help="kills, power loss, damaged files, full disk, warm/cold starts")
+    lab.add_argument("--processes", type=positive, default=3, help="processes side by side (default 3)")
+    lab.add_argument("--rounds", type=positive, default=50, help="kills; a tenth as many damaged starts")
+    lab.add_argument("--seed", type=int, default=1)
+    lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
+    lab.set_defaults(run=command)
+
+
+def command(arguments: argparse.Namespace) -> int:
+    with tempfile.TemporaryDirectory(prefix="faultlab-") as folder:
+        figures = run(arguments.processes, arguments.rounds, arguments.seed, Path(folder))
+        report(asyncio.run(figures), arguments.json)
+    return 0
--- /dev/null
+++ b/tests/test_lab_command.py
@@ -0,0 +1,24 @@
+"""The lab's command line: every experiment has its place, and bad arguments get one clear line."""
+
+import pytest
+
+from faultlab.__main__ import EXPERIMENTS, main
+from faultlab.report import table
+
+
+def test_every_experiment_registers_a_command_with_help(capsys: pytest.CaptureFixture[str]) -> None:
+    for experiment in EXPERIMENTS:
+        name = experiment.__name__.removeprefix("faultlab.").partition(".")[0]
+        with pytest.raises(SystemExit) as ended:
+            main([name, "--help"])
+        assert ended.value.code == 0 and f"faultlab {name}" in capsys.readouterr().out
+
+
+def test_a_count_below_one_is_named_and_refused(capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit):
+        main(["recovery", "--rounds", "0"])
+    assert "--rounds: '0' is not a whole number of at least 1" in capsys.readouterr().err
+
+
+def test_figures_are_one_line_each_with_nested_names() -> None:
+    assert table({"a": 1, "b": {"c": 0.5}}) == "a    1\nb.c  0.500"
