Decision module: split balance.py into caperdrift/policy, behaviour unchanged

Now functions over the state of one proxy (policy/proxy.py), in 15 files that call only those before them, tied together by policy/balancer.py. Functions rather than objects: a call costs what a method call did, and no state moves from where it was. Locals that bore the name of a function are renamed; nothing else is changed.

--- a/caperdrift/__init__.py
+++ b/caperdrift/__init__.py
@@ -1,6 +1,6 @@
 """caperdrift: the decisions of a load-balancing proxy for fleets of HTTP servers."""
 
-from caperdrift.balance import Balancer
+from caperdrift.policy.balancer import Balancer
 from caperdrift.interface import (
     Action,
     AttemptEnded,
--- /dev/null
+++ b/caperdrift/policy/admission.py
@@ -0,0 +1,64 @@
+"""Admission: what is known of a request when it arrives."""
+
+from __future__ import annotations
+
+from caperdrift.interface import RequestArrived
+from caperdrift.policy.proxy import RETRY_BURST, TENANT_MEMORY, Proxy
+from caperdrift.policy.servers import Request
+from caperdrift.policy.weights import SMOOTHING
+
+LEAST_SIZE = 0.25  # of a request: latency over a smaller one is mostly wait, and blew up the smoothed values
+RETRY_SHARE = 0.2  # further attempts a first try pays for
+SAME_PATIENCE = 0.02  # times given to two tries that differ by less are the same
+MEMORY = 500  # first tries after which the shares of asked and served work count half
+OVER_SHARE = 1.5  # times its share: a tenant's tries beyond are more than chance
+
+
+def admit(proxy: Proxy, event: RequestArrived) -> Request:
+    klass = proxy.settings.classes[event.klass]
+    gone_us = used_us(proxy, event)
+    first_try = not event.is_retry and gone_us == 0
+    size = 1.0
+    if event.work_us:
+        mean = proxy.mean_work[event.klass] or float(event.work_us)
+        proxy.mean_work[event.klass] = mean + SMOOTHING * (event.work_us - mean)
+        size = max(LEAST_SIZE, event.work_us / mean)
+    if first_try:
+        proxy.retry_tokens = min(proxy.retry_tokens + RETRY_SHARE, RETRY_BURST)
+        proxy.asked[event.klass] += 1
+        if sum(proxy.asked) > MEMORY:
+            proxy.asked = [n / 2 for n in proxy.asked]
+            proxy.served = [n / 2 for n in proxy.served]
+    return Request(
+        event.request, event.klass, klass, proxy.settings.max_attempts, event.key, event.work_us or 0,
+        proxy.now_us + event.patience_us, proxy.now_us + max(0, klass.aim_us - gone_us), size, first_try,
+        excess(proxy, event.tenant), opened_us=proxy.now_us if event.open else 0,
+    )
+
+
+def excess(proxy: Proxy, tenant: int) -> float:
+    """Part of a tenant's tries of late beyond its share; 0 where none is stated.
+
+    Guards against a tenant's clients that repeat without limit: while anything is shed they yield first.
+    """
+    if not 0 <= tenant < len(proxy.tries):
+        return 0.0
+    proxy.tries = [n * TENANT_MEMORY for n in proxy.tries]
+    proxy.tries[tenant] += 1
+    fair = OVER_SHARE * proxy.settings.tenants[tenant].share * sum(proxy.tries)
+    return (1.0 - proxy.settings.over_share_worth) * (1.0 - fair / proxy.tries[tenant])
+
+
+def used_us(proxy: Proxy, event: RequestArrived) -> int:
+    """How much of its time a request's earlier tries have used; a first try has used none.
+
+    First tries of a class are all given the same time, found by majority vote; another time marks a
+    repeat. Guards against taking first tries, given less than the last, for late repeats.
+    """
+    usual, votes = proxy.patience[event.klass]
+    same = abs(event.patience_us - usual) <= SAME_PATIENCE * usual
+    if not event.is_retry:
+        usual, votes = (usual, votes + 1) if same else (usual, votes - 1)
+        proxy.patience[event.klass] = (usual, votes) if votes >= 0 else (event.patience_us, 1)
+        same = same or votes < 0 or proxy.settings.marks_retry
+    return 0 if same else max(0, proxy.settings.classes[event.klass].give_up_us - event.patience_us)
--- /dev/null
+++ b/caperdrift/policy/answers.py
@@ -0,0 +1,99 @@
+"""Final answers, what is called off with them, and the order of requests by key."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from caperdrift.interface import Cancel, Effect, Fail, Refuse, RequestGone, Scope
+from caperdrift.policy.breaker import State
+from caperdrift.policy.proxy import Proxy
+from caperdrift.policy.sending import end_us, try_send
+from caperdrift.policy.servers import Request
+
+
+def answer_unserved(proxy: Proxy, request: Request) -> None:
+    """The final answer when no attempt is out and none is to come."""
+    if request.done:
+        return
+    klass = request.rules
+    ran = any(a.may_have_run for a in request.attempts)
+    dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
+    if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
+        proxy.actions.append(Refuse(request.id, retry_after_us(proxy)))
+    else:
+        proxy.actions.append(Fail(request.id))
+    finish(proxy, request)
+
+
+def retry_after_us(proxy: Proxy) -> int:
+    """The shortest cooldown left where every server is open, else none."""
+    breakers = [s.breaker for s in proxy.servers.values()]
+    if not breakers or any(b.state is not State.OPEN for b in breakers):
+        return 0
+    wait_us = min(b.open_until_us for b in breakers) - proxy.now_us
+    return max(0, min(wait_us, proxy.settings.max_retry_after_us))
+
+
+def finish(proxy: Proxy, request: Request) -> None:
+    request.done = True
+    if request.out == 0:
+        free(proxy, request)
+        return
+    if not request.streaming:
+        call_off(proxy, request)
+
+
+def call_off(proxy: Proxy, request: Request, spared: int | None = None) -> None:
+    """Cancel what is still out, but for one attempt that is wanted."""
+    for number, attempt in enumerate(request.attempts if proxy.settings.may_cancel else ()):
+        if not attempt.ended and number != spared:
+            proxy.actions.append(Cancel(request.id, number))
+
+
+def on_gone(proxy: Proxy, event: RequestGone) -> None:
+    request = proxy.requests.get(event.request)
+    if request is None or request.done:
+        return
+    if proxy.settings.attempts_per_connection > 1 or any(a.overdue for a in request.attempts):
+        finish(proxy, request)
+    else:
+        # Calling off ends the connection: the next costs the server more than the rest of the work, which
+        # goes on anyhow, and what the attempt would still tell of the server is lost.
+        request.done = True
+        if request.out == 0:
+            free(proxy, request)
+
+
+def waits_its_turn(proxy: Proxy, request: Request) -> bool:
+    """Put a request of an in-order class in its key's line; True unless its turn is now.
+
+    A line grows no longer than can be served from: who would come too late is refused when that is clear.
+    """
+    if request.key is None or not request.rules.in_order:
+        return False
+    line = proxy.lines.setdefault(request.key, deque())
+    last_us = end_us(proxy, request) - int(proxy.expected_us(request))
+    if line and proxy.now_us + len(line) * proxy.expected_us(request) > last_us:
+        answer_unserved(proxy, request)
+        return True
+    line.append(request)
+    if line[0] is not request:
+        proxy.set_timer(last_us, request)
+    return line[0] is not request
+
+
+def free(proxy: Proxy, request: Request) -> None:
+    """Forget a request that is over; in order, the next of its key has its turn once the key rested."""
+    proxy.requests.pop(request.id, None)
+    line = proxy.lines.get(request.key) if request.key is not None else None
+    if line is None or request not in line:
+        return
+    if proxy.now_us < request.rests_until_us:
+        proxy.set_timer(request.rests_until_us, request)
+        return
+    had_turn = line[0] is request
+    line.remove(request)
+    if not line:
+        del proxy.lines[request.key]  # type: ignore[arg-type]
+    elif had_turn and not line[0].done and not try_send(proxy, line[0]):
+        answer_unserved(proxy, line[0])
--- /dev/null
+++ b/caperdrift/policy/choice.py
@@ -0,0 +1,137 @@
+"""The choice of a server: who may be used, the subset, and the weighted draw."""
+
+from __future__ import annotations
+
+import math
+
+from caperdrift.interface import Effect, ListedServer, Scope, ServerStatus
+from caperdrift.policy.breaker import State
+from caperdrift.policy.cold import cold_room, cold_share
+from caperdrift.policy.proxy import OVERDUE, Proxy
+from caperdrift.policy.servers import Request, Server
+
+AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
+OWN = 4  # power of own attempts out in the draw: known at once, where listed weights are late, alike for all
+HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
+HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
+
+
+def rendezvous(key: int, server: int, weight: float) -> float:
+    """Lowest at the server that a key belongs to: weighted rendezvous hashing.
+
+    Everyone ranks alike without a word, and a server that comes or goes moves only what ranks it first.
+    """
+    mixed = (key ^ (server * HASH_FACTOR)) * HASH_FACTOR & HASH_MASK
+    mixed = (mixed ^ (mixed >> 29)) * HASH_FACTOR & HASH_MASK
+    return -math.log((mixed + 1) / (HASH_MASK + 1)) / weight
+
+
+def subset(proxy: Proxy, klass: int) -> list[Server]:
+    """The servers that this proxy spreads over: the first in rank that may be used.
+
+    Guards against full connection tables, a handshake for each request, and thin evidence. A proxy with
+    more in hand reaches further; an open or silent server gives its place to the next. A cold one is
+    used only by those who rank it high without that, so that many who step aside never meet on it.
+    """
+    found: list[Server] = []
+    for place, server in enumerate(proxy.ranked):
+        if len(found) >= proxy.reach:
+            break
+        if is_eligible(proxy, server, klass) and (place < proxy.reach or cold_share(proxy, server) >= 1.0):
+            found.append(server)
+    return found
+
+
+def allowed_servers(proxy: Proxy, request: Request) -> list[Server]:
+    """Servers that another attempt may go to."""
+    tried = [a.server for a in request.attempts]
+    klass = request.rules
+    ran = [a for a in request.attempts if a.may_have_run]
+    servers = [s for s in subset(proxy, request.klass) if s not in tried]
+    if ran and klass.effect is Effect.UNSAFE:
+        return []
+    if ran and klass.effect is Effect.KEYED:
+        if proxy.now_us - ran[0].sent_us >= klass.window_us:
+            return []
+        servers = [s for s in proxy.ranked if s not in tried and is_eligible(proxy, s, request.klass)]
+        reached = proxy.ranked[: math.ceil(proxy.reach)]
+        servers = [s for s in servers if s in reached or cold_share(proxy, s) >= 1.0]
+        if klass.scope is Scope.ZONE:
+            servers = [s for s in servers if all(s.entry.zone == a.server.entry.zone for a in ran)]
+        elif klass.scope is Scope.GROUP:
+            servers = [s for s in servers if all(s.entry.group == a.server.entry.group for a in ran)]
+    return servers
+
+
+def pick(proxy: Proxy, request: Request) -> Server | None:
+    """Weighted random choice among the servers that may take this request now."""
+    candidates = allowed_servers(proxy, request) if request.attempts else subset(proxy, request.klass)
+    repeatable = request.rules.effect is not Effect.UNSAFE
+    weights: list[tuple[float, Server]] = []
+    total = 0.0
+    for server in candidates:
+        weight = draw_weight(proxy, server, request)
+        # Trials risk their request, so one that could not be repeated goes to closed servers.
+        if weight > 0.0 and (repeatable or server.breaker.state is State.CLOSED):
+            weights.append((weight, server))
+            total += weight
+    if not weights:
+        return None
+    if proxy.settings.warm_keys and request.key is not None:
+        total += favour_home(request.key, weights)
+    point = proxy.random.random() * total
+    for weight, server in weights:
+        point -= weight
+        if point <= 0.0:
+            return server
+    return weights[-1][1]
+
+
+def favour_home(key: int, weights: list[tuple[float, Server]]) -> float:
+    """Raise the weight of the key's home among the candidates; returns by how much."""
+    ranks = [rendezvous(key, server.entry.server, 1.0) for _, server in weights]
+    home = ranks.index(min(ranks))
+    raised = weights[home][0] * (HOME_FAVOUR - 1.0)
+    weights[home] = (weights[home][0] + raised, weights[home][1])
+    return raised
+
+
+def draw_weight(proxy: Proxy, server: Server, request: Request) -> float:
+    """A server's weight in the draw; 0 for one that is not eligible."""
+    if not cold_room(proxy, server, request):
+        return 0.0
+    free = 1.0 / (1.0 + len(server.out)) ** OWN
+    share = cold_share(proxy, server)  # slow start
+    weight = server.weight * server.part(request.klass).weight
+    return server.entry.weight * weight * free * nearness(proxy, server.entry) * share
+
+
+def nearness(proxy: Proxy, entry: ListedServer) -> float:
+    """1 in this proxy's zone, less in others the more a crossing costs."""
+    return 1.0 / (1.0 + AWAY * proxy.settings.prices.cross_zone * (entry.zone != proxy.settings.zone))
+
+
+def is_eligible(proxy: Proxy, server: Server, klass: int) -> bool:
+    """Whether it may be used; cooldowns that are over end."""
+    breakers = server.breaker, server.part(klass).breaker
+    return may_use(proxy, server, klass) and all(b.lets_through(proxy.now_us) for b in breakers)
+
+
+def may_use(proxy: Proxy, server: Server, klass: int) -> bool:
+    if server.entry.status is not ServerStatus.READY or not server.breaker.may_pass(proxy.now_us):
+        return False
+    part = server.parts.get(klass)
+    return (part is None or part.breaker.may_pass(proxy.now_us)) and not is_silent(proxy, server)
+
+
+def skipped(proxy: Proxy, now_us: int) -> int:
+    """How many listed servers may not be used for any class now."""
+    proxy.now_us = max(now_us, proxy.now_us)
+    classes = [index for index, klass in enumerate(proxy.settings.classes) if not klass.dropped]
+    return sum(not any(may_use(proxy, s, klass) for klass in classes) for s in proxy.servers.values())
+
+
+def is_silent(proxy: Proxy, server: Server) -> bool:
+    """True while the oldest attempt out is overdue: nothing more until it is answered or times out."""
+    sent_us = next(iter(server.out.values()), proxy.now_us)
+    return proxy.now_us - sent_us > OVERDUE * proxy.longest_us()
--- /dev/null
+++ b/caperdrift/policy/cold.py
@@ -0,0 +1,45 @@
+"""Cold servers: how much of one that has just started may be used."""
+
+from __future__ import annotations
+
+from caperdrift.policy.proxy import Proxy
+from caperdrift.policy.servers import Request, Server
+
+FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
+
+
+def cold_room(proxy: Proxy, server: Server, request: Request) -> bool:
+    """Whether this proxy's part of a cold server's fall budget has room for one more request."""
+    share = cold_share(proxy, server)
+    if share >= 1.0:
+        return True
+    half_us = fall_budget_us(proxy) * share / 2
+    elapsed_us = proxy.now_us - server.spent_at_us
+    server.spent_us = max(0.0, server.spent_us - half_us * elapsed_us / proxy.settings.fall_us)
+    server.spent_at_us = proxy.now_us
+    cost_us = cold_cost_us(proxy, request)
+    return server.spent_us + cost_us <= max(half_us, cost_us)
+
+
+def fall_budget_us(proxy: Proxy) -> float:
+    """This proxy's part of the work that a server of one core may be sent in a fall window when warm.
+
+    The parts of all add up to the whole; half of it, drained by half in each window, never passes it.
+    """
+    users = max(1.0, proxy.settings.proxies * min(1.0, proxy.reach / max(1, len(proxy.ranked))))
+    return FALL_MARGIN * proxy.settings.fall_multiple * proxy.settings.fall_us / users
+
+
+def cold_cost_us(proxy: Proxy, request: Request) -> float:
+    """Work of a request: hinted, else between the fastest and the usual replies, which waited too."""
+    between_us = (proxy.unhindered[request.klass] + proxy.smoothed[request.klass]) / 2
+    return request.work_us or between_us * request.size
+
+
+def cold_share(proxy: Proxy, server: Server) -> float:
+    """Share of its capacity that a server surely has by now."""
+    age_us = proxy.now_us - server.entry.started_us
+    if server.entry.started_us == 0 or age_us >= proxy.settings.warm_after_us:
+        return 1.0
+    start = proxy.settings.start_capacity
+    return start + (1.0 - start) * max(0, age_us) / proxy.settings.warm_after_us
--- /dev/null
+++ b/caperdrift/policy/learned.py
@@ -0,0 +1,46 @@
+"""What a proxy has learned, handed on to the process after it."""
+
+from __future__ import annotations
+
+from caperdrift.interface import Learned, LearnedServer, Log
+from caperdrift.policy.lists import rank_servers
+from caperdrift.policy.proxy import Proxy
+from caperdrift.policy.servers import CEILING, FLOOR
+
+
+def learned(proxy: Proxy) -> Learned:
+    """What this proxy has learned, for a process after it (see Restore); changes nothing."""
+    now_us = proxy.now_us
+    servers = tuple(
+        LearnedServer(
+            number, s.entry.started_us, s.weight, s.idle, s.breaker.learned(now_us),
+            tuple((k, p.weight, p.breaker.learned(now_us)) for k, p in s.parts.items()),
+        )
+        for number, s in proxy.servers.items()
+    )  # fmt: skip
+    return Learned(servers, tuple(proxy.smoothed), tuple(proxy.unhindered))
+
+
+def on_restore(proxy: Proxy, learned: Learned, age_us: int) -> None:
+    known = len(proxy.settings.classes)
+    latencies = zip(learned.smoothed_us, learned.unhindered_us, strict=False)
+    for index, (smoothed, unhindered) in enumerate(latencies):
+        bound = proxy.settings.classes[index].give_up_us if index < known else 0  # no good answer is later
+        if 0 < smoothed <= bound and 0 < unhindered <= bound:
+            proxy.smoothed[index], proxy.unhindered[index] = smoothed, unhindered
+    taken = 0
+    for was in learned.servers:
+        server = proxy.servers.get(was.server)
+        if server is None or server.entry.started_us != was.started_us:
+            continue
+        taken += 1
+        server.weight = min(CEILING, max(FLOOR, was.weight))
+        server.idle = min(1.0, max(0.0, was.idle))
+        server.breaker.restore(proxy.now_us - age_us, was.breaker)
+        for klass, weight, breaker in was.parts:
+            if 0 <= klass < known:
+                part = server.part(klass)
+                part.weight = min(CEILING, max(FLOOR, weight))
+                part.breaker.restore(proxy.now_us - age_us, breaker)
+    rank_servers(proxy)
+    proxy.actions.append(Log(f"restored {taken} of {len(learned.servers)} servers learned before"))
--- /dev/null
+++ b/caperdrift/policy/proxy.py
@@ -0,0 +1,67 @@
+"""The state of one proxy, which all decisions read and change, and what each of them needs of it."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from caperdrift.interface import Action, Log, SetTimer, Settings
+from caperdrift.policy.servers import Request, Server
+
+SUBSET = 4  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
+OVERDUE = 4.0  # times the smoothed latency: an attempt that should have been answered
+RETRY_BURST = 2.0  # most further attempts saved up: by hundreds of proxies together
+TENANT_MEMORY = 0.98  # of the tries by tenant, left after each try
+LOG_GAP_US = 100_000  # between two log lines
+LIST_TOKEN = 0  # the timer that belongs to no request
+
+
+class Proxy:
+    """What one proxy knows and holds. Times are readings of the caller's clock and durations, in us."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now_us = 0
+        self.actions: list[Action] = []
+        self.servers: dict[int, Server] = {}
+        self.ranked: list[Server] = []  # the same by rank: the subset is the first of them that may be used
+        self.reach = float(SUBSET)
+        self.out = 0  # attempts out everywhere
+        self.requests: dict[str, Request] = {}
+        self.timers: dict[int, Request] = {}
+        self.lines: dict[int, deque[Request]] = {}  # in order: requests of a key, its turn first
+        self.next_token = 1
+        self.retry_tokens = RETRY_BURST
+        self.list_calls_failed = 0
+        classes = settings.classes
+        self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
+        self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
+        self.mean_work = [0.0] * len(classes)  # of hints
+        self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
+        self.asked = [0.0] * len(classes)
+        self.served = [0.0] * len(classes)
+        self.tries = [t.share / (1.0 - TENANT_MEMORY) for t in settings.tenants]  # of late, by tenant
+        self.shed_at_us = 0  # when that last followed an answer
+        self.shed = 0.0  # share of the work asked for that is refused, least worth first: what is cheap
+        self.shed_dear = 0.0  # the same for all else
+        self.logged_us = -LOG_GAP_US
+
+    def set_timer(self, due_us: int, request: Request) -> None:
+        self.timers[self.next_token] = request
+        self.actions.append(SetTimer(due_us, self.next_token))
+        self.next_token += 1
+
+    def expected_us(self, request: Request) -> float:
+        return self.smoothed[request.klass] * request.size
+
+    def longest_us(self) -> float:
+        """The longest smoothed latency of any class."""
+        pairs = zip(self.smoothed, self.settings.classes, strict=True)
+        return max((latency for latency, klass in pairs if not klass.dropped), default=0.0)
+
+    def log(self, line: str) -> None:
+        """Say what was seen, at most so often: a wide failure must not bury its own beginning."""
+        if self.now_us - self.logged_us >= LOG_GAP_US:
+            self.logged_us = self.now_us
+            self.actions.append(Log(line))
--- /dev/null
+++ b/caperdrift/policy/shedding.py
@@ -0,0 +1,73 @@
+"""Shedding: which requests to refuse on arrival, and how many."""
+
+from __future__ import annotations
+
+from caperdrift.interface import AttemptEnded, Outcome
+from caperdrift.policy.proxy import OVERDUE, Proxy
+from caperdrift.policy.servers import Request
+
+TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
+CHEAP = 0.5  # of the mean worth for work: what is worth less yields to waiting, the rest only to lateness
+INFLATED = 2.75  # times the unhindered latency: answers of crowded servers, whatever the aim
+SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer
+SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
+SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
+SHED_MOST = 0.95  # what still comes through tells when to shed less
+
+
+def is_shed(proxy: Proxy, request: Request) -> bool:
+    """Whether to refuse a request before it costs a server anything.
+
+    Guards against queues that grow past every aim: what gains the goal least for its work goes first.
+    """
+    if request.rules.late_worth <= 0.0 and proxy.now_us >= request.aim_us:
+        return True  # a repeat whose aim is over earns nothing
+    if proxy.shed <= 0.0 and proxy.shed_dear <= 0.0:
+        return False
+    if proxy.random.random() < request.excess:
+        return True
+    gains = worths(proxy)
+    mine = gains[request.klass]
+    shares = [a * u for a, u in zip(proxy.asked, proxy.unhindered, strict=True)]
+    total = sum(shares) or 1.0
+    below = sum(share for share, worth in zip(shares, gains, strict=True) if worth < mine) / total
+    point = below + shares[request.klass] / total * proxy.random.random()
+    mean = sum(share * worth for share, worth in zip(shares, gains, strict=True)) / total
+    return point < (proxy.shed if mine < CHEAP * mean else proxy.shed_dear)
+
+
+def worths(proxy: Proxy) -> list[float]:
+    """What the goal gains from each unit of server time, by class."""
+    goal, classes = proxy.settings.goal, proxy.settings.classes
+    total = sum(proxy.asked) or 1.0
+    mean = sum(c.worth * a for c, a in zip(classes, proxy.asked, strict=True)) / total or 1.0
+    fractions = [s / a if a else 1.0 for s, a in zip(proxy.served, proxy.asked, strict=True)]
+    worst = min(fractions)
+    gains = []
+    for index, klass in enumerate(classes):
+        gain = (goal.whole + goal.worst_window) * klass.worth / mean
+        if fractions[index] == worst and proxy.asked[index]:
+            gain += goal.worst_class * total / proxy.asked[index]
+        gains.append(gain / (1.0 if proxy.settings.worth_by_work else proxy.unhindered[index]))
+    return gains
+
+
+def adjust_shed(proxy: Proxy, request: Request, event: AttemptEnded) -> None:
+    """Feedback like the weights': more after an answer that waited too long, less after a prompt one."""
+    klass, unhindered_us = request.rules, proxy.unhindered[request.klass]
+    dropped = proxy.settings.classes[request.klass].dropped
+    if dropped or event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.FULL):
+        return
+    waited = event.latency_us - unhindered_us * request.size
+    bad = event.outcome is not Outcome.OK
+    long = bad or waited > TOLERATED * (klass.aim_us - unhindered_us)
+    # By the time since the last answer: with few of them a jam must be noticed as soon as with many.
+    step = max(SHED_STEP, SHED_RATE * min(proxy.now_us - proxy.shed_at_us, SHED_LONGEST_US) / 1e6)
+    proxy.shed_at_us = proxy.now_us
+    proxy.shed = min(SHED_MOST, max(0.0, proxy.shed + (step if long else -step)))
+    inflated = bad or waited > (INFLATED - 1.0) * unhindered_us * request.size
+    move = step if inflated else -step
+    usual_us = OVERDUE * proxy.expected_us(request)
+    if event.outcome is Outcome.TIMEOUT and klass.late_worth <= 0.0 and event.latency_us < usual_us:
+        move = step / 4  # cut short at the aim: as likely a lost connection's silence as a crowd's
+    proxy.shed_dear = min(SHED_MOST, max(0.0, proxy.shed_dear + move))
--- a/caperdrift/simhost.py
+++ b/caperdrift/simhost.py
@@ -11,7 +11,7 @@
 from typing import TextIO
 
 from caperdrift.interface import Event, ListedServer, ListKind, ServerList
-from caperdrift.balance import Balancer
+from caperdrift.policy.balancer import Balancer
 from caperdrift.wire import (
     LIST_KINDS,
     PARSERS,
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from caperdrift.balance import Balancer
+from caperdrift.policy.balancer import Balancer
 from caperdrift.interface import (
     Action,
     AttemptEnded,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,7 +22,8 @@
     SetTimer,
     Settings,
 )
-from caperdrift.balance import MINIMUM, Balancer, Breaker, State
+from caperdrift.policy.balancer import Balancer
+from caperdrift.policy.breaker import MINIMUM, Breaker, State
 
 SAFE = RequestClass(aim_us=200_000, give_up_us=400_000, worth=3.0, late_worth=0.2, effect=Effect.SAFE)
 KEYED = RequestClass(
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -2,18 +2,9 @@
 
 from tests.helpers import Driver, sends, trip
 from caperdrift.interface import ListedServer, ListKind, Outcome
-from caperdrift.balance import (
-    CEILING,
-    COOLDOWN_US,
-    CUT,
-    FLOOR,
-    MINIMUM,
-    RING,
-    STEP,
-    TRIALS,
-    Breaker,
-    State,
-)
+from caperdrift.policy.breaker import COOLDOWN_US, MINIMUM, RING, TRIALS, Breaker, State
+from caperdrift.policy.servers import CEILING, FLOOR
+from caperdrift.policy.weights import CUT, STEP, adjust_weight
 
 
 def tripped() -> Breaker:
@@ -140,10 +131,10 @@
     driver = Driver(servers=1)
     server = driver.balancer.servers[0]
     for _ in range(40):
-        driver.balancer.adjust_weight(server, True)
+        adjust_weight(driver.balancer, server, True)
     assert server.weight == FLOOR
     for _ in range(400):
-        driver.balancer.adjust_weight(server, False)
+        adjust_weight(driver.balancer, server, False)
     assert server.weight == CEILING
 
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -29,7 +29,11 @@
     TimerFired,
     WatchList,
 )
-from caperdrift.balance import LOG_GAP_US, OVERDUE, SHED_STEP, SUBSET, State
+from caperdrift.policy.admission import excess
+from caperdrift.policy.breaker import State
+from caperdrift.policy.choice import draw_weight, is_silent, subset
+from caperdrift.policy.proxy import LOG_GAP_US, OVERDUE, SUBSET
+from caperdrift.policy.shedding import SHED_STEP
 
 
 def test_an_unsafe_request_that_may_have_run_fails_at_once() -> None:
@@ -122,7 +126,7 @@
     _, actions = driver.arrive(work_us=1_000)
     driver.now_us += 350_000
     _, others = driver.arrive()
-    assert driver.balancer.is_silent(driver.balancer.servers[sends(actions)[0].server])
+    assert is_silent(driver.balancer, driver.balancer.servers[sends(actions)[0].server])
     assert sends(others)[0].server != sends(actions)[0].server
 
 
@@ -193,7 +197,7 @@
         for again in sends(driver.end(name, first, outcome)):
             driver.end(name, again.server, attempt=1)
     assert server.breaker.state is State.CLOSED and server.breaker.failures == 0
-    assert server not in driver.balancer.subset(0) and server in driver.balancer.subset(2)
+    assert server not in subset(driver.balancer, 0) and server in subset(driver.balancer, 2)
     assert driver.balancer.shed_dear == 0.0
 
 
@@ -269,8 +273,8 @@
         for send in sends(actions):
             driver.end(name, send.server)
     assert refused[0] > 60 and refused[1] <= 20
-    assert driver.balancer.excess(1) <= 0.0 < driver.balancer.excess(0)
-    assert driver.balancer.excess(7) == 0.0
+    assert excess(driver.balancer, 1) <= 0.0 < excess(driver.balancer, 0)
+    assert excess(driver.balancer, 7) == 0.0
 
 
 def test_without_servers_requests_are_refused() -> None:
@@ -464,10 +468,10 @@
     used: Counter[int] = Counter()
     for proxy in range(40):
         driver = Driver(replace(SETTINGS, proxies=40, proxy=proxy), servers=60)
-        before = {server.entry.server for server in driver.balancer.subset(0)}
+        before = {server.entry.server for server in subset(driver.balancer, 0)}
         used.update(before)
         driver.list_servers(ListedServer(3, ServerStatus.GONE), ListedServer(60), kind=ListKind.DELTA)
-        after = {server.entry.server for server in driver.balancer.subset(0)}
+        after = {server.entry.server for server in subset(driver.balancer, 0)}
         assert len(before) == len(after) == SUBSET and len(after - before) <= 2
     assert sorted(used) == list(range(60))
     assert max(used.values()) <= 2 * 40 * SUBSET / 60
@@ -482,10 +486,10 @@
 
 def test_an_open_server_gives_its_place_to_the_next_in_rank() -> None:
     driver = Driver(replace(SETTINGS, proxies=300), servers=60)
-    subset = driver.balancer.subset(0)
-    trip(subset[0].breaker, driver.now_us)
-    after = driver.balancer.subset(0)
-    assert subset[0] not in after and after[: len(subset) - 1] == subset[1:] and len(after) == len(subset)
+    before = subset(driver.balancer, 0)
+    trip(before[0].breaker, driver.now_us)
+    after = subset(driver.balancer, 0)
+    assert before[0] not in after and after[: len(before) - 1] == before[1:] and len(after) == len(before)
 
 
 def test_failed_connects_open_only_when_two_come_on_end() -> None:
@@ -545,7 +549,7 @@
     for server in driver.balancer.ranked[:-1]:
         trip(server.breaker, driver.now_us)
     driver.list_servers(ListedServer(last, started_us=driver.now_us - 1), kind=ListKind.DELTA)
-    assert driver.balancer.subset(0) == []
+    assert subset(driver.balancer, 0) == []
 
 
 def test_what_is_worth_nothing_late_is_timed_out_at_the_aim() -> None:
@@ -561,17 +565,17 @@
         driver = Driver(replace(SETTINGS, proxies=proxies), servers=count)
         for _ in range(9):
             driver.arrive()
-        assert len(driver.balancer.subset(0)) == reached
+        assert len(subset(driver.balancer, 0)) == reached
 
 
 def test_a_server_whose_live_weight_stays_low_leaves_the_subset_until_it_rises() -> None:
     """Idle servers stood beside overrun ones all day, as the rank was drawn once and for all."""
     driver = Driver(replace(SETTINGS, proxies=40), servers=60)
-    member = driver.balancer.subset(0)[0]
+    member = subset(driver.balancer, 0)[0]
     for weight, lists, kept in ((0.1, 1, True), (0.1, 20, False), (1.0, 40, True)):
         for _ in range(lists):
             driver.list_servers(ListedServer(member.entry.server, weight=weight), kind=ListKind.DELTA)
-        assert (member in driver.balancer.subset(0)) is kept
+        assert (member in subset(driver.balancer, 0)) is kept
 
 
 def test_servers_without_weight_or_capacity_are_ranked_too() -> None:
@@ -590,7 +594,7 @@
     name, _ = driver.arrive(klass=2)
     driver.list_servers(ListedServer(1, weight=0.2), kind=ListKind.DELTA)
     balancer = driver.balancer
-    busy, free = (balancer.draw_weight(s, balancer.requests[name]) for s in balancer.servers.values())
+    busy, free = (draw_weight(balancer, s, balancer.requests[name]) for s in balancer.servers.values())
     assert free > busy > 0.0
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -32,7 +32,7 @@
     Settings,
     TimerFired,
 )
-from caperdrift.balance import Balancer
+from caperdrift.policy.balancer import Balancer
 
 GROUP = {n: n // 3 for n in range(6)}
 ORDERED = replace(UNSAFE, in_order=True)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -10,7 +10,7 @@
 
 from tests.helpers import Driver, sends, trip
 from caperdrift.interface import Learned, LearnedBreaker, LearnedServer, ListedServer, Outcome, Restore
-from caperdrift.balance import COOLDOWN_US, State
+from caperdrift.policy.breaker import COOLDOWN_US, State
 from cloverkeel.fleet import state
 from cloverkeel.fleet.state import Figures, Snapshot, Store
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -13,6 +13,7 @@
 import pytest
 
 from caperdrift.interface import BodyEnded, BodyPassing, Outcome, SettingsChanged, StreamStarted, TimerFired
+from caperdrift.policy.choice import is_silent
 from cloverkeel import server as front
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
 from cloverkeel.streams import LEAST_PIECE, PIECE, Buffer
@@ -728,7 +729,7 @@
     request_ = driver.balancer.requests[name]
     deadline_us, aim_us = request_.deadline_us, request_.aim_us
     driver.now_us += 10_000_000  # a slow body
-    assert not driver.balancer.is_silent(server) and not server.out
+    assert not is_silent(driver.balancer, server) and not server.out
     driver.handle(BodyEnded(name))
     assert (request_.deadline_us, request_.aim_us) == (deadline_us + 10_000_000, aim_us + 10_000_000)
     assert list(server.out.values()) == [driver.now_us]
@@ -744,7 +745,7 @@
     driver.handle(StreamStarted(name, 0))
     assert list(server.breaker.ring) == [False] and driver.balancer.served[0] == 1
     driver.now_us += 60_000_000
-    assert not driver.balancer.is_silent(server)
+    assert not is_silent(driver.balancer, server)
     driver.end(name, 0, latency_us=60_020_000)
     assert list(server.breaker.ring) == [False] and driver.balancer.served[0] == 1
     assert driver.balancer.out == 0 and not driver.balancer.requests
