Module: the number of live gateways arrives as one event and sets each one's share

Need: each gateway's part of a cold host's fall budget, and how wide it spreads, follow from the settings' number of gateways, right only while all of them run. Change: Fleet(gateways by zone); policy/sharers.py gives the most that was seen within the last 10 s, since gateways that this one is merely cut off from still send. The settings' number counts as seen just before the first word, and holds where membership is off.

--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -342,9 +342,18 @@
     age_us: int = 0  # since it was taken: cooldowns have run on meanwhile
 
 
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """Live proxies by zone's number, this one included, as they see each other. Empty: not known, and the
+    settings' number holds. A number that falls is believed only after a while."""
+
+    gateways: tuple[int, ...] = ()
+
+
 Event = (
     ServerList
     | Restore
+    | Fleet
     | RequestArrived
     | BodyPassing
     | BodyEnded
--- a/caperdrift/policy/balancer.py
+++ b/caperdrift/policy/balancer.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from caperdrift.interface import (
-    Action, AttemptEnded, BodyEnded, BodyPassing, Event, Fail, Learned, RequestArrived, RequestGone, Restore,
-    ServerList, SettingsChanged, SetTimer, Settings, StreamStarted, TimerFired, WatchList,
+    Action, AttemptEnded, BodyEnded, BodyPassing, Event, Fail, Fleet, Learned, RequestArrived, RequestGone,
+    Restore, ServerList, SettingsChanged, SetTimer, Settings, StreamStarted, TimerFired, WatchList,
 )
 from caperdrift.policy import choice, learned
 from caperdrift.policy.admission import admit
@@ -13,6 +13,7 @@
 from caperdrift.policy.proxy import LIST_TOKEN, TENANT_MEMORY, Proxy
 from caperdrift.policy.retries import on_attempt_ended, on_overdue
 from caperdrift.policy.sending import try_send
+from caperdrift.policy.sharers import on_fleet
 from caperdrift.policy.shedding import is_shed
 from caperdrift.policy.streams import on_body_ended, on_body_passing, on_stream
 
@@ -44,6 +45,8 @@
             self.on_settings(event.settings)
         elif isinstance(event, Restore):
             learned.on_restore(self, event.learned, max(0, event.age_us))
+        elif isinstance(event, Fleet):
+            on_fleet(self, event)
         return self.actions
 
     def learned(self) -> Learned:
--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -4,6 +4,7 @@
 
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.servers import Request, Server
+from caperdrift.policy.sharers import sharers
 
 FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
 
@@ -26,7 +27,7 @@
 
     The parts of all add up to the whole; half of it, drained by half in each window, never passes it.
     """
-    users = max(1.0, proxy.settings.proxies * min(1.0, proxy.reach / max(1, len(proxy.ranked))))
+    users = max(1.0, sharers(proxy) * min(1.0, proxy.reach / max(1, len(proxy.ranked))))
     return FALL_MARGIN * proxy.settings.fall_multiple * proxy.settings.fall_us / users
 
 
--- a/caperdrift/policy/proxy.py
+++ b/caperdrift/policy/proxy.py
@@ -33,6 +33,7 @@
         self.lines: dict[int, deque[Request]] = {}  # in order: requests of a key, its turn first
         self.next_token = 1
         self.retry_tokens = RETRY_BURST
+        self.sharers_seen: deque[tuple[int, int]] = deque()  # since when, how many: falling numbers
         self.list_calls_failed = 0
         classes = settings.classes
         self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
--- a/caperdrift/policy/sending.py
+++ b/caperdrift/policy/sending.py
@@ -7,6 +7,7 @@
 from caperdrift.policy.cold import cold_cost_us, cold_share
 from caperdrift.policy.proxy import OVERDUE, SUBSET, Proxy
 from caperdrift.policy.servers import Attempt, Request
+from caperdrift.policy.sharers import sharers
 
 CROWD = 10  # proxies beyond which own attempts out tell little of a server's load, and widen the subset less
 LEAST_WIDENING = 0.25  # of the subset by an attempt out: one with much in hand must not crush a few servers
@@ -25,7 +26,7 @@
     request.out += 1
     if not request.opened_us:
         start_work(proxy, attempt)  # a server begins a request once its last byte has come
-    needed = SUBSET + proxy.out * min(1.0, max(LEAST_WIDENING, CROWD / proxy.settings.proxies))
+    needed = SUBSET + proxy.out * min(1.0, max(LEAST_WIDENING, CROWD / sharers(proxy)))
     proxy.reach = max(needed, SUBSET + (proxy.reach - SUBSET) * REACH_MEMORY)
     if cold_share(proxy, server) < 1.0:
         server.spent_us += cold_cost_us(proxy, request)
