Module: a server whose listed start lies ahead of the clock divides nothing by zero

Change: such a start is just now, so its age is 0, which is warm where nothing is cold. Test fails without it.

--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -39,8 +39,8 @@
 
 def cold_share(proxy: Proxy, server: Server) -> float:
     """Share of its capacity that a server surely has by now."""
-    age_us = proxy.now_us - server.entry.started_us
+    age_us = max(0, proxy.now_us - server.entry.started_us)  # a start that lies ahead is just now
     if server.entry.started_us == 0 or age_us >= proxy.settings.warm_after_us:
         return 1.0
     start = proxy.settings.start_capacity
-    return start + (1.0 - start) * max(0, age_us) / proxy.settings.warm_after_us
+    return start + (1.0 - start) * age_us / proxy.settings.warm_after_us
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -525,6 +525,13 @@
     assert sum(work_us) > 0
 
 
+def test_a_server_whose_start_lies_ahead_by_its_clock_is_as_cold_as_one_that_has_just_started() -> None:
+    """With warm_after_us 0 the module divided by zero there, and failed the request."""
+    driver = Driver(replace(SETTINGS, warm_after_us=0), servers=0)
+    driver.list_servers(ListedServer(1, started_us=driver.now_us + 1_000))
+    assert [action.server for action in sends(driver.arrive()[1])] == [1]
+
+
 def test_a_cold_server_is_charged_the_hinted_work_not_the_time_that_answers_wait() -> None:
     """Answers that wait on others made requests look five times their work: cold servers stood idle."""
     sent = []
