--- a/caperdrift/__init__.py
+++ b/caperdrift/__init__.py
@@ -1,6 +1,6 @@
 """caperdrift: the decisions of a load-balancing proxy for fleets of HTTP servers."""
 
-from caperdrift.balance import Balancer
+from caperdrift.policy.balancer import Balancer
 from caperdrift.interface import (
     Action,
     AttemptEnded,
@@ -12,6 +12,7 @@
     Event,
     Fail,
     FetchList,
+    Fleet,
     Goal,
     Learned,
     LearnedBreaker,
@@ -57,6 +58,7 @@
     "Event",
     "Fail",
     "FetchList",
+    "Fleet",
     "Goal",
     "Learned",
     "LearnedBreaker",
