--- /dev/null
+++ b/cloverkeel/fleet/membership/health.py
@@ -0,0 +1,46 @@
+"""Lifeguard's two measures (Dadgar, Phillips, Currey, 2018): suspicion timeouts that shrink with independent
+confirmations, and the local health multiplier."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+def suspicion_timeout_s(
+    members: int, confirmations: int, probe_interval_s: float, alpha: float, beta: float, expected: int = 3
+) -> float:
+    """Seconds a suspect has before it is declared dead (Lifeguard, section IV.B).
+
+    From `beta` times the minimum down to the minimum `alpha * log10(members) * probe_interval_s`, by
+    `log(confirmations + 1) / log(expected + 1)` of the way: each member that suspects it independently
+    shortens the wait, and `expected` of them bring it to the minimum. `members` counts at least 2.
+    """
+    least = alpha * math.log10(max(members, 2)) * probe_interval_s
+    most = beta * least
+    share = math.log(max(confirmations, 0) + 1) / math.log(expected + 1)
+    return max(least, most - (most - least) * share)
+
+
+@dataclass(slots=True)
+class LocalHealth:
+    """Lifeguard's local health multiplier (section IV.A): 0 is healthy, `most` the slowest it goes.
+
+    Probe interval and timeout are multiplied by `scale`, so that a member that is itself slow asks less
+    and waits longer before it suspects others.
+    """
+
+    most: int = 8
+    score: int = 0
+
+    def worse(self) -> None:
+        """A probe of ours failed, a helper sent no nack, or we had to refute a suspicion of ourselves."""
+        self.score = min(self.most, self.score + 1)
+
+    def better(self) -> None:
+        """A probe of ours was answered."""
+        self.score = max(0, self.score - 1)
+
+    @property
+    def scale(self) -> int:
+        return self.score + 1
--- /dev/null
+++ b/cloverkeel/fleet/membership/member.py
@@ -0,0 +1,169 @@
+"""One member's protocol: joining, leaving, and the tick that moves everything on.
+
+Follows docs/membership.md: SWIM (Das, Gupta, Motivala, 2002) for the states, their order and the probe
+cycle, Lifeguard (Dadgar, Phillips, Currey, 2018) for the local health multiplier, the suspicion timeouts
+that shrink with independent confirmations, nacks and the buddy system. No clock and no socket: times are
+passed in, in seconds; messages come in and go out as dataclasses, and `gossip` puts them on UDP.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from cloverkeel.fleet.membership.messages import (
+    Ack,
+    Action,
+    Alone,
+    Changed,
+    Join,
+    Message,
+    Nack,
+    Ping,
+    PingReq,
+    Push,
+    Refused,
+    Send,
+    Timing,
+)
+from cloverkeel.fleet.membership.probe import ProbeCycle
+from cloverkeel.fleet.membership.roster import PRESENT, Roster
+from cloverkeel.fleet.membership.rumours import Rumour, Status, View
+
+
+class Member:
+    """`start`, then `tick` and `receive` with the time passed in, each giving actions.
+
+    `me` is this member's own rumour (alive, its incarnation); `seeds` are addresses to ask at the start and
+    while alone; `take_over` says that this process follows an older one of the same name (an upgrade), so
+    that the name held at another address is taken rather than refused. `rng` makes the choices of whom to
+    probe; a seeded one makes a run repeat. Raises nothing: every message is judged on its fields.
+    """
+
+    def __init__(
+        self,
+        me: Rumour,
+        timing: Timing,
+        seeds: tuple[str, ...] = (),
+        take_over: bool = False,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.timing = timing
+        self.seeds = tuple(s for s in seeds if s != me.address)
+        self.take_over = take_over
+        self.rng = rng or random.Random()
+        self.roster = Roster(me, timing, self.rng)
+        self.cycle = ProbeCycle(self.roster)
+        self.joining_until_s: float | None = None
+        self.refused = False
+        self.next_push_s = 0.0
+
+    @property
+    def me(self) -> Rumour:
+        return self.roster.me
+
+    @property
+    def view(self) -> View:
+        return self.roster.view
+
+    @property
+    def left(self) -> bool:
+        return self.me.status is Status.LEFT
+
+    def members(self) -> dict[str, Rumour]:
+        """Every member this one knows, itself included: name to rumour."""
+        return self.roster.members()
+
+    def start(self, now_s: float) -> list[Action]:
+        """Say who this member is and ask the seeds for their views."""
+        self.roster.broadcasts.add(self.me)
+        self.cycle.start(now_s)
+        self.next_push_s = now_s + self.timing.push_pull_s
+        if not self.seeds:
+            return []
+        self.joining_until_s = now_s + self.timing.join_wait_s
+        return [Send(seed, Join(self.me)) for seed in self.seeds]
+
+    def leave(self, now_s: float) -> list[Action]:
+        """A graceful leave: `left` at this member's own incarnation, told at once to every live member."""
+        if self.refused or self.left:
+            return []
+        self.view.me = replace(self.me, status=Status.LEFT)
+        return [Send(r.address, Push(self.me, (self.me,))) for r in self.roster.live()]
+
+    def _learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
+        if rumour.name == self.me.name:
+            return self._about_me(rumour)
+        return self.roster.learn(rumour, now_s, source)
+
+    def _about_me(self, rumour: Rumour) -> list[Action]:
+        if self.left or self.refused:
+            return []
+        if rumour.address != self.me.address and rumour.status in PRESENT:
+            joining = self.joining_until_s is not None
+            if joining and self.take_over:  # our older self, in an upgrade: outrank it
+                incarnation = max(self.me.incarnation, rumour.incarnation + 1)
+                self.view.me = replace(self.me, incarnation=incarnation)
+                self.roster.broadcasts.add(self.me)
+                return []
+            if not joining and rumour.order < self.me.order:
+                return []
+            self.refused = True
+            return [Refused(rumour, joining)]
+        before = self.me
+        if self.view.merge(rumour) is None:
+            return []
+        self.roster.health.worse()
+        self.roster.broadcasts.add(self.me)
+        return [Changed(self.me, before, f"refuted {rumour.status.value} at {rumour.incarnation}")]
+
+    def receive(self, message: Message, now_s: float) -> list[Action]:
+        """Take one message; what it says of members is merged, then it is answered as SWIM says."""
+        if self.left or self.refused:
+            return []
+        sender, roster = message.sender, self.roster
+        if isinstance(message, Join):
+            return roster.push_to(sender.address, reply=False)
+        actions: list[Action] = []
+        for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
+            actions += self._learn(rumour, now_s, sender.name)
+            if self.refused:
+                return actions
+        if self.joining_until_s is not None and isinstance(message, Push) and sender.name != self.me.name:
+            self.joining_until_s = None
+        if isinstance(message, Ping):
+            if message.target == self.me.name:
+                if message.suspect:
+                    actions += self._about_me(replace(self.me, status=Status.SUSPECT))
+                actions.append(roster.send(sender.address, lambda r: Ack(message.seq, self.me, r)))
+        elif isinstance(message, Ack):
+            actions += self.cycle.on_ack(message)
+        elif isinstance(message, PingReq):
+            actions += self.cycle.on_ping_req(message, now_s)
+        elif isinstance(message, Nack):
+            self.cycle.on_nack(message)
+        elif message.reply:
+            actions += roster.push_to(sender.address, reply=False)
+        return actions
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Move the probe cycle, the suspicions, push-pull and reaping on to `now_s`."""
+        if self.left or self.refused:
+            return []
+        actions: list[Action] = []
+        if self.joining_until_s is not None and now_s >= self.joining_until_s:
+            self.joining_until_s = None
+            if not self.roster.live():
+                actions.append(Alone(self.seeds))
+        actions += self.cycle.step(now_s)
+        actions += self.roster.end_suspicions(now_s)
+        actions += self.cycle.end_relays(now_s)
+        if now_s >= self.next_push_s:
+            self.next_push_s = now_s + self.timing.push_pull_s
+            live = self.roster.live()
+            if live:
+                actions += self.roster.push_to(self.rng.choice(live).address, reply=True)
+            else:
+                actions += [Send(seed, Push(self.me, (self.me,), reply=True)) for seed in self.seeds]
+        self.roster.reap(now_s)
+        return actions
--- /dev/null
+++ b/cloverkeel/fleet/membership/messages.py
@@ -0,0 +1,118 @@
+"""What members say to each other, what the core asks of its shell, and the protocol's settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cloverkeel.fleet.membership.rumours import Rumour
+
+
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """The protocol's settings, in seconds but for counts (docs/membership.md, "Defaults")."""
+
+    probe_interval_s: float = 0.2
+    probe_timeout_s: float = 0.1
+    indirect_checks: int = 3
+    suspicion_alpha: float = 2.0
+    suspicion_beta: float = 6.0
+    retransmit_mult: int = 4
+    push_pull_s: float = 5.0
+    reap_after_s: float = 30.0
+    join_wait_s: float = 1.0
+    datagram_bytes: int = 1400
+
+
+# The messages (docs/membership.md, "Messages"). Each carries its sender's own rumour, so that a member that
+# never heard of the sender can answer it, and the rumours that ride on it.
+@dataclass(slots=True, frozen=True)
+class Ping:
+    seq: int
+    sender: Rumour
+    target: str
+    rumours: tuple[Rumour, ...] = ()
+    suspect: bool = False  # Lifeguard's buddy system: the sender holds the target suspect
+
+
+@dataclass(slots=True, frozen=True)
+class Ack:
+    seq: int
+    sender: Rumour
+    rumours: tuple[Rumour, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class PingReq:
+    seq: int
+    sender: Rumour
+    target: Rumour
+    rumours: tuple[Rumour, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Nack:
+    seq: int
+    sender: Rumour
+    rumours: tuple[Rumour, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Push:
+    """A whole view, or a part of it where it does not fit one datagram; `reply` asks for the other's."""
+
+    sender: Rumour
+    rumours: tuple[Rumour, ...] = ()
+    reply: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Join:
+    """A joining member asks for a view before it says it is there: its own rumour is not merged, so that a
+    name already held elsewhere is found out (and refused) before the claim spreads."""
+
+    sender: Rumour
+    rumours: tuple[Rumour, ...] = ()
+
+
+Message = Ping | Ack | PingReq | Nack | Push | Join
+
+
+# What the core asks of its shell.
+@dataclass(slots=True, frozen=True)
+class Send:
+    address: str
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    """This member's view of `rumour.name` changed; `before` is what it held (None: not known)."""
+
+    rumour: Rumour
+    before: Rumour | None
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Another process holds this member's name; `by` is what was heard of it. `joining` says whether this
+    member was refused at its join (the name is taken) or taken over later (its successor of an upgrade, or
+    another process that was let take it over); either way it says nothing more."""
+
+    by: Rumour
+    joining: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Alone:
+    """No seed answered within the join wait: the member runs alone and keeps asking its seeds."""
+
+    seeds: tuple[str, ...]
+
+
+Action = Send | Changed | Refused | Alone
+RUMOUR_BYTES = 24  # msgpack framing of one rumour besides its name and address, rounded up
+
+
+def rumour_bytes(rumour: Rumour) -> int:
+    return RUMOUR_BYTES + len(rumour.name) + len(rumour.address)
--- /dev/null
+++ b/cloverkeel/fleet/membership/probe.py
@@ -0,0 +1,131 @@
+"""The probe cycle: direct and indirect probes, nacks, and pings sent on others' behalf (SWIM section 4.1,
+Lifeguard IV.A and IV.C)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cloverkeel.fleet.membership.messages import Ack, Action, Nack, Ping, PingReq
+from cloverkeel.fleet.membership.roster import Roster
+from cloverkeel.fleet.membership.rumours import Rumour, Status
+
+
+@dataclass(slots=True)
+class Probe:
+    """The probe under way."""
+
+    seq: int
+    target: Rumour
+    deadline_s: float  # no ack by then: ask others
+    ends_s: float  # no ack by then: suspect
+    acked: bool = False
+    asked: int = 0
+    nacks: int = 0
+
+
+@dataclass(slots=True)
+class Relay:
+    """A ping sent for another member's `PingReq`: its ack goes back to `asker` under the asker's `seq`."""
+
+    asker: str
+    seq: int
+    nack_s: float
+    ends_s: float
+
+
+class ProbeCycle:
+    """Whom this member probes, and what it does for others' probes."""
+
+    def __init__(self, roster: Roster) -> None:
+        self.roster = roster
+        self.probe: Probe | None = None
+        self.relays: dict[int, Relay] = {}
+        self.seq = 0
+        self.next_s = 0.0
+
+    def start(self, now_s: float) -> None:
+        self.next_s = now_s + self.roster.timing.probe_interval_s
+
+    def _next_seq(self) -> int:
+        self.seq += 1
+        return self.seq
+
+    def on_ack(self, message: Ack) -> list[Action]:
+        roster, probe = self.roster, self.probe
+        relay = self.relays.pop(message.seq, None)
+        if probe is not None and probe.seq == message.seq and not probe.acked:
+            probe.acked = True
+            roster.health.better()
+        elif relay is not None:
+            asker = roster.view.members.get(relay.asker)
+            if asker is not None:
+                return [roster.send(asker.address, lambda r: Ack(relay.seq, roster.me, r))]
+        return []
+
+    def on_nack(self, message: Nack) -> None:
+        if self.probe is not None and self.probe.seq == message.seq:
+            self.probe.nacks += 1
+
+    def on_ping_req(self, message: PingReq, now_s: float) -> list[Action]:
+        """Ping the target for the asker."""
+        roster, target = self.roster, message.target
+        seq, timeout_s = self._next_seq(), roster.timing.probe_timeout_s
+        nack_s, ends_s = now_s + 0.8 * timeout_s, now_s + 2 * timeout_s
+        self.relays[seq] = Relay(message.sender.name, message.seq, nack_s, ends_s)
+        return [roster.send(target.address, lambda r: Ping(seq, roster.me, target.name, r))]
+
+    def step(self, now_s: float) -> list[Action]:
+        """Move this member's own probe on, and begin the next one when it is due."""
+        actions: list[Action] = []
+        roster, probe = self.roster, self.probe
+        scale = roster.health.scale
+        if probe is not None and not probe.acked:
+            if now_s >= probe.ends_s:
+                self.probe = None
+                if probe.asked and probe.nacks < probe.asked:
+                    roster.health.worse()  # a helper that sends no nack: our own network may be at fault
+                roster.health.worse()
+                actions += roster.suspect(probe.target.name, now_s)
+            elif now_s >= probe.deadline_s and not probe.asked:
+                actions += self._ask_others(probe)
+        if now_s < self.next_s:
+            return actions
+        self.next_s = now_s + roster.timing.probe_interval_s * scale
+        pick = roster.next_target()
+        if pick is None:
+            return actions
+        seq = self._next_seq()
+        timeout_s = roster.timing.probe_timeout_s * scale
+        self.probe = Probe(seq, pick, now_s + timeout_s, self.next_s)
+        suspect = pick.status is Status.SUSPECT
+        actions.append(roster.send(pick.address, lambda r: Ping(seq, roster.me, pick.name, r, suspect)))
+        return actions
+
+    def _ask_others(self, probe: Probe) -> list[Action]:
+        roster = self.roster
+        helpers = [r for r in roster.live() if r.name != probe.target.name]
+        chosen = roster.rng.sample(helpers, min(roster.timing.indirect_checks, len(helpers)))
+        probe.asked = len(chosen)
+        target = roster.view.members.get(probe.target.name, probe.target)
+
+        def ask(rumours: tuple[Rumour, ...]) -> PingReq:
+            return PingReq(probe.seq, roster.me, target, rumours)
+
+        return [roster.send(helper.address, ask) for helper in chosen]
+
+    def end_relays(self, now_s: float) -> list[Action]:
+        """Nacks for pings on others' behalf that are not acked in 80 % of the timeout."""
+        actions: list[Action] = []
+        roster = self.roster
+        for seq, relay in list(self.relays.items()):
+            if now_s >= relay.ends_s:
+                del self.relays[seq]
+            elif now_s >= relay.nack_s and relay.nack_s >= 0:
+                relay.nack_s = -1.0
+                asker = roster.view.members.get(relay.asker)
+                if asker is not None:
+                    actions.append(self._nack(asker.address, relay.seq))
+        return actions
+
+    def _nack(self, address: str, seq: int) -> Action:
+        return self.roster.send(address, lambda r: Nack(seq, self.roster.me, r))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,21 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverkeel.fleet.members import (
-    Action,
-    Broadcasts,
-    Changed,
-    LocalHealth,
-    Member,
-    Message,
-    Rumour,
-    Send,
-    Status,
-    Timing,
-    View,
-    retransmits,
-    suspicion_timeout_s,
-)
+from cloverkeel.fleet.membership.broadcasts import Broadcasts, retransmits
+from cloverkeel.fleet.membership.health import LocalHealth, suspicion_timeout_s
+from cloverkeel.fleet.membership.member import Member
+from cloverkeel.fleet.membership.messages import Action, Changed, Message, Send, Timing
+from cloverkeel.fleet.membership.rumours import Rumour, Status, View
 
 ME = Rumour("a", "127.0.0.1:1", 5, Status.ALIVE)
 names, addresses = st.sampled_from(["b", "c", "d"]), st.sampled_from(["127.0.0.1:2", "127.0.0.1:3"])
