Membership's datagrams and configuration: msgpack coding with bounds, the cluster object

The configuration's cluster object is checked strictly; it is read, and msgspec imported, only where the key is there.

--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -9,11 +9,14 @@
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from caperdrift.interface import Settings, Tenant
 from caperdrift.wire import WireError, parse_settings
 
+if TYPE_CHECKING:
+    from cloverkeel.fleet.cluster import ClusterSettings
+
 Address = tuple[str, int]
 
 
@@ -57,6 +60,7 @@
     names: Names
     operator: Address | None = None  # where operators call; None: nowhere
     state: StateSettings = NO_STATE
+    cluster: ClusterSettings | None = None  # None: this gateway is no member of any
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -116,7 +120,7 @@
     """The new configuration, in numbers that go on from the old one's: those last as long as the process.
 
     What kept its name keeps its number and what is new comes behind. A class that is gone stays in the
-    settings, dropped. The addresses to listen on and the seed are those of the start.
+    settings, dropped. The addresses to listen on, the seed and the cluster are those of the start.
     """
     was, now = old.names, new.names
     by_class = was.by_class + tuple(name for name in now.by_class if name not in was.by_class)
@@ -140,8 +144,9 @@
     )  # fmt: skip
     settings = replace(new.settings, classes=classes, tenants=shares, zone=zone)
     return replace(
-        new, settings=settings, names=names, listen=old.listen, operator=old.operator, seed=old.seed
-    )
+        new, settings=settings, names=names, listen=old.listen, operator=old.operator, seed=old.seed,
+        cluster=old.cluster,
+    )  # fmt: skip
 
 
 Name = TypeVar("Name")
@@ -219,6 +224,7 @@
             names=_names(settings),
             operator=parse_address(raw["operator"], "operator") if raw.get("operator") else None,
             state=_state(raw),
+            cluster=_cluster(raw),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
@@ -242,6 +248,14 @@
     return StateSettings(directory, times["state_snapshot_s"], times["state_max_age_s"])
 
 
+def _cluster(raw: dict[str, Any]) -> ClusterSettings | None:
+    if "cluster" not in raw:
+        return None
+    from cloverkeel.fleet.cluster import parse_cluster  # a gateway without one does not pay for its checks
+
+    return parse_cluster(raw["cluster"], raw.get("name"))
+
+
 def parse_address(text: object, what: str) -> Address:
     host, mark, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not mark or not host or not port.isascii() or not port.isdigit() or not int(port) < 65536:
--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -16,6 +16,7 @@
     Action,
     Alone,
     Changed,
+    Exchange,
     Join,
     Message,
     Nack,
@@ -123,7 +124,7 @@
             return []
         sender, roster = message.sender, self.roster
         if isinstance(message, Join):
-            return roster.push_to(sender.address, reply=False)
+            return roster.push_to(sender.address, reply=False, first=sender.name)
         actions: list[Action] = []
         for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
             actions += self._learn(rumour, now_s, sender.name)
@@ -144,6 +145,8 @@
             self.cycle.on_nack(message)
         elif message.reply:
             actions += roster.push_to(sender.address, reply=False)
+        elif message.more:
+            actions.append(Exchange(sender.address))
         return actions
 
     def tick(self, now_s: float) -> list[Action]:
--- a/cloverkeel/fleet/membership/messages.py
+++ b/cloverkeel/fleet/membership/messages.py
@@ -20,7 +20,6 @@
     push_pull_s: float = 5.0
     reap_after_s: float = 30.0
     join_wait_s: float = 1.0
-    datagram_bytes: int = 1400
 
 
 # The messages (docs/membership.md, "Messages"). Each carries its sender's own rumour, so that a member that
@@ -58,11 +57,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Push:
-    """A whole view, or a part of it where it does not fit one datagram; `reply` asks for the other's."""
+    """A whole view, or a part of it where it does not fit one datagram; `reply` asks for the other's, `more`
+    says that the rest is to be had over a stream."""
 
     sender: Rumour
     rumours: tuple[Rumour, ...] = ()
     reply: bool = False
+    more: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,9 +111,22 @@
     seeds: tuple[str, ...]
 
 
-Action = Send | Changed | Refused | Alone
-RUMOUR_BYTES = 24  # msgpack framing of one rumour besides its name and address, rounded up
+@dataclass(slots=True, frozen=True)
+class Exchange:
+    """Swap whole views with the member at `address` over a stream: they are too large for datagrams."""
+
+    address: str
+
+
+Action = Send | Changed | Refused | Alone | Exchange
+
+# Sizes, by the codec's coding (`codec`): never below what is really sent.
+DATAGRAM_BYTES = 1_400
+MOST_DATAGRAMS = 10  # for one view; a larger one goes over a stream
+CLUSTER_BYTES = 64  # a cluster's name, at most
+MESSAGE_BYTES = 2 + CLUSTER_BYTES + 17  # version, name, array, kind, seq, rumours' array, flags
+RUMOUR_BYTES = 17  # the framing of one rumour's five fields
 
 
 def rumour_bytes(rumour: Rumour) -> int:
-    return RUMOUR_BYTES + len(rumour.name) + len(rumour.address)
+    return RUMOUR_BYTES + len(f"{rumour.name}{rumour.address}{rumour.zone}".encode())
--- a/cloverkeel/fleet/membership/probe.py
+++ b/cloverkeel/fleet/membership/probe.py
@@ -72,7 +72,7 @@
         seq, timeout_s = self._next_seq(), roster.timing.probe_timeout_s
         nack_s, ends_s = now_s + 0.8 * timeout_s, now_s + 2 * timeout_s
         self.relays[seq] = Relay(message.sender.name, message.seq, nack_s, ends_s)
-        return [roster.send(target.address, lambda r: Ping(seq, roster.me, target.name, r))]
+        return [roster.send(target.address, lambda r: Ping(seq, roster.me, target.name, r), target)]
 
     def step(self, now_s: float) -> list[Action]:
         """Move this member's own probe on, and begin the next one when it is due."""
@@ -98,7 +98,7 @@
         timeout_s = roster.timing.probe_timeout_s * scale
         self.probe = Probe(seq, pick, now_s + timeout_s, self.next_s)
         suspect = pick.status is Status.SUSPECT
-        actions.append(roster.send(pick.address, lambda r: Ping(seq, roster.me, pick.name, r, suspect)))
+        actions.append(roster.send(pick.address, lambda r: Ping(seq, roster.me, pick.name, r, suspect), pick))
         return actions
 
     def _ask_others(self, probe: Probe) -> list[Action]:
@@ -111,7 +111,7 @@
         def ask(rumours: tuple[Rumour, ...]) -> PingReq:
             return PingReq(probe.seq, roster.me, target, rumours)
 
-        return [roster.send(helper.address, ask) for helper in chosen]
+        return [roster.send(helper.address, ask, target) for helper in chosen]
 
     def end_relays(self, now_s: float) -> list[Action]:
         """Nacks for pings on others' behalf that are not acked in 80 % of the timeout."""
--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -9,8 +9,12 @@
 from cloverkeel.fleet.membership.broadcasts import Broadcasts, retransmits
 from cloverkeel.fleet.membership.health import LocalHealth, suspicion_timeout_s
 from cloverkeel.fleet.membership.messages import (
+    DATAGRAM_BYTES,
+    MESSAGE_BYTES,
+    MOST_DATAGRAMS,
     Action,
     Changed,
+    Exchange,
     Message,
     Push,
     Send,
@@ -48,25 +52,36 @@
     def count(self) -> int:
         return len(self.live()) + 1
 
-    def send(self, address: str, make: Callable[[tuple[Rumour, ...]], Message]) -> Send:
-        """A message to `address` with as many rumours on it as fit one datagram."""
+    def send(
+        self, address: str, make: Callable[[tuple[Rumour, ...]], Message], target: Rumour | None = None
+    ) -> Send:
+        """A message to `address` with as many rumours on it as fit one datagram beside `target`, which a
+        ping names and a ping request carries whole."""
         limit = retransmits(self.timing.retransmit_mult, self.count())
-        budget = self.timing.datagram_bytes - (64 + 2 * rumour_bytes(self.me))
+        budget = DATAGRAM_BYTES - MESSAGE_BYTES - rumour_bytes(self.me)
+        if target is not None:
+            budget -= rumour_bytes(target)
         return Send(address, make(tuple(self.broadcasts.take(budget, rumour_bytes, limit))))
 
-    def push_to(self, address: str, reply: bool) -> list[Action]:
-        """The whole view, in as many datagrams as it takes."""
-        sends: list[Action] = []
-        part: list[Rumour] = []
-        used = 64 + rumour_bytes(self.me)
-        for rumour in self.members().values():
-            if part and used + rumour_bytes(rumour) > self.timing.datagram_bytes:
-                sends.append(Send(address, Push(self.me, tuple(part), reply)))
-                part, used = [], 64 + rumour_bytes(self.me)
-            part.append(rumour)
-            used += rumour_bytes(rumour)
-        sends.append(Send(address, Push(self.me, tuple(part), reply)))
-        return sends
+    def push_to(self, address: str, reply: bool, first: str = "") -> list[Action]:
+        """The whole view, in as many datagrams as it takes, `first`'s rumour in the first of them. A view
+        of more than MOST_DATAGRAMS goes over a stream: asked for with `reply`, else the other is told."""
+        parts: list[list[Rumour]] = []
+        left = 0
+        members = self.members()
+        ahead = [members.pop(first)] if first in members else []
+        for rumour in [*ahead, *members.values()]:
+            size = rumour_bytes(rumour)
+            if not parts or size > left:
+                parts.append([])
+                left = DATAGRAM_BYTES - MESSAGE_BYTES - rumour_bytes(self.me)
+            parts[-1].append(rumour)
+            left -= size
+        if len(parts) > MOST_DATAGRAMS:
+            if reply:
+                return [Exchange(address)]
+            return [Send(address, Push(self.me, tuple(parts[0]), more=True))]
+        return [Send(address, Push(self.me, tuple(part), reply)) for part in parts]
 
     def learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
         """Take what `source` says of another member."""
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -176,11 +176,14 @@
         """Take up what the configuration's file says now: all of it, or nothing where it cannot be used."""
         telemetry = self.gateway.telemetry
         try:
-            self.config = follow(self.config, load(complete=True))
+            config = load(complete=True)
         except ConfigError as error:
             telemetry.load_errors += 1
             log(f"not reconfigured: {error}")
             return
+        if config.cluster != self.config.cluster:
+            log("cluster stays as it was at the start: for another, upgrade or start again")
+        self.config = follow(self.config, config)
         self.gateway.reconfigure(self.config)
         telemetry.loads += 1
         host, port = self.config.discovery
