--- /dev/null
+++ b/cloverkeel/fleet/membership/calls.py
@@ -0,0 +1,162 @@
+"""Calls and feeds between members: TCP at the same host and port as the datagrams.
+
+One connection carries one call or one feed. Nothing here trusts a peer: frames, connections, waiting times
+and unsent bytes are bounded; what is malformed or of another cluster closes its connection and is counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from cloverkeel.fleet.membership.codec import parse_address
+from cloverkeel.fleet.membership.feeds import BEAT_S, OK, Feed, Subscription
+from cloverkeel.fleet.membership.frames import FRAME_BYTES, FrameError, Frames, Stream
+from cloverkeel.fleet.membership.serving import Served
+
+CONNECT_S = 1.0  # for a feed's connection
+
+Handler = Callable[[str, Any], Any | Awaitable[Any]]
+OnOpen = Callable[[Feed, Any], None]
+
+
+class CallFailed(Exception):  # noqa: N818 - the interface's name (docs/coldstart.md)
+    """A call or a subscription came to nothing; the message says why."""
+
+
+class Calls:
+    """Both sides: handlers served by kind, and calls to other members. `name` is this member's, sent with
+    each request; `listen` takes a listening socket; without it calls go out and none come in."""
+
+    def __init__(self, cluster: str, name: str, frame_bytes: int = FRAME_BYTES) -> None:
+        self.frames, self.name = Frames(cluster, frame_bytes), name
+        self.handlers: dict[str, Handler] = {}
+        self.feed_handlers: dict[str, OnOpen] = {}
+        self.feeds: set[Feed] = set()
+        self.serving: set[Served] = set()
+        self.subscriptions: set[Subscription] = set()
+        self.counts: Counter[str] = Counter()
+        self.listener: asyncio.Server | None = None
+        self.beat: asyncio.TimerHandle | None = None
+        self.closed = False
+
+    async def listen(self, sock: socket.socket) -> None:
+        """Serve on a bound TCP socket. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(lambda: Served(self).stream, sock=sock, backlog=1024)
+        self.beat = loop.call_later(BEAT_S, self._beat)
+
+    def serve(self, kind: str, handler: Handler) -> None:
+        """Answer calls of a kind: `handler(peer's name, body)` gives the answer's body, or an awaitable of
+        it. What it raises fails the call at the caller."""
+        self.handlers[kind] = handler
+
+    def serve_feed(self, kind: str, on_open: OnOpen) -> None:
+        """Let members follow: `on_open(feed, body)` is called for each that subscribes."""
+        self.feed_handlers[kind] = on_open
+
+    def _beat(self) -> None:
+        for feed in list(self.feeds):
+            feed.beat()
+        self.beat = asyncio.get_running_loop().call_later(BEAT_S, self._beat)
+
+    async def _connect(self, address: str, stream: Stream) -> None:
+        try:
+            host, port = parse_address(address)
+            await asyncio.get_running_loop().create_connection(lambda: stream, host, port)
+        except (OSError, ValueError) as error:
+            raise CallFailed(f"{address}: {error}") from None
+
+    async def call(self, address: str, kind: str, body: Any, timeout_s: float) -> Any:
+        """Ask the member at `address`; raises CallFailed where no answer comes within `timeout_s`, the
+        answer is an error or malformed, or this side has closed."""
+        if self.closed:
+            raise CallFailed("closed")
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+
+        def on_frame(got: str, value: Any) -> None:
+            if answer.done():
+                return
+            if got == OK:
+                answer.set_result(value)
+            else:
+                answer.set_exception(CallFailed(f"{address} {kind}: {got}: {value!s:.120}"))
+
+        def on_lost(reason: str) -> None:
+            if not answer.done():
+                answer.set_exception(CallFailed(f"{address} {kind}: {reason}"))
+
+        stream = Stream(self.frames, on_frame, on_lost)
+        self.counts["calls_out"] += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._connect(address, stream)
+                stream.write(kind, (self.name, body))
+                return await answer
+        except TimeoutError:
+            raise self._failed(f"{address} {kind}: no answer in {timeout_s:g} s") from None
+        except FrameError as error:
+            raise self._failed(f"{address} {kind}: {error}") from None
+        except CallFailed:
+            self.counts["calls_failed"] += 1
+            raise
+        finally:
+            stream.end("over")
+            if answer.done() and not answer.cancelled():
+                answer.exception()  # retrieved, whoever waited
+
+    def _failed(self, why: str) -> CallFailed:
+        self.counts["calls_failed"] += 1
+        return CallFailed(why)
+
+    async def subscribe(
+        self,
+        address: str,
+        kind: str,
+        body: Any,
+        on_body: Callable[[Any], None],
+        on_end: Callable[[str], None],
+    ) -> Subscription:
+        """Follow the member at `address`: `on_body` for each body it sends, `on_end(reason)` once the feed
+        has ended. Raises CallFailed where no connection comes about; `on_end` is not called then."""
+        if self.closed:
+            raise CallFailed("closed")
+        self.counts["subscriptions"] += 1
+        subscription = Subscription(on_body, on_end)
+        subscription.on_over = lambda: self.subscriptions.discard(subscription)
+        self.subscriptions.add(subscription)
+        stream = Stream(self.frames, subscription.on_frame, subscription.on_lost)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await self._connect(address, stream)
+            if subscription.ended:
+                raise CallFailed(f"{address} {kind}: closed at once")
+            stream.write(kind, (self.name, body))
+            subscription.begin(stream)
+        except TimeoutError:
+            raise self._failed(f"{address}: no connection in {CONNECT_S:g} s") from None
+        except FrameError as error:
+            raise self._failed(f"{address} {kind}: {error}") from None
+        except CallFailed:
+            self.counts["calls_failed"] += 1
+            raise
+        finally:
+            if subscription.stream is None:
+                subscription.close()
+                stream.end("given up")
+        return subscription
+
+    def close(self) -> None:
+        """End every connection and serve no more."""
+        self.closed = True
+        if self.listener is not None:
+            self.listener.close()
+        if self.beat is not None:
+            self.beat.cancel()
+        for served in list(self.serving):
+            served.stream.end("closed")
+        for subscription in list(self.subscriptions):
+            subscription.close()
--- /dev/null
+++ b/cloverkeel/fleet/membership/serving.py
@@ -0,0 +1,111 @@
+"""The serving side of one connection between members: its one request, and the answer or the feed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import inspect
+import socket
+from typing import TYPE_CHECKING, Any
+
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.membership.codec import NAME_BYTES
+from cloverkeel.fleet.membership.feeds import ERROR, FLUSH_S, OK, Feed
+from cloverkeel.fleet.membership.frames import REASONS, FrameError, Stream
+
+if TYPE_CHECKING:
+    from cloverkeel.fleet.membership.calls import Calls
+
+MOST_CONNECTIONS = 1_024  # served at once; beyond, a new one is closed
+REQUEST_S = 2.0  # for a connection's request to come whole
+HANDLER_S = 10.0  # for a handler to answer
+UNACKED_MS = 10_000  # a peer whose machine acknowledges nothing for so long has gone (TCP_USER_TIMEOUT)
+
+
+class Served:
+    """A connection that came in."""
+
+    def __init__(self, calls: Calls) -> None:
+        self.calls = calls
+        self.stream = Stream(calls.frames, self.on_frame, self.on_lost, self.on_made)
+        self.feed: Feed | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.asked = False
+
+    def on_made(self) -> None:
+        self.calls.serving.add(self)
+        if len(self.calls.serving) > MOST_CONNECTIONS:
+            self.calls.counts["connections_refused"] += 1
+            self.stream.end("too many connections")
+            return
+        assert self.stream.transport is not None
+        sock = self.stream.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError, AttributeError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(REQUEST_S, self.stream.end, "no request in time")
+
+    def on_lost(self, reason: str) -> None:
+        self.calls.serving.discard(self)
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
+        word = reason.partition(":")[0]
+        if word in REASONS:
+            self.calls.counts[f"frames_dropped_{word}"] += 1
+        if self.feed is not None:
+            self.calls.feeds.discard(self.feed)
+            self.feed.ended()
+
+    def on_frame(self, kind: str, body: Any) -> None:
+        """The request; raises FrameError for one that is none."""
+        if self.asked:
+            raise FrameError("malformed", "a second request on one connection")
+        self.asked = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if not isinstance(body, list) or len(body) != 2 or not isinstance(body[0], str):
+            raise FrameError("malformed", "no envelope [name, body]")
+        peer, body = body
+        if not 0 < len(peer.encode()) <= NAME_BYTES:
+            raise FrameError("malformed", "the peer's name is empty or too long")
+        self.calls.counts["calls_in"] += 1
+        if kind in self.calls.feed_handlers:
+            self._open(kind, peer, body)
+        elif kind in self.calls.handlers:
+            self.task = asyncio.get_running_loop().create_task(self._answer(kind, peer, body))
+        else:
+            self._refuse(f"no such call: {kind!r:.40}")
+
+    def _open(self, kind: str, peer: str, body: Any) -> None:
+        self.feed = Feed(self.stream, peer)
+        self.calls.feeds.add(self.feed)
+        try:
+            self.calls.feed_handlers[kind](self.feed, body)
+        except Exception as error:  # what a peer asked for must not end this process
+            self._broke(kind, peer, error)
+
+    async def _answer(self, kind: str, peer: str, body: Any) -> None:
+        try:
+            async with asyncio.timeout(HANDLER_S):
+                value = self.calls.handlers[kind](peer, body)
+                if inspect.isawaitable(value):
+                    value = await value
+            self.stream.write(OK, value)
+        except Exception as error:
+            self._broke(kind, peer, error)
+            return
+        finally:
+            self.task = None
+        self.stream.end("answered", FLUSH_S)
+
+    def _broke(self, kind: str, peer: str, error: Exception) -> None:
+        self.calls.counts["handlers_failed"] += 1
+        event("members.call_failed", kind=kind, peer=peer, reason=repr(error)[:120])
+        self._refuse(f"failed: {type(error).__name__}")
+
+    def _refuse(self, reason: str) -> None:
+        self.stream.write(ERROR, reason)
+        self.stream.end(reason, FLUSH_S)
