Membership's shell: UDP gossip and the Membership service

The core on a real socket: datagrams that are not for it are dropped, counted and logged once a second; views too large for datagrams are swapped by a call; a name that is taken is asked for again until it is free.

--- /dev/null
+++ b/cloverkeel/fleet/membership/bind.py
@@ -0,0 +1,49 @@
+"""The two sockets of a member: datagrams and streams at one host and port."""
+
+from __future__ import annotations
+
+import errno
+import socket
+
+TRIES = 50
+UDP_BUFFER_BYTES = 1024 * 1024  # a whole fleet that joins at once answers within a millisecond
+
+
+def open_sockets(host: str, port: int, elsewhere: bool = False) -> tuple[socket.socket, socket.socket]:
+    """A UDP socket and a TCP socket, bound to one address, not yet listening.
+
+    Port 0: one that the system chooses, tried anew until it is free for both. `elsewhere`: where the port
+    is held (by the old process of an upgrade), one that the system chooses serves. Raises OSError.
+    """
+    try:
+        if port:
+            return _pair(host, port)
+    except OSError as error:
+        if not elsewhere or error.errno != errno.EADDRINUSE:
+            raise
+    for left in reversed(range(TRIES)):
+        try:
+            return _pair(host, 0)
+        except OSError as error:
+            if not left or error.errno != errno.EADDRINUSE:
+                raise
+    raise AssertionError("not reached")
+
+
+def _pair(host: str, port: int) -> tuple[socket.socket, socket.socket]:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    udp = socket.socket(family, socket.SOCK_DGRAM)
+    tcp = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # despite past ones' TIME_WAIT
+        udp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UDP_BUFFER_BYTES)
+        udp.bind((host, port))
+        tcp.bind((host, udp.getsockname()[1]))
+        tcp.listen(1024)  # two sockets with SO_REUSEADDR are told apart no earlier than here
+        for sock in (udp, tcp):
+            sock.setblocking(False)
+    except BaseException:
+        udp.close()
+        tcp.close()
+        raise
+    return udp, tcp
--- /dev/null
+++ b/cloverkeel/fleet/membership/gossip.py
@@ -0,0 +1,122 @@
+"""The UDP shell round the core: datagrams in and out, the tick, drops that are counted and never raised."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import traceback
+from collections import Counter
+from collections.abc import Callable
+from typing import cast
+
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.membership.codec import Codec, DatagramError, parse_address
+from cloverkeel.fleet.membership.member import Member
+from cloverkeel.fleet.membership.messages import Action, Message, Ping, PingReq, Send
+
+LOG_S = 1.0  # a line on dropped datagrams at most so often
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Carries one core at a time on one socket. `on_action` is given every action but Send; `heard` has when
+    each member last spoke, by the loop's clock."""
+
+    def __init__(self, codec: Codec, on_action: Callable[[Action], None]) -> None:
+        self.codec, self.on_action = codec, on_action
+        self.member: Member | None = None
+        self.transport: asyncio.DatagramTransport | None = None
+        self.counts: Counter[str] = Counter()
+        self.heard: dict[str, float] = {}
+        self.loop = asyncio.get_running_loop()
+        self.timer: asyncio.TimerHandle | None = None
+        self.logged_s = -LOG_S
+        self.unlogged = 0
+
+    async def open(self, sock: socket.socket) -> None:
+        """Take a bound UDP socket. Raises OSError."""
+        await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def run(self, member: Member) -> None:
+        """Begin with a core (a new one in place of the one before)."""
+        self.member = member
+        timing = member.timing
+        self.tick_s = min(timing.probe_interval_s, timing.probe_timeout_s) / 4
+        self.carry(member.start(self.loop.time()))
+        if self.timer is None:
+            self.timer = self.loop.call_later(self.tick_s, self.tick)
+
+    def tick(self) -> None:
+        self.timer = self.loop.call_later(self.tick_s, self.tick)
+        member = self.member
+        if member is not None:
+            self.guarded(lambda: member.tick(self.loop.time()))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.counts["datagrams_in"] += 1
+        try:
+            message = self.codec.decode(data)
+        except DatagramError as error:
+            self.dropped(error.reason, f"{addr[0]}:{addr[1]}", str(error))
+            return
+        self.receive(message)
+
+    def receive(self, message: Message) -> None:
+        """A message for the core, by whichever way it came."""
+        member = self.member
+        if member is not None:
+            self.heard[message.sender.name] = self.loop.time()
+            self.guarded(lambda: member.receive(message, self.loop.time()))
+
+    def guarded(self, step: Callable[[], list[Action]]) -> None:
+        """One step of the core; an error in it is a fault of this program, told while the member goes on."""
+        try:
+            actions = step()
+        except Exception:
+            self.dropped("failed", "", traceback.format_exc(limit=-3))
+            return
+        self.carry(actions)
+
+    def carry(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.send(action)
+                continue
+            try:
+                self.on_action(action)
+            except Exception:  # a listener's: the other actions are not its to stop
+                self.dropped("failed", "", traceback.format_exc(limit=-3))
+
+    def send(self, action: Send) -> None:
+        message = action.message
+        if isinstance(message, Ping):
+            self.counts["probes"] += 1
+        elif isinstance(message, PingReq):
+            self.counts["indirect_probes"] += 1
+        try:
+            data = self.codec.encode(message)
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.sendto(data, parse_address(action.address))
+                self.counts["datagrams_out"] += 1
+        except (ValueError, OSError) as error:
+            self.dropped("unsendable", action.address, str(error))
+
+    def error_received(self, exc: Exception) -> None:
+        self.counts["send_errors"] += 1
+
+    def dropped(self, reason: str, source: str, detail: str) -> None:
+        self.counts[f"dropped_{reason}"] += 1
+        self.unlogged += 1
+        now_s = self.loop.time()
+        if now_s - self.logged_s >= LOG_S:
+            event("members.dropped", reason=reason, source=source, detail=detail, since_last=self.unlogged)
+            self.logged_s, self.unlogged = now_s, 0
+
+    def close(self) -> None:
+        self.member = None
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/cloverkeel/fleet/membership/service.py
@@ -0,0 +1,262 @@
+"""Membership as the gateway's other parts use it: the core, its UDP shell and the calls between members."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from cloverkeel.fleet.cluster import ClusterSettings
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.membership.bind import open_sockets
+from cloverkeel.fleet.membership.calls import CallFailed, Calls
+from cloverkeel.fleet.membership.codec import (
+    Codec,
+    DatagramError,
+    format_address,
+    rumours_from_body,
+    rumours_to_body,
+)
+from cloverkeel.fleet.membership.gossip import Gossip
+from cloverkeel.fleet.membership.member import Member
+from cloverkeel.fleet.membership.messages import Action, Alone, Changed, Exchange, Push, Refused
+from cloverkeel.fleet.membership.roster import PRESENT
+from cloverkeel.fleet.membership.rumours import Rumour, Status
+
+VIEW = "members.view"  # the call that swaps whole views
+VIEW_S = 2.0  # for it to be answered
+LINES_A_SECOND = 20  # on members that change; a fleet that starts at once has more to tell
+LEAVES, LEAVE_GAP_S = 2, 0.03  # a leave is said twice: a datagram may be lost
+
+Listener = Callable[[Rumour, Rumour | None], None]
+
+
+class Membership:
+    """This process as a member of `settings.name`.
+
+    `name`, `zone`: the gateway's; `incarnation`: higher than any that the name had before; `take_over`: this
+    is the new process of an upgrade. `joined` is set once a seed has answered, none is alive, or the name is
+    found taken. After `start` the member's own address is `address` and `calls` serves at it.
+    """
+
+    def __init__(
+        self,
+        settings: ClusterSettings,
+        name: str,
+        zone: str,
+        incarnation: int,
+        take_over: bool = False,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings, self.name, self.zone, self.take_over = settings, name, zone, take_over
+        self.incarnation = incarnation
+        self.rng = rng or random.Random()
+        self.joined = asyncio.Event()
+        self.calls = Calls(settings.name, name)
+        self.calls.serve(VIEW, self._on_view)
+        self.gossip = Gossip(Codec(settings.name), self._on_action)
+        self.address = ""
+        self.state = "starting"  # joining, alone, member, name_taken, superseded, left
+        self.member: Member | None = None
+        self.listeners: list[Listener] = []
+        self.counts: Counter[str] = Counter()
+        self.changed_s: dict[str, float] = {}
+        self.holder = ""  # the address that held this member's name, as last logged
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.rejoin: asyncio.TimerHandle | None = None
+        self.lines, self.line_s = 0, 0.0
+        self.loop = asyncio.get_running_loop()
+
+    async def start(self) -> None:
+        """Bind and begin to join; returns at once, `joined` tells the rest. Raises OSError."""
+        host, port = self.settings.bind_address
+        udp, tcp = open_sockets(host, port, self.take_over)
+        self.address = format_address(host, udp.getsockname()[1])
+        await self.calls.listen(tcp)
+        await self.gossip.open(udp)
+        self._join()
+
+    def _join(self) -> None:
+        me = Rumour(self.name, self.address, self.incarnation, Status.ALIVE, self.zone)
+        settings = self.settings
+        self.member = Member(me, settings.timing, settings.seeds, self.take_over, self.rng)
+        self.state = "joining"
+        self.gossip.run(self.member)
+        if self.member.joining_until_s is None:
+            self._alone("no seeds are named")
+
+    # What the core says
+
+    def _on_action(self, action: Action) -> None:
+        match action:
+            case Changed():
+                self._changed(action)
+            case Exchange():
+                self._spawn(self._exchange(action.address))
+            case Alone():
+                self._alone(f"no answer from {len(action.seeds)} seeds")
+            case Refused():
+                self._refused(action)
+
+    def _changed(self, action: Changed) -> None:
+        rumour, before = action.rumour, action.before
+        self.changed_s[rumour.name] = self.loop.time()
+        if rumour.name == self.name:
+            self.counts["refutations"] += 1
+            self._line("members.refuted", incarnation=rumour.incarnation, reason=action.reason)
+        elif before is None or before.status is not rumour.status:
+            kind = rumour.status.value
+            self.counts[f"seen_{kind}"] += 1
+            self._line(
+                f"members.{kind}", member=rumour.name, address=rumour.address, incarnation=rumour.incarnation,
+                reason=action.reason,
+            )  # fmt: skip
+        if self.state in ("joining", "alone") and rumour.status in PRESENT and rumour.name != self.name:
+            self._joined()
+        self._tell(rumour, before)
+
+    def _tell(self, rumour: Rumour, before: Rumour | None) -> None:
+        for listener in list(self.listeners):
+            listener(rumour, before)
+
+    def _joined(self) -> None:
+        self.state = "member"
+        event("members.joined", cluster=self.settings.name, address=self.address, members=len(self.live()))
+        self.joined.set()
+
+    def _alone(self, reason: str) -> None:
+        if self.state == "joining":
+            self.state = "alone"
+            event("members.alone", cluster=self.settings.name, address=self.address, reason=reason)
+            self.joined.set()
+
+    def _refused(self, action: Refused) -> None:
+        by = action.by
+        if not action.joining:
+            self.state = "superseded"
+            event("members.superseded", member=by.name, by=by.address, incarnation=by.incarnation)
+            return
+        self.state = "name_taken"
+        if by.address != self.holder:
+            self.holder = by.address
+            event("members.name_taken", member=by.name, holder=by.address, incarnation=by.incarnation,
+                  reason="another process has this name; asking again until it is gone")  # fmt: skip
+        self.joined.set()
+        self.rejoin = self.loop.call_later(self.settings.push_pull_s, self._join)
+
+    def _line(self, name: str, **fields: object) -> None:
+        now_s = self.loop.time()
+        if now_s - self.line_s >= 1.0:
+            if self.lines > LINES_A_SECOND:
+                event("members.more", lines=self.lines - LINES_A_SECOND, within_s=now_s - self.line_s)
+            self.lines, self.line_s = 0, now_s
+        self.lines += 1
+        if self.lines <= LINES_A_SECOND:
+            event(name, **fields)
+
+    # Whole views over a stream
+
+    def _spawn(self, work: Any) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _exchange(self, address: str) -> None:
+        self.counts["views_swapped"] += 1
+        try:
+            body = await self.calls.call(address, VIEW, self._view_body(), VIEW_S)
+            self._take_view(body)
+        except (CallFailed, DatagramError) as error:
+            self._line("members.view_failed", address=address, reason=str(error))
+
+    def _view_body(self) -> list[Any]:
+        assert self.member is not None
+        others = [r for r in self.member.members().values() if r.name != self.name]
+        return rumours_to_body([self.member.me, *others])
+
+    def _take_view(self, body: Any) -> None:
+        rumours = rumours_from_body(body)
+        if not rumours:
+            raise DatagramError("malformed", "an empty view")
+        self.gossip.receive(Push(rumours[0], tuple(rumours[1:])))
+
+    def _on_view(self, peer: str, body: Any) -> Any:
+        self._take_view(body)
+        return self._view_body()
+
+    # For the gateway's other parts
+
+    @property
+    def refused(self) -> bool:
+        return self.state == "name_taken"
+
+    def view(self) -> dict[str, Rumour]:
+        """Every member known, this one included: name to rumour. Where the name is taken, this one alone."""
+        if self.member is None:
+            return {}
+        return {self.name: self.member.me} if self.refused else self.member.members()
+
+    def live(self) -> list[Rumour]:
+        """The members that are alive or suspect, this one included, by name."""
+        return sorted((r for r in self.view().values() if r.status in PRESENT), key=lambda r: r.name)
+
+    def on_change(self, listener: Listener) -> None:
+        """`listener(rumour, before)` after each change of the view, this member's own refutations included;
+        it must not raise."""
+        self.listeners.append(listener)
+
+    def table(self) -> list[dict[str, Any]]:
+        """Each member as operators read it; `heard_s`: since it last spoke to this one, or was told of."""
+        now_s = self.loop.time()
+        rows = []
+        for name, r in sorted(self.view().items()):
+            told_s = max(self.gossip.heard.get(name, 0.0), self.changed_s.get(name, 0.0))
+            heard_s = 0.0 if name == self.name else round(now_s - told_s, 3)
+            rows.append({
+                "name": name, "zone": r.zone, "address": r.address, "status": r.status.value,
+                "incarnation": r.incarnation, "heard_s": heard_s,
+            })  # fmt: skip
+        return rows
+
+    def counters(self) -> dict[str, int]:
+        """What has been done since the start."""
+        mine, sent, calls = self.counts, self.gossip.counts, self.calls.counts
+        named = {
+            "probes": sent["probes"], "indirect_probes": sent["indirect_probes"],
+            "suspicions": mine["seen_suspect"], "refutations": mine["refutations"],
+            "deaths": mine["seen_dead"], "leaves": mine["seen_left"],
+            "datagrams_in": sent["datagrams_in"], "datagrams_out": sent["datagrams_out"],
+            "views_swapped": mine["views_swapped"],
+        }  # fmt: skip
+        for reason in ("malformed", "oversized", "version", "cluster", "unsendable", "failed"):
+            named[f"datagrams_dropped_{reason}"] = sent[f"dropped_{reason}"]
+        for reason in ("malformed", "oversized", "version", "cluster"):
+            named[f"frames_dropped_{reason}"] = calls[f"frames_dropped_{reason}"]
+        for key in ("calls_in", "calls_out", "calls_failed", "subscriptions", "connections_refused"):
+            named[key] = calls[key]
+        return named
+
+    async def leave(self) -> None:
+        """Say `left` to all; nothing is said after it. Calls and feeds go on until `close`."""
+        if self.rejoin is not None:
+            self.rejoin.cancel()
+        if self.member is None or self.state == "left":
+            return
+        goodbye = self.member.leave(self.loop.time())
+        if self.state != "superseded":
+            self.state = "left"
+        for number in range(LEAVES if goodbye else 0):
+            if number:
+                await asyncio.sleep(LEAVE_GAP_S)
+            self.gossip.carry(goodbye)
+
+    def close(self) -> None:
+        """End everything; may be called at any time, more than once."""
+        if self.rejoin is not None:
+            self.rejoin.cancel()
+        for task in list(self.tasks):
+            task.cancel()
+        self.gossip.close()
+        self.calls.close()
