Membership in the gateway: started with cluster, GET /api/members, the members command

Operators had no way to see which gateways are up. With cluster in its configuration a gateway joins before it lets clients in, leaves at SIGTERM, and answers GET /api/members; python -m cloverkeel members prints the table. The incarnation is the store's counter, raised and written by the writer thread; the new process of an upgrade takes the name over with a higher one, at a port of its own, and nobody sees it dead or left.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from cloverkeel.fleet.start import FleetParts
     from cloverkeel.fleet.state import Keeper
     from cloverkeel.gateway import Gateway
 
@@ -78,15 +79,30 @@
             )
         gateway = Gateway(config, warm, kept if keeper is not None else None)
         server = Server(config, gateway, inherited)
+        fleet: FleetParts | None = None
+        if config.cluster is not None:
+            from cloverkeel.fleet.start import FleetParts
+
+            fleet = FleetParts(config, config.cluster, gateway, keeper, inherited is not None)
+
+        def figures() -> Answer:
+            more = (fleet.counters(), fleet.gauges()) if fleet is not None else ()
+            return Answer(200, gateway.figures(*more), (b"Content-Type", CONTENT_TYPE))
+
         calls = {
             b"/api/ready": lambda: Answer(200 if server.is_ready else 503),
-            b"/api/telemetry": lambda: Answer(200, gateway.figures(), (b"Content-Type", CONTENT_TYPE)),
+            b"/api/telemetry": figures,
         }
+        if fleet is not None:
+            calls[b"/api/members"] = fleet.answer
         operator = Operator(config.operator, calls) if config.operator else None
         address = config.operator or config.listen
         try:
             if operator is not None:
                 await operator.start()
+            if fleet is not None:
+                address = fleet.cluster.bind_address
+                await fleet.start()
             address = config.listen
             await server.start()
         except OSError as error:
@@ -98,6 +114,8 @@
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
+        if fleet is not None:
+            leaving = loop.create_task(fleet.leave())
         if keeper is not None:
             keeper.offer(gateway.snapshot())  # for a new process that starts beside this one
         final_write_s = FINAL_WRITE_S
@@ -112,6 +130,9 @@
         if keeper is not None:
             keeper.close(gateway.snapshot(), final_write_s)
         gateway.close()
+        if fleet is not None:
+            await leaving
+            fleet.close()
         if operator is not None:
             operator.close()
         return 0
--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -1,4 +1,4 @@
-"""The command line beside the gateway itself: `python -m cloverkeel state check|show DIR`.
+"""The command line beside the gateway itself: `python -m cloverkeel state check|show DIR` and `members`.
 
 `python -m cloverkeel` with no arguments is the gateway, as the deploy file starts it.
 """
@@ -26,11 +26,18 @@
     for verb in (check, show):
         verb.add_argument("directory", help="the state directory (state_dir, $LB_STATE_DIR)")
         verb.add_argument("--json", action="store_true", help="one JSON object instead of lines")
+    members = parts.add_parser("members", help="the member table of a running gateway")
+    members.add_argument("--operator", metavar="HOST:PORT", help="its operators' address (else $LB_OPERATOR)")
+    members.add_argument("--json", action="store_true", help="its answer as one JSON object")
     return top
 
 
 def run(argv: list[str]) -> int:
     arguments = parser().parse_args(argv)
+    if arguments.part == "members":
+        from cloverkeel.fleet.membership import command
+
+        return command.run(arguments.operator, arguments.json)
     path = os.path.join(arguments.directory, state.FILE)
     findings, report = examine(path)
     if arguments.verb == "check":
--- /dev/null
+++ b/cloverkeel/fleet/membership/command.py
@@ -0,0 +1,100 @@
+"""`python -m cloverkeel members`: the member table of a running gateway, over `GET /api/members`."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import sys
+from types import FrameType
+from typing import Any
+
+from cloverkeel.config import ConfigError, load, parse_address
+
+ANSWER_S = 5.0  # for all of it
+ANSWER_BYTES = 8 * 1024 * 1024
+COLUMNS = ("name", "zone", "address", "status", "incarnation", "heard_s")
+
+
+class CommandError(Exception):
+    """One line on what is in the way."""
+
+
+def run(operator: str | None, as_json: bool) -> int:
+    """Exit code 0 with the table (or the JSON), 1 where the gateway gives none, 2 for a wrong address."""
+    try:
+        address = address_of(operator)
+    except ConfigError as error:
+        print(f"cloverkeel: {error}", file=sys.stderr)
+        return 2
+    try:
+        answer = fetch(*address)
+        lines = [json.dumps(answer)] if as_json else table(answer)
+    except CommandError as error:
+        print(f"cloverkeel: {address[0]}:{address[1]}: {error}", file=sys.stderr)
+        return 1
+    print("\n".join(lines))
+    return 0
+
+
+def address_of(operator: str | None) -> tuple[str, int]:
+    """The operators' address: as given, else $LB_OPERATOR, else of the file that $LB_CONFIG names. Raises
+    ConfigError."""
+    if operator is not None:
+        return parse_address(operator, "--operator")
+    if os.environ.get("LB_OPERATOR"):
+        return parse_address(os.environ["LB_OPERATOR"], "LB_OPERATOR")
+    found = load().operator if os.environ.get("LB_CONFIG") else None
+    if found is None:
+        raise ConfigError("no operators' address: give --operator host:port or $LB_OPERATOR")
+    return found
+
+
+def fetch(host: str, port: int) -> dict[str, Any]:
+    """The gateway's answer, within ANSWER_S. Raises CommandError."""
+
+    def late(signum: int, frame: FrameType | None) -> None:
+        raise TimeoutError(f"no whole answer in {ANSWER_S:g} s")
+
+    before = signal.signal(signal.SIGALRM, late)  # over the whole call, however slowly it trickles
+    signal.setitimer(signal.ITIMER_REAL, ANSWER_S)
+    connection = http.client.HTTPConnection(host, port, timeout=ANSWER_S)
+    try:
+        connection.request("GET", "/api/members")
+        response = connection.getresponse()
+        body = response.read(ANSWER_BYTES + 1)
+    except (OSError, http.client.HTTPException) as error:
+        raise CommandError(getattr(error, "strerror", None) or str(error) or repr(error)) from None
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        signal.signal(signal.SIGALRM, before)
+        connection.close()
+    if response.status == 404:
+        raise CommandError("this gateway has no cluster in its configuration")
+    if response.status != 200:
+        raise CommandError(f"answered {response.status}: {body[:80].decode('utf-8', 'replace').strip()}")
+    try:
+        answer = json.loads(body)
+        rows = answer["members"]
+        if not all(isinstance(row, dict) and row.keys() >= set(COLUMNS) for row in rows):
+            raise ValueError("a row without its columns")
+        answer["name"], answer["cluster"], answer["address"], answer["state"]
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
+        raise CommandError(f"the answer is no member table: {error!r:.80}") from None
+    return dict(answer)
+
+
+def table(answer: dict[str, Any]) -> list[str]:
+    """Lines to print: one on the cluster, a head, and one for each member."""
+    rows = answer["members"]
+    count = sum(row["status"] == "alive" for row in rows)
+    first = (
+        f"cluster {answer['cluster']}: {len(rows)} members, {count} alive; "
+        f"as {answer['name']} at {answer['address']} sees it (state: {answer['state']})"
+    )
+    cells = [list(COLUMNS)] + [[str(row[column]) or "-" for column in COLUMNS] for row in rows]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(COLUMNS))]
+    return [first] + [
+        "  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip() for row in cells
+    ]
--- a/cloverkeel/fleet/state.py
+++ b/cloverkeel/fleet/state.py
@@ -19,6 +19,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import Future
 from typing import Any
 
 from caperdrift.interface import Learned, LearnedBreaker, LearnedServer
@@ -333,6 +334,7 @@
     def __init__(self, directory: str, interval_s: float, figures: Figures, store: Store | None) -> None:
         self.directory, self.interval_s, self.figures, self.store = directory, interval_s, figures, store
         self.pending: Snapshot | None = None
+        self.numbers: list[tuple[str, Future[int]]] = []  # counters to raise
         self.failing = False
         self.closing = False
         self.ready = threading.Condition()
@@ -345,6 +347,23 @@
             self.pending = snapshot
             self.ready.notify()
 
+    def number(self, name: str) -> Future[int]:
+        """Have a counter raised: its new value once that is written. It waits while another process holds the
+        file, and fails with sqlite3.Error or OSError where the write does."""
+        number: Future[int] = Future()
+        with self.ready:
+            self.numbers.append((name, number))
+            self.ready.notify()
+        return number
+
+    def peek(self, name: str) -> int:
+        """A counter as the file has it, whoever holds it; 0: none, or not readable. Reads the disk."""
+        try:
+            with contextlib.closing(reader(os.path.join(self.directory, FILE))) as connection:
+                return counters(connection).get(name, 0)
+        except sqlite3.Error:
+            return 0
+
     def close(self, final: Snapshot | None, wait_s: float) -> None:
         """Write `final` if given, then end within `wait_s`; what is still unwritten then is lost."""
         with self.ready:
@@ -358,16 +377,33 @@
         self._ensure()
         while True:
             with self.ready:
-                self.ready.wait_for(lambda: self.pending is not None or self.closing, self.interval_s)
+                self.ready.wait_for(self._has_work, self.interval_s)
                 snapshot, self.pending = self.pending, None
                 closing = self.closing
-            if self._ensure() and snapshot is not None:
-                self._write(snapshot)
+            if self._ensure():
+                self._raise_counters()
+                if snapshot is not None:
+                    self._write(snapshot)
             if closing:
                 if self.store is not None:
                     self.store.close()
                 return
 
+    def _has_work(self) -> bool:
+        can_write = self.store is not None and self.store.boots > 0
+        return self.pending is not None or self.closing or (can_write and bool(self.numbers))
+
+    def _raise_counters(self) -> None:
+        assert self.store is not None
+        with self.ready:
+            numbers, self.numbers = self.numbers, []
+        for name, number in numbers:
+            try:
+                number.set_result(self.store.bump(name))
+            except (OSError, sqlite3.Error) as error:
+                self._failed(error)
+                number.set_exception(error)
+
     def _ensure(self) -> bool:
         """Whether there is a file to write to: the lock taken and the file begun, where they were not."""
         if self.store is None:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -10,7 +10,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -54,6 +54,8 @@
 from cloverkeel.streams import Buffer, Upload
 from cloverkeel.telemetry import Result, Telemetry
 
+NONE: Mapping[str, int] = {}
+
 
 @dataclass(slots=True, eq=False)
 class Call:
@@ -134,15 +136,16 @@
         """Whether there is any host to send to."""
         return bool(self.pools.hosts)
 
-    def figures(self) -> bytes:
-        """What operators read, as it is now."""
+    def figures(self, counters: Mapping[str, int] = NONE, gauges: Mapping[str, int] = NONE) -> bytes:
+        """What operators read, as it is now, with figures of other parts."""
         return self.telemetry.render(
             {
                 "in_progress": sum(not held.closed and not held.is_open for held in self.held.values()),
                 "known_hosts": len(self.pools.hosts),
                 "skipped_hosts": self.balancer.skipped(now_us()),
+                **gauges,
             },
-            self.kept.counters() if self.kept is not None else {},
+            {**(self.kept.counters() if self.kept is not None else {}), **counters},
         )
 
     def reconfigure(self, config: Config) -> None:
