Membership core: parted views heal, real confirmations, quicker news

Now: a view goes to one that is gone each push-pull period; a death read in a view is only suspected; a suspicion names who holds it, and a member's own failed probe confirms one; who hears of a suspicion may probe the suspect next; rumours that wait go out every 50 ms beside the probes; joins are repeated; time that the process stood still counts against nobody. After an upgrade from a held port the configured address is heard too, so that seeds stay seeds. suspicion_alpha is 1.5.

--- a/cloverkeel/fleet/cluster.py
+++ b/cloverkeel/fleet/cluster.py
@@ -28,7 +28,7 @@
     warm: bool = True
     probe_interval_s: Seconds = 0.2
     probe_timeout_s: Seconds = 0.1
-    suspicion_alpha: Factor = 2.0
+    suspicion_alpha: Factor = 1.5
     suspicion_beta: Factor = 6.0
     push_pull_s: Seconds = 5.0
     reap_after_s: Seconds = 30.0
--- a/cloverkeel/fleet/membership/bind.py
+++ b/cloverkeel/fleet/membership/bind.py
@@ -30,18 +30,27 @@
     raise AssertionError("not reached")
 
 
-def _pair(host: str, port: int) -> tuple[socket.socket, socket.socket]:
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    udp = socket.socket(family, socket.SOCK_DGRAM)
-    tcp = socket.socket(family, socket.SOCK_STREAM)
+def udp_at(host: str, port: int) -> socket.socket:
+    """A bound UDP socket. Raises OSError."""
+    udp = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
     try:
-        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # despite past ones' TIME_WAIT
         udp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UDP_BUFFER_BYTES)
         udp.bind((host, port))
+        udp.setblocking(False)
+    except BaseException:
+        udp.close()
+        raise
+    return udp
+
+
+def _pair(host: str, port: int) -> tuple[socket.socket, socket.socket]:
+    udp = udp_at(host, port)
+    tcp = socket.socket(udp.family, socket.SOCK_STREAM)
+    try:
+        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # despite past ones' TIME_WAIT
         tcp.bind((host, udp.getsockname()[1]))
         tcp.listen(1024)  # two sockets with SO_REUSEADDR are told apart no earlier than here
-        for sock in (udp, tcp):
-            sock.setblocking(False)
+        tcp.setblocking(False)
     except BaseException:
         udp.close()
         tcp.close()
--- a/cloverkeel/fleet/membership/codec.py
+++ b/cloverkeel/fleet/membership/codec.py
@@ -1,8 +1,8 @@
 """Datagrams: a version byte, the cluster's name (a length byte before it), then one message in msgpack.
 
 A message is an array: a number for its kind, then its fields in order; a rumour is [name, address,
-incarnation, status's number, zone]. Decoding is typed and bounded (msgspec): whatever it gives is fit for the
-core. Source of the coding: https://github.com/msgpack/msgpack/blob/master/spec.md.
+incarnation, status's number, zone, by]. Decoding is typed and bounded (msgspec): whatever it gives is fit for
+the core. Source of the coding: https://github.com/msgpack/msgpack/blob/master/spec.md.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
     CLUSTER_BYTES,
     DATAGRAM_BYTES,
     Ack,
+    Gossip,
     Join,
     Message,
     Nack,
@@ -54,6 +55,7 @@
     incarnation: Annotated[int, msgspec.Meta(ge=0, le=MOST_INCARNATION)]
     status: Annotated[int, msgspec.Meta(ge=0, le=max(STATUSES))]
     zone: Annotated[str, msgspec.Meta(max_length=ZONE_BYTES)]
+    by: Annotated[str, msgspec.Meta(max_length=NAME_BYTES)]
 
 
 class _Ping(_Array, tag=1, frozen=True):
@@ -95,7 +97,12 @@
     rumours: list[_Rumour]
 
 
-_Wire = _Ping | _Ack | _PingReq | _Nack | _Push | _Join
+class _Gossip(_Array, tag=7, frozen=True):
+    sender: _Rumour
+    rumours: list[_Rumour]
+
+
+_Wire = _Ping | _Ack | _PingReq | _Nack | _Push | _Join | _Gossip
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[_Wire] = msgspec.msgpack.Decoder(_Wire)
 
@@ -121,24 +128,24 @@
 
 
 def _from_wire(wire: _Rumour) -> Rumour:
-    sizes = (len(wire.name.encode()), NAME_BYTES), (len(wire.zone.encode()), ZONE_BYTES)
-    if any(size > most for size, most in sizes):
+    sizes = (wire.name, NAME_BYTES), (wire.zone, ZONE_BYTES), (wire.by, NAME_BYTES)
+    if any(len(text.encode()) > most for text, most in sizes):
         raise DatagramError("malformed", f"a name or zone is too long: {wire.name!r:.40}")
     try:
         parse_address(wire.address)
     except ValueError as error:
         raise DatagramError("malformed", str(error)) from None
-    return Rumour(wire.name, wire.address, wire.incarnation, STATUSES[wire.status], wire.zone)
+    return Rumour(wire.name, wire.address, wire.incarnation, STATUSES[wire.status], wire.zone, wire.by)
 
 
 def _to_wire(rumour: Rumour) -> _Rumour:
     status = RANK[rumour.status]
-    return _Rumour(rumour.name, rumour.address, rumour.incarnation, status, rumour.zone)
+    return _Rumour(rumour.name, rumour.address, rumour.incarnation, status, rumour.zone, rumour.by)
 
 
 def rumours_to_body(rumours: Iterable[Rumour]) -> list[Any]:
     """Rumours as plain lists, for a body of `calls`."""
-    return [[r.name, r.address, r.incarnation, RANK[r.status], r.zone] for r in rumours]
+    return [[r.name, r.address, r.incarnation, RANK[r.status], r.zone, r.by] for r in rumours]
 
 
 def rumours_from_body(body: Any) -> list[Rumour]:
@@ -179,6 +186,8 @@
                 wire = _Push(sender, rumours, message.reply, message.more)
             case Join():
                 wire = _Join(sender, rumours)
+            case Gossip():
+                wire = _Gossip(sender, rumours)
         data = self.head + _encoder.encode(wire)
         if len(data) > DATAGRAM_BYTES:
             raise ValueError(f"{type(message).__name__} of {len(data)} bytes, over {DATAGRAM_BYTES}")
@@ -214,3 +223,5 @@
                 return Push(sender, rumours, wire.reply, wire.more)
             case _Join():
                 return Join(sender, rumours)
+            case _Gossip():
+                return Gossip(sender, rumours)
--- a/cloverkeel/fleet/membership/gossip.py
+++ b/cloverkeel/fleet/membership/gossip.py
@@ -31,6 +31,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.logged_s = -LOG_S
         self.unlogged = 0
+        self.ears: list[asyncio.BaseTransport] = []
 
     async def open(self, sock: socket.socket) -> None:
         """Take a bound UDP socket. Raises OSError."""
@@ -39,6 +40,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
+    async def open_too(self, sock: socket.socket) -> None:
+        """Hear datagrams at another socket as well; answers go out by the first. Raises OSError."""
+        transport, _ = await self.loop.create_datagram_endpoint(lambda: _Ear(self), sock=sock)
+        self.ears.append(transport)
+
     def run(self, member: Member) -> None:
         """Begin with a core (a new one in place of the one before)."""
         self.member = member
@@ -46,13 +52,21 @@
         self.tick_s = min(timing.probe_interval_s, timing.probe_timeout_s) / 4
         self.carry(member.start(self.loop.time()))
         if self.timer is None:
+            self.due_s = self.loop.time() + self.tick_s
             self.timer = self.loop.call_later(self.tick_s, self.tick)
 
     def tick(self) -> None:
+        now_s = self.loop.time()
+        late_s = now_s - self.due_s
+        self.due_s = now_s + self.tick_s
         self.timer = self.loop.call_later(self.tick_s, self.tick)
         member = self.member
-        if member is not None:
-            self.guarded(lambda: member.tick(self.loop.time()))
+        if member is None:
+            return
+        if late_s > 2 * self.tick_s:  # what came meanwhile is read after this turn of the loop, or before it
+            self.counts["stalls"] += 1
+            member.stalled(late_s)
+        self.guarded(lambda: member.tick(now_s))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         self.counts["datagrams_in"] += 1
@@ -118,5 +132,13 @@
         self.member = None
         if self.timer is not None:
             self.timer.cancel()
-        if self.transport is not None:
-            self.transport.close()
+        for transport in (self.transport, *self.ears):
+            if transport is not None:
+                transport.close()
+
+
+class _Ear(asyncio.DatagramProtocol):
+    """A second socket of one member."""
+
+    def __init__(self, gossip: Gossip) -> None:
+        self.datagram_received = gossip.datagram_received  # type: ignore[method-assign]
--- a/cloverkeel/fleet/membership/health.py
+++ b/cloverkeel/fleet/membership/health.py
@@ -14,10 +14,14 @@
 
     From `beta` times the minimum down to the minimum `alpha * log10(members) * probe_interval_s`, by
     `log(confirmations + 1) / log(expected + 1)` of the way: each member that suspects it independently
-    shortens the wait, and `expected` of them bring it to the minimum. `members` counts at least 2.
+    shortens the wait, and `expected` of them, or as many as there are, bring it to the minimum. `members`
+    counts at least 2.
     """
+    expected = min(expected, members - 2)  # all but the first that suspects it and the suspect itself
     least = alpha * math.log10(max(members, 2)) * probe_interval_s
     most = beta * least
+    if expected < 1:
+        return least
     share = math.log(max(confirmations, 0) + 1) / math.log(expected + 1)
     return max(least, most - (most - least) * share)
 
--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -17,6 +17,7 @@
     Alone,
     Changed,
     Exchange,
+    Gossip,
     Join,
     Message,
     Nack,
@@ -57,7 +58,8 @@
         self.cycle = ProbeCycle(self.roster)
         self.joining_until_s: float | None = None
         self.refused = False
-        self.next_push_s = 0.0
+        self.next_push_s = self.next_ask_s = self.next_gossip_s = 0.0
+        self.ask_gap_s = timing.probe_interval_s  # between two calls to the seeds while nobody is known
 
     @property
     def me(self) -> Rumour:
@@ -83,7 +85,16 @@
         if not self.seeds:
             return []
         self.joining_until_s = now_s + self.timing.join_wait_s
-        return [Send(seed, Join(self.me)) for seed in self.seeds]
+        return self._ask_seeds(now_s)
+
+    def _ask_seeds(self, now_s: float) -> list[Action]:
+        """While joining, again each probe interval; once alone, at gaps that double up to `push_pull_s`."""
+        if self.joining_until_s is None:
+            self.ask_gap_s = min(2 * self.ask_gap_s, self.timing.push_pull_s)
+        self.next_ask_s = now_s + self.ask_gap_s
+        if self.joining_until_s is not None:
+            return [Send(seed, Join(self.me)) for seed in self.seeds]
+        return [Send(seed, Push(self.me, (self.me,), reply=True)) for seed in self.seeds]
 
     def leave(self, now_s: float) -> list[Action]:
         """A graceful leave: `left` at this member's own incarnation, told at once to every live member."""
@@ -127,6 +138,8 @@
             return roster.push_to(sender.address, reply=False, first=sender.name)
         actions: list[Action] = []
         for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
+            if isinstance(message, Push):
+                rumour = self.roster.doubted(rumour)
             actions += self._learn(rumour, now_s, sender.name)
             if self.refused:
                 return actions
@@ -136,16 +149,19 @@
             if message.target == self.me.name:
                 if message.suspect:
                     actions += self._about_me(replace(self.me, status=Status.SUSPECT))
-                actions.append(roster.send(sender.address, lambda r: Ack(message.seq, self.me, r)))
+                gone = roster.held_gone(sender)  # it hears so, and refutes it; nobody else is told
+                told = (gone,) if gone is not None else ()
+                ack = roster.send(sender.address, lambda r: Ack(message.seq, self.me, told + r), gone)
+                actions.append(ack)
         elif isinstance(message, Ack):
             actions += self.cycle.on_ack(message)
         elif isinstance(message, PingReq):
             actions += self.cycle.on_ping_req(message, now_s)
         elif isinstance(message, Nack):
             self.cycle.on_nack(message)
-        elif message.reply:
+        elif isinstance(message, Push) and message.reply:
             actions += roster.push_to(sender.address, reply=False)
-        elif message.more:
+        elif isinstance(message, Push) and message.more:
             actions.append(Exchange(sender.address))
         return actions
 
@@ -161,12 +177,43 @@
         actions += self.cycle.step(now_s)
         actions += self.roster.end_suspicions(now_s)
         actions += self.cycle.end_relays(now_s)
-        if now_s >= self.next_push_s:
+        if not self.roster.live():
+            if now_s >= self.next_ask_s:
+                actions += self._ask_seeds(now_s)
+        elif now_s >= self.next_push_s:
             self.next_push_s = now_s + self.timing.push_pull_s
-            live = self.roster.live()
-            if live:
-                actions += self.roster.push_to(self.rng.choice(live).address, reply=True)
-            else:
-                actions += [Send(seed, Push(self.me, (self.me,), reply=True)) for seed in self.seeds]
+            self.ask_gap_s = self.timing.probe_interval_s
+            actions += self.roster.push_to(self.rng.choice(self.roster.live()).address, reply=True)
+            actions += self._look_for_the_gone()
+        if self.roster.broadcasts.waiting and now_s >= self.next_gossip_s:
+            self.next_gossip_s = now_s + self.timing.gossip_interval_s
+            actions += self._gossip()
         self.roster.reap(now_s)
         return actions
+
+    def _gossip(self) -> list[Action]:
+        """What waits to be passed on, to a few members chosen at random."""
+        live = self.roster.live()
+        chosen = self.rng.sample(live, min(self.timing.gossip_fanout, len(live)))
+        sends = [self.roster.send(r.address, lambda riders: Gossip(self.me, riders)) for r in chosen]
+        return [s for s in sends if s.message.rumours]
+
+    def _look_for_the_gone(self) -> list[Action]:
+        """A view to one that is dead here, or to a seed that is not known: what a partition has parted finds
+        together again by it."""
+        live = {r.address for r in self.roster.live()}
+        dead = [r.address for r in self.view.members.values() if r.status is Status.DEAD]
+        gone = dead + [seed for seed in self.seeds if seed not in live]
+        if not gone:
+            return []
+        address = self.rng.choice(gone)
+        held = tuple(r for r in self.view.members.values() if r.address == address)
+        pushes = self.roster.push_to(address, reply=True)
+        return pushes if isinstance(pushes[0], Send) else [Send(address, Push(self.me, held, reply=True))]
+
+    def stalled(self, for_s: float) -> None:
+        """This process stood still for so long: nobody's silence meanwhile is held against them."""
+        self.cycle.put_off(for_s)
+        self.roster.put_off(for_s)
+        if self.joining_until_s is not None:
+            self.joining_until_s += for_s
--- a/cloverkeel/fleet/membership/messages.py
+++ b/cloverkeel/fleet/membership/messages.py
@@ -14,9 +14,11 @@
     probe_interval_s: float = 0.2
     probe_timeout_s: float = 0.1
     indirect_checks: int = 3
-    suspicion_alpha: float = 2.0
+    suspicion_alpha: float = 1.5
     suspicion_beta: float = 6.0
     retransmit_mult: int = 4
+    gossip_interval_s: float = 0.05
+    gossip_fanout: int = 3
     push_pull_s: float = 5.0
     reap_after_s: float = 30.0
     join_wait_s: float = 1.0
@@ -75,7 +77,15 @@
     rumours: tuple[Rumour, ...] = ()
 
 
-Message = Ping | Ack | PingReq | Nack | Push | Join
+@dataclass(slots=True, frozen=True)
+class Gossip:
+    """Rumours alone, between probes, while there are any to pass on."""
+
+    sender: Rumour
+    rumours: tuple[Rumour, ...] = ()
+
+
+Message = Ping | Ack | PingReq | Nack | Push | Join | Gossip
 
 
 # What the core asks of its shell.
@@ -125,8 +135,8 @@
 MOST_DATAGRAMS = 10  # for one view; a larger one goes over a stream
 CLUSTER_BYTES = 64  # a cluster's name, at most
 MESSAGE_BYTES = 2 + CLUSTER_BYTES + 17  # version, name, array, kind, seq, rumours' array, flags
-RUMOUR_BYTES = 17  # the framing of one rumour's five fields
+RUMOUR_BYTES = 19  # the framing of one rumour's six fields
 
 
 def rumour_bytes(rumour: Rumour) -> int:
-    return RUMOUR_BYTES + len(f"{rumour.name}{rumour.address}{rumour.zone}".encode())
+    return RUMOUR_BYTES + len(f"{rumour.name}{rumour.address}{rumour.zone}{rumour.by}".encode())
--- a/cloverkeel/fleet/membership/probe.py
+++ b/cloverkeel/fleet/membership/probe.py
@@ -129,3 +129,12 @@
 
     def _nack(self, address: str, seq: int) -> Action:
         return self.roster.send(address, lambda r: Nack(seq, self.roster.me, r))
+
+    def put_off(self, for_s: float) -> None:
+        if self.probe is not None:
+            self.probe.deadline_s += for_s
+            self.probe.ends_s += for_s
+        for relay in self.relays.values():
+            relay.ends_s += for_s
+            if relay.nack_s >= 0:
+                relay.nack_s += for_s
--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -24,6 +24,8 @@
 from cloverkeel.fleet.membership.rumours import Rumour, Status, View
 
 PRESENT = (Status.ALIVE, Status.SUSPECT)
+VERIFIERS = 6
+HEARSAY = "-"  # holds every suspicion that was read in a view, so that many views confirm nothing
 
 
 class Roster:
@@ -56,7 +58,7 @@
         self, address: str, make: Callable[[tuple[Rumour, ...]], Message], target: Rumour | None = None
     ) -> Send:
         """A message to `address` with as many rumours on it as fit one datagram beside `target`, which a
-        ping names and a ping request carries whole."""
+        ping names and other messages carry whole."""
         limit = retransmits(self.timing.retransmit_mult, self.count())
         budget = DATAGRAM_BYTES - MESSAGE_BYTES - rumour_bytes(self.me)
         if target is not None:
@@ -93,15 +95,16 @@
             and rumour.name in self.suspicions
         ):
             by = self.suspicions[rumour.name][1]
-            if source not in by:  # an independent confirmation shortens the wait (Lifeguard IV.B)
-                by.add(source)
+            if (rumour.by or source) not in by:  # an independent confirmation shortens the wait
+                by.add(rumour.by or source)
                 self.broadcasts.add(rumour)
             return []
         if self.view.merge(rumour) is None:
             return []
         self.broadcasts.add(rumour)
         if rumour.status is Status.SUSPECT:
-            self.suspicions[rumour.name] = (now_s, {source})
+            self.suspicions[rumour.name] = (now_s, {rumour.by or source})
+            self._verify(rumour.name)
         else:
             self.suspicions.pop(rumour.name, None)
         if rumour.status in PRESENT:
@@ -112,6 +115,35 @@
             self.order.insert(self.rng.randrange(len(self.order) + 1), rumour.name)
         return [Changed(rumour, before, f"heard from {source}")]
 
+    def _verify(self, name: str) -> None:
+        """Some VERIFIERS of all that hear of a suspicion probe the suspect next: a member that answers is
+        soon cleared, and one that does not has its confirmations."""
+        if self.rng.random() * self.count() < VERIFIERS:
+            if name in self.order:
+                self.order.remove(name)
+            self.order.append(name)
+
+    def doubted(self, rumour: Rumour) -> Rumour:
+        """A death read in another's whole view, of one that is present here, counts as a suspicion: it may be
+        old news of a partition, and the member has the time to refute it (as memberlist's push-pull does). So
+        does a suspicion there: who holds it is not independent of the rest of that view."""
+        known = self.view.members.get(rumour.name)
+        if rumour.status is Status.DEAD and known is not None and known.status in PRESENT:
+            return replace(rumour, status=Status.SUSPECT, by=HEARSAY)
+        return rumour
+
+    def held_gone(self, sender: Rumour) -> Rumour | None:
+        """What is held of a member that is gone here, and yet speaks; None: it is present here too."""
+        held = self.view.members.get(sender.name)
+        if held is not None and held.status not in PRESENT and sender.status in PRESENT:
+            return held
+        return None
+
+    def put_off(self, for_s: float) -> None:
+        """Suspicions end so much later."""
+        for name, (since_s, by) in self.suspicions.items():
+            self.suspicions[name] = (since_s + for_s, by)
+
     def next_target(self) -> Rumour | None:
         """Round-robin over a list shuffled anew on each pass, as SWIM's section 4.3 says."""
         for _ in range(2):
@@ -126,9 +158,9 @@
     def suspect(self, name: str, now_s: float) -> list[Action]:
         """This member's own probe of `name` failed."""
         known = self.view.members.get(name)
-        if known is None or known.status is not Status.ALIVE:
+        if known is None or known.status not in PRESENT:
             return []
-        return self.learn(replace(known, status=Status.SUSPECT), now_s, self.me.name)
+        return self.learn(replace(known, status=Status.SUSPECT, by=self.me.name), now_s, self.me.name)
 
     def end_suspicions(self, now_s: float) -> list[Action]:
         """Suspects whose time is over are dead."""
@@ -140,7 +172,7 @@
             )
             known = self.view.members.get(name)
             if now_s - since_s >= wait_s and known is not None:
-                actions += self.learn(replace(known, status=Status.DEAD), now_s, self.me.name)
+                actions += self.learn(replace(known, status=Status.DEAD, by=""), now_s, self.me.name)
         return actions
 
     def reap(self, now_s: float) -> None:
--- a/cloverkeel/fleet/membership/rumours.py
+++ b/cloverkeel/fleet/membership/rumours.py
@@ -30,6 +30,7 @@
     incarnation: int
     status: Status
     zone: str = ""  # where it runs; told with the rest, no part of the order
+    by: str = field(default="", compare=False)  # of a suspicion: who holds it, whoever passed it on
 
     @property
     def order(self) -> tuple[int, int, str]:
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -10,7 +10,7 @@
 
 from cloverkeel.fleet.cluster import ClusterSettings
 from cloverkeel.fleet.events import event
-from cloverkeel.fleet.membership.bind import open_sockets
+from cloverkeel.fleet.membership.bind import open_sockets, udp_at
 from cloverkeel.fleet.membership.calls import CallFailed, Calls
 from cloverkeel.fleet.membership.codec import (
     Codec,
@@ -51,7 +51,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self.settings, self.name, self.zone, self.take_over = settings, name, zone, take_over
-        self.incarnation = incarnation
+        self.incarnation, self.seeds = incarnation, settings.seeds
         self.rng = rng or random.Random()
         self.joined = asyncio.Event()
         self.calls = Calls(settings.name, name)
@@ -76,12 +76,26 @@
         self.address = format_address(host, udp.getsockname()[1])
         await self.calls.listen(tcp)
         await self.gossip.open(udp)
+        if port and self.address != format_address(host, port):
+            self.seeds += (self.settings.bind,)  # the process before: its view is the fleet's
+            self._spawn(self._hear_at(host, port))
         self._join()
 
+    async def _hear_at(self, host: str, port: int) -> None:
+        """Members that join ask at the configured address: hear them there too, once the process before has
+        ended."""
+        while True:
+            await asyncio.sleep(self.settings.join_wait_s)
+            try:
+                await self.gossip.open_too(udp_at(host, port))
+                return
+            except OSError:
+                continue
+
     def _join(self) -> None:
         me = Rumour(self.name, self.address, self.incarnation, Status.ALIVE, self.zone)
         settings = self.settings
-        self.member = Member(me, settings.timing, settings.seeds, self.take_over, self.rng)
+        self.member = Member(me, settings.timing, self.seeds, self.take_over, self.rng)
         self.state = "joining"
         self.gossip.run(self.member)
         if self.member.joining_until_s is None:
@@ -228,7 +242,7 @@
             "suspicions": mine["seen_suspect"], "refutations": mine["refutations"],
             "deaths": mine["seen_dead"], "leaves": mine["seen_left"],
             "datagrams_in": sent["datagrams_in"], "datagrams_out": sent["datagrams_out"],
-            "views_swapped": mine["views_swapped"],
+            "views_swapped": mine["views_swapped"], "stalls": sent["stalls"],
         }  # fmt: skip
         for reason in ("malformed", "oversized", "version", "cluster", "unsendable", "failed"):
             named[f"datagrams_dropped_{reason}"] = sent[f"dropped_{reason}"]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,14 +2,27 @@
 
 import heapq
 import random
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cloverkeel.fleet.membership.broadcasts import Broadcasts, retransmits
+from cloverkeel.fleet.membership.codec import Codec
 from cloverkeel.fleet.membership.health import LocalHealth, suspicion_timeout_s
 from cloverkeel.fleet.membership.member import Member
-from cloverkeel.fleet.membership.messages import Action, Changed, Message, Send, Timing
+from cloverkeel.fleet.membership.messages import (
+    MOST_DATAGRAMS,
+    Action,
+    Alone,
+    Changed,
+    Exchange,
+    Gossip,
+    Message,
+    Push,
+    Send,
+    Timing,
+)
 from cloverkeel.fleet.membership.rumours import Rumour, Status, View
 
 ME = Rumour("a", "127.0.0.1:1", 5, Status.ALIVE)
@@ -79,6 +92,13 @@
     assert not queue.waiting
 
 
+CODEC = Codec("c" * 64)
+
+
+def at(number: int) -> str:
+    return f"127.0.0.1:{7000 + number}"
+
+
 class Net:
     """Members on simulated time: every datagram takes `delay_s`, some are dropped or doubled by `rng`."""
 
@@ -86,15 +106,16 @@
         self.rng = random.Random(seed)
         self.drop, self.twice, self.now_s = drop, twice, 0.0
         self.members = {
-            f"127.0.0.1:{n}": Member(
-                Rumour(f"m{n}", f"127.0.0.1:{n}", 1, Status.ALIVE),
+            at(n): Member(
+                Rumour(f"m{n}", at(n), 1, Status.ALIVE),
                 Timing(),
-                seeds=("127.0.0.1:0",) if n else (),
+                seeds=(at(0),) if n else (),
                 rng=random.Random(seed + n),
             )
             for n in range(count)
         }
         self.cut: set[str] = set()  # addresses whose datagrams are lost both ways
+        self.side: set[str] = set()  # of a partition: nothing passes between these and the others
         self.flight: list[tuple[float, int, str, Message]] = []
         self.actions: list[tuple[str, object]] = []
         for address, member in self.members.items():
@@ -103,8 +124,16 @@
     def carry(self, source: str, actions: list[Action]) -> None:
         for action in actions:
             self.actions.append((source, action))
+            if isinstance(action, Exchange):  # a call carries both views
+                asker, other = self.members[source], self.members[action.address]
+                views = [Push(m.me, tuple(m.members().values())) for m in (asker, other)]
+                self.carry(action.address, other.receive(views[0], self.now_s))
+                self.carry(source, asker.receive(views[1], self.now_s))
             if not isinstance(action, Send) or {source, action.address} & self.cut:
                 continue
+            assert CODEC.decode(CODEC.encode(action.message)) == action.message  # fits, and comes as it went
+            if (source in self.side) != (action.address in self.side):
+                continue
             if self.rng.random() < self.drop:
                 continue
             for _ in range(2 if self.rng.random() < self.twice else 1):
@@ -137,7 +166,7 @@
     net.run(2.0)
     assert all(len(m.members()) == 5 for m in net.members.values())
     assert net.status("m3") == {Status.ALIVE}
-    net.cut.add("127.0.0.1:3")
+    net.cut.add(at(3))
     killed_s = net.now_s
     while net.status("m3") != {Status.DEAD} and net.now_s < killed_s + 5:
         net.run(net.now_s + 0.05)
@@ -148,20 +177,20 @@
 def test_a_member_silent_for_less_than_the_suspicion_time_refutes_and_nobody_marks_it_dead() -> None:
     net = Net(5, seed=2)
     net.run(2.0)
-    net.cut.add("127.0.0.1:2")
+    net.cut.add(at(2))
     net.run(2.3)
     net.cut.clear()
     net.run(5.0)
     deaths = [a for _, a in net.actions if isinstance(a, Changed) and a.rumour.status is Status.DEAD]
     assert not deaths
-    assert net.status("m2") == {Status.ALIVE} and net.members["127.0.0.1:2"].me.incarnation > 1
+    assert net.status("m2") == {Status.ALIVE} and net.members[at(2)].me.incarnation > 1
 
 
 def test_a_graceful_leave_is_known_at_once_and_a_dead_member_is_reaped() -> None:
     net = Net(4, seed=3)
     net.run(2.0)
-    leaver = net.members["127.0.0.1:1"]
-    net.carry("127.0.0.1:1", leaver.leave(net.now_s))
+    leaver = net.members[at(1)]
+    net.carry(at(1), leaver.leave(net.now_s))
     net.run(net.now_s + 0.05)
     assert net.status("m1") == {Status.LEFT}
     net.run(net.now_s + Timing().reap_after_s + 1)
@@ -172,17 +201,17 @@
     net = Net(3, seed=4)
     net.run(1.0)
     for take_over in (False, True):
-        twin = Member(Rumour("m2", "127.0.0.1:9", 1, Status.ALIVE), Timing(), ("127.0.0.1:0",), take_over)
-        net.members["127.0.0.1:9"] = twin
-        net.carry("127.0.0.1:9", twin.start(net.now_s))
+        twin = Member(Rumour("m2", at(9), 1, Status.ALIVE), Timing(), (at(0),), take_over)
+        net.members[at(9)] = twin
+        net.carry(at(9), twin.start(net.now_s))
         net.run(net.now_s + 0.5)
         assert twin.refused is not take_over
         if not take_over:
-            del net.members["127.0.0.1:9"]
+            del net.members[at(9)]
     net.run(net.now_s + 1.0)
-    old = net.members["127.0.0.1:2"]
+    old = net.members[at(2)]
     assert old.refused and not old.leave(net.now_s)  # taken over: it says nothing more, not even its leave
-    assert {m.members()["m2"].address for m in net.members.values() if m is not old} == {"127.0.0.1:9"}
+    assert {m.members()["m2"].address for m in net.members.values() if m is not old} == {at(9)}
 
 
 @settings(max_examples=25, deadline=None)
@@ -197,3 +226,81 @@
     views = [{n: (r.status, r.incarnation) for n, r in m.members().items()} for m in net.members.values()]
     assert all(view == views[0] for view in views)
     assert {status for status, _ in views[0].values()} == {Status.ALIVE}
+
+
+@settings(max_examples=6, deadline=None)
+@given(st.integers(0, 2**31))
+def test_a_partition_longer_than_the_suspicion_time_heals_within_one_push_pull_period(seed: int) -> None:
+    net = Net(7, seed)
+    net.run(2.0)
+    net.side = {at(n) for n in (1, 2, 3)}
+    net.run(16.0)  # the fewer, the slower: their probes fail, and their local health says so
+    for n in range(7):
+        held = net.members[at(n)].members().values()
+        dead = {r.name for r in held if r.status is Status.DEAD}
+        assert dead == ({"m0", "m4", "m5", "m6"} if n in (1, 2, 3) else {"m1", "m2", "m3"})
+    net.side.clear()
+    before = len(net.actions)
+    net.run(16.0 + Timing().push_pull_s)
+    views = [m.members() for m in net.members.values()]
+    assert all(view == views[0] for view in views)
+    assert {r.status for r in views[0].values()} == {Status.ALIVE}
+    told = [a for _, a in net.actions[before:] if isinstance(a, Changed) and a.rumour.status is Status.DEAD]
+    assert not told  # what one side held of the other is doubted, not believed
+
+
+def test_a_seed_that_starts_late_is_found_and_a_member_alone_asks_on_at_growing_gaps() -> None:
+    net = Net(3, seed=6)
+    late = net.members.pop(at(0))
+    net.run(3.0)
+    assert [a for _, a in net.actions if isinstance(a, Alone)] == [Alone((at(0),))] * 2
+    asked = sum(s == at(1) and isinstance(a, Send) for s, a in net.actions)
+    assert 6 <= asked <= 10
+    net.members[at(0)] = late
+    net.run(3.0 + Timing().push_pull_s)
+    assert {name for m in net.members.values() for name in m.members()} == {"m0", "m1", "m2"}
+
+
+def test_a_view_over_ten_datagrams_is_swapped_over_a_stream_by_the_one_that_joins_too() -> None:
+    net = Net(2, seed=7)
+    seed_, joiner = net.members.values()
+    for n in range(1_000):
+        name = f"gateway-{n:04}"
+        seed_.receive(Push(Rumour(name, f"127.0.0.1:{n + 5000}", 1, Status.ALIVE, "zone-a")), 0.0)
+    net.run(0.05)
+    assert [a for _, a in net.actions if isinstance(a, Exchange)] == [Exchange(at(0))]
+    assert joiner.members().keys() == seed_.members().keys() and len(joiner.members()) == 1_002
+    assert sum(s == at(0) and isinstance(a, Send) for s, a in net.actions) <= MOST_DATAGRAMS
+
+
+def test_a_member_that_stood_still_does_not_suspect_those_it_did_not_hear() -> None:
+    net = Net(3, seed=8)
+    net.run(2.0)
+    still = net.members[at(1)]
+    for _ in range(20):  # in each of which a probe is under way
+        net.run(net.now_s + 0.05)
+        del net.members[at(1)]
+        net.now_s += 0.3
+        held, net.flight = net.flight, []
+        net.members[at(1)] = still
+        still.stalled(0.3)
+        net.carry(at(1), still.tick(net.now_s))
+        net.flight = held
+    suspected = [a for s, a in net.actions if isinstance(a, Changed) and a.rumour.status is Status.SUSPECT]
+    assert not suspected
+
+
+def test_a_suspicion_is_confirmed_by_those_that_hold_it_however_many_pass_it_on() -> None:
+    member = Member(ME, Timing())
+    for name in ("b", "c", "d", "e"):
+        member.receive(Push(Rumour(name, at(ord(name)), 1, Status.ALIVE)), 0.0)
+    held = Rumour("b", at(ord("b")), 1, Status.SUSPECT, by="c")
+    senders = [member.members()[name] for name in ("c", "d", "e")]
+    for sender in senders:
+        member.receive(Gossip(sender, (held,)), 0.0)
+    assert member.roster.suspicions["b"][1] == {"c"}
+    member.receive(Gossip(senders[0], (replace(held, by="e"),)), 0.0)
+    assert member.roster.suspicions["b"][1] == {"c", "e"}
+    sent = [a.message for a in member.tick(0.06) if isinstance(a, Send)]
+    passed = [CODEC.decode(CODEC.encode(message)) for message in sent if isinstance(message, Gossip)]
+    assert {r.by for m in passed for r in m.rumours if r.status is Status.SUSPECT} == {"e"}
