Members' sockets count against the gateway's descriptors; nothing kept of reaped members

A relay of lists holds a connection for each follower: hundreds of descriptors that the gateway's limit did not know of. The server takes them into account; 512 connections are served at once. What was kept of members long reaped is dropped. An upgrade's new process asks no seed twice.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -84,6 +84,7 @@
             from cloverkeel.fleet.start import FleetParts
 
             fleet = FleetParts(config, config.cluster, gateway, keeper, inherited is not None)
+            server.others = fleet.descriptors
 
         def figures() -> Answer:
             more = (fleet.counters(), fleet.gauges()) if fleet is not None else ()
--- a/cloverkeel/fleet/membership/gossip.py
+++ b/cloverkeel/fleet/membership/gossip.py
@@ -6,7 +6,7 @@
 import socket
 import traceback
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import cast
 
 from cloverkeel.fleet.events import event
@@ -81,8 +81,14 @@
         """A message for the core, by whichever way it came."""
         member = self.member
         if member is not None:
-            self.heard[message.sender.name] = self.loop.time()
-            self.guarded(lambda: member.receive(message, self.loop.time()))
+            now_s = self.loop.time()
+            self.guarded(lambda: member.receive(message, now_s))
+            if message.sender.name in member.view.members:
+                self.heard[message.sender.name] = now_s
+
+    def forget(self, names: Container[str]) -> None:
+        """Of members that are known no more nothing is kept."""
+        self.heard = {name: at_s for name, at_s in self.heard.items() if name in names}
 
     def guarded(self, step: Callable[[], list[Action]]) -> None:
         """One step of the core; an error in it is a fault of this program, told while the member goes on."""
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -77,7 +77,8 @@
         await self.calls.listen(tcp)
         await self.gossip.open(udp)
         if port and self.address != format_address(host, port):
-            self.seeds += (self.settings.bind,)  # the process before: its view is the fleet's
+            # The process before: its view is the fleet's.
+            self.seeds = tuple(dict.fromkeys((*self.seeds, self.settings.bind)))
             self._spawn(self._hear_at(host, port))
         self._join()
 
@@ -117,6 +118,10 @@
     def _changed(self, action: Changed) -> None:
         rumour, before = action.rumour, action.before
         self.changed_s[rumour.name] = self.loop.time()
+        if len(self.changed_s) > 2 * len(self.view()) + 16:  # mostly of members long reaped
+            known = self.view()
+            self.changed_s = {name: at_s for name, at_s in self.changed_s.items() if name in known}
+            self.gossip.forget(known)
         if rumour.name == self.name:
             self.counts["refutations"] += 1
             self._line("members.refuted", incarnation=rumour.incarnation, reason=action.reason)
@@ -252,6 +257,10 @@
             named[key] = calls[key]
         return named
 
+    def descriptors(self) -> int:
+        """Sockets open now, for a process with a limit."""
+        return 3 + len(self.calls.serving) + len(self.calls.subscriptions) + len(self.gossip.ears)
+
     async def leave(self) -> None:
         """Say `left` to all; nothing is said after it. Calls and feeds go on until `close`."""
         if self.rejoin is not None:
--- a/cloverkeel/fleet/membership/serving.py
+++ b/cloverkeel/fleet/membership/serving.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from cloverkeel.fleet.membership.calls import Calls
 
-MOST_CONNECTIONS = 1_024  # served at once; beyond, a new one is closed
+MOST_CONNECTIONS = 512  # served at once; beyond, a new one is closed
 REQUEST_S = 2.0  # for a connection's request to come whole
 HANDLER_S = 10.0  # for a handler to answer
 UNACKED_MS = 10_000  # a peer whose machine acknowledges nothing for so long has gone (TCP_USER_TIMEOUT)
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -74,6 +74,10 @@
     def gauges(self) -> dict[str, int]:
         return {"members_live": len(self.membership.live())} if self.membership is not None else {}
 
+    def descriptors(self) -> int:
+        """Sockets that this process has open beside those of its clients and hosts."""
+        return self.membership.descriptors() if self.membership is not None else 0
+
     async def leave(self) -> None:
         if self.membership is not None:
             await self.membership.leave()
@@ -94,6 +98,7 @@
     if keeper is None:
         return clock
     number = asyncio.wrap_future(keeper.number(COUNTER))
+    number.add_done_callback(lambda late: late.cancelled() or late.exception())  # it may come after the wait
     done, _ = await asyncio.wait([number], timeout=TAKEN_OVER_S if take_over else NUMBER_S)
     if done and number.exception() is None:
         return number.result()
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from functools import partial
 from typing import cast
 
@@ -101,6 +102,7 @@
         self.listener: asyncio.Server | None = None
         self.inherited = inherited  # others accept from it too
         self.accepting = False
+        self.others: Callable[[], int] = int  # descriptors of the process's other parts
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
         asyncio.get_running_loop().call_later(REPORT_S, self.report)
         gateway.pools.room = self.make_room
@@ -198,7 +200,7 @@
     @property
     def spare(self) -> int:
         """Descriptors left, but for the few of the program itself."""
-        return self.config.sockets - len(self.connections) - self.gateway.pools.open
+        return self.config.sockets - len(self.connections) - self.gateway.pools.open - self.others()
 
     def make_room(self) -> None:
         """Give up idle connections when descriptors run short: first a client's, which costs no host work."""
--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from cloverkeel.config import ConfigError, parse
+from cloverkeel.config import ConfigError, follow, parse
 from tests.sockets import configuration, on_loop, peer, read_message
 from tests.test_gateway_process import ROOT, connect, free_port, listening, program
 
@@ -141,4 +141,7 @@
 def test_a_gateway_in_a_cluster_needs_a_name() -> None:
     with pytest.raises(ConfigError, match="cluster: the gateway's own name"):
         parse(configuration() | {"cluster": CLUSTER, "name": ""})
-    assert parse(configuration() | {"cluster": CLUSTER}).cluster is not None
+    started = parse(configuration() | {"cluster": CLUSTER})
+    assert started.cluster is not None and started.cluster.bind_address == ("127.0.0.1", 0)
+    for again in (configuration(), configuration() | {"cluster": CLUSTER | {"name": "green"}}):
+        assert follow(started, parse(again)).cluster == started.cluster  # a SIGHUP changes none
--- a/tests/test_membership_service.py
+++ b/tests/test_membership_service.py
@@ -55,7 +55,7 @@
         heard: list[tuple[str, str]] = []
         first.on_change(lambda rumour, before: heard.append((rumour.name, rumour.status.value)))
         assert all(m.joined.is_set() and m.state == "member" for m in (first, second, third))
-        assert [r.zone for r in first.live()] == ["a"] * 3
+        assert [r.zone for r in first.live()] == ["a"] * 3 and first.descriptors() == 3
         await second.leave()
         second.close()
         await until(lambda: statuses(first)["m1"] == statuses(third)["m1"] == "left")
