Membership: a name is a claim until another's view is heard; a member cut off from all looks for them

A process that met nobody within its join wait and then heard of its older self at a higher incarnation fell silent for good; now the new process of an upgrade takes the name over, and any other is refused and asks again. A member that holds all others dead sends its view to them, not to seeds alone. Calls fail by one path; the settings' defaults are the core's; a seed of the other address family is refused by name.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -108,6 +108,8 @@
             await server.start()
         except OSError as error:
             log(f"cannot listen on {address[0]}:{address[1]}: {error.strerror}")
+            if fleet is not None:
+                await fleet.leave()
             return 1
         loop.add_signal_handler(signal.SIGHUP, server.reload)
         if keeper is not None:
--- a/cloverkeel/fleet/cluster.py
+++ b/cloverkeel/fleet/cluster.py
@@ -11,6 +11,7 @@
 from cloverkeel.fleet.membership.codec import NAME_BYTES, head_of, parse_address
 from cloverkeel.fleet.membership.messages import Timing
 
+DEFAULT = Timing()
 Seconds = Annotated[float, msgspec.Meta(ge=0.01, le=3600)]
 Factor = Annotated[float, msgspec.Meta(ge=0.5, le=100)]
 
@@ -26,13 +27,13 @@
     list_calls_per_s: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 5.0
     lists: bool = True
     warm: bool = True
-    probe_interval_s: Seconds = 0.2
-    probe_timeout_s: Seconds = 0.1
-    suspicion_alpha: Factor = 1.5
-    suspicion_beta: Factor = 6.0
-    push_pull_s: Seconds = 5.0
-    reap_after_s: Seconds = 30.0
-    join_wait_s: Seconds = 1.0
+    probe_interval_s: Seconds = DEFAULT.probe_interval_s
+    probe_timeout_s: Seconds = DEFAULT.probe_timeout_s
+    suspicion_alpha: Factor = DEFAULT.suspicion_alpha
+    suspicion_beta: Factor = DEFAULT.suspicion_beta
+    push_pull_s: Seconds = DEFAULT.push_pull_s
+    reap_after_s: Seconds = DEFAULT.reap_after_s
+    join_wait_s: Seconds = DEFAULT.join_wait_s
 
     @property
     def timing(self) -> Timing:
@@ -89,9 +90,11 @@
         )
     for seed in settings.seeds:
         try:
-            parse_address(seed)
+            seed_host, _ = parse_address(seed)
         except ValueError as error:
             raise ConfigError(f"cluster: seeds: {error}") from None
+        if (":" in seed_host) != (":" in host):
+            raise ConfigError(f"cluster: seeds: {seed} cannot be reached from {settings.bind}: IPv4 and IPv6")
     if settings.probe_timeout_s >= settings.probe_interval_s:
         raise ConfigError("cluster: probe_timeout_s is not below probe_interval_s")
     return settings
--- a/cloverkeel/fleet/membership/calls.py
+++ b/cloverkeel/fleet/membership/calls.py
@@ -9,7 +9,8 @@
 import asyncio
 import socket
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 from cloverkeel.fleet.membership.codec import parse_address
@@ -63,54 +64,53 @@
             feed.beat()
         self.beat = asyncio.get_running_loop().call_later(BEAT_S, self._beat)
 
-    async def _connect(self, address: str, stream: Stream) -> None:
+    @asynccontextmanager
+    async def _attempt(self, what: str, timeout_s: float) -> AsyncIterator[None]:
+        """Whatever stands in the way within becomes one CallFailed, and is counted."""
         try:
-            host, port = parse_address(address)
-            await asyncio.get_running_loop().create_connection(lambda: stream, host, port)
-        except (OSError, ValueError) as error:
-            raise CallFailed(f"{address}: {error}") from None
+            if self.closed:
+                raise CallFailed("closed")
+            async with asyncio.timeout(timeout_s):
+                yield
+            return
+        except TimeoutError:
+            why = f"no answer in {timeout_s:g} s"
+        except (FrameError, CallFailed, OSError, ValueError) as error:
+            why = str(error)
+        self.counts["calls_failed"] += 1
+        raise CallFailed(f"{what}: {why}")
+
+    async def _connect(self, address: str, stream: Stream) -> None:
+        host, port = parse_address(address)
+        await asyncio.get_running_loop().create_connection(lambda: stream, host, port)
 
     async def call(self, address: str, kind: str, body: Any, timeout_s: float) -> Any:
         """Ask the member at `address`; raises CallFailed where no answer comes within `timeout_s`, the
         answer is an error or malformed, or this side has closed."""
-        if self.closed:
-            raise CallFailed("closed")
         answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
         def on_frame(got: str, value: Any) -> None:
-            if answer.done():
-                return
-            if got == OK:
+            if got != OK:
+                on_lost(f"{got}: {value!s:.120}")
+            elif not answer.done():
                 answer.set_result(value)
-            else:
-                answer.set_exception(CallFailed(f"{address} {kind}: {got}: {value!s:.120}"))
 
         def on_lost(reason: str) -> None:
             if not answer.done():
-                answer.set_exception(CallFailed(f"{address} {kind}: {reason}"))
+                answer.set_exception(CallFailed(reason))
 
         stream = Stream(self.frames, on_frame, on_lost)
         self.counts["calls_out"] += 1
         try:
-            async with asyncio.timeout(timeout_s):
+            async with self._attempt(f"{address} {kind}", timeout_s):
                 await self._connect(address, stream)
                 stream.write(kind, (self.name, body))
                 return await answer
-        except TimeoutError:
-            raise self._failed(f"{address} {kind}: no answer in {timeout_s:g} s") from None
-        except FrameError as error:
-            raise self._failed(f"{address} {kind}: {error}") from None
-        except CallFailed:
-            self.counts["calls_failed"] += 1
-            raise
         finally:
             stream.end("over")
             if answer.done() and not answer.cancelled():
                 answer.exception()  # retrieved, whoever waited
-
-    def _failed(self, why: str) -> CallFailed:
-        self.counts["calls_failed"] += 1
-        return CallFailed(why)
+        raise AssertionError("not reached")
 
     async def subscribe(
         self,
@@ -122,27 +122,18 @@
     ) -> Subscription:
         """Follow the member at `address`: `on_body` for each body it sends, `on_end(reason)` once the feed
         has ended. Raises CallFailed where no connection comes about; `on_end` is not called then."""
-        if self.closed:
-            raise CallFailed("closed")
         self.counts["subscriptions"] += 1
         subscription = Subscription(on_body, on_end)
         subscription.on_over = lambda: self.subscriptions.discard(subscription)
         self.subscriptions.add(subscription)
         stream = Stream(self.frames, subscription.on_frame, subscription.on_lost)
         try:
-            async with asyncio.timeout(CONNECT_S):
+            async with self._attempt(f"{address} {kind}", CONNECT_S):
                 await self._connect(address, stream)
-            if subscription.ended:
-                raise CallFailed(f"{address} {kind}: closed at once")
-            stream.write(kind, (self.name, body))
-            subscription.begin(stream)
-        except TimeoutError:
-            raise self._failed(f"{address}: no connection in {CONNECT_S:g} s") from None
-        except FrameError as error:
-            raise self._failed(f"{address} {kind}: {error}") from None
-        except CallFailed:
-            self.counts["calls_failed"] += 1
-            raise
+                if subscription.ended:
+                    raise CallFailed("closed at once")
+                stream.write(kind, (self.name, body))
+                subscription.begin(stream)
         finally:
             if subscription.stream is None:
                 subscription.close()
--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -57,6 +57,7 @@
         self.roster = Roster(me, timing, self.rng)
         self.cycle = ProbeCycle(self.roster)
         self.joining_until_s: float | None = None
+        self.met = False  # another's view has been heard: until then this member's name is but a claim
         self.refused = False
         self.next_push_s = self.next_ask_s = self.next_gossip_s = 0.0
         self.ask_gap_s = timing.probe_interval_s  # between two calls to the seeds while nobody is known
@@ -112,16 +113,15 @@
         if self.left or self.refused:
             return []
         if rumour.address != self.me.address and rumour.status in PRESENT:
-            joining = self.joining_until_s is not None
-            if joining and self.take_over:  # our older self, in an upgrade: outrank it
+            if not self.met and self.take_over:  # our older self, in an upgrade: outrank it
                 incarnation = max(self.me.incarnation, rumour.incarnation + 1)
                 self.view.me = replace(self.me, incarnation=incarnation)
                 self.roster.broadcasts.add(self.me)
                 return []
-            if not joining and rumour.order < self.me.order:
+            if self.met and rumour.order < self.me.order:
                 return []
             self.refused = True
-            return [Refused(rumour, joining)]
+            return [Refused(rumour, joining=not self.met)]
         before = self.me
         if self.view.merge(rumour) is None:
             return []
@@ -143,8 +143,8 @@
             actions += self._learn(rumour, now_s, sender.name)
             if self.refused:
                 return actions
-        if self.joining_until_s is not None and isinstance(message, Push) and sender.name != self.me.name:
-            self.joining_until_s = None
+        if isinstance(message, Push) and sender.name != self.me.name:
+            self.joining_until_s, self.met = None, True
         if isinstance(message, Ping):
             if message.target == self.me.name:
                 if message.suspect:
@@ -179,12 +179,12 @@
         actions += self.cycle.end_relays(now_s)
         if not self.roster.live():
             if now_s >= self.next_ask_s:
-                actions += self._ask_seeds(now_s)
+                actions += self._ask_seeds(now_s) + self._look_for_the_gone(())
         elif now_s >= self.next_push_s:
             self.next_push_s = now_s + self.timing.push_pull_s
             self.ask_gap_s = self.timing.probe_interval_s
             actions += self.roster.push_to(self.rng.choice(self.roster.live()).address, reply=True)
-            actions += self._look_for_the_gone()
+            actions += self._look_for_the_gone(self.seeds)
         if self.roster.broadcasts.waiting and now_s >= self.next_gossip_s:
             self.next_gossip_s = now_s + self.timing.gossip_interval_s
             actions += self._gossip()
@@ -198,12 +198,12 @@
         sends = [self.roster.send(r.address, lambda riders: Gossip(self.me, riders)) for r in chosen]
         return [s for s in sends if s.message.rumours]
 
-    def _look_for_the_gone(self) -> list[Action]:
-        """A view to one that is dead here, or to a seed that is not known: what a partition has parted finds
-        together again by it."""
+    def _look_for_the_gone(self, seeds: tuple[str, ...]) -> list[Action]:
+        """A view to one that is dead here, or to one of `seeds` that is not known: by it, what a partition has
+        parted finds together again."""
         live = {r.address for r in self.roster.live()}
         dead = [r.address for r in self.view.members.values() if r.status is Status.DEAD]
-        gone = dead + [seed for seed in self.seeds if seed not in live]
+        gone = dead + [seed for seed in seeds if seed not in live]
         if not gone:
             return []
         address = self.rng.choice(gone)
--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -125,8 +125,7 @@
 
     def doubted(self, rumour: Rumour) -> Rumour:
         """A death read in another's whole view, of one that is present here, counts as a suspicion: it may be
-        old news of a partition, and the member has the time to refute it (as memberlist's push-pull does). So
-        does a suspicion there: who holds it is not independent of the rest of that view."""
+        old news of a partition, and the member has the time to refute it (as memberlist's push-pull does)."""
         known = self.view.members.get(rumour.name)
         if rumour.status is Status.DEAD and known is not None and known.status in PRESENT:
             return replace(rumour, status=Status.SUSPECT, by=HEARSAY)
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -27,6 +27,7 @@
 
 VIEW = "members.view"  # the call that swaps whole views
 VIEW_S = 2.0  # for it to be answered
+MOST_EXCHANGES = 8  # at once; the next push-pull makes up for one left out
 LINES_A_SECOND = 20  # on members that change; a fleet that starts at once has more to tell
 LEAVES, LEAVE_GAP_S = 2, 0.03  # a leave is said twice: a datagram may be lost
 
@@ -109,7 +110,8 @@
             case Changed():
                 self._changed(action)
             case Exchange():
-                self._spawn(self._exchange(action.address))
+                if len(self.tasks) < MOST_EXCHANGES:
+                    self._spawn(self._exchange(action.address))
             case Alone():
                 self._alone(f"no answer from {len(action.seeds)} seeds")
             case Refused():
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,6 +20,7 @@
     Gossip,
     Message,
     Push,
+    Refused,
     Send,
     Timing,
 )
@@ -304,3 +305,14 @@
     sent = [a.message for a in member.tick(0.06) if isinstance(a, Send)]
     passed = [CODEC.decode(CODEC.encode(message)) for message in sent if isinstance(message, Gossip)]
     assert {r.by for m in passed for r in m.rumours if r.status is Status.SUSPECT} == {"e"}
+
+
+def test_an_upgrade_that_meets_its_old_self_late_takes_over_and_anybody_else_is_refused() -> None:
+    for take_over in (True, False):
+        member = Member(Rumour("b", at(9), 1, Status.ALIVE), Timing(), (at(0),), take_over)
+        member.start(0.0)
+        assert any(isinstance(a, Alone) for a in member.tick(Timing().join_wait_s))
+        view = (Rumour("b", at(2), 4, Status.ALIVE),)  # of a process before that is not heard of any more
+        actions = member.receive(Push(Rumour("a", at(1), 1, Status.ALIVE), view), 2.0)
+        assert member.refused is not take_over and member.me.incarnation == (5 if take_over else 1)
+        assert any(isinstance(a, Refused) and a.joining for a in actions) is not take_over
--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -121,6 +121,7 @@
         (CLUSTER | {"seedz": []}, "`seedz`"),
         (CLUSTER | {"seeds": "127.0.0.1:1"}, "`seeds`"),
         (CLUSTER | {"seeds": ["host:1"]}, "'host:1'"),
+        (CLUSTER | {"seeds": ["[::1]:7000"]}, "[::1]:7000"),
         (CLUSTER | {"bind": "127.0.0.1"}, "'127.0.0.1'"),
         (CLUSTER | {"bind": "10.0.0.1:7000"}, "trusted_network"),
         (CLUSTER | {"bind": "0.0.0.0:7000", "trusted_network": True}, "0.0.0.0:7000"),
