--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -199,8 +199,8 @@
         return [s for s in sends if s.message.rumours]
 
     def _look_for_the_gone(self, seeds: tuple[str, ...]) -> list[Action]:
-        """A view to one that is dead here, or to one of `seeds` that is not known: by it, what a partition has
-        parted finds together again."""
+        """A view to one that is dead here, or to one of `seeds` that is not known, so that what a partition
+        has parted meets again."""
         live = {r.address for r in self.roster.live()}
         dead = [r.address for r in self.view.members.values() if r.status is Status.DEAD]
         gone = dead + [seed for seed in seeds if seed not in live]
