--- a/tests/test_warm_median.py
+++ b/tests/test_warm_median.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from caperdrift.interface import Learned, LearnedBreaker, LearnedServer, ListedServer, Restore
-from caperdrift.balance import State
+from caperdrift.policy.breaker import State
 from cloverkeel.fleet.warm.median import checked, combine
 from tests.helpers import Driver
 
