Membership: a seed's old process yields to its successor, though it never heard a view

The first member of a cluster is asked, and hears no whole view for some seconds: it took its own upgrade for a name taken, and would have asked for the name again. A process that claims the name by itself, after the join, is a successor; any message of another member settles the name.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -57,7 +57,7 @@
         self.roster = Roster(me, timing, self.rng)
         self.cycle = ProbeCycle(self.roster)
         self.joining_until_s: float | None = None
-        self.met = False  # another's view has been heard: until then this member's name is but a claim
+        self.met = False  # another member has been heard since the join: the name is this one's
         self.refused = False
         self.next_push_s = self.next_ask_s = self.next_gossip_s = 0.0
         self.ask_gap_s = timing.probe_interval_s  # between two calls to the seeds while nobody is known
@@ -106,22 +106,24 @@
 
     def _learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
         if rumour.name == self.me.name:
-            return self._about_me(rumour)
+            return self._about_me(rumour, source)
         return self.roster.learn(rumour, now_s, source)
 
-    def _about_me(self, rumour: Rumour) -> list[Action]:
+    def _about_me(self, rumour: Rumour, source: str) -> list[Action]:
         if self.left or self.refused:
             return []
+        # Until another is met the name is but a claim; one that claims it by itself later is a successor.
+        claims = self.joining_until_s is not None or not (self.met or source == self.me.name)
         if rumour.address != self.me.address and rumour.status in PRESENT:
-            if not self.met and self.take_over:  # our older self, in an upgrade: outrank it
+            if claims and self.take_over:  # our older self, in an upgrade: outrank it
                 incarnation = max(self.me.incarnation, rumour.incarnation + 1)
                 self.view.me = replace(self.me, incarnation=incarnation)
                 self.roster.broadcasts.add(self.me)
                 return []
-            if self.met and rumour.order < self.me.order:
+            if not claims and rumour.order < self.me.order:
                 return []
             self.refused = True
-            return [Refused(rumour, joining=not self.met)]
+            return [Refused(rumour, joining=claims)]
         before = self.me
         if self.view.merge(rumour) is None:
             return []
@@ -143,12 +145,12 @@
             actions += self._learn(rumour, now_s, sender.name)
             if self.refused:
                 return actions
-        if isinstance(message, Push) and sender.name != self.me.name:
+        if sender.name != self.me.name and (isinstance(message, Push) or self.joining_until_s is None):
             self.joining_until_s, self.met = None, True
         if isinstance(message, Ping):
             if message.target == self.me.name:
                 if message.suspect:
-                    actions += self._about_me(replace(self.me, status=Status.SUSPECT))
+                    actions += self._about_me(replace(self.me, status=Status.SUSPECT), sender.name)
                 gone = roster.held_gone(sender)  # it hears so, and refutes it; nobody else is told
                 told = (gone,) if gone is not None else ()
                 ack = roster.send(sender.address, lambda r: Ack(message.seq, self.me, told + r), gone)
--- a/tests/test_membership_service.py
+++ b/tests/test_membership_service.py
@@ -26,9 +26,11 @@
 from tests.sockets import on_loop, until
 
 
-async def member(name: str, *seeds: str, bind: str = "127.0.0.1:0", **extra: Any) -> Membership:
+async def member(
+    name: str, *seeds: str, bind: str = "127.0.0.1:0", take_over: bool = False, **extra: Any
+) -> Membership:
     settings = parse_cluster({"name": "blue", "bind": bind, "seeds": seeds} | extra, name)
-    made = Membership(settings, name, "a", 1, rng=random.Random(name))
+    made = Membership(settings, name, "a", 1, take_over, random.Random(name))
     await made.start()
     return made
 
@@ -110,6 +112,24 @@
         twin.close()
 
 
+@on_loop
+async def test_a_seed_stays_one_through_an_upgrade_and_is_never_seen_dead() -> None:
+    old = await member("m0")
+    seed = old.address  # its configured one from now on
+    other = await member("m1", seed)
+    await until(lambda: len(old.live()) == len(other.live()) == 2)
+    new = await member("m0", bind=seed, take_over=True, join_wait_s=0.2)
+    await until(lambda: other.view()["m0"].address == new.address and len(new.live()) == 2)
+    await until(lambda: old.state == "superseded")
+    await old.leave()
+    old.close()
+    late = await member("m2", seed)  # asks where the old process was heard
+    await until(lambda: len(late.live()) == len(other.live()) == len(new.live()) == 3)
+    assert other.counters()["deaths"] == other.counters()["leaves"] == 0 and new.address != seed
+    for made in (other, new, late):
+        made.close()
+
+
 @on_loop
 async def test_a_view_too_large_for_datagrams_is_swapped_by_a_call() -> None:
     first = await member("m0")
