Lists by peers and warm starts in the gateway: the shells, wired into the fleet's parts

Members share the list: relays watch the service, all others follow feeds of them, and every list enters at one place that knows the order. A cold gateway takes the median of what up to three members of its zone learned, within 0.3 s. The number of live members by zone reaches the module as Fleet. Telemetry, log events, and a relay column in the member table.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -6,7 +6,7 @@
 import json
 import random
 from collections.abc import Callable, Coroutine
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 from caperdrift.interface import ListedServer, ListKind, ServerStatus
 
@@ -138,9 +138,31 @@
         return await self.answer
 
 
+class Order(Protocol):
+    """The one place that knows which list is newer, where lists come from other gateways too. It sets
+    `Discovery.index` and tells `on_list` itself."""
+
+    def known(self, raw: dict[str, Any], index: int | None, entries: list[Entry]) -> None:
+        """The list from before, `index` None where it cannot be used."""
+
+    def begin(self) -> object:
+        """A call begins: gives what `answered` wants to know of that moment."""
+
+    def answered(
+        self, begun: Any, raw: dict[str, Any], index: int, whole: bool, entries: list[Entry]
+    ) -> None:
+        """Its answer. Raises ValueError for one that is no list."""
+
+    def failed(self) -> None:
+        """The watch has failed and is over."""
+
+
 class Discovery:
     """Asks for the list when told to, and tells `on_list` what came; failures too."""
 
+    order: Order | None = None
+    epoch: int | None = None  # of the list that `index` is of, where there is an order
+
     def __init__(self, address: Address, names: Names, on_list: OnList, pushed: bool) -> None:
         self.names, self.on_list = names, on_list
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
@@ -175,7 +197,10 @@
         except (KeyError, TypeError, ValueError) as error:
             if raw:
                 log(f"the list known from before cannot be used: {error!r}")
-        self.on_list(ListKind.DISK, entries)
+        if self.order is not None:
+            self.order.known(raw, self.index, entries)
+        else:
+            self.on_list(ListKind.DISK, entries)
         if self.pushed:
             self.watch(True)
 
@@ -208,6 +233,9 @@
             # Cleared first: the module may ask again while it hears of this.
             self._forget(asyncio.current_task())
             log(f"discovery: {error or type(error).__name__}")
+            if self.order is not None and not self.pushed:
+                self.order.failed()
+                return
             self.on_list(ListKind.ERROR, [])
             if self.pushed:
                 wait_s = min(FIRST_RETRY_S * 2**self.failures, LAST_RETRY_S) * random.uniform(0.5, 1.0)
@@ -227,13 +255,19 @@
         return call
 
     async def _ask(self, call: _Line, target: bytes) -> None:
+        begun = self.order.begin() if self.order is not None else None
         reply = await call.ask(b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, self.host))
         if reply.status != 200:
             raise CallError(f"answered {reply.status}")
         if not reply.keep_alive:
             call.close()
-        index, whole, entries = parse_list(json.loads(reply.body), self.names)
-        self.index, self.failures = index, 0
+        raw = json.loads(reply.body)
+        index, whole, entries = parse_list(raw, self.names)
+        self.failures = 0
+        if self.order is not None:
+            self.order.answered(begun, raw, index, whole, entries)
+            return
+        self.index = index
         self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
 
     async def _fetch(self) -> None:
--- a/cloverkeel/fleet/lists/order.py
+++ b/cloverkeel/fleet/lists/order.py
@@ -74,8 +74,8 @@
 
 
 def entry_digest(entry: Raw) -> int:
-    """64 bits of one entry. Raises TypeError or ValueError for what JSON cannot carry."""
-    text = json.dumps(entry, sort_keys=True, separators=(",", ":"), allow_nan=False)
+    """64 bits of one entry. Raises TypeError for what JSON cannot carry."""
+    text = json.dumps(entry, sort_keys=True, separators=(",", ":"))
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
 
 
@@ -143,13 +143,20 @@
         """The index to ask the list service for changes from; None: for the whole list."""
         return None if self.version is None or self.needs_whole else self.version.index
 
-    def take(self, body: Body) -> Taken:
-        """Take a body that a peer passed on. Raises ValueError where its entries do not give its digest: then
-        it is not what the peer says it is."""
+    def judge(self, body: Body) -> Taken:
+        """What `take` would say, without a look at the entries."""
         if self.version is not None and body.version <= self.version:
             return Taken.OLD
         if body.base is not None and body.base != (self.version, self.digest):
             return Taken.GAP
+        return Taken.NEW
+
+    def take(self, body: Body) -> Taken:
+        """Take a body that a peer passed on. Raises ValueError where its entries do not give its digest: then
+        it is not what the peer says it is."""
+        taken = self.judge(body)
+        if taken is not Taken.NEW:
+            return taken
         entries, digest = self._with(body.entries, body.base is None)
         if digest != body.digest:
             raise ValueError("the entries are not those of the digest")
--- a/cloverkeel/fleet/membership/command.py
+++ b/cloverkeel/fleet/membership/command.py
@@ -14,7 +14,7 @@
 
 ANSWER_S = 5.0  # for all of it
 ANSWER_BYTES = 8 * 1024 * 1024
-COLUMNS = ("name", "zone", "address", "status", "incarnation", "heard_s")
+COLUMNS = ("name", "zone", "address", "status", "incarnation", "heard_s", "relay")
 
 
 class CommandError(Exception):
@@ -85,6 +85,10 @@
     return dict(answer)
 
 
+def cell(value: object) -> str:
+    return ("yes" if value else "-") if isinstance(value, bool) else str(value) or "-"
+
+
 def table(answer: dict[str, Any]) -> list[str]:
     """Lines to print: one on the cluster, a head, and one for each member."""
     rows = answer["members"]
@@ -93,7 +97,7 @@
         f"cluster {answer['cluster']}: {len(rows)} members, {count} alive; "
         f"as {answer['name']} at {answer['address']} sees it (state: {answer['state']})"
     )
-    cells = [list(COLUMNS)] + [[str(row[column]) or "-" for column in COLUMNS] for row in rows]
+    cells = [list(COLUMNS)] + [[cell(row[column]) for column in COLUMNS] for row in rows]
     widths = [max(len(row[n]) for row in cells) for n in range(len(COLUMNS))]
     return [first] + [
         "  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip() for row in cells
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -1,8 +1,9 @@
 """The fleet's parts beside one gateway, started and ended together; imported only where the configuration has
 a `cluster`.
 
-Membership comes first, for all else rests on it. What is built on it (lists by peers, warm starts) begins in
-`FleetParts.start` after `membership.start()`, which is before clients are let in, and ends in `close`.
+Membership comes first, for all else rests on it: the number of gateways that share the hosts, lists by peers,
+warm starts by neighbours (docs/coldstart.md). A start waits for other members' words FIRST_S at most, and
+only without a state file that can be used.
 """
 
 from __future__ import annotations
@@ -12,10 +13,16 @@
 import time
 from typing import TYPE_CHECKING
 
+from caperdrift.interface import Learned, Restore
+
 from cloverkeel.config import Config
 from cloverkeel.fleet import events
 from cloverkeel.fleet.cluster import ClusterSettings
+from cloverkeel.fleet.kept import Snapshot
+from cloverkeel.fleet.lists.sharing import Sharing
 from cloverkeel.fleet.membership.service import Membership
+from cloverkeel.fleet.sharers import Sharers
+from cloverkeel.fleet.warm.neighbours import Neighbours
 from cloverkeel.operator import Answer
 
 if TYPE_CHECKING:
@@ -25,6 +32,8 @@
 NUMBER_S = 1.0  # for the store to hand out an incarnation
 TAKEN_OVER_S = 0.2  # the same, where the process before may still hold the store
 COUNTER = "incarnation"
+FIRST_S = 0.3  # for members to say what they know
+LEARNED_S = 60.0  # what they learned is used if there is a list of hosts by then
 
 
 class FleetParts:
@@ -42,6 +51,10 @@
         self.config, self.cluster, self.gateway = config, cluster, gateway
         self.keeper, self.take_over = keeper, take_over
         self.membership: Membership | None = None
+        self.sharers: Sharers | None = None
+        self.sharing: Sharing | None = None
+        self.neighbours: Neighbours | None = None
+        self.restoring: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Raises OSError where `cluster.bind` cannot be had."""
@@ -50,6 +63,59 @@
         zone = zones.get(self.config.settings.zone, "")
         self.membership = Membership(self.cluster, self.config.name, zone, incarnation, self.take_over)
         await self.membership.start()
+        gateway = self.gateway
+        self.sharers = Sharers(self.membership, gateway)
+        if self.cluster.lists:
+            discovery, sockets = gateway.discovery, self.config.sockets
+            self.sharing = Sharing(self.cluster, self.membership, discovery, gateway.on_list, sockets)
+            gateway.lists = self.sharing
+            self.sharing.start()
+        if self.cluster.warm:
+            self.neighbours = Neighbours(self.membership, gateway)
+        if gateway.warm is None:
+            await self._hear_members(self.membership)
+        elif gateway.warm.known.get("endpoints"):
+            gateway.known = gateway.warm.known  # newer than the configuration's
+
+    async def _hear_members(self, membership: Membership) -> None:
+        """A cold start: what members have, a list and what they learned, as far as it comes in FIRST_S."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FIRST_S
+        try:
+            async with asyncio.timeout_at(end_s):
+                await membership.joined.wait()
+        except TimeoutError:
+            return
+        left_s = end_s - loop.time()
+        waits = []
+        if self.sharing is not None:
+            waits.append(loop.create_task(self.sharing.first(left_s)))
+        if self.neighbours is not None:
+            learned = await self.neighbours.within(left_s)
+            if learned is not None:
+                self._restore(learned)
+        for wait in waits:
+            await wait
+
+    def _restore(self, learned: Learned) -> None:
+        assert self.neighbours is not None
+        events.event("warm.restored", neighbours=self.neighbours.answers, hosts=len(learned.servers))
+        if self.sharing is None or self.gateway.known.get("endpoints"):
+            self.gateway.warm = Snapshot(time.time(), learned)  # with the list, when the gateway starts
+        else:
+            self.restoring = asyncio.get_running_loop().create_task(self._restore_when_listed(learned))
+
+    async def _restore_when_listed(self, learned: Learned) -> None:
+        """The module takes up what was learned of listed hosts alone."""
+        assert self.sharing is not None
+        begun_s = time.monotonic()
+        try:
+            async with asyncio.timeout(LEARNED_S):
+                await self.sharing.listed.wait()
+        except TimeoutError:
+            return
+        restore = Restore(learned, int((time.monotonic() - begun_s) * 1e6))
+        self.gateway.post(lambda: restore)
 
     def answer(self) -> Answer:
         """`GET /api/members`."""
@@ -61,7 +127,10 @@
             "name": membership.name,
             "address": membership.address,
             "state": membership.state,
-            "members": membership.table(),
+            "members": [
+                {**row, "relay": self.sharing is not None and self.sharing.is_relay(row["name"])}
+                for row in membership.table()
+            ],
         }
         return Answer(200, json.dumps(body).encode(), (b"Content-Type", b"application/json"))
 
@@ -69,10 +138,20 @@
         """For telemetry."""
         if self.membership is None:
             return {}
-        return {f"members_{name}_total": number for name, number in self.membership.counters().items()}
+        counts = {f"members_{name}_total": n for name, n in self.membership.counters().items()}
+        if self.sharing is not None:
+            counts |= self.sharing.counters()
+        return counts
 
     def gauges(self) -> dict[str, int]:
-        return {"members_live": len(self.membership.live())} if self.membership is not None else {}
+        if self.membership is None:
+            return {}
+        figures = {"members_live": len(self.membership.live())}
+        if self.sharing is not None:
+            figures |= self.sharing.gauges()
+        if self.neighbours is not None:
+            figures["warm_neighbours"] = self.neighbours.answers
+        return figures
 
     def descriptors(self) -> int:
         """Sockets that this process has open beside those of its clients and hosts."""
@@ -83,6 +162,12 @@
             await self.membership.leave()
 
     def close(self) -> None:
+        if self.restoring is not None:
+            self.restoring.cancel()
+        if self.sharers is not None:
+            self.sharers.close()
+        if self.sharing is not None:
+            self.sharing.close()
         if self.membership is not None:
             self.membership.close()
 
--- /dev/null
+++ b/cloverkeel/fleet/warm/neighbours.py
@@ -0,0 +1,83 @@
+"""Warm by neighbours: what up to three members of the zone learned, asked for at a cold start."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+from caperdrift.interface import Learned
+
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.kept import Snapshot
+from cloverkeel.fleet.membership.calls import CallFailed
+from cloverkeel.fleet.membership.service import Membership
+from cloverkeel.fleet.state.codec import decode, encode
+from cloverkeel.fleet.warm.median import checked, combine
+
+if TYPE_CHECKING:
+    from cloverkeel.gateway import Gateway
+
+GET = "learned.get"
+NEIGHBOURS = 3
+STEADY_S = 5.0  # a gateway that has served for less has learned nothing worth telling
+
+
+class Neighbours:
+    """Serves what this gateway learned, and asks others for theirs."""
+
+    def __init__(self, membership: Membership, gateway: Gateway, rng: random.Random | None = None) -> None:
+        self.membership, self.gateway = membership, gateway
+        self.rng = rng or random.Random()
+        self.loop = asyncio.get_running_loop()
+        self.since_s = self.loop.time()
+        self.answers = 0
+        membership.calls.serve(GET, self._on_get)
+
+    @property
+    def classes(self) -> list[str]:
+        """The names behind the classes' numbers."""
+        return [name.decode("latin-1") for name in self.gateway.names.by_class]
+
+    def _on_get(self, peer: str, raw: Any) -> dict[str, Any] | None:
+        if self.loop.time() < self.since_s + STEADY_S:
+            return None
+        learned = self.gateway.balancer.learned()
+        return {"classes": self.classes, "learned": encode(Snapshot(time.time(), learned))}
+
+    async def within(self, wait_s: float) -> Learned | None:
+        """The median of what those told that answered within `wait_s`; None: nobody has."""
+        others = [r for r in self.membership.live() if r.name != self.membership.name]
+        near = [r for r in others if r.zone == self.membership.zone]
+        chosen = self.rng.sample(near, min(NEIGHBOURS, len(near)))
+        if not chosen:
+            return None
+        asked = [self.loop.create_task(self._ask(r.name, r.address, wait_s)) for r in chosen]
+        done, late = await asyncio.wait(asked, timeout=wait_s)
+        for task in late:
+            task.cancel()
+        answers = [learned for task in done if (learned := task.result()) is not None]
+        self.answers = len(answers)
+        return combine(answers)
+
+    async def _ask(self, name: str, address: str, wait_s: float) -> Learned | None:
+        try:
+            raw = await self.membership.calls.call(address, GET, None, wait_s)
+            return self._read(raw) if raw is not None else None
+        except CallFailed:
+            return None
+        except ValueError as error:
+            event("warm.refused", peer=name, reason=str(error)[:200])
+            return None
+
+    def _read(self, raw: object) -> Learned:
+        """Raises ValueError for what is no learned state. Where the classes have other numbers there, only
+        what is known of hosts is used."""
+        if not isinstance(raw, dict) or not isinstance(raw.get("learned"), bytes):
+            raise ValueError(f"no learned state: {raw!r:.40}")
+        learned = checked(decode(raw["learned"]).learned)
+        if raw.get("classes") == self.classes:
+            return learned
+        servers = tuple(type(s)(s.server, s.started_us, s.weight, s.idle, s.breaker) for s in learned.servers)
+        return Learned(servers, (), ())
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from caperdrift.policy.balancer import Balancer
 from caperdrift.interface import (
@@ -57,6 +57,14 @@
 NONE: Mapping[str, int] = {}
 
 
+class Lists(Protocol):
+    """Who answers when the module asks for the list: the list service, or members that share it."""
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """A client's request, as the gateway takes it."""
@@ -107,6 +115,7 @@
         self.pools = Pools(config.settings, self.telemetry, self.buffer)
         pushed = config.settings.list_is_pushed
         self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
+        self.lists: Lists = self.discovery  # what the module's own wishes for lists go to
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
         self.held: dict[str, Held] = {}
@@ -119,6 +128,8 @@
         """What this process knows, for the state store: no I/O; about 0.3 ms for 200 hosts."""
         endpoints = list(self.listed.values())
         known = {"index": self.discovery.index or 0, "snapshot": True, "endpoints": endpoints}
+        if self.discovery.epoch is not None:
+            known["epoch"] = self.discovery.epoch
         return Snapshot(time.time(), self.balancer.learned(), known)
 
     def start(self) -> None:
@@ -277,9 +288,9 @@
             case Cancel():
                 self.cancel(action)
             case WatchList():
-                self.discovery.watch(action.on)
+                self.lists.watch(action.on)
             case FetchList():
-                self.discovery.fetch()
+                self.lists.fetch()
             case Probe():
                 self.probe(action.server)
             case CloseIdle():
--- /dev/null
+++ b/tests/list_site.py
@@ -0,0 +1,133 @@
+"""Gateways of one cluster in this process, and a list service that watches end at: no processes, real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from cloverkeel.config import parse
+from cloverkeel.fleet.start import FleetParts
+from cloverkeel.gateway import Gateway
+from tests.sockets import Exchange, Peer, configuration, endpoint, hosts_list, peer, reply, until
+
+CLUSTER: dict[str, Any] = {"name": "site", "bind": "127.0.0.1:0", "list_calls_per_s": 20}
+
+
+class Registry:
+    """The list service: whole lists, and watches that are answered with what changed since."""
+
+    def __init__(self, *names: str, index: int = 100) -> None:
+        self.index, self.first = index, index
+        self.entries = {name: self.entry(name) for name in names}
+        self.log: list[dict[str, object]] = []
+        self.changed = asyncio.Event()
+        self.up = True
+
+    @staticmethod
+    def entry(name: str, **extra: object) -> dict[str, object]:
+        return endpoint(name, "127.0.0.1:9", **extra)
+
+    def change(self, name: str, status: str) -> None:
+        entry = self.entry(name, status=status)
+        self.entries[name] = entry
+        if status == "DELETED":
+            del self.entries[name]
+        self.log.append(entry)
+        self.index += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def restart(self, index: int, *names: str) -> None:
+        """Started anew: another list, a lower index; open watches break."""
+        self.index, self.first, self.log = index, index, []
+        self.entries = {name: self.entry(name) for name in names}
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def script(self, exchange: Exchange) -> None:
+        if not self.up:
+            exchange.reset()
+            return
+        asked = parse_qs(urlsplit(exchange.message.first.split(" ")[1]).query)
+        from_ = int(asked["from"][0]) if "from" in asked else None
+        if from_ == self.index:
+            try:
+                await asyncio.wait_for(self.changed.wait(), int(asked["hold_ms"][0]) / 1000)
+            except TimeoutError:
+                pass
+        if from_ is None or not self.first <= from_ <= self.index:
+            listed = hosts_list(self.index, *self.entries.values())
+        else:
+            listed = hosts_list(self.index, *self.log[from_ - self.first :], snapshot=False)
+        exchange.answer(reply(200, json.dumps(listed).encode()))
+
+
+class Node:
+    """One gateway as a member; its clients' side is not opened."""
+
+    def __init__(self, name: str, discovery: str, seeds: list[str], **more: Any) -> None:
+        config = configuration(discovery=discovery) | {"name": name, "known": more.pop("known", {})}
+        config["settings"]["membershipMode"] = more.pop("mode", "on_request")
+        config["cluster"] = CLUSTER | {"seeds": seeds} | more
+        parsed = parse(config)
+        assert parsed.cluster is not None
+        self.name, self.gateway = name, Gateway(parsed)
+        self.fleet = FleetParts(parsed, parsed.cluster, self.gateway, None, False)
+
+    async def start(self) -> None:
+        await self.fleet.start()
+        self.gateway.start()
+
+    @property
+    def address(self) -> str:
+        assert self.fleet.membership is not None
+        return self.fleet.membership.address
+
+    @property
+    def hosts(self) -> set[str]:
+        return {str(raw["name"]) for raw in self.gateway.listed.values()}
+
+    @property
+    def index(self) -> int | None:
+        return self.gateway.discovery.index
+
+    def count(self, name: str) -> int:
+        return self.fleet.counters()[name]
+
+    def close(self) -> None:
+        self.fleet.close()
+        self.gateway.close()
+
+
+class Site:
+    """Nodes named g0, g1, ...: the first is the seed of the others."""
+
+    def __init__(self, registry: Registry, service: Peer) -> None:
+        self.registry, self.service = registry, service
+        self.nodes: dict[str, Node] = {}
+
+    async def add(self, name: str, discovery: str = "", **more: Any) -> Node:
+        seeds = [next(iter(self.nodes.values())).address] if self.nodes else []
+        node = Node(name, discovery or self.service.address, seeds, **more)
+        self.nodes[name] = node
+        await node.start()
+        return node
+
+    async def all_have(self, *hosts: str) -> None:
+        await until(lambda: all(node.hosts == set(hosts) for node in self.nodes.values()))
+
+
+@asynccontextmanager
+async def site(*hosts: str) -> AsyncIterator[Site]:
+    registry = Registry(*hosts)
+    async with peer(registry.script) as service:
+        made = Site(registry, service)
+        try:
+            yield made
+        finally:
+            for node in made.nodes.values():
+                node.close()
