--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -15,17 +15,21 @@
 from tests.sockets import configuration, on_loop, peer, read_message
 from tests.test_gateway_process import ROOT, connect, free_port, listening, program
 
-MEMBERS = b"GET /api/members HTTP/1.1\r\nHost: o\r\n\r\n"
+CALL = b"GET /api/%s HTTP/1.1\r\nHost: o\r\n\r\n"
 CLUSTER: dict[str, Any] = {"name": "blue", "bind": "127.0.0.1:0"}
 
 
-async def table(operator: int) -> dict[str, Any]:
+async def read(operator: int, what: bytes) -> bytes:
     client = await connect(operator)
-    client.send(MEMBERS)
+    client.send(CALL % what)
     answer = await read_message(client.reader)
     client.close()
     assert answer.status == 200
-    found = json.loads(answer.body)
+    return answer.body
+
+
+async def table(operator: int) -> dict[str, Any]:
+    found = json.loads(await read(operator, b"members"))
     assert isinstance(found, dict)
     return found | {"by_name": {row["name"]: row for row in found["members"]}}
 
@@ -66,6 +70,8 @@
                     before = (await table_with(ports[0], g1="alive", g2="alive"))["by_name"]["g2"]
                     assert (before["address"], before["zone"]) == (other["cluster"]["bind"], "a")
                     assert before["incarnation"] == 1  # of the store's counter
+                    figures = (await read(ports[0], b"telemetry")).decode().splitlines()
+                    assert {"lb_members_live 2", "lb_members_deaths_total 0"} <= set(figures)
                     code, out, _ = await command("--operator", f"127.0.0.1:{ports[0]}")
                     lines = out.splitlines()
                     assert code == 0 and lines[0].startswith("cluster blue: 2 members, 2 alive; as g1 at ")
