--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 import traceback
 from collections import deque
@@ -101,6 +102,10 @@
         for klass in self.names.by_class:
             self.telemetry.know(klass)
         self.balancer = Balancer(config.settings, config.seed)
+        if os.environ.get("LB_CHECK") == "1":
+            from caperdrift.checks import watch  # not loaded at a start that does not ask for it
+
+            watch(self.balancer, config.seed, log)
         self.buffer = Buffer(config.memory_mb)
         self.pools = Pools(config.settings, self.telemetry, self.buffer)
         pushed = config.settings.list_is_pushed
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,104 @@
+"""The module's invariants hold in random worlds, and a module that breaks one is caught."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from caperdrift.checks import InvariantBroken, watch
+from caperdrift.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    ListedServer,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    Send,
+    ServerList,
+)
+from caperdrift.policy import choice, retries, weights
+from caperdrift.policy.balancer import Balancer
+from caperdrift.policy.breaker import Breaker
+from faultlab.storm.events import KNOWN
+from faultlab.storm.module import run_module
+from tests.helpers import SETTINGS, START_US
+
+SEEDS = range(1, 13)
+
+
+@settings(max_examples=25, deadline=None)
+@given(seed=st.integers(0, 2**32), events=st.integers(1, 1_500))
+def test_invariants_hold_and_a_run_repeats_exactly(seed: int, events: int) -> None:
+    checked, plain = run_module(seed, events, check=True), run_module(seed, events, check=False)
+    assert checked.violations == [] and checked.events == events
+    assert checked.actions_sha256 == plain.actions_sha256
+
+
+class Twice(Balancer):
+    """Answers again what it has refused."""
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        actions = super().handle(now_us, event)
+        return [*actions, *(action for action in actions if isinstance(action, Refuse))]
+
+
+def test_a_second_answer_is_caught_with_seed_and_event() -> None:
+    balancer = Twice(SETTINGS, 3)
+    watch(balancer, 3)
+    balancer.handle(START_US, ServerList(ListKind.FULL))
+    with pytest.raises(InvariantBroken, match="seed 3 event 2: r1 answered though nothing is owed"):
+        balancer.handle(START_US, RequestArrived("r1", 0, 400_000))
+
+
+def test_a_gateway_logs_the_first_broken_invariant_and_goes_on() -> None:
+    lines: list[str] = []
+    balancer = Twice(SETTINGS, 3)
+    watch(balancer, 3, lines.append)
+    for name in ("r1", "r2"):
+        assert len(balancer.handle(START_US, RequestArrived(name, 0, 400_000))) == 2
+    assert len(lines) == 1 and "seed 3 event 1" in lines[0]
+
+
+def test_an_unsafe_request_that_may_have_run_is_not_sent_again() -> None:
+    class Again(Balancer):
+        def handle(self, now_us: int, event: Event) -> list[Action]:
+            actions = super().handle(now_us, event)
+            return [Send(event.request, 1, 1_000)] if isinstance(event, AttemptEnded) else actions
+
+    balancer = Again(replace(SETTINGS, classes=SETTINGS.classes[2:]), 3)
+    watch(balancer, 3)
+    balancer.handle(START_US, ServerList(ListKind.FULL, (ListedServer(1),)))
+    balancer.handle(START_US, RequestArrived("r1", 0, 1_000_000))
+    with pytest.raises(InvariantBroken, match="unsafe"):
+        balancer.handle(START_US + 9_000, AttemptEnded("r1", 0, 1, Outcome.RESET, 9_000))
+
+
+BREAKS: tuple[tuple[str, Any, str, Any], ...] = (
+    ("open", Breaker, "may_pass", lambda breaker, now_us: True),
+    ("not ready", choice, "may_use", lambda proxy, server, klass: not choice.is_silent(proxy, server)),
+    ("has the weight", weights, "FLOOR", 0.01),
+    ("cold server", choice, "cold_room", lambda proxy, server, request: True),
+    ("half-open", Breaker, "take_trial", lambda breaker: breaker.episode),
+    ("out by its count", retries, "stop_work", lambda proxy, attempt: None),
+)
+
+
+@pytest.mark.parametrize(("what", "place", "name", "broken"), BREAKS, ids=[b[0] for b in BREAKS])
+def test_the_storm_finds_a_broken_rule(
+    what: str, place: Any, name: str, broken: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(place, name, broken)
+    found = [run.violations[0] for run in (run_module(s, 20_000, True) for s in SEEDS[:6]) if run.violations]
+    assert found and any(what in violation for violation in found)
+
+
+@pytest.mark.parametrize("known", KNOWN)
+def test_what_the_module_mishandles_is_still_found(known: str) -> None:
+    """Once mended, a fault leaves KNOWN, and its events come in every run."""
+    assert any(run_module(seed, 20_000, True, (known,)).violations for seed in SEEDS)
