Invariant checks: an exception ends the checking, never the gateway's actions

An exception of the module leaves the account behind what was done, and later findings would be false; a mistake in the account itself must not cost a gateway the actions it was to carry out. Either ends the checking; the second is logged like a broken invariant.

--- a/caperdrift/checks.py
+++ b/caperdrift/checks.py
@@ -118,7 +118,11 @@
         now_us = max(now_us, self.balancer.now_us)
         settings = self.balancer.settings
         self.watch_parts(now_us)
-        actions = self.decide(now_us, event)
+        try:
+            actions = self.decide(now_us, event)
+        except Exception:
+            self.watching = False  # what it did is not known: nothing can be compared any more
+            raise
         try:
             name = self.enter(now_us, event, settings.max_attempts)
             for action in actions:
@@ -127,16 +131,20 @@
                 elif isinstance(action, Refuse | Fail):
                     self.check_final(action)
             self.check_state(event, actions, name)
-        except InvariantBroken as broken:
+        except Exception as error:
+            # Guards against a mistake in this account costing a gateway the actions.
+            self.watching = False
             if self.on_broken is None:
                 raise
-            self.watching = False
-            self.on_broken(str(broken))
+            self.on_broken(str(error) if isinstance(error, InvariantBroken) else self.at(repr(error)))
         return actions
 
     def demand(self, holds: bool, what: str) -> None:
         if not holds:
-            raise InvariantBroken(f"invariant broken at seed {self.seed} event {self.number}: {what}")
+            raise InvariantBroken(self.at(what))
+
+    def at(self, what: str) -> str:
+        return f"invariant broken at seed {self.seed} event {self.number}: {what}"
 
     # The account of events
 
@@ -271,7 +279,7 @@
         """Half of this proxy's part of the work that a cold server may be sent in a window; None if warm."""
         settings, balancer = self.balancer.settings, self.balancer
         age_us = now_us - server.entry.started_us
-        if not server.entry.started_us or age_us >= settings.warm_after_us:
+        if not server.entry.started_us or age_us >= settings.warm_after_us or not settings.warm_after_us:
             return None
         warmed = max(0, age_us) / settings.warm_after_us
         share = settings.start_capacity + (1.0 - settings.start_capacity) * warmed
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -65,6 +65,21 @@
     assert len(lines) == 1 and "seed 3 event 1" in lines[0]
 
 
+def test_after_an_exception_of_the_module_nothing_is_checked() -> None:
+    class Fails(Twice):
+        def handle(self, now_us: int, event: Event) -> list[Action]:
+            if isinstance(event, ServerList):
+                raise ZeroDivisionError
+            return super().handle(now_us, event)
+
+    lines: list[str] = []
+    balancer = Fails(SETTINGS, 3)
+    watch(balancer, 3, lines.append)
+    with pytest.raises(ZeroDivisionError):
+        balancer.handle(START_US, ServerList(ListKind.FULL))
+    assert len(balancer.handle(START_US, RequestArrived("r1", 0, 400_000))) == 2 and not lines
+
+
 def test_an_unsafe_request_that_may_have_run_is_not_sent_again() -> None:
     class Again(Balancer):
         def handle(self, now_us: int, event: Event) -> list[Action]:
