Fault lab: a relay of datagrams and streams between members, by rule and seed

Need: membership and the cold start are to be tried under loss, delay, doubling, reordering and partitions, with real processes that learn each other's addresses from rumours.

Change: faultlab/relay gives each member a loopback host of its own and an advertised port for datagrams and streams alike. Who sends is known by the host it comes from.

--- /dev/null
+++ b/faultlab/relay/streams.py
@@ -0,0 +1,120 @@
+"""One member's advertised stream port at the relay, and the streams through it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from faultlab.relay import Relay
+
+PIECE = 65_536
+CONNECT_S = 5.0
+
+
+class Stream:
+    """One connection from member `source` to member `target`: two sockets with the rules between them."""
+
+    def __init__(
+        self,
+        relay: Relay,
+        source: str,
+        target: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.relay = relay
+        self.source = source
+        self.target = target
+        self.reader = reader
+        self.writers = [writer]
+
+    async def run(self) -> None:
+        """Connect on, then carry both ways until both ends have closed or one has failed."""
+        relay, place = self.relay, self.relay.places[self.target]
+        try:
+            await relay.uncut(self.source, self.target)
+            await relay.uncut(self.target, self.source)  # the answer to the first packet comes back this way
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await asyncio.open_connection(place.host, place.port)
+            self.writers.append(writer)
+            async with asyncio.TaskGroup() as both:
+                both.create_task(self._carry(self.reader, writer, self.source, self.target))
+                both.create_task(self._carry(reader, self.writers[0], self.target, self.source))
+            for writer in self.writers:
+                writer.close()
+        except (OSError, ExceptionGroup):  # TimeoutError is an OSError; a pump's failure comes in a group
+            self.reset()
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str, target: str
+    ) -> None:
+        relay = self.relay
+        while True:
+            await relay.uncut(
+                source, target
+            )  # what is sent meanwhile stays where it is, and the sender with it
+            data = await reader.read(PIECE)
+            delay_s = relay.rules.stream_delay_s(source, target)
+            if delay_s > 0.0:
+                await asyncio.sleep(delay_s)
+            await relay.uncut(source, target)
+            if not data:
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return
+            writer.write(data)
+            await writer.drain()
+            relay.counts["bytes"] += len(data)
+
+    def reset(self) -> None:
+        """Break both ends at once, with a reset rather than an orderly end."""
+        for writer in self.writers:
+            with contextlib.suppress(OSError):
+                if (sock := writer.get_extra_info("socket")) is not None:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+
+class StreamPort:
+    """Takes the connections that others open to member `name`."""
+
+    def __init__(self, relay: Relay, name: str) -> None:
+        self.relay = relay
+        self.name = name
+        self.open: set[Stream] = set()
+        self.server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, port: int) -> None:
+        self.server = await asyncio.start_server(self._accepted, "127.0.0.1", port)
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        source = self.relay.by_host.get(writer.get_extra_info("peername")[0])
+        if source is None:
+            self.relay.counts["strangers"] += 1
+            writer.transport.abort()
+            return
+        self.relay.counts["streams"] += 1
+        stream = Stream(self.relay, source.name, self.name, reader, writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self.open.add(stream)
+        try:
+            await stream.run()
+        finally:
+            self.open.discard(stream)
+            self._tasks.discard(task)
+
+    async def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for stream in list(self.open):
+            stream.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,159 @@
+"""The relay between members: its rules by seed, and what it does to real datagrams and streams."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from faultlab.relay import Place, Relay, Rule
+from faultlab.relay.rules import Rules
+
+LIMIT_S = 5.0
+
+
+def fates(rules: Rules, source: str, target: str, count: int) -> list[tuple[float, ...]]:
+    return [rules.copies(source, target) for _ in range(count)]
+
+
+def test_a_pairs_fate_depends_on_the_seed_and_the_pair_alone() -> None:
+    rule = Rule(drop=0.3, duplicate=0.2, reorder=0.1, delay_s=(0.01, 0.02))
+    alone, among, other = Rules(5), Rules(5), Rules(6)
+    for rules in (alone, among, other):
+        rules.set(rule)
+    fates(among, "b", "a", 17)
+    expected = fates(alone, "a", "b", 2_000)
+    assert expected == fates(among, "a", "b", 2_000) != fates(other, "a", "b", 2_000)
+    lost, doubled = expected.count(()), sum(len(f) == 2 for f in expected)
+    assert 500 < lost < 700 and 200 < doubled < 360
+    held = [f[0] for f in expected if f and f[0] > 0.03]
+    assert 80 < len(held) < 200 and all(0.06 <= s <= 0.07 for s in held)
+
+
+def test_the_last_rule_that_fits_a_pair_holds_and_cuts_have_a_direction() -> None:
+    rules = Rules()
+    slow, lossy = Rule(delay_s=(0.1, 0.1)), Rule(drop=1.0)
+    rules.set(slow, sources=["a"])
+    rules.set(lossy, targets=["c"])
+    assert rules.copies("a", "b") == (0.1,) and rules.copies("b", "a") == (0.0,)
+    assert rules.copies("a", "c") == () == rules.copies("b", "c")
+    rules.set(Rule())
+    assert rules.copies("a", "c") == (0.0,)
+    rules.cut(["a", "b"], ["c"], one_way=True)
+    assert rules.copies("b", "c") == () and rules.copies("c", "b") == (0.0,)
+    rules.cut(["a"], ["a", "b"])
+    assert rules.copies("b", "a") == () and not rules.is_cut("a", "a")
+    rules.heal()
+    assert rules.copies("b", "a") == (0.0,) and not rules.cuts
+
+
+@pytest.mark.parametrize("bad", [{"drop": 1.5}, {"reorder": -0.1}, {"delay_s": (0.2, 0.1)}, {"hold_s": -1.0}])
+def test_a_rule_out_of_range_is_refused(bad: dict[str, float]) -> None:
+    with pytest.raises(ValueError, match=next(iter(bad))):
+        Rule(**bad)  # type: ignore[arg-type]
+
+
+class Ear(asyncio.DatagramProtocol):
+    """A member's socket: what came, and from where."""
+
+    def __init__(self) -> None:
+        self.heard: asyncio.Queue[tuple[bytes, tuple[str, int]]] = asyncio.Queue()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.heard.put_nowait((data, addr))
+
+
+async def socket_at(place: Place) -> tuple[asyncio.DatagramTransport, Ear]:
+    loop = asyncio.get_running_loop()
+    transport, ear = await loop.create_datagram_endpoint(Ear, local_addr=(place.host, place.port))
+    return transport, ear
+
+
+def address(place: Place) -> tuple[str, int]:
+    return "127.0.0.1", place.relay_port
+
+
+def test_datagrams_come_from_the_senders_advertised_address_and_obey_the_rules() -> None:
+    async def run() -> None:
+        relay = Relay(3)
+        a, b = await relay.add("a"), await relay.add("b")
+        with pytest.raises(ValueError, match="a has its place"):
+            await relay.add("a")
+        (at_a, _), (at_b, ear) = await socket_at(a), await socket_at(b)
+        async with asyncio.timeout(LIMIT_S):
+            at_a.sendto(b"clean", address(b))
+            assert await ear.heard.get() == (b"clean", address(a))
+            relay.cut(["a"], ["b"])
+            at_a.sendto(b"lost", address(b))
+            while relay.counts["lost"] < 1:
+                await asyncio.sleep(0)
+            relay.heal()
+            relay.set(Rule(duplicate=1.0))
+            at_a.sendto(b"twice", address(b))
+            assert [(await ear.heard.get())[0] for _ in range(2)] == [b"twice", b"twice"]
+            relay.set(Rule(reorder=1.0, hold_s=0.02))
+            at_a.sendto(b"first", address(b))
+            while relay.sent["a"] < 4:
+                await asyncio.sleep(0)
+            relay.set(Rule())
+            at_a.sendto(b"second", address(b))
+            assert [(await ear.heard.get())[0] for _ in range(2)] == [b"second", b"first"]
+            stranger, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+                Ear, local_addr=("127.0.0.1", 0)
+            )
+            stranger.sendto(b"who", address(b))
+            while relay.counts["strangers"] < 1:
+                await asyncio.sleep(0)
+        assert ear.heard.empty() and relay.counts["passed"] == 5
+        for transport in (at_a, at_b, stranger):
+            transport.close()
+        await relay.close()
+
+    asyncio.run(run())
+
+
+def test_streams_stand_still_in_a_cut_go_on_after_it_and_break_on_reset() -> None:
+    async def run() -> None:
+        relay = Relay(4)
+        a, b = await relay.add("a"), await relay.add("b")
+        accepted = 0
+
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal accepted
+            accepted += 1
+            while data := await reader.read(65_536):
+                writer.write(data)
+            writer.close()
+
+        async def connect(host: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+            return await asyncio.open_connection(*address(b), local_addr=(host, 0))
+
+        server = await asyncio.start_server(echo, b.host, b.port)
+        async with asyncio.timeout(LIMIT_S):
+            reader, writer = await connect(a.host)
+            writer.write(b"x" * 300_000)
+            assert await reader.readexactly(300_000) == b"x" * 300_000
+            relay.cut(["a"], ["b"])
+            writer.write(b"held")
+            hung, hung_writer = await connect(a.host)
+            hung_writer.write(b"new")
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.read(1), 0.05)
+            assert accepted == 1
+            relay.heal()
+            assert await reader.readexactly(4) == b"held" and await hung.readexactly(3) == b"new"
+            hung_writer.write_eof()
+            assert await hung.read() == b""
+            assert relay.reset(["b"], ["a"]) >= 1
+            with pytest.raises(ConnectionResetError):
+                await reader.readexactly(1)
+            stranger, stranger_writer = await connect("127.0.0.1")
+            assert await stranger.read() == b"" and relay.counts["strangers"] == 1
+            server.close()
+            reader, writer = await connect(a.host)  # nobody there: broken, not silent
+            with pytest.raises(ConnectionResetError):
+                await reader.readexactly(1)
+            stranger_writer.close()
+        await relay.close()
+
+    asyncio.run(run())
