Membership: cluster.advertise, told to others in place of bind; calls go out from the host bound

Need: a member behind a relay or a translated address is reached elsewhere than where it binds, and the others learn where from rumours alone; and whoever carries calls on can tell callers apart only by their host.

Change: cluster.advertise (default: the address bound) is the address in the member's rumours; the new process of an upgrade, at a port of its own, tells that port at the advertised host. Calls leave from the host bound.

Measured: three members behind the lab's relay see each other at its addresses, every datagram and call passes it.

--- a/cloverkeel/fleet/cluster.py
+++ b/cloverkeel/fleet/cluster.py
@@ -20,6 +20,7 @@
 
     name: str  # the cluster's: members of another are not heard
     bind: str  # ip:port that the other members reach, for datagrams and calls; port 0: the system chooses
+    advertise: str = ""  # ip:port that the others are told in place of `bind`, where they reach it there
     seeds: tuple[str, ...] = ()  # ip:port of members to ask at the start
     trusted_network: bool = False  # whoever reaches `bind` can speak: needed outside loopback
     relays: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
@@ -87,6 +88,11 @@
             f"cluster: bind: {settings.bind} is outside loopback, where whoever reaches it can speak: "
             "it needs trusted_network = true"
         )
+    if settings.advertise:
+        try:
+            parse_address(settings.advertise)
+        except ValueError as error:
+            raise ConfigError(f"cluster: advertise: {error}") from None
     for seed in settings.seeds:
         try:
             parse_address(seed)
--- a/cloverkeel/fleet/membership/calls.py
+++ b/cloverkeel/fleet/membership/calls.py
@@ -41,11 +41,13 @@
         self.counts: Counter[str] = Counter()
         self.listener: asyncio.Server | None = None
         self.beat: asyncio.TimerHandle | None = None
+        self.local: tuple[str, int] | None = None  # connections go out from the host that this member binds
         self.closed = False
 
     async def listen(self, sock: socket.socket) -> None:
         """Serve on a bound TCP socket. Raises OSError."""
         loop = asyncio.get_running_loop()
+        self.local = sock.getsockname()[0], 0
         self.listener = await loop.create_server(lambda: Served(self).stream, sock=sock, backlog=1024)
         self.beat = loop.call_later(BEAT_S, self._beat)
 
@@ -66,7 +68,8 @@
     async def _connect(self, address: str, stream: Stream) -> None:
         try:
             host, port = parse_address(address)
-            await asyncio.get_running_loop().create_connection(lambda: stream, host, port)
+            loop = asyncio.get_running_loop()
+            await loop.create_connection(lambda: stream, host, port, local_addr=self.local)
         except (OSError, ValueError) as error:
             raise CallFailed(f"{address}: {error}") from None
 
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -16,6 +16,7 @@
     Codec,
     DatagramError,
     format_address,
+    parse_address,
     rumours_from_body,
     rumours_to_body,
 )
@@ -73,11 +74,15 @@
         """Bind and begin to join; returns at once, `joined` tells the rest. Raises OSError."""
         host, port = self.settings.bind_address
         udp, tcp = open_sockets(host, port, self.take_over)
-        self.address = format_address(host, udp.getsockname()[1])
+        bound, told = udp.getsockname()[1], self.settings.advertise
+        elsewhere = port not in (0, bound)  # in an upgrade, beside the process before
+        if told and elsewhere:
+            told = format_address(parse_address(told)[0], bound)
+        self.address = told or format_address(host, bound)
         await self.calls.listen(tcp)
         await self.gossip.open(udp)
-        if port and self.address != format_address(host, port):
-            self.seeds += (self.settings.bind,)  # the process before: its view is the fleet's
+        if elsewhere:
+            self.seeds += (self.settings.bind,)  # its view is the fleet's
             self._spawn(self._hear_at(host, port))
         self._join()
 
--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -124,6 +124,7 @@
         (CLUSTER | {"bind": "127.0.0.1"}, "'127.0.0.1'"),
         (CLUSTER | {"bind": "10.0.0.1:7000"}, "trusted_network"),
         (CLUSTER | {"bind": "0.0.0.0:7000", "trusted_network": True}, "0.0.0.0:7000"),
+        (CLUSTER | {"advertise": "here:1"}, "advertise: 'here:1'"),
         (CLUSTER | {"name": "é" * 40}, "name: "),
         (CLUSTER | {"relays": 0}, "`relays`"),
         (CLUSTER | {"probe_interval_s": float("nan")}, "`probe_interval_s`"),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from cloverkeel.fleet.cluster import ClusterSettings
+from cloverkeel.fleet.membership.calls import CallFailed
+from cloverkeel.fleet.membership.service import Membership
 from faultlab.relay import Place, Relay, Rule
 from faultlab.relay.rules import Rules
 
@@ -157,3 +160,34 @@
         await relay.close()
 
     asyncio.run(run())
+
+
+def test_members_tell_the_relays_addresses_so_that_datagrams_and_calls_between_them_pass_it() -> None:
+    async def run() -> None:
+        relay = Relay(5)
+        members: list[Membership] = []
+        for number, name in enumerate(("a", "b", "c")):
+            place = await relay.add(name)
+            seeds = (relay.places["a"].advertise,) if number else ()
+            settings = ClusterSettings(name="lab", bind=place.bind, advertise=place.advertise, seeds=seeds)
+            members.append(Membership(settings, name, "", 1))
+            await members[-1].start()
+        a, b, _ = members
+        for member in members:
+            member.calls.serve("who", lambda peer, body: [peer, body])
+        async with asyncio.timeout(LIMIT_S):
+            while any(len(member.live()) < 3 for member in members):
+                await asyncio.sleep(0.01)
+            addresses = {name: place.advertise for name, place in relay.places.items()}
+            assert {r.name: r.address for r in b.live()} == addresses
+            assert set(relay.sent) == {"a", "b", "c"} and not relay.counts["strangers"]
+            assert await b.calls.call(addresses["c"], "who", 7, 1.0) == ["b", 7]
+            assert relay.counts["streams"] == 1
+            relay.cut(["a"], ["b"], one_way=True)
+            with pytest.raises(CallFailed, match="no answer"):
+                await a.calls.call(addresses["b"], "who", 7, 0.05)
+        for member in members:
+            member.close()
+        await relay.close()
+
+    asyncio.run(run())
