--- /dev/null
+++ b/faultlab/fleet.py
@@ -0,0 +1,204 @@
+"""Light members as processes on loopback, behind one relay: started, told apart by what they report, stopped.
+
+Every wait is bounded, and every process ends with the fleet, by its own pid.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from faultlab.lab import ROOT
+from faultlab.relay import Place, Relay
+
+CLUSTER = "lab"
+SEEDS = 3
+JOIN_S = 60.0  # for a whole fleet to start and agree, on a busy machine
+
+
+@dataclass(slots=True)
+class Held:
+    """What a member said last of another: its status, its incarnation and when, by the shared clock."""
+
+    status: str
+    incarnation: int
+    t: float
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Death:
+    """One member's report that another is dead, at `t` by the shared clock."""
+
+    t: float
+    by: str
+    of: str
+
+
+@dataclass
+class Light:
+    """One `faultlab.member` process. `view` follows its reports; `log` has its standard error's lines."""
+
+    name: str
+    place: Place
+    changed: asyncio.Event
+    deaths: list[Death]  # the whole fleet's
+    process: asyncio.subprocess.Process | None = None
+    view: dict[str, Held] = field(default_factory=dict)
+    reports: list[dict[str, Any]] = field(default_factory=list)  # all but the changes
+    log: list[str] = field(default_factory=list)
+    readers: list[asyncio.Task[None]] = field(default_factory=list)
+
+    async def start(self, cluster: dict[str, Any], *words: str) -> None:
+        """Start the process; `words` are further arguments of it. Does not wait for its first report."""
+        settings = cluster | {"bind": self.place.bind, "advertise": self.place.advertise}
+        self.view, self.reports, self.log = {}, [], []
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "faultlab.member", "--name", self.name, "--cluster", json.dumps(settings),
+            *words, cwd=ROOT, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        assert self.process.stdout is not None and self.process.stderr is not None
+        self.readers = [
+            asyncio.create_task(self._reports(self.process.stdout)),
+            asyncio.create_task(self._log(self.process.stderr)),
+        ]
+
+    async def _reports(self, stream: asyncio.StreamReader) -> None:
+        async for line in stream:
+            report = json.loads(line)
+            if report["event"] == "change":
+                held = Held(report["status"], report["incarnation"], report["t"])
+                self.view[report["member"]] = held
+                if held.status == "dead":
+                    self.deaths.append(Death(held.t, self.name, report["member"]))
+            else:
+                self.reports.append(report)
+            self.changed.set()
+
+    async def _log(self, stream: asyncio.StreamReader) -> None:
+        async for line in stream:
+            self.log.append(line.decode(errors="replace").rstrip())
+            self.changed.set()
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def says(self, event: str) -> list[dict[str, Any]]:
+        return [report for report in self.reports if report["event"] == event]
+
+    def logged(self, event: str) -> list[str]:
+        return [line for line in self.log if f"event={event} " in line + " "]
+
+    def tell(self, command: str) -> None:
+        """Write a command to it; the answer is the next report of that name."""
+        assert self.process is not None and self.process.stdin is not None
+        self.process.stdin.write(f"{command}\n".encode())
+
+    def signal(self, signum: int) -> float:
+        """Send it a signal, by its pid; returns the shared clock just before."""
+        assert self.process is not None
+        now_s = time.monotonic()
+        self.process.send_signal(signum)
+        return now_s
+
+    async def ended(self, timeout_s: float = 10.0) -> None:
+        """Once its process has ended and all that it wrote is read."""
+        assert self.process is not None
+        async with asyncio.timeout(timeout_s):
+            await self.process.wait()
+            await asyncio.gather(*self.readers)
+
+
+class Fleet:
+    """`async with Fleet(8, seed=1) as fleet`: members m0, m1, ... that all see each other, behind `relay`.
+    The first SEEDS are everyone's seeds. `settings` go into every member's `cluster`."""
+
+    def __init__(self, count: int, seed: int = 1, settings: dict[str, Any] | None = None) -> None:
+        self.count = count
+        self.relay = Relay(seed)
+        self.changed = asyncio.Event()
+        self.settings = {"name": CLUSTER} | (settings or {})
+        self.members: dict[str, Light] = {}
+        self.deaths: list[Death] = []  # as reported, by processes that have ended too
+
+    async def __aenter__(self) -> Fleet:
+        try:
+            for number in range(self.count):
+                await self.place(f"m{number}")
+            self.settings["seeds"] = [m.place.advertise for m in list(self.members.values())[:SEEDS]]
+            await asyncio.gather(*(m.start(self.settings) for m in self.members.values()))
+            await self.agreed(JOIN_S)
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def place(self, name: str) -> Light:
+        """A place behind the relay and no process yet."""
+        light = self.members[name] = Light(name, await self.relay.add(name), self.changed, self.deaths)
+        return light
+
+    async def until(self, holds: Callable[[], bool], timeout_s: float = 10.0) -> float:
+        """Waits for reports until `holds`, looked at once for each few milliseconds in which some came;
+        returns the shared clock then. Raises TimeoutError."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                self.changed.clear()
+                if holds():
+                    return time.monotonic()
+                await self.changed.wait()
+                await asyncio.sleep(0.002)
+
+    def running(self) -> list[Light]:
+        return [m for m in self.members.values() if m.running]
+
+    def holds(self, name: str, status: str, by: Iterable[Light] | None = None) -> bool:
+        """Whether every one of `by` (all that run) but `name` itself holds it in that status."""
+        held = [m.view.get(name) for m in (self.running() if by is None else by) if m.name != name]
+        return all(h is not None and h.status == status for h in held)
+
+    async def agreed(self, timeout_s: float = 20.0) -> float:
+        """Once each member that runs holds each other alive, at one incarnation; returns the shared clock."""
+
+        def holds() -> bool:
+            running = self.running()
+            if any(not m.says("started") for m in running):
+                return False
+            for light in running:
+                held = [m.view.get(light.name) for m in running if m is not light]
+                if any(h is None or h.status != "alive" for h in held):
+                    return False
+                if len({h.incarnation for h in held if h is not None}) > 1:
+                    return False
+            return True
+
+        return await self.until(holds, timeout_s)
+
+    async def counters(self, members: Iterable[Light], timeout_s: float = 10.0) -> dict[str, dict[str, Any]]:
+        """The counters of members that run, by name."""
+        asked = {m.name: (m, len(m.says("counters"))) for m in members}
+        for light, _ in asked.values():
+            light.tell("counters")
+        await self.until(lambda: all(len(m.says("counters")) > n for m, n in asked.values()), timeout_s)
+        return {name: m.says("counters")[-1]["answer"] for name, (m, _) in asked.items()}
+
+    async def close(self) -> None:
+        """Kill every process, by its pid, and close the relay."""
+        for light in self.running():
+            light.signal(signal.SIGKILL)
+        for light in self.members.values():
+            if light.process is not None:
+                with contextlib.suppress(TimeoutError):
+                    await light.ended()
+        await self.relay.close()
--- /dev/null
+++ b/faultlab/membership.py
@@ -0,0 +1,143 @@
+"""The membership experiments: how soon all know of a kill, the load at rest, convergence after a heal, and
+whether a soak under loss and stops has false deaths.
+
+Real light members behind the lab's relay. Each returns plain figures; `__main__` prints them. Times are in
+seconds, from just before the fault until the last member's own report, by the clock that all share.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import signal
+import statistics
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from faultlab.fleet import Death, Fleet, Light
+from faultlab.relay import Rule
+
+Figures = dict[str, Any]
+REST_S = 10.0  # two push-pull periods
+LOSS = 0.05
+STOP_S = 0.2
+GAP_S = (0.1, 0.6)  # between two stops
+
+
+def spread(values: Sequence[float]) -> Figures:
+    """Median, 99th percentile (nearest rank) and maximum, with the number they are of."""
+    ordered = sorted(values)
+    rank = max(0, math.ceil(0.99 * len(ordered)) - 1)
+    return {
+        "median": statistics.median(ordered),
+        "p99": ordered[rank],
+        "max": ordered[-1],
+        "of": len(ordered),
+    }
+
+
+async def kills(size: int, count: int, seed: int) -> Figures:
+    """Kill one member after another, each started again; the load is taken at rest before the first."""
+    rng = random.Random(seed)
+    known_s, agreed_s = [], []
+    false: list[Death] = []
+    async with Fleet(size, seed) as fleet:
+        await asyncio.sleep(REST_S / 2)  # what a start brings is said
+        before = sum(fleet.relay.sent.values())
+        began_s = time.monotonic()
+        await asyncio.sleep(REST_S)
+        load = (sum(fleet.relay.sent.values()) - before) / (time.monotonic() - began_s) / size
+        for _ in range(count):
+            await asyncio.sleep(rng.uniform(0.3, 0.8))
+            victim = rng.choice(fleet.running())
+            killed_s = victim.signal(signal.SIGKILL)
+            await victim.ended()
+            await fleet.until(lambda v=victim: fleet.holds(v.name, "dead"), 30.0)  # type: ignore[misc]
+            known_s.append(max(m.view[victim.name].t for m in fleet.running()) - killed_s)
+            started_s = time.monotonic()
+            await victim.start(fleet.settings)
+            agreed_s.append(await fleet.agreed(30.0) - started_s)
+            false += [death for death in fleet.deaths if death.of != victim.name]
+            fleet.deaths.clear()
+    return {
+        "known_s": spread(known_s), "started_again_s": spread(agreed_s), "datagrams_a_member_s": load,
+        "false_deaths": len(false),
+    }  # fmt: skip
+
+
+async def heals(size: int, rounds: int, seed: int) -> Figures:
+    """Part the members in two halves for longer than the suspicion time, then heal."""
+    rng = random.Random(seed)
+    parted_s, healed_s = [], []
+    async with Fleet(size, seed) as fleet:
+        names = list(fleet.members)
+        for _ in range(rounds):
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            rng.shuffle(names)
+            west, east = names[: size // 2], names[size // 2 :]
+            fleet.relay.cut(west, east)
+            cut_s = time.monotonic()
+            sides = [([fleet.members[n] for n in one], other) for one, other in ((west, east), (east, west))]
+            parted_s.append(await fleet.until(lambda s=sides: parted(fleet, s), 120.0) - cut_s)  # type: ignore[misc]
+            fleet.relay.heal()
+            began_s = time.monotonic()
+            healed_s.append(await fleet.agreed(60.0) - began_s)
+    return {"all_dead_s": spread(parted_s), "agreed_s": spread(healed_s)}
+
+
+def parted(fleet: Fleet, sides: list[tuple[list[Light], list[str]]]) -> bool:
+    """Whether each side holds all of the other dead."""
+    return all(fleet.holds(name, "dead", by) for by, others in sides for name in others)
+
+
+async def soak(size: int, hours: float, seed: int) -> Figures:
+    """`hours` member-hours under loss on every path, one member at a time stopped for STOP_S. All live, so
+    that every death reported is false."""
+    rng = random.Random(seed)
+    stops = 0
+    async with Fleet(size, seed) as fleet:
+        fleet.relay.set(Rule(drop=LOSS))
+        began_s = time.monotonic()
+        until_s = began_s + hours * 3600.0 / size
+        while time.monotonic() < until_s:
+            member = rng.choice(fleet.running())
+            member.signal(signal.SIGSTOP)
+            await asyncio.sleep(STOP_S)
+            member.signal(signal.SIGCONT)
+            stops += 1
+            await asyncio.sleep(rng.uniform(*GAP_S))
+        ran_s = time.monotonic() - began_s
+        deaths = sorted(fleet.deaths)
+        counters = await fleet.counters(fleet.running())
+        sent = sum(fleet.relay.sent.values())
+    return {
+        "member_hours": size * ran_s / 3600.0, "members": size, "loss": LOSS, "stops": stops,
+        "stop_s": STOP_S,
+        "false_deaths": len(deaths), "deaths_of": len({death.of for death in deaths}),
+        "first_deaths": [f"{d.of} by {d.by} after {d.t - began_s:.1f} s" for d in deaths[:5]],
+        "suspicions": sum(c["suspicions"] for c in counters.values()),
+        "refutations": sum(c["refutations"] for c in counters.values()),
+        "datagrams_a_member_s": sent / size / ran_s,
+        "cpu_share_a_member": sum(c["cpu_s"] for c in counters.values()) / size / ran_s,
+        "still_running": len(counters),
+    }  # fmt: skip
+
+
+async def run(
+    sizes: Sequence[int], killed: int, members: int, rounds: int, soak_hours: float, seed: int
+) -> Figures:
+    """All of them, one after another; a count of 0 leaves an experiment out."""
+    figures: Figures = {}
+    if killed:
+        for size in sizes:
+            for name, value in (await kills(size, killed, seed)).items():
+                figures[f"kill_{size}.{name}"] = value
+        loads = [figures[f"kill_{size}.datagrams_a_member_s"] for size in sizes]
+        figures["load_spread"] = max(loads) / min(loads) - 1.0
+    if rounds:
+        figures[f"heal_{members}"] = await heals(members, rounds, seed)
+    if soak_hours:
+        figures["soak"] = await soak(members, soak_hours, seed)
+    return figures
