--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -139,7 +139,9 @@
         actions: list[Action] = []
         for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
             if isinstance(message, Push):
-                rumour = self.roster.doubted(rumour)
+                if roster.forgotten(rumour):
+                    continue
+                rumour = roster.doubted(rumour)
             actions += self._learn(rumour, now_s, sender.name)
             if self.refused:
                 return actions
--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -123,6 +123,12 @@
                 self.order.remove(name)
             self.order.append(name)
 
+    def forgotten(self, rumour: Rumour) -> bool:
+        """Whether a rumour from another's whole view tells of one that is gone there and not known here (any
+        more): those that reap a little later would else bring back for ever what this member has reaped."""
+        known = rumour.name == self.me.name or rumour.name in self.view.members
+        return rumour.status not in PRESENT and not known
+
     def doubted(self, rumour: Rumour) -> Rumour:
         """A death read in another's whole view, of one that is present here, counts as a suspicion: it may be
         old news of a partition, and the member has the time to refute it (as memberlist's push-pull does). So
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -304,3 +304,13 @@
     sent = [a.message for a in member.tick(0.06) if isinstance(a, Send)]
     passed = [CODEC.decode(CODEC.encode(message)) for message in sent if isinstance(message, Gossip)]
     assert {r.by for m in passed for r in m.rumours if r.status is Status.SUSPECT} == {"e"}
+
+
+def test_a_view_that_still_holds_one_gone_does_not_bring_it_back_to_those_that_reaped_it() -> None:
+    member = Member(ME, Timing())
+    sender = Rumour("b", at(1), 1, Status.ALIVE)
+    held = tuple(Rumour(status.value, at(2), 3, status) for status in Status)
+    member.receive(Push(sender, held), 0.0)
+    assert member.members().keys() == {"a", "b", "alive", "suspect"}
+    member.receive(Gossip(sender, held), 0.0)  # news of a death is taken: an older rumour may come after it
+    assert member.members()["dead"].status is Status.DEAD
