--- a/faultlab/fleet.py
+++ b/faultlab/fleet.py
@@ -169,15 +169,17 @@
         return all(h is not None and h.status == status for h in held)
 
     async def agreed(self, timeout_s: float = 20.0) -> float:
-        """Once each member that runs holds each other alive, at one incarnation; returns the shared clock."""
+        """Once each member that runs holds each other alive, all at one incarnation and none at one of a
+        process before; returns the shared clock."""
 
         def holds() -> bool:
             running = self.running()
             if any(not m.says("started") for m in running):
                 return False
             for light in running:
+                began = light.says("started")[0]["incarnation"]
                 held = [m.view.get(light.name) for m in running if m is not light]
-                if any(h is None or h.status != "alive" for h in held):
+                if any(h is None or h.status != "alive" or h.incarnation < began for h in held):
                     return False
                 if len({h.incarnation for h in held if h is not None}) > 1:
                     return False
