--- a/faultlab/membership.py
+++ b/faultlab/membership.py
@@ -1,12 +1,13 @@
 """The membership experiments: how soon all know of a kill, the load at rest, convergence after a heal, and
 whether a soak under loss and stops has false deaths.
 
-Real light members behind the lab's relay. Each returns plain figures; `__main__` prints them. Times are in
+Real light members behind the lab's relay. Each returns plain figures; `command` prints them. Times are in
 seconds, from just before the fault until the last member's own report, by the clock that all share.
 """
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import math
 import random
@@ -18,6 +19,7 @@
 
 from faultlab.fleet import Death, Fleet, Light
 from faultlab.relay import Rule
+from faultlab.report import Parts, positive, report
 
 Figures = dict[str, Any]
 REST_S = 10.0  # two push-pull periods
@@ -38,7 +40,7 @@
     }
 
 
-async def kills(size: int, count: int, seed: int) -> Figures:
+async def kills(size: int, number: int, seed: int) -> Figures:
     """Kill one member after another, each started again; the load is taken at rest before the first."""
     rng = random.Random(seed)
     known_s, agreed_s = [], []
@@ -49,7 +51,7 @@
         began_s = time.monotonic()
         await asyncio.sleep(REST_S)
         load = (sum(fleet.relay.sent.values()) - before) / (time.monotonic() - began_s) / size
-        for _ in range(count):
+        for _ in range(number):
             await asyncio.sleep(rng.uniform(0.3, 0.8))
             victim = rng.choice(fleet.running())
             killed_s = victim.signal(signal.SIGKILL)
@@ -132,12 +134,58 @@
     figures: Figures = {}
     if killed:
         for size in sizes:
-            for name, value in (await kills(size, killed, seed)).items():
-                figures[f"kill_{size}.{name}"] = value
+            figures |= {
+                f"kill_{size}.{name}": value for name, value in (await kills(size, killed, seed)).items()
+            }
         loads = [figures[f"kill_{size}.datagrams_a_member_s"] for size in sizes]
         figures["load_spread"] = max(loads) / min(loads) - 1.0
     if rounds:
-        figures[f"heal_{members}"] = await heals(members, rounds, seed)
+        figures |= {
+            f"heal_{members}.{name}": value for name, value in (await heals(members, rounds, seed)).items()
+        }
     if soak_hours:
         figures["soak"] = await soak(members, soak_hours, seed)
     return figures
+
+
+def size_list(text: str) -> list[int]:
+    """An argument that is one or more sizes of fleets, `5,20,50`."""
+    sizes = text.split(",")
+    if any(not size.isdecimal() or int(size) < 2 for size in sizes):
+        raise argparse.ArgumentTypeError(f"{text!r} is no list of whole numbers of at least 2, as in 5,20,50")
+    return [int(size) for size in sizes]
+
+
+def count(text: str) -> int:
+    """An argument that is a whole number, 0 included."""
+    return 0 if text == "0" else positive(text)
+
+
+def hours(text: str) -> float:
+    try:
+        if 0.0 <= float(text) < math.inf:
+            return float(text)
+    except ValueError:
+        pass
+    raise argparse.ArgumentTypeError(f"{text!r} is no number of hours of at least 0")
+
+
+def register(parts: Parts) -> None:
+    """Add `membership` and its arguments to the lab's commands."""
+    lab = parts.add_parser("membership", help="kills, load at rest, partitions, a soak under loss and stops")
+    lab.add_argument(
+        "--sizes", type=size_list, default=[5, 20, 50], help="of fleets that lose members (5,20,50)"
+    )
+    lab.add_argument("--kills", type=count, default=20, help="at each size (default 20; 0: none)")
+    lab.add_argument("--members", type=positive, default=20, help="in partitions and the soak (default 20)")
+    lab.add_argument("--rounds", type=count, default=10, help="partitions (default 10; 0: none)")
+    lab.add_argument("--soak-hours", type=hours, default=0.2, help="member-hours (default 0.2; 0: none)")
+    lab.add_argument("--seed", type=int, default=1)
+    lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
+    lab.set_defaults(run=command)
+
+
+def command(arguments: argparse.Namespace) -> int:
+    given = (arguments.sizes, arguments.kills, arguments.members, arguments.rounds, arguments.soak_hours)
+    report(asyncio.run(run(*given, arguments.seed)), arguments.json)
+    return 0
