--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -4,6 +4,7 @@
 
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.servers import Request, Server
+from caperdrift.policy.sharers import sharers
 
 FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
 
@@ -26,7 +27,7 @@
 
     The parts of all add up to the whole; half of it, drained by half in each window, never passes it.
     """
-    users = max(1.0, proxy.settings.proxies * min(1.0, proxy.reach / max(1, len(proxy.ranked))))
+    users = max(1.0, sharers(proxy) * min(1.0, proxy.reach / max(1, len(proxy.ranked))))
     return FALL_MARGIN * proxy.settings.fall_multiple * proxy.settings.fall_us / users
 
 
@@ -38,8 +39,8 @@
 
 def cold_share(proxy: Proxy, server: Server) -> float:
     """Share of its capacity that a server surely has by now."""
-    age_us = proxy.now_us - server.entry.started_us
+    age_us = max(0, proxy.now_us - server.entry.started_us)  # a start that lies ahead is just now
     if server.entry.started_us == 0 or age_us >= proxy.settings.warm_after_us:
         return 1.0
     start = proxy.settings.start_capacity
-    return start + (1.0 - start) * max(0, age_us) / proxy.settings.warm_after_us
+    return start + (1.0 - start) * age_us / proxy.settings.warm_after_us
