--- a/faultlab/membership.py
+++ b/faultlab/membership.py
@@ -65,7 +65,7 @@
             fleet.deaths.clear()
     return {
         "known_s": spread(known_s), "started_again_s": spread(agreed_s), "datagrams_a_member_s": load,
-        "false_deaths": len(false),
+        "false_deaths": len(false), "falsely_dead": len({death.of for death in false}),
     }  # fmt: skip
 
 
