--- a/faultlab/membership.py
+++ b/faultlab/membership.py
@@ -17,6 +17,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+import uvloop
+
 from faultlab.fleet import Death, Fleet, Light
 from faultlab.relay import Rule
 from faultlab.report import Parts, positive, report
@@ -187,5 +189,5 @@
 
 def command(arguments: argparse.Namespace) -> int:
     given = (arguments.sizes, arguments.kills, arguments.members, arguments.rounds, arguments.soak_hours)
-    report(asyncio.run(run(*given, arguments.seed)), arguments.json)
+    report(uvloop.run(run(*given, arguments.seed)), arguments.json)
     return 0
