Fault lab: membership's figures tell how long the lab and its members stood still

Need: on a machine that other work keeps busy a member that gets no processor is marked dead, and a lab whose relay stands still is taken for a fault of the members'.

Change: the longest standstill of the lab's own loop and the members' stalls are among the figures.

--- a/faultlab/fleet.py
+++ b/faultlab/fleet.py
@@ -20,6 +20,7 @@
 
 CLUSTER = "lab"
 SEEDS = 3
+TICK_S = 0.02
 JOIN_S = 60.0  # for a whole fleet to start and agree, on a busy machine
 
 
@@ -126,10 +127,12 @@
         self.relay = Relay(seed)
         self.changed = asyncio.Event()
         self.settings = {"name": CLUSTER} | (settings or {})
+        self.late_s = 0.0  # this loop's longest standstill, the relay's with it: members are blamed for it
         self.members: dict[str, Light] = {}
         self.deaths: list[Death] = []  # as reported, by processes that have ended too
 
     async def __aenter__(self) -> Fleet:
+        self.watching = asyncio.create_task(self._watch())
         try:
             for number in range(self.count):
                 await self.place(f"m{number}")
@@ -144,6 +147,12 @@
     async def __aexit__(self, *_: object) -> None:
         await self.close()
 
+    async def _watch(self) -> None:
+        while True:
+            due_s = time.monotonic() + TICK_S
+            await asyncio.sleep(TICK_S)
+            self.late_s = max(self.late_s, time.monotonic() - due_s)
+
     async def place(self, name: str) -> Light:
         """A place behind the relay and no process yet."""
         light = self.members[name] = Light(name, await self.relay.add(name), self.changed, self.deaths)
@@ -203,4 +212,5 @@
             if light.process is not None:
                 with contextlib.suppress(TimeoutError):
                     await light.ended()
+        self.watching.cancel()
         await self.relay.close()
--- a/faultlab/membership.py
+++ b/faultlab/membership.py
@@ -65,9 +65,11 @@
             agreed_s.append(await fleet.agreed(30.0) - started_s)
             false += [death for death in fleet.deaths if death.of != victim.name]
             fleet.deaths.clear()
+        stalls = await fleet.counters(fleet.running())
     return {
         "known_s": spread(known_s), "started_again_s": spread(agreed_s), "datagrams_a_member_s": load,
         "false_deaths": len(false), "falsely_dead": len({death.of for death in false}),
+        "lab_late_s": fleet.late_s, "stalls": sum(c["stalls"] for c in stalls.values()),
     }  # fmt: skip
 
 
@@ -125,7 +127,8 @@
         "refutations": sum(c["refutations"] for c in counters.values()),
         "datagrams_a_member_s": sent / size / ran_s,
         "cpu_share_a_member": sum(c["cpu_s"] for c in counters.values()) / size / ran_s,
-        "still_running": len(counters),
+        "still_running": len(counters), "lab_late_s": fleet.late_s,
+        "stalls": sum(c["stalls"] for c in counters.values()),
     }  # fmt: skip
 
 
