--- a/faultlab/member.py
+++ b/faultlab/member.py
@@ -9,9 +9,9 @@
     {"event": "change", "member": ..., "status": ..., "incarnation": ..., "before": status or null}
     {"event": "state", "state": ...}          once it has joined, is alone, or its name is taken
 
-and answers to the commands on standard input, one a line: `table`, `counters` (with the state, the CPU
-seconds used and the core's health); `leave`: it leaves and ends. It ends with its standard input, so that
-none outlives the lab that started it.
+and answers to the commands on standard input, one a line: `counters` (with the state, the CPU seconds used
+and the core's health); `leave`: it leaves and ends. It ends with its standard input, so that none outlives
+the lab that started it.
 """
 
 from __future__ import annotations
@@ -57,15 +57,11 @@
         before=before.status.value if before is not None else None)  # fmt: skip
 
 
-def answer(membership: Membership, command: str) -> Any:
-    if command == "table":
-        return membership.table()
-    if command == "counters":
-        member = membership.member
-        health = member.roster.health.score if member is not None else 0
-        own = {"state": membership.state, "cpu_s": time.process_time(), "health": health}
-        return membership.counters() | own
-    return None
+def counters(membership: Membership) -> dict[str, Any]:
+    member = membership.member
+    health = member.roster.health.score if member is not None else 0
+    own = {"state": membership.state, "cpu_s": time.process_time(), "health": health}
+    return membership.counters() | own
 
 
 async def run(settings: ClusterSettings, name: str, zone: str, number: int) -> None:
@@ -86,7 +82,8 @@
         if line == "leave":
             await membership.leave()
             break
-        say(line, answer=answer(membership, line))
+        if line == "counters":
+            say(line, answer=counters(membership))
     telling.cancel()
     membership.close()
 
