With pushed lists the agent is asked again within 0.5 s of a failure, however long the outage

Need: what the agent has counts as told at once, and a drained server may be used for 2 s more. After some seconds of silence the next call was up to 5 s away, and after 1,024 failures it was never made: 0.2 * 2**1024 is no float. Change: the wait between calls doubles twice, to 0.25 to 0.5 s; with a call into the silence (1 s) it stays below 2 s. The agent is on the gateway's machine and answers at no cost; where lists are asked for, the module waits as before. Test: no wait after up to 5,000 failures puts the next answer past 2 s (fails without it).

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -20,7 +20,9 @@
 # A longer wait only puts off news that a silent watch misses, a shorter one costs calls. Each call draws its
 # own from the upper half: gateways that were told of one change must not all ask again in one moment.
 HOLD_S = TOLD_S - TOLD_LATE_S
-FIRST_RETRY_S, LAST_RETRY_S = 0.2, 5.0  # between calls where the module does not ask itself
+# Between calls where the module does not ask itself. What the agent has counts as told at once: a call into
+# its silence, the wait after it and the next answer fit in the 2 s that a drained server may still be used.
+FIRST_RETRY_S, RETRY_DOUBLED = 0.125, 2
 LIST_LIMIT = 16 * 1024 * 1024
 STATUSES = {
     "SERVING": ServerStatus.READY,
@@ -97,6 +99,11 @@
     return int(raw["index"]), bool(raw.get("snapshot", False)), list(entries.values())
 
 
+def retry_wait_s(failures: int) -> float:
+    """How long to wait after this many failed calls on end before the one that has just failed."""
+    return FIRST_RETRY_S * (1 << min(failures, RETRY_DOUBLED)) * random.uniform(0.5, 1.0)
+
+
 class _Line(asyncio.Protocol):
     """The connection to discovery: one call at a time."""
 
@@ -210,9 +217,8 @@
             log(f"discovery: {error or type(error).__name__}")
             self.on_list(ListKind.ERROR, [])
             if self.pushed:
-                wait_s = min(FIRST_RETRY_S * 2**self.failures, LAST_RETRY_S) * random.uniform(0.5, 1.0)
+                asyncio.get_running_loop().call_later(retry_wait_s(self.failures), self.watch, True)
                 self.failures += 1
-                asyncio.get_running_loop().call_later(wait_s, self.watch, True)
         finally:
             self._forget(asyncio.current_task())
 
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -9,7 +9,7 @@
 import pytest
 
 from caperdrift.interface import FetchList, ListKind, ServerList, WatchList
-from cloverkeel.discovery import CALL_TIMEOUT_S
+from cloverkeel.discovery import CALL_TIMEOUT_S, retry_wait_s
 from tests.sockets import (
     Exchange,
     Peer,
@@ -180,6 +180,12 @@
             assert ListKind.ERROR not in {event.kind for event in told}
 
 
+def test_the_agent_is_asked_soon_after_an_outage_however_long() -> None:
+    """It was asked up to 5 s late, and never again after 1,024 failures, while its news counts as told."""
+    waits = [retry_wait_s(failures) for failures in range(5_000)]
+    assert CALL_TIMEOUT_S + max(waits) < 2.0 and min(waits[2:]) >= 0.25
+
+
 @on_loop
 async def test_a_service_that_ends_each_connection_is_still_waited_for() -> None:
     def script(exchange: Exchange) -> None:
