A cold server's first requests are spread by their work, not by how long answers wait

Checked: with each pick logged, a cold candidate had room in 6 of 100 picks at age 1 to 2 s, in 20 at 2 to 3 s. Not the breakers, not the rank: list_server began with random() * max(longest_us, half of the budget) as spent, 271 ms of latency against 134 ms of budget that drains at 41 ms a second, so the first request came up to 6 s late. Change: the larger of a request's work (hinted, else as charged) and half of the budget; the firsts still come at the planned rate.

--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -22,6 +22,22 @@
     return server.spent_us + cost_us <= max(half_us, cost_us)
 
 
+def first_spent_us(proxy: Proxy) -> float:
+    """What counts as spent of a server that has just started: a random part of a request's work, or of half
+    of the budget where that is more.
+
+    Hundreds of proxies hear of a cold server at once and each may send one request at the least: these firsts
+    come at the planned rate then, and not together. Guards against counting the time that answers wait as
+    work: in a crowd, which a new server could relieve, it stood idle for the first half of its warming.
+    """
+    costs = [
+        work or between_us(proxy, klass)
+        for klass, work in enumerate(proxy.mean_work)
+        if not proxy.settings.classes[klass].dropped
+    ]
+    return proxy.random.random() * max([*costs, fall_budget_us(proxy) / 2])
+
+
 def fall_budget_us(proxy: Proxy) -> float:
     """This proxy's part of the work that a server of one core may be sent in a fall window when warm.
 
@@ -33,8 +49,12 @@
 
 def cold_cost_us(proxy: Proxy, request: Request) -> float:
     """Work of a request: hinted, else between the fastest and the usual replies, which waited too."""
-    between_us = (proxy.unhindered[request.klass] + proxy.smoothed[request.klass]) / 2
-    return request.work_us or between_us * request.size
+    return request.work_us or between_us(proxy, request.klass) * request.size
+
+
+def between_us(proxy: Proxy, klass: int) -> float:
+    """Latency halfway between the fastest and the usual replies."""
+    return (proxy.unhindered[klass] + proxy.smoothed[klass]) / 2
 
 
 def cold_share(proxy: Proxy, server: Server) -> float:
--- a/caperdrift/policy/lists.py
+++ b/caperdrift/policy/lists.py
@@ -6,7 +6,7 @@
 
 from caperdrift.interface import ListedServer, ListKind, ServerList, ServerStatus, SetTimer
 from caperdrift.policy.choice import nearness, rendezvous
-from caperdrift.policy.cold import cold_share, fall_budget_us
+from caperdrift.policy.cold import cold_share, first_spent_us
 from caperdrift.policy.proxy import LIST_TOKEN, Proxy
 from caperdrift.policy.servers import CEILING, FLOOR, Server
 
@@ -58,9 +58,7 @@
         weights = [s.weight for s in proxy.servers.values() if s is not known]
         mean = sum(weights) / len(weights) if weights else CEILING
         server = Server(entry, mean, rendezvous(0, entry.server, 1.0), spent_at_us=proxy.now_us)
-        # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
-        # each begins with a random part of that spent, so that these firsts do not come together.
-        server.spent_us = proxy.random.random() * max(proxy.longest_us(), fall_budget_us(proxy) / 2)
+        server.spent_us = first_spent_us(proxy)
         proxy.servers[entry.server] = server
     else:
         known.entry = entry
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -564,6 +564,19 @@
     assert hinted > 3 * unhinted > 0
 
 
+def test_a_server_that_starts_in_a_crowd_is_used_soon() -> None:
+    """The time that answers waited counted as work already sent: it stood idle for seconds."""
+    soon = 0
+    for proxy in range(40):
+        driver = Driver(replace(COLD, proxy=proxy), servers=0, seed=proxy)
+        driver.balancer.smoothed = [1_000_000.0] * 3
+        driver.balancer.mean_work = [10_000.0] * 3
+        driver.list_servers(ListedServer(1, started_us=driver.now_us))
+        driver.now_us += 4 * COLD.fall_us
+        soon += bool(sends(driver.arrive(work_us=10_000)[1]))
+    assert soon > 20
+
+
 def test_a_cold_server_beyond_the_reach_is_not_used() -> None:
     """When many step aside from failing servers, all would meet on the same cold one."""
     driver = Driver(replace(COLD, proxies=300), servers=60)
