--- /dev/null
+++ b/faultlab/coldstart/command.py
@@ -0,0 +1,102 @@
+"""`python -m faultlab coldstart`: its options, and its figures side by side."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from faultlab.coldstart import drains, experiment
+from faultlab.coldstart.faults import FAULTS
+from faultlab.coldstart.settings import Plan
+from faultlab.report import Parts, positive
+
+
+def listed(known: tuple[str, ...]) -> Callable[[str], list[str]]:
+    """An argument that names some of `known`, or `all` of them."""
+
+    def read(text: str) -> list[str]:
+        names = list(known) if text == "all" else text.split(",")
+        for name in names:
+            if name not in known:
+                raise argparse.ArgumentTypeError(f"{name!r} is not among {', '.join(known)}")
+        return names
+
+    return read
+
+
+def sizes(text: str) -> list[int]:
+    return [positive(size) for size in text.split(",")]
+
+
+def register(parts: Parts) -> None:
+    """Add `coldstart` and its arguments to the lab's commands."""
+    lab = parts.add_parser("coldstart", help="hundreds of gateways start at once, with `cluster` off and on")
+    lab.add_argument("--gateways", type=positive, default=200)
+    lab.add_argument("--hosts", type=positive, default=60)
+    lab.add_argument("--seed", type=int, default=1)
+    lab.add_argument("--rate", type=positive, default=int(Plan.rate_per_s), help="requests a second over all")
+    names = ", ".join(FAULTS)
+    lab.add_argument("--faults", type=listed(tuple(FAULTS)), default=["none"],
+                     help=f"played one by one: {names}; or all")  # fmt: skip
+    modes = tuple(experiment.MODES)
+    lab.add_argument("--modes", type=listed(modes), default=list(modes), help="off, on or both")
+    lab.add_argument("--scale", type=sizes, help="sizes of the fleet, in place of --gateways: 50,100,200")
+    lab.add_argument("--drains", type=positive, help="so many drains, each with a fault at a relay")
+    lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
+    lab.set_defaults(run=command)
+
+
+def command(arguments: argparse.Namespace) -> int:
+    plan = Plan(arguments.gateways, arguments.hosts, arguments.seed, rate_per_s=arguments.rate)
+    with tempfile.TemporaryDirectory(prefix="faultlab-") as place:
+        folder = Path(place)
+        if arguments.drains:
+            figures = asyncio.run(drains.run(plan, folder, arguments.drains))
+            text = table({"drains": figures})
+        elif arguments.scale:
+            figures = asyncio.run(experiment.scale(plan, folder, arguments.modes, arguments.scale))
+            text = growth(figures, arguments.modes)
+        else:
+            figures = asyncio.run(experiment.run(plan, folder, arguments.modes, arguments.faults))
+            text = side_by_side(figures)
+    print(json.dumps(figures) if arguments.json else text)
+    return 0
+
+
+def side_by_side(figures: dict[str, Any]) -> str:
+    """Each play a table, with a column for each mode."""
+    texts = [f"start by the processor alone (99 %): {figures['alone_99_s']:.2f} s"]
+    texts += [f"\n{fault}\n{table(plays)}" for fault, plays in figures["plays"].items()]
+    return "\n".join(texts)
+
+
+def growth(figures: dict[str, Any], modes: list[str]) -> str:
+    """One table, with a column for each mode and size."""
+    return table({
+        f"{size} {mode}": seen["plays"]["none"][mode] | {"alone_99_s": seen["alone_99_s"]}
+        for mode in modes for size, seen in figures.items()
+    })  # fmt: skip
+
+
+def table(columns: dict[str, dict[str, Any]]) -> str:
+    """Rows by name, columns by heading."""
+    names = list(dict.fromkeys(name for column in columns.values() for name in column))
+    rows = [["", *columns]]
+    rows += [[name, *(_shown(column.get(name, "")) for column in columns.values())] for name in names]
+    widths = [max(len(row[place]) for row in rows) for place in range(len(rows[0]))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(w) if not i else cell.rjust(w)
+            for i, (cell, w) in enumerate(zip(row, widths, strict=True))
+        )
+        for row in rows
+    )
+
+
+def _shown(value: object) -> str:
+    return f"{value:.2f}" if isinstance(value, float) else str(value)
--- /dev/null
+++ b/faultlab/coldstart/experiment.py
@@ -0,0 +1,71 @@
+"""The plays of `python -m faultlab coldstart`: each with `cluster` off and on, the same seed."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from faultlab.coldstart.faults import FAULTS
+from faultlab.coldstart.settings import Plan
+from faultlab.coldstart.site import FIRST_S, Site
+
+MODES = {"off": False, "on": True}
+
+
+async def processor_alone(plan: Plan, folder: Path) -> float:
+    """Seconds until 99 % of the same gateways are ready with a list at hand and nobody to ask."""
+    site = Site(plan, folder, shared=False)
+    try:
+        await site.open(known=True)
+        await site.release_alone()
+        await site.until_ready(0.99)
+        return site.ready_s(0.99)
+    finally:
+        await site.close()
+
+
+async def play(plan: Plan, folder: Path, shared: bool, fault: str) -> dict[str, Any]:
+    """One cold start: until every gateway has had its first seconds of traffic, then the late part."""
+    parts = FAULTS[fault]
+    site = Site(plan, folder, shared)
+    early: asyncio.Task[None] | None = None
+    try:
+        await site.open(relayed=shared and parts.relayed)
+        if parts.early is not None:
+            early = asyncio.ensure_future(parts.early(site))
+        await site.release()
+        await site.until_ready(1.0)
+        last_s = max(site.first_ready.values(), default=0.0)
+        await asyncio.sleep(max(0.0, last_s + FIRST_S - time.monotonic()))
+        if early is not None:
+            await early
+        if parts.late is not None:
+            await parts.late(site)
+        return await site.figures()
+    finally:
+        if early is not None:
+            early.cancel()
+        await site.close()
+
+
+async def run(plan: Plan, folder: Path, modes: list[str], faults: list[str]) -> dict[str, Any]:
+    """The figures by fault and mode, and the start that the processor alone needs."""
+    alone_s = await processor_alone(plan, folder / "alone")
+    seen: dict[str, Any] = {"alone_99_s": alone_s, "plays": {}}
+    for fault in faults:
+        plays = seen["plays"][fault] = {}
+        for mode in modes:
+            plays[mode] = await play(plan, folder / f"{fault}-{mode}", MODES[mode], fault)
+            plays[mode]["ready_99_to_alone"] = plays[mode]["ready_99_s"] / alone_s
+    return seen
+
+
+async def scale(plan: Plan, folder: Path, modes: list[str], sizes: list[int]) -> dict[str, Any]:
+    """The start alone, in several sizes of the fleet, with the same hosts and the same traffic over all."""
+    return {
+        str(size): await run(replace(plan, gateways=size), folder / str(size), modes, ["none"])
+        for size in sizes
+    }
--- /dev/null
+++ b/faultlab/coldstart/faults.py
@@ -0,0 +1,129 @@
+"""The faults of a cold start, by name: what is done while the gateways start, and once all serve."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from faultlab.coldstart.site import FIRST_S, Site
+
+DOWN_S = 8.0
+SLOW_S = 1.0  # on top of each answer
+COLLAPSE_S = 20.0
+DRAIN_S = 4.0  # a host drains for so long: twice what the rule gives
+CUT_FROM_S = 1.0
+MASS = 0.7
+SETTLE_S = 1.0
+
+Part = Callable[[Site], Awaitable[None]]
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """`early` begins with the gateways' start, `late` once each has had its first seconds of traffic."""
+
+    early: Part | None = None
+    late: Part | None = None
+    relayed: bool = False  # the members' paths lead through `faultlab.relay`
+
+
+async def drained(site: Site) -> None:
+    """One drain and its end."""
+    drain = await site.drain()
+    await asyncio.sleep(DRAIN_S)
+    await site.undrain(drain)
+
+
+async def service_down(site: Site) -> None:
+    await site.service.ask("mode", down=True)
+    await asyncio.sleep(DOWN_S)
+    await site.service.ask("mode")
+
+
+async def service_slow(site: Site) -> None:
+    await site.service.ask("mode", slow_s=SLOW_S)
+
+
+async def service_collapse(site: Site) -> None:
+    await site.service.ask("mode", rate_per_s=site.plan.calls_per_s / 5)
+    await asyncio.sleep(COLLAPSE_S)
+    await site.service.ask("mode", rate_per_s=site.plan.calls_per_s)
+
+
+async def service_restart(site: Site) -> None:
+    """It begins at an index far below the one that all know, and tells of a drain soon after."""
+    for _ in range(3):  # some changes, so that the index has a way to fall
+        await drained(site)
+    await site.service.ask("restart", index=1)
+    await asyncio.sleep(SETTLE_S)
+    await drained(site)
+
+
+async def seeds_killed(site: Site) -> None:
+    """The seeds die once one gateway in ten is ready, and stay dead."""
+    while len(await site.ready()) < site.plan.gateways / 10:
+        await asyncio.sleep(0.02)
+    await site.kill(list(range(site.plan.seeds)), again=False)
+
+
+async def mass_kill(site: Site) -> None:
+    """Seven in ten die and start again at one moment."""
+    count = round(MASS * site.plan.gateways)
+    struck = sorted(site.random.sample(range(site.plan.gateways), count))
+    began_s = time.monotonic()
+    await site.kill(struck, again=True)
+    await site.until_ready_again(struck)
+    ready = await site.ready()
+    again = {number: ready[number] for number in struck if number in ready}
+    await asyncio.sleep(max(0.0, max(again.values(), default=began_s) + FIRST_S - time.monotonic()))
+    site.again = (began_s, again, struck)
+    await drained(site)
+
+
+async def zone_cut(site: Site) -> None:
+    """Members of the last zone are cut from the others while all start, and until a drain has passed."""
+    if site.relay is None:  # no members
+        return
+    await asyncio.sleep(CUT_FROM_S)
+    zones = {f"gw-{n}": n % 3 for n in range(site.plan.gateways)}
+    site.relay.cut([n for n, z in zones.items() if z == 2], [n for n, z in zones.items() if z != 2])
+
+
+async def zone_heal(site: Site) -> None:
+    await drained(site)
+    if site.relay is not None:
+        site.relay.heal()
+    await asyncio.sleep(SETTLE_S)
+    await drained(site)
+
+
+async def relay_stop(site: Site) -> None:
+    """One that watches the service for others is SIGSTOPped with a drain in flight, three times."""
+    assert site.gateways is not None
+    for _ in range(3):
+        watching = await site.watchers()
+        if not watching:
+            return
+        victim = site.random.choice(watching)
+        drain = await site.drain()
+        site.gateways.signal(victim, signal.SIGSTOP)
+        await asyncio.sleep(DRAIN_S)
+        await site.undrain(drain)
+        site.gateways.signal(victim, signal.SIGCONT)
+        await asyncio.sleep(SETTLE_S)
+
+
+FAULTS: dict[str, Fault] = {
+    "none": Fault(late=drained),
+    "service-down": Fault(service_down, drained),
+    "service-slow": Fault(service_slow, drained),
+    "service-collapse": Fault(service_collapse, drained),
+    "service-restart": Fault(late=service_restart),
+    "seeds-killed": Fault(seeds_killed, drained),
+    "mass-kill": Fault(late=mass_kill),
+    "zone-cut": Fault(zone_cut, zone_heal, relayed=True),
+    "relay-stop": Fault(late=relay_stop),
+}
--- /dev/null
+++ b/faultlab/coldstart/site.py
@@ -0,0 +1,247 @@
+"""One site that comes up: its list service, hosts, clients and gateways, and what was seen of them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from faultlab.child import Child
+from faultlab.coldstart import figures
+from faultlab.coldstart.figures import Drain
+from faultlab.coldstart.processes import Gateways, free_ports
+from faultlab.coldstart.settings import Plan
+from faultlab.relay import Relay
+
+FIRST_S = 10.0
+MOST_START_S = 45.0
+POLL_S = 0.05
+
+
+class Site:
+    """One play; `shared` where the gateways form a cluster."""
+
+    def __init__(self, plan: Plan, folder: Path, shared: bool) -> None:
+        self.plan, self.folder, self.shared = plan, folder, shared
+        self.random = random.Random(plan.seed)
+        self.children: list[Child] = []
+        self.gateways: Gateways | None = None
+        self.first_ready: dict[int, float] = {}
+        self.drains: list[Drain] = []
+        self.relay: Relay | None = None
+        self.lost: set[int] = set()  # killed for good
+        self.again: tuple[float, dict[int, float], list[int]] | None = (
+            None  # a second start: began, ready, who
+        )
+        self.began_s = 0.0
+        self.load = os.getloadavg()[0]
+
+    async def open(self, known: bool = False, relayed: bool = False) -> None:
+        """Have all at hand but for the gateways' start; `known`: with the list in their files, and no
+        service; `relayed`: with a relay on the members' paths."""
+        plan = self.plan
+        self.folder.mkdir(parents=True, exist_ok=True)
+        hosts = [{"name": f"host-{n}", "fails": plan.fails(n)} for n in range(plan.hosts)]
+        taken: set[int] = set()
+        ports = free_ports(plan.gateways, taken)
+        clients = {"ports": ports, "rate_per_s": plan.rate_per_s, "work_us": int(plan.work_s * 1e6),
+                   "seed": plan.seed}  # fmt: skip
+        service = {"rate_per_s": plan.calls_per_s, "queue": plan.queue, "patience_s": plan.patience_s,
+                   "collapses": True}  # fmt: skip
+        at_hosts = {"hosts": hosts, "account": plan.account(), "cap": plan.host_cap}
+        for module, settings in (
+            ("faultlab.listservice", service),
+            ("faultlab.coldstart.hosts", at_hosts),
+            ("faultlab.coldstart.client", clients),
+        ):
+            self.children.append(await Child.start(module, settings))
+        self.service, self.hosts, self.clients = self.children
+        discovery = await self.service.ask("listen", callers=plan.gateways)
+        self.addresses: list[str] = await self.hosts.ask("addresses")
+        clusters = await self.relayed() if relayed else self.clusters(free_ports(plan.seeds, taken))
+        files = [
+            plan.configuration(n, ports[n], discovery[n], clusters[n] if self.shared else None)
+            for n in range(plan.gateways)
+        ]
+        if known:
+            (nowhere,) = free_ports(1, taken)
+            listed = {"index": 1, "snapshot": True, "endpoints": self.endpoints()}
+            files = [file | {"known": listed, "discovery": f"127.0.0.1:{nowhere}"} for file in files]
+        self.gateways = Gateways(self.folder, files)
+        self.gate = self.gateways.prepare(list(range(plan.gateways)))
+
+    def clusters(self, ports: list[int]) -> list[dict[str, Any]]:
+        """Each gateway's `cluster` object: the first few are the seeds, at ports known ahead."""
+        seeds = [f"127.0.0.1:{port}" for port in ports]
+        binds = [*seeds, *["127.0.0.1:0"] * self.plan.gateways]
+        return [self.plan.cluster(seeds) | {"bind": bind} for bind in binds[: self.plan.gateways]]
+
+    async def relayed(self) -> list[dict[str, Any]]:
+        """The same, with each member behind the relay."""
+        self.relay = Relay(self.plan.seed)
+        places = [await self.relay.add(f"gw-{n}") for n in range(self.plan.gateways)]
+        cluster = self.plan.cluster([place.advertise for place in places[: self.plan.seeds]])
+        return [cluster | {"bind": place.bind, "advertise": place.advertise} for place in places]
+
+    def endpoints(self) -> list[dict[str, Any]]:
+        since_ms = int(time.time() * 1000)
+        return [self.plan.endpoint(n, address, since_ms) for n, address in enumerate(self.addresses)]
+
+    async def release(self) -> None:
+        """The power is back: hosts and gateways start."""
+        await self.hosts.ask("restart")
+        await self.service.ask("hosts", endpoints=self.endpoints())
+        self.began_s = time.monotonic()
+        os.close(self.gate)
+        await self.clients.ask("poll", gateways=list(range(self.plan.gateways)))
+        await self.clients.ask("send", on=True)
+
+    async def release_alone(self) -> None:
+        """The gateways start, and nobody sends."""
+        self.began_s = time.monotonic()
+        os.close(self.gate)
+        await self.clients.ask("poll", gateways=list(range(self.plan.gateways)))
+
+    async def close(self) -> None:
+        if self.gateways is not None:
+            self.gateways.close()
+        if self.relay is not None:
+            await self.relay.close()
+        for child in self.children:
+            await child.close()
+
+    async def ready(self) -> dict[int, float]:
+        """Since when each gateway that is ready now has been so; remembers each one's first moment."""
+        now = {gateway: since_s for gateway, since_s in await self.clients.ask("ready")}
+        for gateway, since_s in now.items():
+            self.first_ready.setdefault(gateway, since_s)
+        return now
+
+    async def until_ready(self, share: float, timeout_s: float = MOST_START_S) -> bool:
+        """Wait until so large a share has been ready once; False where it is not in time."""
+        end_s = time.monotonic() + timeout_s
+        while time.monotonic() < end_s:
+            await self.ready()
+            if len(self.first_ready.keys() | self.lost) >= share * self.plan.gateways:
+                return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    async def until_ready_again(self, numbers: list[int], timeout_s: float = MOST_START_S) -> bool:
+        """Wait until these are ready now; False where they are not in time."""
+        end_s = time.monotonic() + timeout_s
+        while time.monotonic() < end_s:
+            if (await self.ready()).keys() >= set(numbers):
+                return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    def ready_s(self, share: float) -> float:
+        """When so large a share had been ready once, in seconds from the start; inf: never."""
+        return start_s(
+            self.began_s,
+            self.first_ready,
+            self.plan.gateways - len(self.lost - self.first_ready.keys()),
+            share,
+        )
+
+    async def drain(self) -> Drain:
+        """Have the list service say that a host drains, one that is in use if any; `undrain` ends it."""
+        used = await self.hosts.ask("used", after_s=time.monotonic() - 1.0)
+        host = self.random.choice(used or range(self.plan.hosts))
+        set_s, index = await self.service.ask("set", name=f"host-{host}", fields={"status": "DRAINING"})
+        return Drain(host, index, set_s, float("inf"))
+
+    async def undrain(self, drain: Drain) -> None:
+        until_s = time.monotonic()
+        await self.service.ask("set", name=f"host-{drain.host}", fields={"status": "SERVING"})
+        self.drains.append(Drain(drain.host, drain.index, drain.set_s, until_s))
+
+    async def watchers(self) -> list[int]:
+        """The gateways that hold a watch at the list service: with `shared`, its relays."""
+        watching: list[int] = await self.service.ask("watchers")
+        return watching
+
+    async def kill(self, numbers: list[int], again: bool) -> None:
+        """SIGKILL these at one moment; `again`: have them start at once."""
+        assert self.gateways is not None
+        for number in numbers:
+            self.gateways.processes[number].send_signal(signal.SIGKILL)
+        for number in numbers:
+            self.gateways.signal(number, signal.SIGKILL)
+        if again:
+            await self.start_again(numbers)
+        else:
+            self.lost.update(numbers)
+
+    async def start_again(self, numbers: list[int]) -> None:
+        assert self.gateways is not None
+        self.gateways.start_again(numbers)
+        await self.clients.ask("poll", gateways=numbers)
+
+    def start_figures(
+        self, began_s: float, ready: dict[int, float], count: int, calls: list[float], results: Any
+    ) -> dict[str, Any]:
+        """What one start of `count` gateways cost."""
+        early = [at for at in calls if began_s <= at < began_s + FIRST_S]
+        seen = figures.answers(results, ready, FIRST_S)
+        return {
+            "ready": len(ready),
+            "ready_median_s": start_s(began_s, ready, count, 0.5),
+            "ready_99_s": start_s(began_s, ready, count, 0.99),
+            "list_calls_10s": len(early),
+            "list_calls_most_100ms": figures.most_within(early, 0.1),
+            "sent_10s": seen.sent,
+            "failed_10s": seen.failed,
+            "refused_10s": seen.refused,
+        }
+
+    async def figures(self) -> dict[str, Any]:
+        """What was seen, as one flat object."""
+        assert self.gateways is not None
+        plan = self.plan
+        memory_mb, cpu_s = self.gateways.memory_mb(), self.gateways.cpu_s()
+        await self.ready()
+        await self.clients.ask("send", on=False)
+        service, hosts = await self.service.ask("log"), await self.hosts.ask("log")
+        results = await self.clients.ask("log")
+        calls = [at for at, _, _ in service["calls"]]
+        first_s = min(self.first_ready.values(), default=self.began_s)
+        told, arrivals = service["told"], hosts["requests"]
+        late = [figures.late_sends(arrivals, told, drain, self.shared) for drain in self.drains]
+        count = plan.gateways - len(self.lost - self.first_ready.keys())
+        seen: dict[str, Any] = {
+            "gateways": plan.gateways,
+            "load_before": self.load,
+            **self.start_figures(self.began_s, self.first_ready, count, calls, results),
+            "list_calls": len(calls),
+            "list_calls_failed": service["failed"],
+            "connections_per_host_s": figures.per_host_s(hosts["opened"], first_s, FIRST_S, plan.hosts),
+            "connections_worst_host_s": figures.worst_host_second(hosts["opened"]),
+            "probes_per_host_s": figures.per_host_s(hosts["probes"], first_s, FIRST_S, plan.hosts),
+            "hosts_pushed_over": hosts["falls"],
+            "turned_away_at_hosts": sum(hosts["turned_away"].values()),
+            "attempts_per_request": len(arrivals) / max(1, len(results)),
+            "memory_mb": memory_mb,
+            "cpu_s": cpu_s,
+            "drains": len(self.drains),
+            "drains_broken": sum(map(bool, late)),
+            "late_sends": sum(map(len, late)),
+            "drain_last_send_s": max((figures.last_send_s(arrivals, d) for d in self.drains), default=0.0),
+            "tracebacks": self.gateways.lines("Traceback"),
+        }
+        if self.again is not None:
+            began_s, ready, struck = self.again
+            again = self.start_figures(began_s, ready, len(struck), calls, results)
+            seen |= {f"again_{name}": value for name, value in again.items()}
+        return seen
+
+
+def start_s(began_s: float, ready: dict[int, float], count: int, share: float) -> float:
+    """When so large a share of `count` gateways was ready, in seconds from the start; inf: never."""
+    starts = [at - began_s for at in ready.values()]
+    return figures.quantile(starts + [float("inf")] * (count - len(starts)), share)
