Fault lab: cold starts of hundreds of gateways, cluster off and on side by side

Real gateways that start at one moment, cold hosts that fall, a list service with a capacity, open-loop clients; by fault and size, with the drain rule counted at the hosts.

--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -10,8 +10,9 @@
 import sys
 
 from faultlab import membership, recovery
+from faultlab.coldstart import command as coldstart
 
-EXPERIMENTS = (recovery, membership)
+EXPERIMENTS = (coldstart, recovery, membership)
 
 
 def main(argv: list[str]) -> int:
