--- a/faultlab/coldstart/command.py
+++ b/faultlab/coldstart/command.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import json
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
+import uvloop
+
 from faultlab.coldstart import drains, experiment
 from faultlab.coldstart.faults import FAULTS
 from faultlab.coldstart.settings import Plan
@@ -56,13 +57,13 @@
     with tempfile.TemporaryDirectory(prefix="faultlab-") as place:
         folder = Path(place)
         if arguments.drains:
-            figures = asyncio.run(drains.run(plan, folder, arguments.drains))
+            figures = uvloop.run(drains.run(plan, folder, arguments.drains))
             text = table({"drains": figures})
         elif arguments.scale:
-            figures = asyncio.run(experiment.scale(plan, folder, arguments.modes, arguments.scale))
+            figures = uvloop.run(experiment.scale(plan, folder, arguments.modes, arguments.scale))
             text = growth(figures, arguments.modes)
         else:
-            figures = asyncio.run(experiment.run(plan, folder, arguments.modes, arguments.faults))
+            figures = uvloop.run(experiment.run(plan, folder, arguments.modes, arguments.faults))
             text = side_by_side(figures)
     print(json.dumps(figures) if arguments.json else text)
     return 0
