--- a/faultlab/coldstart/settings.py
+++ b/faultlab/coldstart/settings.py
@@ -23,10 +23,11 @@
     warm_s: float = 9.0
     fall_multiple: float = 2.5
     fall_s: float = 1.5
-    calls_per_s: float = 50.0
-    queue: int = 100
+    calls_per_s: float = 120.0  # 200 gateways that each watch for 3 to 5 s need up to half of it
+    queue: int = 240
     patience_s: float = 3.0
     relays: int = 3
+    list_calls_per_s: float = 20.0  # of the service, for all members that have to fall back
     seeds: int = 3
 
     def zone(self, number: int) -> str:
@@ -47,9 +48,9 @@
                 "group": host % 3, "status": "SERVING", "weight": 1.0, "since_ms": since_ms}  # fmt: skip
 
     def cluster(self, seeds: list[str]) -> dict[str, Any]:
-        """What all members' `cluster` objects have in common; fallen back, they take part of the service."""
+        """What all members' `cluster` objects have in common; the first few are seeds."""
         return {"name": "coldstart", "seeds": seeds, "relays": self.relays,
-                "list_calls_per_s": self.calls_per_s * 0.4}  # fmt: skip
+                "list_calls_per_s": self.list_calls_per_s}  # fmt: skip
 
     def configuration(
         self, gateway: int, port: int, discovery: str, cluster: dict[str, Any] | None
--- a/tests/test_coldstart_lab.py
+++ b/tests/test_coldstart_lab.py
@@ -139,7 +139,7 @@
 async def small_fleet(folder: Path) -> dict[str, Any]:
     """Six gateways in a cluster come up, a host drains, and one that watches for the others is killed."""
     site = Site(
-        Plan(gateways=6, hosts=6, seed=5, rate_per_s=120, calls_per_s=10.0, failing=0.0, warm_s=1.0),
+        Plan(gateways=6, hosts=6, seed=5, rate_per_s=120, list_calls_per_s=4.0, failing=0.0, warm_s=1.0),
         folder,
         shared=True,
     )
