--- a/cloverkeel/fleet/lists/links.py
+++ b/cloverkeel/fleet/lists/links.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from cloverkeel.fleet.lists.followers import version_or_none
 from cloverkeel.fleet.lists.order import ListVersion
@@ -42,11 +43,17 @@
         self.calls, self.on_body, self.on_end = calls, on_body, on_end
         self.links: dict[str, Link] = {}
 
-    async def follow(self, peer: Peer, version: ListVersion | None) -> None:
-        """Open a feed to `peer`, from one that has the list of this version."""
+    def follow(self, peer: Peer, version: ListVersion | None) -> Coroutine[Any, Any, None]:
+        """The work of opening a feed to `peer`, for one that has the list of this version; from now on it can
+        be dropped."""
+        self.drop(peer.name)
+        link = self.links[peer.name] = Link()
+        return self._follow(link, peer, version)
+
+    async def _follow(self, link: Link, peer: Peer, version: ListVersion | None) -> None:
         name = peer.name
-        self.drop(name)
-        link = self.links[name] = Link()
+        if link.over:
+            return
 
         def on_body(body: object) -> None:
             if not link.over:
--- a/cloverkeel/fleet/lists/sharing.py
+++ b/cloverkeel/fleet/lists/sharing.py
@@ -104,7 +104,7 @@
 
     async def first(self, wait_s: float) -> None:
         """Until there is a list, or nobody who was asked at the start has one; `wait_s` at most."""
-        waits = [self.loop.create_task(event.wait()) for event in (self.listed, self.asked)]
+        waits = [self.loop.create_task(word.wait()) for word in (self.listed, self.asked)]
         await asyncio.wait(waits, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
         for wait in waits:
             wait.cancel()
@@ -206,15 +206,15 @@
                 await self.membership.joined.wait()
         except TimeoutError:
             event("lists.not_joined", waited_s=JOIN_S)
-        self._see(True)
+        self._see()
         if not self.core.asking:
             self.asked.set()
 
     def _view_changes(self) -> None:
         if self.view_due is None and self.core.joined_s is not None and not self.closed:
-            self.view_due = self.loop.call_later(VIEW_S, self._see, True)
+            self.view_due = self.loop.call_later(VIEW_S, self._see)
 
-    def _see(self, joined: bool) -> None:
+    def _see(self) -> None:
         self.view_due = None
         peers = [Peer(r.name, r.zone, r.address) for r in self.membership.live()]
         draw_s = len(peers) / self.core.settings.list_calls_per_s
@@ -222,7 +222,7 @@
             event("lists.slow_fallback", draw_s=draw_s, must_ask_s=self.must_ask_s, live=len(peers),
                   reason="list_calls_per_s is too low for so many members")  # fmt: skip
         self.is_slow = draw_s > self.must_ask_s
-        self._do(self.core.view(self.loop.time(), joined, peers))
+        self._do(self.core.view(self.loop.time(), True, peers))
 
     def _tick(self) -> None:
         self.ticking = self.loop.call_later(TICK_S, self._tick)
@@ -230,6 +230,8 @@
         if pushed != self.core.settings.own_watch:  # other settings were taken up
             self.core.settings = replace(self.core.settings, own_watch=pushed)
             self.discovery.watch(pushed or self.core.watching)
+        elif self.core.watching and self.discovery.watching is None:
+            self._on_service(False)  # it ended without a word
         self._do(self.core.tick(self.loop.time(), self.held.version))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/tests/test_list_sharing.py
+++ b/tests/test_list_sharing.py
@@ -203,6 +203,18 @@
     await refused(huge, 64 * 1024 * 1024)
 
 
+@on_loop
+async def test_a_feed_dropped_before_it_was_opened_is_never_opened() -> None:
+    async with site("s-1") as made:
+        node = await made.add("g0")
+        assert node.fleet.sharing is not None
+        links = node.fleet.sharing.links
+        opening = links.follow(Peer("g1", "a", node.address), None)
+        links.drop("g1")
+        await opening
+        assert not links.links and node.fleet.gauges()["list_followers"] == 0
+
+
 @on_loop
 async def test_an_old_list_of_a_member_changes_nothing() -> None:
     async with site("s-1") as made:
