Drained servers take no place on the ring of ranks: what is left is shared evenly

Checked: hosts after a run of drained ones on the ring had the most gateways and attempts. rank_servers counted steps over all that were listed; in the test, of 40 ready servers 4 had 80 of 200 proxies and the others 14. Server.ready is the one place that tells. Test: every ready server has within 1.5 times the mean.

--- a/caperdrift/policy/choice.py
+++ b/caperdrift/policy/choice.py
@@ -4,7 +4,7 @@
 
 import math
 
-from caperdrift.interface import Effect, ListedServer, Scope, ServerStatus
+from caperdrift.interface import Effect, ListedServer, Scope
 from caperdrift.policy.breaker import State
 from caperdrift.policy.cold import cold_room, cold_share
 from caperdrift.policy.proxy import OVERDUE, Proxy
@@ -118,7 +118,7 @@
 
 
 def may_use(proxy: Proxy, server: Server, klass: int) -> bool:
-    if server.entry.status is not ServerStatus.READY or not server.breaker.may_pass(proxy.now_us):
+    if not server.ready or not server.breaker.may_pass(proxy.now_us):
         return False
     part = server.parts.get(klass)
     return (part is None or part.breaker.may_pass(proxy.now_us)) and not is_silent(proxy, server)
--- a/caperdrift/policy/lists.py
+++ b/caperdrift/policy/lists.py
@@ -41,13 +41,18 @@
 
 
 def rank_servers(proxy: Proxy) -> None:
-    ring = sorted(proxy.servers.values(), key=attrgetter("hash"))
+    """Order the servers that may be sent to, by steps on the ring from this proxy's start.
+
+    Guards against a run of drained servers: they take no steps, else all whose start lies among them would
+    meet on the first server after them.
+    """
+    ring = sorted((s for s in proxy.servers.values() if s.ready), key=attrgetter("hash"))
     start = proxy.settings.proxy * GOLDEN % 1.0 * len(ring)
     for place, server in enumerate(ring):
         steps = (place - start) % len(ring) + 1.0
         fit = server.idle * cold_share(proxy, server) * nearness(proxy, server.entry)
         server.rank = steps / max(FLOOR, fit)
-    proxy.ranked = sorted(proxy.servers.values(), key=attrgetter("rank"))
+    proxy.ranked = sorted(ring, key=attrgetter("rank"))
 
 
 def list_server(proxy: Proxy, entry: ListedServer) -> None:
--- a/caperdrift/policy/servers.py
+++ b/caperdrift/policy/servers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from caperdrift.interface import ListedServer, RequestClass
+from caperdrift.interface import ListedServer, RequestClass, ServerStatus
 from caperdrift.policy.breaker import PART_MINIMUM, Breaker
 
 FLOOR, CEILING = 0.05, 1.0  # of the controller's weight
@@ -36,6 +36,11 @@
     spent_at_us: int = 0
     unreachable: bool = False  # the last outcome was a failed connect
 
+    @property
+    def ready(self) -> bool:
+        """Whether it is listed as one that takes new requests."""
+        return self.entry.status is ServerStatus.READY
+
     def part(self, klass: int) -> Part:
         if klass not in self.parts:
             self.parts[klass] = Part(Breaker(PART_MINIMUM))
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -25,6 +25,7 @@
 from caperdrift.policy import choice, retries, weights
 from caperdrift.policy.balancer import Balancer
 from caperdrift.policy.breaker import Breaker
+from caperdrift.policy.servers import Server
 from faultlab.storm.module import run_module
 from tests.helpers import SETTINGS, START_US
 
@@ -95,7 +96,7 @@
 
 BREAKS: tuple[tuple[str, Any, str, Any], ...] = (
     ("open", Breaker, "may_pass", lambda breaker, now_us: True),
-    ("not ready", choice, "may_use", lambda proxy, server, klass: not choice.is_silent(proxy, server)),
+    ("not ready", Server, "ready", True),
     ("has the weight", weights, "FLOOR", 0.01),
     ("cold server", choice, "cold_room", lambda proxy, server, request: True),
     ("half-open", Breaker, "take_trial", lambda breaker: breaker.episode),
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -613,6 +613,19 @@
         assert (member in subset(driver.balancer, 0)) is kept
 
 
+def test_drained_servers_leave_the_others_evenly_shared() -> None:
+    """In a release a third drained: some servers had three times the proxies of others, and timed out."""
+    users: Counter[int] = Counter()
+    for proxy in range(200):
+        driver = Driver(replace(SETTINGS, proxies=200, proxy=proxy), servers=60)
+        by_hash = sorted(driver.balancer.servers.values(), key=lambda s: s.hash)
+        drained = [ListedServer(s.entry.server, status=ServerStatus.DRAINING) for s in by_hash[10:30]]
+        driver.list_servers(*drained, kind=ListKind.DELTA)
+        users.update(s.entry.server for s in subset(driver.balancer, 0))
+    mean = 200 * SUBSET / 40
+    assert len(users) == 40 and max(users.values()) < 1.5 * mean and min(users.values()) > mean / 1.5
+
+
 def test_servers_without_weight_or_capacity_are_ranked_too() -> None:
     """Either brought the module down: how near, warm and idle a server is divides its place in the subset."""
     driver = Driver(replace(COLD, start_capacity=0.0), servers=0)
