Clients' side split: cloverkeel/server.py becomes the folder cloverkeel/front

Change: requests (what was read, and in the gateway's terms), reading (bounds of size and time), connection (answers), server (listener, guards, the way out); the largest 226 lines. Behaviour unchanged: the methods are moved as they were, read_call takes who answers as an argument.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -60,7 +60,7 @@
     from cloverkeel.gateway import Gateway
     from cloverkeel.http1 import log
     from cloverkeel.operator import Answer, Operator
-    from cloverkeel.server import Server
+    from cloverkeel.front.server import Server
     from cloverkeel.telemetry import CONTENT_TYPE
 
     async def serve() -> int:
--- /dev/null
+++ b/cloverkeel/front/__init__.py
@@ -0,0 +1,1 @@
+"""The side of the gateway that clients see."""
--- /dev/null
+++ b/cloverkeel/front/connection.py
@@ -0,0 +1,226 @@
+"""One connection of a client: its requests taken, its answers written."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import select
+import socket
+import struct
+from typing import TYPE_CHECKING, cast
+
+from cloverkeel.front.reading import RequestReader
+from cloverkeel.front.requests import Request, RequestError, kept_for, read_call
+from cloverkeel.hosts import HostConnection
+from cloverkeel.http1 import (
+    LINGER_S,
+    Header,
+    Reply,
+    answer_head,
+    end_to_end,
+    end_writing,
+    header,
+    write_answer,
+)
+from cloverkeel.streams import LAST_CHUNK, chunk
+
+if TYPE_CHECKING:
+    from cloverkeel.front.server import Server
+
+READY_PATH = b"/health/ready"
+FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
+UPLOAD_LINGER_S = 10.0  # for a client to end a body whose answer it has
+RESERVE = 64  # descriptors kept free of pools and idle clients
+NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
+
+
+class ClientConnection(RequestReader):
+    """One connection of a client; its requests are answered one after the other."""
+
+    def __init__(self, server: Server) -> None:
+        super().__init__(server)
+        self.source: HostConnection | None = None  # of the long answer that is being written
+        self.is_chunked = self.is_last = False  # that answer
+        self.unread_since_s = math.inf  # since when the client takes nothing of it
+        self.opened_s = 0.0
+        self.rests_since_s = 0.0  # the last answer, or the connection's beginning
+        self.served = False  # has had an answer
+
+    # Connection
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
+        self.rest()
+        self.server.make_room()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.connections.pop(self, None)
+        self.deaf = True
+        self.waiting.clear()
+        if self.current is not None and self.current_id:
+            self.server.gateway.leave(self.current_id)
+
+    def rest(self) -> None:
+        self.rests_since_s = asyncio.get_running_loop().time()
+        self.server.connections.pop(self, None)
+        self.server.connections[self] = None
+
+    def is_idle(self) -> bool:
+        """Whether it may be closed: nothing is owed, nothing has begun, nothing waits to be read.
+
+        Guards against losing a request that has reached this machine and not yet this program, and one that a
+        client sends for the second time, on a new connection, since the first crossed the end of its old one.
+        """
+        if self.current is not None or self.waiting or self.reading is not None or self.deaf:
+            return False
+        if not self.served and asyncio.get_running_loop().time() - self.opened_s < FIRST_REQUEST_S:
+            return False
+        return not self.poll.poll(0)
+
+    def close(self) -> None:
+        self.deaf = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        self.deaf = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    # Answering
+
+    def take_next(self) -> None:
+        """Take the next request that was read, once the one before is answered."""
+        while self.current is None and self.waiting:
+            request = self.current = self.waiting.popleft()
+            self.current_id = ""
+            if not self.waiting and request.upload is None:
+                self.go_on()
+            try:
+                self.take(request)
+            except RequestError as error:
+                self.answer(error.status, error.headers, f"{error}\n".encode())
+
+    def take(self, request: Request) -> None:
+        if request.fault is not None:
+            raise request.fault
+        path = request.target.partition(b"?")[0]
+        if path == READY_PATH:
+            if request.method not in (b"GET", b"HEAD"):
+                raise RequestError(405, "GET it", (b"Allow", b"GET, HEAD"))
+            self.answer(200 if self.server.is_ready else 503, [], b"")
+            return
+        call = read_call(self.server.config, request, path, self)
+        self.current_id = call.id
+        if not self.server.gateway.arrive(call):
+            self.current_id = ""
+            raise RequestError(400, "this X-Call-Id is in use")
+
+    def on_served(self, request: Request, reply: Reply) -> None:
+        if self.current is request:
+            self.answer(200, end_to_end(reply.headers, NOT_PASSED_BACK), reply.body)
+
+    def on_begun(self, request: Request, reply: Reply, source: HostConnection) -> None:
+        """A long answer begins: its head goes out, and its body passes as fast as the client reads."""
+        transport = self.transport
+        if self.current is not request or transport is None or transport.is_closing():
+            return
+        self.source = source
+        headers = end_to_end(reply.headers, NOT_PASSED_BACK)
+        length = header(reply.headers, b"content-length")
+        if length is not None:
+            headers.append((b"Content-Length", length))
+        elif not request.is_old:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        self.is_chunked = length is None and not request.is_old
+        # Without a length, what an old client gets ends with the connection.
+        self.is_last = self.must_end(request) or (length is None and request.is_old)
+        transport.set_write_buffer_limits(high=0)
+        transport.write(answer_head(200, kept_for(request, headers, self.is_last), self.is_last))
+
+    def on_piece(self, request: Request, data: bytes) -> None:
+        if self.current is request and self.transport is not None and not self.transport.is_closing():
+            self.transport.write(chunk(data) if self.is_chunked else data)
+
+    def on_ended(self, request: Request) -> None:
+        if self.current is not request or self.transport is None:
+            return
+        if self.is_chunked and not self.transport.is_closing():
+            self.transport.write(LAST_CHUNK)
+        self.source = None
+        self.answered(self.is_last)
+
+    def on_broken(self, request: Request) -> None:
+        """The client must be able to tell: neither an end nor all of the length ever comes."""
+        if self.current is request and self.transport is not None and not self.transport.is_closing():
+            self.source = None
+            # An orderly close would be the end of an answer that ends with its connection.
+            reset = struct.pack("ii", 1, 0)
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            self.abort()
+
+    def pause_writing(self) -> None:
+        self.unread_since_s = asyncio.get_running_loop().time()
+        if self.source is not None:
+            self.source.hold()
+
+    def resume_writing(self) -> None:
+        self.unread_since_s = math.inf
+        if self.source is not None:
+            self.source.go_on()
+
+    def on_refused(self, request: Request, retry_after_us: int) -> None:
+        if self.current is request:
+            after = [(b"Retry-After", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
+            self.answer(503, after, b"")
+
+    def on_failed(self, request: Request, timed_out: bool) -> None:
+        if self.current is request:
+            self.answer(504 if timed_out else 502, [], b"")
+
+    def answer(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Write the whole answer at once, and go on with the next request."""
+        request, transport = self.current, self.transport
+        assert request is not None and transport is not None
+        last = self.must_end(request)
+        if not transport.is_closing():
+            headers = kept_for(request, headers, last)
+            write_answer(transport, status, headers, body, last, request.method == b"HEAD")
+        self.answered(last)
+
+    def must_end(self, request: Request) -> bool:
+        """Whether the connection ends with this request's answer."""
+        if not request.keep_alive:
+            return True
+        # What was read is answered, on the way out too; the rest of this one's body is not waited for then.
+        more = bool(self.waiting) or (self.reading is not None and self.reading is not request)
+        # Guards against a rush of new connections: all too fresh to close, they left none for the hosts.
+        crowded = self.server.spare < RESERVE // 2
+        return (self.server.draining or crowded) and not more
+
+    def answered(self, last: bool) -> None:
+        """The answer is written: go on with the next request, or end."""
+        request, transport = self.current, self.transport
+        assert request is not None and transport is not None
+        self.current, self.current_id = None, ""
+        self.served = True
+        if not transport.is_closing():
+            self.rest()
+        if not last:
+            if not request.whole and request.fault is None:
+                request.answered = True
+                self.go_on()
+            if self.waiting:
+                asyncio.get_running_loop().call_soon(self.take_next)
+            self.ask_for_body()
+            return
+        self.waiting.clear()
+        self.deaf = True
+        self.awaits_since_s = math.inf
+        self.go_on()
+        if not request.whole:
+            end_writing(transport, UPLOAD_LINGER_S if request.upload is not None else LINGER_S)
+        else:
+            transport.close()
--- /dev/null
+++ b/cloverkeel/front/requests.py
@@ -0,0 +1,131 @@
+"""A client's request as it was read, and in the gateway's terms."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Protocol
+
+from caperdrift.interface import Effect
+
+from cloverkeel.config import Config, stable_id
+from cloverkeel.gateway import Call
+from cloverkeel.hosts import HostConnection
+from cloverkeel.http1 import Header, Reply, end_to_end, header
+from cloverkeel.streams import Upload
+
+NOT_PASSED_ON = frozenset({b"x-budget-ms"})
+
+
+class RequestError(ValueError):
+    """A request that is answered here, with this status."""
+
+    def __init__(self, status: int, why: str, *headers: Header) -> None:
+        super().__init__(why)
+        self.status = status
+        self.headers = list(headers)
+
+
+class Request:
+    """One request as it was read; `fault` tells what is wrong with it."""
+
+    __slots__ = (
+        "answered", "body", "expects", "fault", "headers", "is_old", "keep_alive", "method", "target",
+        "upload", "whole",
+    )  # fmt: skip
+
+    def __init__(self) -> None:
+        self.method = b""
+        self.target = b""
+        self.headers: list[Header] = []
+        self.body: list[bytes] = []
+        self.keep_alive = False
+        self.is_old = False  # HTTP/1.0
+        self.expects = False  # waits for word before it sends its body
+        self.whole = False
+        self.answered = False  # before its body had come: the rest is read and dropped
+        self.upload: Upload | None = None  # the rest of a body too long to be held
+        self.fault: RequestError | None = None
+
+
+class Answers(Protocol):
+    """Who writes a request's answer."""
+
+    def on_served(self, request: Request, reply: Reply) -> None: ...
+    def on_begun(self, request: Request, reply: Reply, source: HostConnection) -> None: ...
+    def on_piece(self, request: Request, data: bytes) -> None: ...
+    def on_ended(self, request: Request) -> None: ...
+    def on_broken(self, request: Request) -> None: ...
+    def on_refused(self, request: Request, retry_after_us: int) -> None: ...
+    def on_failed(self, request: Request, timed_out: bool) -> None: ...
+
+
+def read_call(config: Config, request: Request, path: bytes, answers: Answers) -> Call:
+    """The request in the gateway's terms; RequestError where it is none that can be passed on."""
+    headers = {n.lower(): v for n, v in request.headers}
+    names = config.names
+    parts = [part for part in path.split(b"/") if part]
+    named = headers.get(b"x-call-class")
+    if named is not None and named not in names.classes:
+        raise RequestError(400, "unknown class")
+    if not parts or parts[0] not in names.classes:
+        raise RequestError(404, "unknown path")
+    if named is not None and named != parts[0]:
+        raise RequestError(400, "the class is not that of the path")
+    klass = names.classes[parts[0]]
+    settings = config.settings.classes[klass]
+    method = b"GET" if settings.effect is Effect.SAFE else b"POST"
+    if request.method != method:
+        raise RequestError(405, f"{method.decode()} it", (b"Allow", method))
+    if settings.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
+        raise RequestError(400, "no Idempotency-Key")
+    id_ = headers.get(b"x-call-id")
+    if not id_:
+        raise RequestError(400, "no X-Call-Id")
+    budget_ms = _whole(headers.get(b"x-budget-ms"), "X-Budget-Ms")
+    body = b"".join(request.body)
+    request.body.clear()
+    return Call(
+        id=id_.decode("latin-1"),
+        klass=klass,
+        patience_us=settings.give_up_us if budget_ms is None else budget_ms * 1000,
+        key=stable_id(parts[-1], 8) if len(parts) > 1 else None,
+        work_us=_whole(headers.get(b"x-call-cost"), "X-Call-Cost"),
+        is_retry=headers.get(b"x-again") == b"1",
+        tenant=names.tenants.get(headers.get(b"x-caller", b""), 0),
+        head=_head(request, body),
+        body=body if request.upload is None else request.upload.framed(body),
+        upload=request.upload,
+        on_served=partial(answers.on_served, request),
+        on_begun=partial(answers.on_begun, request),
+        on_piece=partial(answers.on_piece, request),
+        on_ended=partial(answers.on_ended, request),
+        on_broken=partial(answers.on_broken, request),
+        on_refused=partial(answers.on_refused, request),
+        on_failed=partial(answers.on_failed, request),
+    )
+
+
+def kept_for(request: Request, headers: list[Header], last: bool) -> list[Header]:
+    """An old client is told that its connection stays open."""
+    return headers if last or not request.is_old else [*headers, (b"Connection", b"keep-alive")]
+
+
+def _whole(text: bytes | None, name: str) -> int | None:
+    if text is None:
+        return None
+    if not text.isdigit() or len(text) > 15:
+        raise RequestError(400, f"{name} is not a whole number")
+    return int(text)
+
+
+def _head(request: Request, body: bytes) -> bytes:
+    """What goes on to a host, all but the budget and the empty line."""
+    lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+    lines += [b"%s: %s" % pair for pair in end_to_end(request.headers, NOT_PASSED_ON)]
+    if request.upload is not None and request.upload.is_chunked:
+        lines.append(b"Transfer-Encoding: chunked")
+    elif request.upload is not None:
+        lines.append(b"Content-Length: " + (header(request.headers, b"content-length") or b"0"))
+    elif body or request.method == b"POST":
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n"
--- /dev/null
+++ b/cloverkeel/front/server.py
@@ -0,0 +1,149 @@
+"""All connections of clients: the listener, guards against idle and late ones, the way out at a restart."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+from collections.abc import Callable
+from functools import partial
+
+from cloverkeel.config import Config, ConfigError, follow, load
+from cloverkeel.front.connection import RESERVE, ClientConnection
+from cloverkeel.gateway import Gateway
+from cloverkeel.http1 import log
+
+ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
+KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
+LONGEST_S = 3.0
+LAST_MOMENT_S = 0.1  # before that, this process ends by itself
+END_S = 3.4  # after SIGTERM: the longest a client waits, and the time that new ones come
+UNREAD_S = 30.0  # a client that takes nothing of a long answer for so long has gone
+SWEEP_S = 0.2
+REPORT_S = 10.0
+POLL_S = 0.02
+BACKLOG = 1024
+CLIENT_IDLE_S = 2.0  # a client's connection is left alone for so long after an answer
+
+
+class Server:
+    """All connections of clients."""
+
+    def __init__(self, config: Config, gateway: Gateway, inherited: socket.socket | None = None) -> None:
+        self.config, self.gateway = config, gateway
+        self.connections: dict[ClientConnection, None] = {}  # the longest without an answer first
+        self.draining = False
+        self.listener: asyncio.Server | None = None
+        self.inherited = inherited  # others accept from it too
+        self.accepting = False
+        self.others: Callable[[], int] = int  # descriptors of the process's other parts
+        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+        asyncio.get_running_loop().call_later(REPORT_S, self.report)
+        gateway.pools.room = self.make_room
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        made = partial(ClientConnection, self)
+        if self.inherited is not None:
+            self.listener = await loop.create_server(
+                made, sock=self.inherited, backlog=BACKLOG, start_serving=False
+            )
+        else:
+            self.listener = await loop.create_server(
+                made, *self.config.listen, backlog=BACKLOG, start_serving=False
+            )
+        self.gateway.start()  # nobody is let in before there is a list of hosts to serve from
+        await self.listener.start_serving()
+        self.accepting = True
+
+    @property
+    def is_ready(self) -> bool:
+        return self.accepting and not self.draining and self.gateway.can_serve
+
+    @property
+    def end_s(self) -> float:
+        """How long after the signal this process may take to end, whatever is left."""
+        if self.inherited is None:
+            return END_S
+        longest_s = max(c.give_up_us for c in self.config.settings.classes) / 1e6
+        return min(LONGEST_S, longest_s) + KILL_AFTER_S - LAST_MOMENT_S
+
+    async def drain(self) -> None:
+        """The way out: every request that was taken, or waits to be accepted, is answered first."""
+        self.draining = True
+        loop = asyncio.get_running_loop()
+        if self.inherited is not None:
+            # Another process has taken over: it accepts what waits and what comes. Closing an idle connection
+            # may cross a request on it, so each is left to its next answer while there is time for that.
+            if self.listener is not None:
+                self.listener.close()
+            longest_aim_s = max(c.aim_us for c in self.config.settings.classes) / 1e6
+            last_s = loop.time() + self.end_s - longest_aim_s
+            while self.connections and loop.time() < last_s:
+                # Hosts' connection tables and the descriptors are the new process's too: it needs them now.
+                self.gateway.pools.give_up_idle()
+                await asyncio.sleep(POLL_S)
+        else:
+            stop_accepting = loop.time() + ACCEPT_ON_S
+            while loop.time() < stop_accepting:
+                self.close_idle()
+                await asyncio.sleep(POLL_S)
+            if self.listener is not None:
+                self.listener.close()
+        while self.connections:
+            self.close_idle()
+            await asyncio.sleep(POLL_S)
+
+    def close_idle(self) -> None:
+        for connection in [c for c in self.connections if c.is_idle()]:
+            connection.close()
+
+    def sweep(self) -> None:
+        """Guards against peers that connect and send nothing, or never end what they began."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(SWEEP_S, self.sweep)
+        now_s = loop.time()
+        for connection in [c for c in self.connections if c.is_late(now_s)]:
+            connection.on_unfinished()
+        for connection in [c for c in self.connections if c.unread_since_s < now_s - UNREAD_S]:
+            connection.abort()
+
+    def reload(self) -> None:
+        """Take up what the configuration's file says now: all of it, or nothing where it cannot be used."""
+        telemetry = self.gateway.telemetry
+        try:
+            config = load(complete=True)
+        except ConfigError as error:
+            telemetry.load_errors += 1
+            log(f"not reconfigured: {error}")
+            return
+        if config.cluster != self.config.cluster:
+            log("cluster stays as it was at the start: for another, upgrade or start again")
+        self.config = follow(self.config, config)
+        self.gateway.reconfigure(self.config)
+        telemetry.loads += 1
+        host, port = self.config.discovery
+        log(f"reconfigured: {len(self.config.names.classes)} classes; discovery is at {host}:{port}")
+
+    def report(self) -> None:
+        """Tell now and then what holds descriptors, and why connections were opened and closed."""
+        asyncio.get_running_loop().call_later(REPORT_S, self.report)
+        pools = self.gateway.pools
+        log(f"connections: {len(self.connections)} of clients, {pools.open} to hosts; {pools.counts}")
+
+    @property
+    def spare(self) -> int:
+        """Descriptors left, but for the few of the program itself."""
+        return self.config.sockets - len(self.connections) - self.gateway.pools.open - self.others()
+
+    def make_room(self) -> None:
+        """Give up idle connections when descriptors run short: first a client's, which costs no host work."""
+        if self.spare > RESERVE:
+            return
+        since_s = asyncio.get_running_loop().time() - CLIENT_IDLE_S
+        rested = itertools.takewhile(lambda c: c.rests_since_s < since_s, self.connections)
+        idle = next((c for c in rested if c.is_idle()), None)
+        if idle is not None:
+            idle.close()
+        else:
+            self.gateway.pools.give_up_idle()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -14,7 +14,7 @@
 
 from cloverkeel.config import parse, stable_id
 from cloverkeel.gateway import Gateway
-from cloverkeel.server import Server
+from cloverkeel.front.server import Server
 
 PATIENCE_S = 30.0  # for anything that should happen: how long a broken test takes, never how long a good one
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,7 +14,7 @@
 
 from caperdrift.interface import BodyEnded, BodyPassing, Outcome, SettingsChanged, StreamStarted, TimerFired
 from caperdrift.policy.choice import is_silent
-from cloverkeel import server as front
+from cloverkeel.front import reading as front
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
 from cloverkeel.streams import LEAST_PIECE, PIECE, Buffer
 from tests.helpers import SETTINGS, Driver, finals, sends
