--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from functools import partial
 from typing import cast
 
@@ -101,6 +102,7 @@
         self.listener: asyncio.Server | None = None
         self.inherited = inherited  # others accept from it too
         self.accepting = False
+        self.others: Callable[[], int] = int  # descriptors of the process's other parts
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
         asyncio.get_running_loop().call_later(REPORT_S, self.report)
         gateway.pools.room = self.make_room
@@ -176,11 +178,14 @@
         """Take up what the configuration's file says now: all of it, or nothing where it cannot be used."""
         telemetry = self.gateway.telemetry
         try:
-            self.config = follow(self.config, load(complete=True))
+            config = load(complete=True)
         except ConfigError as error:
             telemetry.load_errors += 1
             log(f"not reconfigured: {error}")
             return
+        if config.cluster != self.config.cluster:
+            log("cluster stays as it was at the start: for another, upgrade or start again")
+        self.config = follow(self.config, config)
         self.gateway.reconfigure(self.config)
         telemetry.loads += 1
         host, port = self.config.discovery
@@ -195,7 +200,7 @@
     @property
     def spare(self) -> int:
         """Descriptors left, but for the few of the program itself."""
-        return self.config.sockets - len(self.connections) - self.gateway.pools.open
+        return self.config.sockets - len(self.connections) - self.gateway.pools.open - self.others()
 
     def make_room(self) -> None:
         """Give up idle connections when descriptors run short: first a client's, which costs no host work."""
