Ledger core: dots and contexts, records that merge alike, digests, levels, bounds

Transforms and route edits need records that every gateway holds and any gateway may write. The core takes events and gives actions: writes under the context they were read in, heads told on, payloads fetched in pieces and checked, comparisons by root, bucket and dot, wait levels, tombstones, quotas by writer. A state is what the disk holds: a batch is planned, persisted, then applied.

--- /dev/null
+++ b/cloverkeel/fleet/ledger/compare.py
@@ -0,0 +1,92 @@
+"""Anti-entropy between two members: roots, then buckets, then dots, so that the cost follows the difference.
+
+Both sides of a comparison do the same with what the other says of a bucket: a dot that their own context does
+not cover is wanted. Once all that the other holds is here, they join its state to theirs (Almeida et al.,
+2018): its context is taken over, and a record that it covers and the other no longer holds is dropped. This
+takes a state that nothing is about to change (`idle`).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Container, Iterable
+
+from cloverkeel.fleet.ledger.digest import BUCKETS
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.messages import HEADS_MAX, LEAVES_MAX, Buckets, Digest, Leaves, Message, Want
+from cloverkeel.fleet.ledger.replica import Join, Replica
+
+
+@dataclasses.dataclass
+class Outcome:
+    ops: list[Join] = dataclasses.field(default_factory=list)
+    sends: list[Message] = dataclasses.field(default_factory=list)
+    joined: bool = False  # all that the other held when it spoke is here once `ops` are done
+    more: bool = False  # something was left over: compare again soon
+
+
+def on_digest(replica: Replica, settled: bool, idle: bool, digest: Digest) -> Outcome:
+    outcome = Outcome()
+    if digest.root != replica.digests.root():
+        outcome.sends.append(Buckets(replica.digests.root(), replica.digests.buckets()))
+        return outcome
+    if idle:
+        _join(replica, digest.context, (), outcome)
+    if not digest.reply and (digest.context != replica.context or not digest.settled):
+        outcome.sends.append(Digest(replica.digests.root(), replica.context, settled, reply=True))
+    return outcome
+
+
+def on_buckets(replica: Replica, settled: bool, start: int, buckets: Buckets) -> Outcome:
+    """`start`: the bucket to begin with where not all that differ go into one message."""
+    differing = replica.digests.differing(buckets.hashes)
+    if not differing:
+        return Outcome()
+    differing.sort(key=lambda i: (i - start) % BUCKETS)
+    leaves = _leaves(replica, settled, differing, buckets.root, True, reply=False)
+    return Outcome(sends=[leaves], more=not leaves.whole)
+
+
+def on_leaves(replica: Replica, settled: bool, idle: bool, coming: Container[Dot], leaves: Leaves) -> Outcome:
+    """`coming`: the dots whose records are on their way here, or set aside."""
+    outcome = Outcome(more=not leaves.whole)
+    lacking: list[Dot] = []
+    drops: list[Dot] = []
+    for bucket, theirs in leaves.buckets.items():
+        mine, held = replica.digests.dots[bucket], set(theirs)
+        drops += [dot for dot in sorted(mine - held) if leaves.context.covers(dot)]
+        lacking += [dot for dot in theirs if not replica.context.covers(dot)]
+    wanted = [dot for dot in lacking if dot not in coming]
+    if leaves.settled:
+        for at in range(0, min(len(wanted), LEAVES_MAX), HEADS_MAX):
+            outcome.sends.append(Want(tuple(wanted[at : at + HEADS_MAX])))
+            outcome.more = True
+    unmoved = leaves.base == replica.digests.root()
+    if leaves.whole and unmoved and idle and not lacking:
+        _join(replica, leaves.context, tuple(drops), outcome)
+    if not leaves.reply:
+        whole = leaves.whole and unmoved
+        outcome.sends.append(_leaves(replica, settled, leaves.buckets, leaves.root, whole, reply=True))
+    return outcome
+
+
+def _leaves(
+    replica: Replica, settled: bool, buckets: Iterable[int], base: bytes, whole: bool, reply: bool
+) -> Leaves:
+    """The first of `buckets` that fit, one at least; `whole` only if all do and it was to be."""
+    chosen: dict[int, tuple[Dot, ...]] = {}
+    room = LEAVES_MAX
+    for bucket in buckets:
+        dots = replica.digests.dots[bucket]
+        if chosen and len(dots) > room:
+            whole = False
+            break
+        chosen[bucket] = tuple(sorted(dots))
+        room -= len(dots)
+    return Leaves(replica.digests.root(), base, chosen, replica.context, settled, whole, reply)
+
+
+def _join(replica: Replica, context: Context, drops: tuple[Dot, ...], outcome: Outcome) -> None:
+    outcome.joined = True
+    if drops or not replica.context.includes(context):
+        outcome.ops.append(Join(context, drops))
--- /dev/null
+++ b/cloverkeel/fleet/ledger/ledger.py
@@ -0,0 +1,323 @@
+"""The core of the shared ledger: events in, actions out, no clock and no I/O. docs/ledger.md is its design.
+
+Every change of state, own or heard, is staged, planned in a batch, persisted and only then applied, one batch
+at a time: what this member says it holds is on its disk.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from cloverkeel.fleet.ledger import compare
+from cloverkeel.fleet.ledger.digest import BUCKETS
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.intake import Intake
+from cloverkeel.fleet.ledger.interface import (
+    Acknowledged,
+    Action,
+    Delete,
+    Event,
+    Expose,
+    Heard,
+    Level,
+    NotConfirmed,
+    Note,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Refused,
+    Send,
+    Settings,
+    Tick,
+    ViewChanged,
+    Write,
+)
+from cloverkeel.fleet.ledger.messages import (
+    HEADS_MAX,
+    Buckets,
+    Digest,
+    Fetch,
+    Heads,
+    Held,
+    Leaves,
+    Message,
+    Piece,
+    Want,
+)
+from cloverkeel.fleet.ledger.records import Record
+from cloverkeel.fleet.ledger.replica import Delta, Join, Op, Put, Replica
+from cloverkeel.fleet.ledger.settling import Settling
+from cloverkeel.fleet.ledger.tombstones import gone_by_now
+from cloverkeel.fleet.ledger.waits import Wait, Waits
+from cloverkeel.fleet.ledger.writes import prepare
+
+BATCH = 64  # operations of one batch
+
+
+class Ledger:
+    """One member's ledger. `incarnation`: drawn anew at each start, never used by another life; `puts` and
+    `context`: as `store` loaded them."""
+
+    def __init__(
+        self,
+        member: str,
+        incarnation: int,
+        settings: Settings,
+        rng: random.Random,
+        puts: Iterable[Put] = (),
+        context: Context | None = None,
+    ) -> None:
+        self.me, self.incarnation, self.settings, self.rng = member, incarnation, settings, rng
+        self.replica = Replica(settings.limits)
+        self.replica.load(puts, context or Context())
+        self.intake = Intake((member, incarnation), settings, self.replica, rng)
+        self.waits = Waits(member, settings.size)
+        self.counter = 0
+        self.live: tuple[str, ...] = ()
+        self.gone: tuple[str, ...] = ()
+        self.settling = Settling(settings.reap_after_s)
+        self.heard_contexts: dict[str, Context] = {}
+        self.local: dict[Dot, tuple[Write | Delete, float]] = {}  # staged or in the batch, and until when
+        self.staged: list[Op] = []
+        self.batch = 0
+        self.planned: tuple[list[Op], Delta] | None = None  # the batch at the disk
+        self.compare_s = 0.0  # when the next comparison is due
+        self.turn = 0  # of the live members, to compare with while unsettled
+        self.persist_failures = 0
+
+    # What a user of the ledger reads.
+
+    def read(self, kind: str, key: str) -> tuple[tuple[tuple[Record, bytes | None], ...], Context]:
+        """The siblings of a key with their payloads (tombstones: None), and the context to write under."""
+        found = self.replica.siblings((kind, key))
+        payloads = self.replica.payloads
+        records = tuple((r, None if r.deleted else payloads[r.sha256]) for r in found)
+        return records, self.replica.reading((kind, key))
+
+    def keys(self, kind: str) -> list[str]:
+        return sorted(key for its, key in self.replica.keys if its == kind)
+
+    # Events.
+
+    def handle(self, now_s: float, event: Event) -> list[Action]:
+        """What `event` leads to. Raises nothing for anything that others may send."""
+        out: list[Action] = []
+        match event:
+            case Write() | Delete():
+                self._local(now_s, event, out)
+            case Heard(member, message):
+                self._heard(now_s, member, message, out)
+            case Persisted(batch):
+                self._persisted(now_s, batch, out)
+            case PersistFailed(batch, reason):
+                self._failed(now_s, batch, reason, out)
+            case ViewChanged(live, gone):
+                self.live = tuple(m for m in live if m != self.me)
+                self.gone = tuple(m for m in gone if m != self.me and m not in live)
+                known = {*self.live, *self.gone}
+                self.heard_contexts = {m: c for m, c in self.heard_contexts.items() if m in known}
+                self.settling.view(now_s, self.live, self.gone)
+                self._levels(out)
+            case Tick():
+                self._tick(now_s, out)
+        self._flush(now_s, out)
+        return out
+
+    def _local(self, now_s: float, event: Write | Delete, out: list[Action]) -> None:
+        limits = self.settings.limits
+        dot = Dot(self.me, self.incarnation, self.counter + 1)
+        put: Put | str = prepare(self.replica, event, dot)
+        if len(self.local) >= limits.staged:
+            put = f"over {limits.staged} writes that wait for the disk"
+        elif len(self.waits.by_dot) >= limits.waiting and event.wait is not Level.LOCAL:
+            put = f"over {limits.waiting} writes that wait for a level"
+        if isinstance(put, str):
+            out.append(Refused(event.id, put))
+            return
+        self.counter += 1
+        self.local[dot] = event, now_s + event.timeout_s
+        self.staged.append(self.intake.stage(put))
+
+    def _heard(self, now_s: float, member: str, message: Message, out: list[Action]) -> None:
+        replica, settled = self.replica, self.settling.settled
+        idle = self.planned is None and not self.staged
+        match message:
+            case Heads():
+                have, puts = self.intake.heads(now_s, member, message)
+                self.staged += puts
+                if message.confirm and have:
+                    out.append(Send(member, Held(tuple(have))))
+            case Want(dots):
+                held = [replica.records[dot] for dot in dots if dot in replica.records]
+                self._send_heads(out, [member], held)
+            case Held(dots):
+                self.waits.held(member, dots)
+                self._levels(out)
+            case Fetch(sha256, offset, length):
+                payload = replica.payloads.get(sha256)
+                data = None if payload is None else payload[offset : offset + length]
+                out.append(Send(member, Piece(sha256, offset, len(payload or b""), data)))
+            case Piece():
+                fetches = self.intake.fetches
+                before = fetches.mismatched
+                sends, whole, payload = fetches.heard(now_s, member, message)
+                if fetches.mismatched > before:
+                    out.append(Note("ledger.payload_mismatched", (("member", member),)))
+                out += [Send(to, fetch) for to, fetch in sends]
+                self.staged += [self.intake.stage(Put(record, payload)) for record in whole]
+            case Digest():
+                self._know(member, message.context, message.settled)
+                outcome = compare.on_digest(replica, settled, idle, message)
+                self._compared(now_s, member, message.settled, outcome, out)
+            case Buckets():
+                start = self.rng.randrange(BUCKETS)
+                outcome = compare.on_buckets(replica, settled, start, message)
+                self._compared(now_s, member, False, outcome, out)
+            case Leaves():
+                self._know(member, message.context, message.settled)
+                outcome = compare.on_leaves(replica, settled, idle, self.intake.coming(), message)
+                self._compared(now_s, member, message.settled, outcome, out)
+
+    def _compared(
+        self, now_s: float, member: str, settled: bool, outcome: compare.Outcome, out: list[Action]
+    ) -> None:
+        self.staged += outcome.ops
+        out += [Send(member, message) for message in outcome.sends]
+        if outcome.joined and settled:
+            self._settle(out)
+        if outcome.more:
+            self.compare_s = min(self.compare_s, now_s + self.settings.again_s)
+
+    def _persisted(self, now_s: float, batch: int, out: list[Action]) -> None:
+        if self.planned is None or batch != self.batch:
+            return
+        ops, delta = self.planned
+        self.planned = None
+        touched = self.replica.commit(delta)
+        if any(isinstance(op, Join) for op in ops):
+            self.intake.fetches.forget(lambda record: self.replica.context.covers(record.dot))
+        own: list[Record] = []
+        told: dict[str, list[Record]] = {}
+        confirmed: dict[str, list[Dot]] = {}
+        for op in ops:
+            if not isinstance(op, Put):
+                continue
+            dot = op.record.dot
+            write = self.local.pop(dot, None)
+            teller, waiting = self.intake.taken(dot)
+            if dot in delta.refused:
+                if write is not None:
+                    out.append(Refused(write[0].id, delta.refused[dot]))
+                else:
+                    self.intake.set_aside(now_s, dot)
+                continue
+            if write is not None:
+                self._own(now_s, op.record, *write, out)
+                if write[0].wait is Level.LOCAL:
+                    own.append(op.record)
+            elif teller:
+                told.setdefault(teller, []).append(op.record)
+            for member in waiting:
+                confirmed.setdefault(member, []).append(dot)
+        for member, dots in confirmed.items():
+            out.append(Send(member, Held(tuple(dots))))
+        for teller, records in (("", own), *told.items()):
+            self._send_heads(out, self._some(self.settings.fanout, teller), records, fresh=True)
+        for kind, key in sorted(touched):
+            exposed, context = self.read(kind, key)
+            out.append(Expose(kind, key, exposed, context))
+        self._levels(out)
+
+    def _own(
+        self, now_s: float, record: Record, write: Write | Delete, until_s: float, out: list[Action]
+    ) -> None:
+        """An own write is on disk: acknowledged, or told to all until its level is reached."""
+        wait = Wait(write.id, record, write.wait, until_s, now_s + self.settings.resend_s, {self.me})
+        self.waits.by_dot[record.dot] = wait
+        if write.wait is not Level.LOCAL:
+            self._send_heads(out, self.live, [record], fresh=True, confirm=True)
+
+    def _failed(self, now_s: float, batch: int, reason: str, out: list[Action]) -> None:
+        if self.planned is None or batch != self.batch:
+            return
+        ops, _ = self.planned
+        self.planned = None
+        self.persist_failures += 1
+        for op in ops:
+            if not isinstance(op, Put):
+                continue  # the next comparison finds it again
+            write = self.local.pop(op.record.dot, None)
+            if write is not None:
+                self.intake.taken(op.record.dot)
+                out.append(Refused(write[0].id, f"the disk did not take it: {reason}"))
+            else:
+                self.intake.failed(now_s, op)
+
+    def _tick(self, now_s: float, out: list[Action]) -> None:
+        self.staged += self.intake.tick(now_s)
+        for wait in self.waits.expired(now_s):
+            out.append(NotConfirmed(wait.id, wait.record.dot, self.waits.why(wait, self.live, self.gone)))
+        for wait in self.waits.by_dot.values():
+            if now_s >= wait.resend_s:
+                wait.resend_s = now_s + self.settings.resend_s
+                behind = [m for m in self.live if m not in wait.held]
+                self._send_heads(out, behind, [wait.record], fresh=True, confirm=True)
+        if self.settling.due(now_s, self.live):
+            self._settle(out)
+        if now_s >= self.compare_s and self.live and len(self.intake.fetches.pending) < HEADS_MAX:
+            self._compare(now_s, out)
+
+    def _compare(self, now_s: float, out: list[Action]) -> None:
+        """Begin a comparison: with a random live member, or while unsettled with each in turn."""
+        settled = self.settling.settled
+        self.compare_s = now_s + (self.settings.digest_s if settled else self.settings.again_s)
+        self.turn += 1
+        member = self.rng.choice(self.live) if settled else self.live[self.turn % len(self.live)]
+        out.append(Send(member, Digest(self.replica.digests.root(), self.replica.context, settled)))
+        if settled:
+            gone = gone_by_now(self.replica, {*self.live, *self.gone}, self.heard_contexts)
+            if gone:
+                self.staged.append(Join(Context(), tuple(record.dot for record in gone)))
+
+    # Parts of these.
+
+    def _flush(self, now_s: float, out: list[Action]) -> None:
+        """The next batch to the disk where none is there, and the pieces that may be asked for."""
+        while self.staged and self.planned is None:
+            ops, self.staged = self.staged[:BATCH], self.staged[BATCH:]
+            delta = self.replica.plan(ops)
+            self.batch += 1
+            self.planned = ops, delta
+            if delta.puts or delta.drops or delta.context != self.replica.context:
+                drops = tuple(record.dot for record in delta.drops)
+                out.append(Persist(self.batch, delta.puts, drops, delta.context))
+            else:
+                self._persisted(now_s, self.batch, out)
+        out += [Send(to, fetch) for to, fetch in self.intake.fetches.ask(now_s, self.live)]
+
+    def _levels(self, out: list[Action]) -> None:
+        for wait, held in self.waits.reached(self.live, self.gone):
+            out.append(Acknowledged(wait.id, wait.record.dot, wait.level, held))
+
+    def _know(self, member: str, context: Context, settled: bool) -> None:
+        if member in self.live or member in self.gone:
+            self.heard_contexts[member] = context
+            self.settling.heard(member, settled)
+
+    def _settle(self, out: list[Action]) -> None:
+        if not self.settling.settled:
+            self.settling.settled = True
+            out.append(Note("ledger.settled", (("records", len(self.replica.records)),)))
+
+    def _some(self, most: int, but: str) -> list[str]:
+        others = [m for m in self.live if m != but]
+        return self.rng.sample(others, min(most, len(others)))
+
+    def _send_heads(
+        self, out: list[Action], members: Iterable[str], records: list[Record],
+        fresh: bool = False, confirm: bool = False,
+    ) -> None:  # fmt: skip
+        for at in range(0, len(records), HEADS_MAX):
+            heads = Heads(tuple(records[at : at + HEADS_MAX]), fresh, confirm)
+            out += [Send(member, heads) for member in members]
--- /dev/null
+++ b/cloverkeel/fleet/ledger/messages.py
@@ -0,0 +1,118 @@
+"""What members say to each other, as msgpack. Everything that comes in is checked before the core sees it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cloverkeel.fleet.ledger.digest import BUCKETS
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.records import PAYLOAD_MAX, Record, fault
+
+HEADS_MAX = 256  # heads in a message, and dots in a `Want`
+LEAVES_MAX = 1_000  # dots in a `Leaves`
+PIECE = 32 * 1024  # bytes of a payload in one message
+CONTEXT_MAX = 65_536  # writers in a member's context
+
+
+class Heads(msgspec.Struct, frozen=True, array_like=True, tag="heads"):
+    """Records the sender holds. `fresh`: new to the sender, to be passed on; `confirm`: the sender waits for
+    a `Held` of each."""
+
+    records: tuple[Record, ...]
+    fresh: bool = False
+    confirm: bool = False
+
+
+class Want(msgspec.Struct, frozen=True, array_like=True, tag="want"):
+    """Answer with the heads of these."""
+
+    dots: tuple[Dot, ...]
+
+
+class Held(msgspec.Struct, frozen=True, array_like=True, tag="held"):
+    """These are taken in and on the sender's disk (or superseded by what is)."""
+
+    dots: tuple[Dot, ...]
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
+    """The sender's root hash and context. `settled`: what it holds may be taken from it."""
+
+    root: bytes
+    context: Context
+    settled: bool
+    reply: bool = False
+
+
+class Buckets(msgspec.Struct, frozen=True, array_like=True, tag="buckets"):
+    """The sender's bucket hashes: it has another root."""
+
+    root: bytes
+    hashes: bytes
+
+
+class Leaves(msgspec.Struct, frozen=True, array_like=True, tag="leaves"):
+    """The sender's dots in buckets that differ, and its context. `base`: the receiver's root when it was
+    compared; `whole`: these are all the buckets that differ; `reply`: to a `Leaves`, not to be answered."""
+
+    root: bytes
+    base: bytes
+    buckets: dict[int, tuple[Dot, ...]]
+    context: Context
+    settled: bool
+    whole: bool
+    reply: bool
+
+
+class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
+    sha256: bytes
+    offset: int
+    length: int
+
+
+class Piece(msgspec.Struct, frozen=True, array_like=True, tag="piece"):
+    """A piece of a payload of `size` bytes; `data` None: the sender does not hold it."""
+
+    sha256: bytes
+    offset: int
+    size: int
+    data: bytes | None
+
+
+Message = Heads | Want | Held | Digest | Buckets | Leaves | Fetch | Piece
+
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+encode = msgspec.msgpack.Encoder().encode
+
+
+def decode(body: bytes) -> Message:
+    """The message in `body`; raises ValueError with one line of why it is none."""
+    try:
+        message = _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from None
+    why = _fault(message)
+    if why is not None:
+        raise ValueError(f"{type(message).__name__.lower()}: {why}")
+    return message
+
+
+def _fault(message: Message) -> str | None:
+    if isinstance(message, Heads):
+        if len(message.records) > HEADS_MAX:
+            return f"over {HEADS_MAX} heads"
+        return next((why for record in message.records if (why := fault(record)) is not None), None)
+    if isinstance(message, Want | Held):
+        return f"over {HEADS_MAX} dots" if len(message.dots) > HEADS_MAX else None
+    if isinstance(message, Leaves):
+        if sum(map(len, message.buckets.values())) > 8 * LEAVES_MAX:  # one bucket may be over the aim
+            return "too many dots"
+        if not all(0 <= bucket < BUCKETS for bucket in message.buckets):
+            return f"a bucket is 0 to {BUCKETS - 1}"
+    if isinstance(message, Digest | Leaves):
+        return "a context too large" if len(message.context.runs) > CONTEXT_MAX else message.context.fault()
+    if isinstance(message, Fetch):
+        return (
+            None if 0 <= message.offset <= PAYLOAD_MAX and 0 <= message.length <= PIECE else "no such piece"
+        )
+    return None
--- /dev/null
+++ b/tests/test_ledger_merge.py
@@ -0,0 +1,78 @@
+"""The shared ledger's dots, contexts and siblings: laws, against plain sets of dots."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.messages import Digest, Heads, Want, decode, encode
+from cloverkeel.fleet.ledger.records import Record, digest, read_context, siblings
+
+dots = st.builds(Dot, st.sampled_from("abc"), st.integers(1, 2), st.integers(1, 12))
+sets = st.frozensets(dots, max_size=30)
+EVERY = [Dot(m, i, c) for m in "abc" for i in (1, 2) for c in range(1, 13)]
+
+
+def held(context: Context) -> frozenset[Dot]:
+    return frozenset(dot for dot in EVERY if context.covers(dot))
+
+
+@given(sets, sets, dots)
+def test_a_context_is_the_set_of_the_dots_it_was_given(
+    a: frozenset[Dot], b: frozenset[Dot], dot: Dot
+) -> None:
+    first, second = Context().add(a), Context().add(sorted(b))
+    assert held(first) == a and first.fault() is None
+    assert first.merge(second) == second.merge(first) == Context().add(a | b).merge(first)
+    assert held(first.merge(second)) == a | b
+    assert first.includes(second) == (b <= a)
+    assert held(first.without(dot)) == a - {dot}
+    assert held(first.only([("a", 1), ("c", 2)])) == {d for d in a if d.actor in (("a", 1), ("c", 2))}
+    message = Digest(b"root", first, settled=True)
+    assert decode(encode(message)) == message
+
+
+def history(rng: random.Random, writes: int) -> list[Record]:
+    """Records of one key by writers that read some of it: each under the context of a random part."""
+    records: list[Record] = []
+    for n in range(writes):
+        part = siblings(rng.sample(records, rng.randint(0, len(records))))
+        dot = Dot(rng.choice("abc"), 1, n + 1)
+        records.append(Record("k", "key", digest(b"%d" % n), 1, dot, read_context(part, Context())))
+    return records
+
+
+@given(st.integers(0, 8), st.randoms(use_true_random=False))
+def test_siblings_do_not_depend_on_order_grouping_or_repetition(writes: int, rng: random.Random) -> None:
+    records = history(rng, writes)
+    a, b, c = (rng.sample(records, rng.randint(0, len(records))) for _ in range(3))
+    whole = siblings((*a, *b, *c))
+    assert (
+        siblings((*siblings((*a, *b)), *c)) == whole == siblings((*siblings((*c, *a)), *siblings((*b, *a))))
+    )
+    for record in (*a, *b, *c):  # nothing goes but by a write that had seen it
+        assert record in whole or any(other.covers(record) for other in (*a, *b, *c))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xc1",
+        encode(Heads(tuple(history(random.Random(1), 3))))[:-1],
+        encode(Want((Dot("a", 1, 1),) * 257)),
+        encode(Digest(b"", Context({("a", 1): (5, 2)}), True)),
+        encode(Digest(b"", Context({("a", 1): (1, 2, 3, 4)}), True)),
+        encode(Heads((Record("k", "key", b"short", 1, Dot("a", 1, 1), Context()),))),
+        encode(Heads((Record("k", "a\nb", digest(b""), 0, Dot("a", 1, 1), Context()),))),
+        encode(Heads((Record("k", "key", digest(b""), 0, Dot("a", 1, 1), Context({("a", 1): (1, 1)})),))),
+    ],
+)
+def test_what_is_no_message_is_refused_in_one_line(body: bytes) -> None:
+    with pytest.raises(ValueError) as error:
+        decode(body)
+    assert "\n" not in str(error.value)
