Ledger store: its own tables in the state file, checksummed, written by one thread

A write is acknowledged only once it is on disk. A schema 1 file without the tables is taken up; a torn or flipped payload goes at load with its dot, so that the next comparison fetches it; a batch that a full disk refuses leaves nothing.

--- /dev/null
+++ b/cloverkeel/fleet/ledger/store.py
@@ -0,0 +1,225 @@
+"""The ledger on disk: tables of its own in the state store's SQLite file, written by a thread of its own.
+
+The file is the state store's: its checks come first, its lock is held, and its pragmas (WAL and
+`synchronous=FULL`) make each transaction atomic and durable. A file that has no ledger yet gets its tables.
+Every row carries a checksum; what fails it is taken out, and its dot out of the context, so that it is
+fetched anew.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import hashlib
+import os
+import queue
+import sqlite3
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.interface import Persist, Persisted, PersistFailed
+from cloverkeel.fleet.ledger.records import Record, digest, fault
+from cloverkeel.fleet.ledger.replica import Put
+from cloverkeel.fleet.state.file import FILE, connect, transaction
+
+SCHEMA = b"1"
+TABLES = (
+    "CREATE TABLE IF NOT EXISTS ledger_record (member TEXT, incarnation INTEGER, counter INTEGER,"
+    " payload BLOB NOT NULL, head BLOB NOT NULL, sha256 TEXT NOT NULL,"
+    " PRIMARY KEY (member, incarnation, counter))",
+    "CREATE INDEX IF NOT EXISTS ledger_named ON ledger_record (payload)",
+    "CREATE TABLE IF NOT EXISTS ledger_payload (sha256 BLOB PRIMARY KEY, payload BLOB NOT NULL)",
+    "CREATE TABLE IF NOT EXISTS ledger_meta (key TEXT PRIMARY KEY, value BLOB NOT NULL,"
+    " sha256 TEXT NOT NULL)",
+)
+
+_encode = msgspec.msgpack.encode
+
+
+class StoreError(Exception):
+    """The ledger's part of the file cannot be used; the message says why, in one line."""
+
+
+@dataclasses.dataclass
+class Loaded:
+    """What was on disk and is sound, and one finding for each row that was not."""
+
+    puts: list[Put]
+    context: Context
+    findings: list[str]
+
+
+class Store:
+    """The ledger of one state directory, whose lock this process holds and whose file it has begun."""
+
+    def __init__(self, directory: str) -> None:
+        """Raises StoreError where there is no such file, it has another schema, or SQLite refuses it."""
+        path = os.path.join(directory, FILE)
+        if not os.path.isfile(path):
+            raise StoreError(f"{path} is not there: the state store begins it")
+        try:
+            self.connection = connect(path)
+            if self.connection.execute("SELECT 1 FROM sqlite_master WHERE name = 'meta'").fetchone() is None:
+                raise StoreError(f"{path} is not begun by the state store")
+            with transaction(self.connection):
+                for table in TABLES:
+                    self.connection.execute(table)
+            found = self._meta("schema")
+            if found is None:
+                with transaction(self.connection):
+                    self._put_meta("schema", SCHEMA)
+            elif found != SCHEMA:
+                raise StoreError(f"ledger schema {found!r:.20}, not {SCHEMA!r}")
+        except sqlite3.Error as error:
+            raise StoreError(f"{path}: {error}") from None
+
+    def load(self) -> Loaded:
+        """All sound records with their payloads, and the context; what is not sound is removed from the file.
+        Raises StoreError."""
+        try:
+            return self._load()
+        except sqlite3.Error as error:
+            raise StoreError(str(error)) from None
+
+    def _load(self) -> Loaded:
+        loaded = Loaded([], Context(), [])
+        payloads = dict(self.connection.execute("SELECT sha256, payload FROM ledger_payload").fetchall())
+        bad: list[tuple[object, ...]] = []
+        lost: list[Dot] = []
+        sound_heads = True
+        rows = self.connection.execute("SELECT member, incarnation, counter, head, sha256 FROM ledger_record")
+        for *named, head, checksum in rows.fetchall():
+            record = _record(named, head, checksum)
+            if record is None:
+                sound_heads = False
+                loaded.findings.append(f"record {':'.join(map(str, named))}: checksum does not match")
+                bad.append(tuple(named))
+                continue
+            payload = b"" if record.deleted else payloads.get(record.sha256)
+            if not record.deleted and (payload is None or digest(payload) != record.sha256):
+                loaded.findings.append(f"payload of {record.kind}/{record.key}: does not match its SHA-256")
+                bad.append(tuple(named))
+                lost.append(record.dot)
+                continue
+            loaded.puts.append(Put(record, payload or b""))
+        loaded.puts.sort(key=lambda put: put.record.dot)
+        context = self._context()
+        if (context is None and loaded.puts) or not sound_heads:
+            loaded.findings.append("the context is made anew from the sound records")
+        elif context is not None:
+            loaded.context = context
+            for dot in lost:
+                loaded.context = loaded.context.without(dot)
+        loaded.context = loaded.context.add(put.record.dot for put in loaded.puts)
+        if loaded.findings:
+            with transaction(self.connection):
+                self._delete(bad)
+                self._put_meta("context", _encode(loaded.context))
+        return loaded
+
+    def write(self, rows: Persist) -> None:
+        """One transaction. Raises sqlite3.Error or OSError, and then nothing of it is there."""
+        with transaction(self.connection):
+            for put in rows.puts:
+                record = put.record
+                head = _encode(record)
+                dot = record.dot
+                self.connection.execute(
+                    "INSERT OR REPLACE INTO ledger_record VALUES (?, ?, ?, ?, ?, ?)",
+                    (dot.member, dot.incarnation, dot.counter, record.sha256, head, _checksum(head)),
+                )
+                if not record.deleted:
+                    self.connection.execute(
+                        "INSERT OR REPLACE INTO ledger_payload VALUES (?, ?)", (record.sha256, put.payload)
+                    )
+            self._delete([(dot.member, dot.incarnation, dot.counter) for dot in rows.drops])
+            self._put_meta("context", _encode(rows.context))
+
+    def close(self) -> None:
+        self.connection.close()
+
+    def _delete(self, dots: list[tuple[object, ...]]) -> None:
+        """Remove records, and the payloads that none names any more."""
+        where = "WHERE member = ? AND incarnation = ? AND counter = ?"
+        for dot in dots:
+            row = self.connection.execute(f"SELECT payload FROM ledger_record {where}", dot).fetchone()
+            self.connection.execute(f"DELETE FROM ledger_record {where}", dot)
+            if row is not None:
+                self.connection.execute(
+                    "DELETE FROM ledger_payload WHERE sha256 = ?1"
+                    " AND NOT EXISTS (SELECT 1 FROM ledger_record WHERE payload = ?1)",
+                    row,
+                )
+
+    def _context(self) -> Context | None:
+        value = self._meta("context")
+        if value is None:
+            return None
+        try:
+            context: Context = msgspec.msgpack.decode(value, type=Context)
+        except msgspec.MsgspecError:
+            return None
+        return None if context.fault() else context
+
+    def _meta(self, key: str) -> bytes | None:
+        row = self.connection.execute(
+            "SELECT value, sha256 FROM ledger_meta WHERE key = ?", (key,)
+        ).fetchone()
+        if row is None or not isinstance(row[0], bytes) or _checksum(row[0]) != row[1]:
+            return None
+        return row[0]
+
+    def _put_meta(self, key: str, value: bytes) -> None:
+        self.connection.execute(
+            "INSERT OR REPLACE INTO ledger_meta VALUES (?, ?, ?)", (key, value, _checksum(value))
+        )
+
+
+class Writer:
+    """The thread that writes batches, one at a time; `done` is called on it with what became of each."""
+
+    def __init__(self, store: Store, done: Callable[[Persisted | PersistFailed], None]) -> None:
+        self.store, self.done = store, done
+        self.batches: queue.SimpleQueue[Persist | None] = queue.SimpleQueue()
+        self.thread = threading.Thread(target=self._run, name="ledger-writer", daemon=True)
+        self.thread.start()
+
+    def write(self, rows: Persist) -> None:
+        self.batches.put(rows)
+
+    def close(self, wait_s: float) -> None:
+        """Write what was handed over, then end within `wait_s`."""
+        self.batches.put(None)
+        self.thread.join(wait_s)
+
+    def _run(self) -> None:
+        while (rows := self.batches.get()) is not None:
+            try:
+                self.store.write(rows)
+            except (sqlite3.Error, OSError) as error:
+                self.done(PersistFailed(rows.batch, str(error)))
+            else:
+                self.done(Persisted(rows.batch))
+        with contextlib.suppress(sqlite3.Error):
+            self.store.close()
+
+
+def _checksum(value: bytes) -> str:
+    return hashlib.sha256(value).hexdigest()
+
+
+def _record(named: list[object], head: object, checksum: object) -> Record | None:
+    """The record of a row, or None where the row is not sound."""
+    if not isinstance(head, bytes) or _checksum(head) != checksum:
+        return None
+    try:
+        record: Record = msgspec.msgpack.decode(head, type=Record)
+    except msgspec.MsgspecError:
+        return None
+    dot = record.dot
+    if fault(record) is not None or named != [dot.member, dot.incarnation, dot.counter]:
+        return None
+    return record
--- /dev/null
+++ b/faultlab/storm/cluster/ledger.py
@@ -0,0 +1,346 @@
+"""A cluster of ledger cores on simulated time, a simulated network and simulated disks, driven by one seed.
+
+`run_history(seed)` is one random history: writes under fresh and under old contexts, deletes, drops,
+doubles, delays, partitions, members that crash, are away, come back, lose their disk or get an old copy of
+it, disks that refuse, members that serve false payloads. Then all is healed, and all must agree.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.interface import (
+    Acknowledged,
+    Action,
+    Delete,
+    Event,
+    Expose,
+    Heard,
+    Level,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Send,
+    Settings,
+    Tick,
+    ViewChanged,
+    Write,
+)
+from cloverkeel.fleet.ledger.ledger import Ledger
+from cloverkeel.fleet.ledger.messages import Message, Piece, decode, encode
+from cloverkeel.fleet.ledger.replica import Put
+
+from faultlab.storm.cluster.ledger_truth import Name, Seen, Truth
+
+SETTINGS = Settings(digest_s=1.0, reap_after_s=6.0)
+DETECT_S = 1.0  # until a member that is silent counts as gone
+TICK_S = 0.1
+
+
+@dataclasses.dataclass
+class Disk:
+    number: int
+    rows: dict[Dot, Put] = dataclasses.field(default_factory=dict)
+    context: Context = dataclasses.field(default_factory=Context)
+    seen: Seen = dataclasses.field(default_factory=Seen)
+
+
+@dataclasses.dataclass
+class Member:
+    name: str
+    disk: Disk
+    core: Ledger | None = None
+    life: int = 0  # of how many; messages and disk answers of an earlier one are lost
+    side: int = 0  # of the partition
+    full: bool = False
+    false: float = 0.0  # chance that a piece it serves is damaged
+    heard_s: dict[str, float] = dataclasses.field(default_factory=dict)  # when each other was last reachable
+    view: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
+    old: list[tuple[Name, Context, frozenset[Dot]]] = dataclasses.field(default_factory=list)
+
+
+class Cluster:
+    def __init__(self, seed: int, members: int, tick_s: float, settings: Settings = SETTINGS) -> None:
+        self.rng = random.Random(seed)
+        self.settings, self.tick_s = settings, tick_s
+        self.now_s = 0.0
+        self.truth = Truth()
+        self.numbers = itertools.count(1)
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.members = {f"m{i}": Member(f"m{i}", Disk(next(self.numbers))) for i in range(members)}
+        self.drop = self.double = 0.0
+        self.written: dict[Dot, tuple[str, frozenset[Dot]]] = {}
+        self.sent_bytes = 0
+        self.acknowledged = 0
+        for member in self.members.values():
+            self.start(member)
+
+    # Time.
+
+    def later(self, delay_s: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (self.now_s + delay_s, next(self.numbers), what))
+
+    def run(self, for_s: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass; ends early, and says True, once `until` (asked each simulated second) holds."""
+        end_s, ask_s = self.now_s + for_s, self.now_s + 1.0
+        while self.queue and self.queue[0][0] <= end_s:
+            self.now_s, _, what = heapq.heappop(self.queue)
+            what()
+            if until is not None and self.now_s >= ask_s:
+                ask_s = self.now_s + 1.0
+                if until():
+                    return True
+        self.now_s = end_s
+        return until is not None and until()
+
+    # Members.
+
+    def start(self, member: Member) -> None:
+        member.life += 1
+        disk = member.disk
+        rows = [disk.rows[dot] for dot in sorted(disk.rows)]
+        member.core = Ledger(
+            member.name, self.rng.getrandbits(40), self.settings, self.rng, rows, disk.context
+        )
+        member.view, member.heard_s = ((), ()), {}
+        member.old.clear()
+        self.later(self.rng.random() * self.tick_s, self._ticker(member, member.life))
+
+    def stop(self, member: Member) -> None:
+        """SIGKILL: what was on its way to the disk is there or not."""
+        member.core = None
+
+    def lose_disk(self, member: Member) -> None:
+        self.stop(member)
+        member.disk = Disk(next(self.numbers))
+
+    def copy_disk(self, member: Member) -> Disk:
+        disk = member.disk
+        return Disk(0, dict(disk.rows), disk.context, disk.seen.copy())
+
+    def set_back(self, member: Member, copy: Disk) -> None:
+        """Its disk is an old copy now."""
+        self.stop(member)
+        copy.number = next(self.numbers)
+        member.disk = copy
+        for dot in self.truth.head:
+            if copy.context.covers(dot):
+                self.truth.holders[dot].add(copy.number)
+
+    def up(self) -> list[Member]:
+        return [m for m in self.members.values() if m.core is not None]
+
+    def _ticker(self, member: Member, life: int) -> Callable[[], None]:
+        def tick() -> None:
+            if member.core is None or member.life != life:
+                return
+            self._look(member)
+            self.give(member, Tick())
+            self.later(self.tick_s, tick)
+
+        return tick
+
+    def _look(self, member: Member) -> None:
+        """Membership's view, after a fashion: the silent are gone after a while, and reaped after longer."""
+        live, gone = [], []
+        for other in self.members.values():
+            if other is member:
+                continue
+            if other.core is not None and other.side == member.side:
+                member.heard_s[other.name] = self.now_s
+            silent_s = self.now_s - member.heard_s.get(other.name, -1e9)
+            if silent_s < DETECT_S:
+                live.append(other.name)
+            elif silent_s < DETECT_S + self.settings.reap_after_s:
+                gone.append(other.name)
+        view = tuple(live), tuple(gone)
+        if view != member.view:
+            member.view = view
+            self.give(member, ViewChanged(*view))
+
+    def give(self, member: Member, event: Event) -> None:
+        if member.core is not None:
+            for action in member.core.handle(self.now_s, event):
+                self._act(member, action)
+
+    def _act(self, member: Member, action: Action) -> None:
+        match action:
+            case Send(to, message):
+                self._send(member, to, message)
+            case Persist():
+                life, disk = member.life, member.disk
+                self.later(self.rng.uniform(0.001, 0.02), lambda: self._disk(member, life, disk, action))
+            case Acknowledged(_, dot, level, _):
+                self.acknowledged += 1
+                needed = 1
+                if level is not Level.LOCAL:
+                    view = 1 + sum(map(len, member.view))
+                    needed = view if level is Level.ALL else max(view, self.settings.size) // 2 + 1
+                self.truth.acknowledged(dot, needed)
+            case Expose(kind, key, records, _):
+                self.truth.exposed(member.disk.seen, (kind, key), records)
+
+    def _disk(self, member: Member, life: int, disk: Disk, rows: Persist) -> None:
+        running = member.core is not None
+        if member.disk is not disk or member.life != life or (not running and self.rng.random() < 0.5):
+            return  # killed before it was there
+        if member.full:
+            self.give(member, PersistFailed(rows.batch, "no space left"))
+            return
+        for put in rows.puts:
+            disk.rows[put.record.dot] = put
+            own = self.written.get(put.record.dot)
+            seen = own[1] if own is not None and own[0] == member.name else None
+            self.truth.taken(disk.number, put.record, put.payload, seen)
+        for dot in rows.drops:
+            disk.rows.pop(dot, None)
+        if rows.context != disk.context.add(put.record.dot for put in rows.puts):  # superseded ones too
+            for dot in self.truth.head:
+                if rows.context.covers(dot):
+                    self.truth.holders[dot].add(disk.number)
+        disk.context = rows.context
+        if running:
+            self.give(member, Persisted(rows.batch))
+
+    def _send(self, member: Member, to: str, message: Message) -> None:
+        if isinstance(message, Piece) and message.data and self.rng.random() < member.false:
+            message = Piece(message.sha256, message.offset, message.size, b"!" + message.data[1:])
+        body = encode(message)
+        self.sent_bytes += len(body)
+        other, life = self.members[to], self.members[to].life
+        for _ in range(2 if self.rng.random() < self.double else 1):
+            if self.rng.random() >= self.drop:
+                delay_s = self.rng.uniform(0.0005, 0.03)
+                self.later(delay_s, lambda: self._arrive(member, other, life, body))
+
+    def _arrive(self, member: Member, other: Member, life: int, body: bytes) -> None:
+        if other.core is not None and other.life == life and other.side == member.side:
+            self.give(other, Heard(member.name, decode(body)))
+
+    # Load.
+
+    def write(self, member: Member, name: Name, old: bool, delete: bool, level: Level) -> None:
+        core = member.core
+        assert core is not None
+        records, context = core.read(*name)
+        seen = self.truth.seen(record for record, _ in records)
+        if old:
+            fitting = [(c, s) for n, c, s in member.old if n == name]
+            context, seen = self.rng.choice(fitting) if fitting else (Context(), frozenset())
+        elif self.rng.random() < 0.5:
+            member.old.append((name, context, seen))
+        self.written[Dot(member.name, core.incarnation, core.counter + 1)] = member.name, seen
+        number = str(next(self.numbers))
+        if delete:
+            self.give(member, Delete(number, *name, context, level, 4.0))
+            return
+        size = self.rng.choice((0, 10, 500, 40_000)) if self.rng.random() < 0.9 else 100_000
+        payload = (number.encode() * (size // len(number) + 1))[:size]
+        self.give(member, Write(number, *name, payload, context, level, 4.0))
+
+    def agreed(self) -> bool:
+        cores = [m.core for m in self.up()]
+        first = cores[0]
+        assert first is not None
+        return all(
+            c is not None
+            and c.replica.digests.root() == first.replica.digests.root()
+            and c.settling.settled
+            and c.planned is None
+            and not c.staged
+            for c in cores
+        )
+
+    def check(self) -> None:
+        """Equal contexts give equal live records; bounds hold."""
+        held: dict[str, frozenset[Dot]] = {}
+        for member in self.up():
+            core = member.core
+            assert core is not None
+            if not core.settling.settled:
+                continue
+            live = frozenset(d for d, r in core.replica.records.items() if not r.deleted)
+            named = repr(sorted(core.replica.context.runs.items()))
+            if held.setdefault(named, live) != live:
+                self.truth.violated(f"{member.name} has another's context and other records")
+            if core.intake.fetches.in_flight > self.settings.limits.pieces:
+                self.truth.violated(f"{member.name} has too many pieces on their way")
+
+    def finish(self) -> None:
+        """Heal all, wait until all agree, and judge what is left."""
+        self.drop = self.double = 0.0
+        for member in self.members.values():
+            member.side, member.full, member.false = 0, False, 0.0
+            if member.core is None:
+                self.start(member)
+        if not self.run(60.0 + len(self.members), self.agreed):
+            self.truth.violated("no agreement after the heal")
+            return
+        self.check()
+        for member in self.members.values():
+            core = member.core
+            assert core is not None
+            if set(core.replica.records) != set(member.disk.rows):
+                self.truth.violated(f"{member.name} holds what its disk does not")
+        assert core is not None
+        self.truth.at_the_end({m.disk.number for m in self.members.values()}, core.replica.records)
+
+
+def run_history(seed: int, members: int | None = None, steps: int = 60, tick_s: float = TICK_S) -> list[str]:
+    """One random history of 5 to 20 members (or so many); the violations found, none where all held."""
+    rng = random.Random(seed)
+    cluster = Cluster(seed, members or rng.randint(5, 20), tick_s)
+    names = [("kind", f"key{i}") for i in range(rng.randint(1, 6))]
+    copies: dict[str, Disk] = {}
+    cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.3)), rng.choice((0.0, 0.1))
+    for _ in range(steps):
+        cluster.run(rng.choice((0.01, 0.05, 0.3, 1.0)))
+        cluster.check()
+        up = cluster.up()
+        if up and rng.random() < 0.6:
+            for _ in range(rng.randint(1, 3)):
+                level = rng.choice(tuple(Level))
+                cluster.write(
+                    rng.choice(up), rng.choice(names), rng.random() < 0.2, rng.random() < 0.3, level
+                )
+        else:
+            _fault(cluster, rng, copies)
+    cluster.finish()
+    return cluster.truth.violations
+
+
+def _fault(cluster: Cluster, rng: random.Random, copies: dict[str, Disk]) -> None:
+    member = rng.choice(list(cluster.members.values()))
+    match rng.randrange(10):
+        case 0:
+            cluster.stop(member)
+        case 1 | 2:
+            for other in cluster.members.values():
+                if other.core is None and rng.random() < 0.7:
+                    cluster.start(other)
+        case 3:
+            for other in cluster.members.values():
+                other.side = rng.randrange(2)
+        case 4 | 5:
+            for other in cluster.members.values():
+                other.side = 0
+        case 6:
+            member.full = not member.full
+        case 7:
+            member.false = rng.choice((0.0, 0.5, 1.0))
+        case 8:
+            copies[member.name] = cluster.copy_disk(member)
+        case 9:
+            if rng.random() < 0.3:
+                cluster.lose_disk(member)
+            elif member.name in copies:
+                cluster.set_back(member, copies.pop(member.name))
+            else:
+                member.side = 2
+                cluster.run(rng.choice((2.0, 9.0)))  # away, perhaps past `reap_after_s`
+                member.side = 0
--- /dev/null
+++ b/tests/test_ledger_core.py
@@ -0,0 +1,223 @@
+"""The ledger's core, event by event; and whole clusters of it through random histories."""
+
+from __future__ import annotations
+
+import random
+from typing import TypeVar
+
+import pytest
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.interface import (
+    Acknowledged,
+    Action,
+    Delete,
+    Event,
+    Heard,
+    Level,
+    NotConfirmed,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Refused,
+    Send,
+    Settings,
+    Tick,
+    ViewChanged,
+    Write,
+)
+from cloverkeel.fleet.ledger.ledger import Ledger
+from cloverkeel.fleet.ledger.limits import Limits
+from cloverkeel.fleet.ledger.messages import Digest, Fetch, Heads, Held, Piece
+from cloverkeel.fleet.ledger.records import Record, digest
+from cloverkeel.fleet.ledger.replica import Put
+from faultlab.storm.cluster.ledger import TICK_S, Cluster, run_history
+
+T = TypeVar("T")
+KEY = ("kind", "key")
+
+
+def ledger(name: str = "a", **settings: object) -> Ledger:
+    return Ledger(name, 1, Settings(**settings), random.Random(7))  # type: ignore[arg-type]
+
+
+def run(core: Ledger, event: Event, now_s: float = 0.0) -> list[Action]:
+    """Handle an event with a disk that takes everything at once."""
+    actions = core.handle(now_s, event)
+    for action in actions:
+        if isinstance(action, Persist):
+            actions += core.handle(now_s, Persisted(action.batch))
+    return actions
+
+
+def of(kind: type[T], actions: list[Action]) -> list[T]:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def write(core: Ledger, payload: bytes, context: Context | None = None, **more: object) -> list[Action]:
+    under = core.read(*KEY)[1] if context is None else context
+    return run(core, Write("w", *KEY, payload, under, **more))  # type: ignore[arg-type]
+
+
+def payloads(core: Ledger) -> list[bytes | None]:
+    return [payload for _, payload in core.read(*KEY)[0]]
+
+
+def test_concurrent_writes_are_both_kept_until_one_has_seen_both() -> None:
+    core = ledger()
+    write(core, b"one")
+    old = core.read(*KEY)[1]
+    write(core, b"two", old)
+    write(core, b"three", old)  # the same reader's context, once more
+    assert sorted(filter(None, payloads(core))) == [b"three", b"two"]
+    write(core, b"both")
+    assert payloads(core) == [b"both"]
+    run(core, Delete("d", *KEY, core.read(*KEY)[1]))
+    assert payloads(core) == [None]
+
+
+def test_a_write_is_acknowledged_only_after_the_disk_and_the_level() -> None:
+    core = ledger(size=5)
+    run(core, ViewChanged(("b", "c")))
+    actions = core.handle(0.0, Write("w", *KEY, b"x", Context(), Level.QUORUM, 2.0))
+    assert not of(Send, actions)
+    actions = core.handle(0.0, Persisted(of(Persist, actions)[0].batch))
+    heads = [s for s in of(Send, actions) if isinstance(s.message, Heads) and s.message.confirm]
+    assert {s.member for s in heads} == {"b", "c"} and not of(Acknowledged, actions)
+    dot = core.read(*KEY)[0][0][0].dot
+    assert not of(Acknowledged, run(core, Heard("b", Held((dot,)))))
+    assert not of(Acknowledged, run(core, Heard("stranger", Held((dot,)))))
+    assert of(Acknowledged, run(core, Heard("c", Held((dot,))))) == [Acknowledged("w", dot, Level.QUORUM, 3)]
+
+
+def test_a_level_not_reached_says_so_and_the_write_is_kept() -> None:
+    core = ledger()
+    run(core, ViewChanged(("b",), ("c",)))
+    write(core, b"x", wait=Level.ALL, timeout_s=2.0)
+    assert not of(NotConfirmed, run(core, Tick(), 1.9))
+    (said,) = of(NotConfirmed, run(core, Tick(), 2.0))
+    assert "all not reached" in said.reason and "b, c" in said.reason
+    assert payloads(core) == [b"x"]
+
+
+def test_a_disk_that_fails_refuses_the_write_whole_and_keeps_trying_what_came_from_others() -> None:
+    core, other = ledger(), ledger("b")
+    write(other, b"theirs")
+    head = other.read(*KEY)[0][0][0]
+    run(core, ViewChanged(("b",)))
+    run(core, Heard("b", Heads((head,))))
+    persist = of(Persist, core.handle(0.0, Heard("b", Piece(head.sha256, 0, 6, b"theirs"))))[0]
+    core.handle(0.0, Write("w", "kind", "mine", b"x", Context()))
+    again = of(Persist, core.handle(0.0, PersistFailed(persist.batch, "no space")))
+    actions = core.handle(0.0, PersistFailed(again[0].batch, "no space"))
+    assert of(Refused, actions) == [Refused("w", "the disk did not take it: no space")]
+    assert payloads(core) == [] and core.read("kind", "mine")[0] == ()
+    run(core, Tick(), 1.0)
+    assert payloads(core) == [b"theirs"]
+
+
+def test_a_payload_that_does_not_match_is_never_shown_and_another_member_is_asked() -> None:
+    core = ledger()
+    run(core, ViewChanged(("liar", "c")))
+    payload = bytes(40_000)
+    head = Record(*KEY, digest(payload), len(payload), Dot("c", 1, 1), Context())
+    (first,) = of(Send, run(core, Heard("liar", Heads((head,)))))
+    assert first == Send("liar", Fetch(head.sha256, 0, 32_768))
+    (second,) = of(Send, run(core, Heard("liar", Piece(head.sha256, 0, 40_000, payload[:32_768]))))
+    actions = run(core, Heard("liar", Piece(head.sha256, 32_768, 40_000, b"!" * 7_232)))
+    assert core.intake.fetches.mismatched == 1 and payloads(core) == []
+    assert of(Send, actions) == [Send("c", Fetch(head.sha256, 0, 32_768))]
+    run(core, Heard("c", Piece(head.sha256, 0, 40_000, payload[:32_768])))
+    run(core, Heard("liar", Piece(head.sha256, 32_768, 40_000, b"!" * 7_232)))  # not the one asked
+    run(core, Heard("c", Piece(head.sha256, 32_768, 40_000, payload[32_768:])))
+    assert payloads(core) == [payload]
+
+
+def test_a_member_that_floods_fills_its_own_share_only() -> None:
+    core = ledger(limits=Limits(records=10, writer_records=3))
+    run(core, ViewChanged(("b", "c")))
+    for writer, many in (("b", 8), ("c", 2)):
+        for n in range(many):
+            record = Record("kind", f"{writer}{n}", digest(b""), 0, Dot(writer, 1, n + 1), Context())
+            run(core, Heard(writer, Heads((record,))))
+            run(core, Heard(writer, Piece(digest(b""), 0, 0, b"")))
+    assert core.keys("kind") == ["b0", "b1", "b2", "c0", "c1"]
+    assert core.intake.counts["over_limits"] == 5
+    for n in range(4):
+        actions = run(core, Write(str(n), "kind", f"a{n}", b"", Context()))
+    assert of(Refused, actions) == [Refused("3", "over the limit of 3 records of one writer (a)")]
+    run(core, Write("again", "kind", "a0", b"", core.read("kind", "a0")[1]))  # in place of its own
+    assert len(core.replica.records) == 8
+
+
+@pytest.mark.parametrize(
+    ("event", "why"),
+    [
+        (Write("w", "kind", "", b"", Context()), "a key is"),
+        (Write("w", *KEY, bytes(256 * 1024 + 1), Context()), "a payload has up to"),
+        (Write("w", *KEY, b"", Context({("b", 1): (1, 9)})), "ahead of this member"),
+        (Delete("w", *KEY, Context()), "nothing to delete"),
+    ],
+)
+def test_a_write_that_cannot_be_is_refused_with_its_reason(event: Event, why: str) -> None:
+    (refused,) = of(Refused, run(ledger(), event))
+    assert why in refused.reason
+
+
+def test_a_deleted_record_does_not_return_once_its_tombstone_has_gone() -> None:
+    core = ledger(digest_s=1.0)
+    run(core, ViewChanged(("b",), ("c",)))
+    core.settling.settled = True
+    write(core, b"x")
+    old = core.read(*KEY)[0][0][0]
+    run(core, Delete("d", *KEY, core.read(*KEY)[1]))
+    said = Digest(core.replica.digests.root(), core.replica.context, settled=True)
+    run(core, Heard("b", said))
+    run(core, Tick(), 1.0)
+    assert payloads(core) == [None]  # c, dead for less than reap_after_s, may not have it
+    run(core, Heard("c", said))
+    run(core, Tick(), 2.0)
+    assert payloads(core) == []
+    run(core, Heard("b", Heads((old,), fresh=True)))
+    assert payloads(core) == [] and not core.intake.fetches.wanted
+
+
+def rows(many: int) -> list[Put]:
+    """Records of ten writers, each of a payload of its own."""
+    made = []
+    for n in range(many):
+        payload = b"payload %d" % n
+        dot = Dot(f"w{n % 10}", 1, n // 10 + 1)
+        made.append(Put(Record("kind", f"key{n}", digest(payload), len(payload), dot, Context()), payload))
+    return made
+
+
+def pair(first: list[Put], second: list[Put]) -> Cluster:
+    """Two members with these on disk, heard of each other and settled."""
+    cluster = Cluster(1, 2, TICK_S)
+    for member, puts in zip(cluster.members.values(), (first, second), strict=True):
+        cluster.stop(member)
+        member.disk.rows = {put.record.dot: put for put in puts}
+        member.disk.context = Context().add(member.disk.rows)
+        for put in puts:
+            cluster.truth.taken(member.disk.number, put.record, put.payload, frozenset())
+        cluster.start(member)
+    return cluster
+
+
+def test_one_change_among_10_000_records_costs_at_most_64_kib() -> None:
+    every = rows(10_000)
+    cluster = pair(every, every[1:])
+    assert cluster.run(30.0, cluster.agreed) and not cluster.truth.violations
+    assert cluster.sent_bytes <= 64 * 1024
+
+
+def test_a_newcomer_gets_10_000_records() -> None:
+    cluster = pair(rows(10_000), [])
+    next(iter(cluster.members.values())).core.settling.settled = True  # type: ignore[union-attr]
+    assert cluster.run(60.0, cluster.agreed) and not cluster.truth.violations
+
+
+@pytest.mark.parametrize("seed", range(15))
+def test_no_invariant_breaks_in_a_random_history(seed: int) -> None:
+    assert run_history(seed) == []
--- /dev/null
+++ b/tests/test_ledger_store.py
@@ -0,0 +1,116 @@
+"""The ledger's tables in a real state file: what is written, what damage costs, and who may open it."""
+
+from __future__ import annotations
+
+import os
+import queue
+import sqlite3
+import time
+from pathlib import Path
+
+import pytest
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.interface import Persist, Persisted, PersistFailed
+from cloverkeel.fleet.ledger.records import Record, digest
+from cloverkeel.fleet.ledger.replica import Put
+from cloverkeel.fleet.ledger.store import Store, StoreError, Writer
+from cloverkeel.fleet.state import FILE, Figures, verify
+from cloverkeel.fleet.state.store import Store as StateStore
+
+
+@pytest.fixture
+def directory(tmp_path: Path) -> str:
+    """A state directory as the state store of a version without a ledger leaves it."""
+    fd = StateStore.take_lock(str(tmp_path))
+    assert fd is not None
+    state, _ = StateStore.open(str(tmp_path), fd, Figures(), time.time())
+    state.prepare()
+    state.close()
+    return str(tmp_path)
+
+
+def put(counter: int, payload: bytes | None) -> Put:
+    named = (b"", 0) if payload is None else (digest(payload), len(payload))
+    dot = Dot("a", 2**62 - 1, counter)
+    return Put(Record("k", f"key{counter}", *named, dot, Context(), payload is None), payload or b"")
+
+
+def batch(puts: list[Put], *drops: int) -> Persist:
+    held = Context().add(p.record.dot for p in puts)
+    return Persist(1, tuple(puts), tuple(Dot("a", 2**62 - 1, n) for n in drops), held)
+
+
+def reopened(directory: str, *damage: str) -> tuple[Store, list[int], Context, list[str]]:
+    """The file after some SQL: the store, the counters of the records that load, the context, findings."""
+    connection = sqlite3.connect(os.path.join(directory, FILE))
+    for sql in damage:
+        connection.execute(sql)
+    connection.commit()
+    connection.close()
+    store = Store(directory)
+    loaded = store.load()
+    return store, [p.record.dot.counter for p in loaded.puts], loaded.context, loaded.findings
+
+
+def test_a_file_of_schema_1_is_taken_up_and_stays_sound(directory: str) -> None:
+    store = Store(directory)
+    assert store.load().puts == [] and store.load().findings == []
+    puts = [put(1, b"x"), put(2, bytes(256 * 1024)), put(3, None), put(4, b"x")]
+    store.write(batch(puts, 1))
+    store.close()
+    again = Store(directory)
+    loaded = again.load()
+    assert loaded.puts == puts[1:] and loaded.findings == []
+    assert loaded.context == Context().add(p.record.dot for p in puts)
+    assert verify(again.connection) == ([], [])
+    again.write(batch([], 2, 4))
+    assert again.connection.execute("SELECT count(*) FROM ledger_payload").fetchone() == (0,)
+
+
+@pytest.mark.parametrize(
+    ("damage", "left", "covered", "finding"),
+    [
+        ("UPDATE ledger_payload SET payload = x'00' WHERE payload = x'79'", [1, 3], [1, 3], "SHA-256"),
+        ("DELETE FROM ledger_payload WHERE payload = x'79'", [1, 3], [1, 3], "SHA-256"),
+        ("UPDATE ledger_record SET head = x'00' WHERE counter = 1", [2, 3], [2, 3], "checksum"),
+        ("UPDATE ledger_meta SET value = x'80' WHERE key = 'context'", [1, 2, 3], [1, 2, 3], "made anew"),
+    ],
+)
+def test_what_is_damaged_on_disk_is_dropped_and_may_be_fetched_anew(
+    directory: str, damage: str, left: list[int], covered: list[int], finding: str
+) -> None:
+    store = Store(directory)
+    store.write(batch([put(1, b"x"), put(2, b"y"), put(3, b"z")]))
+    store.close()
+    store, counters, context, findings = reopened(directory, damage)
+    assert counters == left
+    assert context == Context().add(Dot("a", 2**62 - 1, n) for n in covered)
+    assert finding in findings[0]
+    store.write(batch([put(2, b"y")]))
+    assert store.load().findings == []
+
+
+def test_a_file_that_is_not_the_state_stores_or_is_newer_is_refused(directory: str, tmp_path: Path) -> None:
+    with pytest.raises(StoreError, match="begins it"):
+        Store(str(tmp_path / "nowhere"))
+    Store(directory).close()
+    with pytest.raises(StoreError, match="schema"):
+        later = "'" + digest(b"2").hex() + "'"
+        reopened(directory, f"UPDATE ledger_meta SET value = x'32', sha256 = {later} WHERE key = 'schema'")
+
+
+def test_a_batch_that_the_disk_refuses_is_told_and_leaves_nothing(directory: str) -> None:
+    store = Store(directory)
+    told: queue.Queue[Persisted | PersistFailed] = queue.Queue()
+    writer = Writer(store, told.put)
+    pages = store.connection.execute("PRAGMA page_count").fetchone()[0]
+    store.connection.execute(f"PRAGMA max_page_count = {pages + 1}")  # as a full disk
+    writer.write(batch([put(1, b"x"), put(2, bytes(256 * 1024))]))
+    failed = told.get(timeout=10)
+    assert isinstance(failed, PersistFailed) and "full" in failed.reason
+    store.connection.execute("PRAGMA max_page_count = 100000")
+    writer.write(batch([put(3, b"z")]))
+    assert told.get(timeout=10) == Persisted(1)
+    writer.close(10)
+    assert reopened(directory)[1] == [3]
