--- /dev/null
+++ b/cloverkeel/fleet/ledger/shell.py
@@ -0,0 +1,264 @@
+"""The ledger in a gateway: the core joined to membership, to calls over TCP and to the disk."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.interface import (
+    Acknowledged,
+    Action,
+    Delete,
+    Event,
+    Expose,
+    Heard,
+    Level,
+    NotConfirmed,
+    Note,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Refused,
+    Send,
+    Settings,
+    Tick,
+    ViewChanged,
+    Write,
+)
+from cloverkeel.fleet.ledger.ledger import Ledger
+from cloverkeel.fleet.ledger.messages import Message, encode
+from cloverkeel.fleet.ledger.outbox import KIND, Outbox, pack, unpack
+from cloverkeel.fleet.ledger.records import Record
+from cloverkeel.fleet.ledger.store import Loaded, Store, Writer
+from cloverkeel.fleet.membership.roster import PRESENT
+from cloverkeel.fleet.membership.rumours import Status
+from cloverkeel.fleet.membership.service import Membership
+
+TICK_S = 0.1
+NOTES_A_SECOND = 5
+
+Answer = Acknowledged | NotConfirmed
+Shown = tuple[tuple[Record, bytes | None], ...]
+
+
+class WriteRefused(Exception):  # noqa: N818 - what it says, not an error of the program's
+    """Nothing of the write was kept; the message says why, in one line."""
+
+
+class Service:
+    """This gateway's ledger. `directory`: the state directory, whose lock this process holds and whose file
+    the state store has begun. After `start` it takes part until `close`."""
+
+    def __init__(self, membership: Membership, directory: str, settings: Settings) -> None:
+        self.membership, self.directory, self.settings = membership, directory, settings
+        self.core: Ledger | None = None
+        self.writer: Writer | None = None
+        self.outbox = Outbox(membership.calls, self._address_of, self._answered)
+        self.listeners: list[Callable[[Expose], None]] = []
+        self.writes: dict[str, asyncio.Future[Answer]] = {}
+        self.numbers = 0
+        self.ticker: asyncio.TimerHandle | None = None
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.notes, self.note_s = 0, 0.0
+        self.closed = False
+        self.loop = asyncio.get_running_loop()
+
+    async def start(self) -> None:
+        """Load what is on disk and take part. Raises StoreError; nothing is begun then."""
+        store, loaded = await asyncio.to_thread(_open, self.directory)
+        for finding in loaded.findings:
+            event("ledger.dropped", directory=self.directory, reason=finding)
+        # A life of its own for each start: a counter on disk could be set back with the disk.
+        incarnation = secrets.randbits(62) + 1
+        name, rng = self.membership.name, random.Random()
+        self.core = Ledger(name, incarnation, self.settings, rng, loaded.puts, loaded.context)
+        self.writer = Writer(store, self._written)
+        event("ledger.opened", directory=self.directory, records=len(loaded.puts), incarnation=incarnation)
+        self.membership.calls.serve(KIND, self._on_call)
+        self.membership.on_change(lambda _rumour, _before: self._view_changed())
+        self._view_changed()
+        self._tick()
+
+    def read(self, kind: str, key: str) -> tuple[Shown, Context]:
+        """The siblings of a key with their payloads (tombstones: None), and the context to write under."""
+        return self._running().read(kind, key)
+
+    def keys(self, kind: str) -> list[str]:
+        return self._running().keys(kind)
+
+    def on_expose(self, listener: Callable[[Expose], None]) -> None:
+        """`listener` is called with the siblings of each key as they change; it must not raise."""
+        self.listeners.append(listener)
+
+    async def write(
+        self, kind: str, key: str, payload: bytes, context: Context,
+        wait: Level = Level.LOCAL, timeout_s: float = 5.0,
+    ) -> Answer:  # fmt: skip
+        """Write under the context that the key was read in. `Acknowledged`: so many members hold it on disk;
+        `NotConfirmed`: kept, and its level was not reached in time. Raises WriteRefused: not kept."""
+        return await self._submit(Write(self._number(), kind, key, payload, context, wait, timeout_s))
+
+    async def delete(
+        self, kind: str, key: str, context: Context, wait: Level = Level.LOCAL, timeout_s: float = 5.0
+    ) -> Answer:
+        """As `write`, of a tombstone over what the context covers."""
+        return await self._submit(Delete(self._number(), kind, key, context, wait, timeout_s))
+
+    def counters(self) -> dict[str, int]:
+        """What has been done since the start."""
+        core = self._running()
+        fetches = core.intake.fetches
+        return {
+            **self.counts, **self.outbox.counts, **core.intake.counts,
+            "payload_mismatched": fetches.mismatched, "payloads_given_up": fetches.given_up,
+            "persist_failures": core.persist_failures,
+        }  # fmt: skip
+
+    async def close(self, wait_s: float = 1.0) -> None:
+        """Take part no more; what was handed to the disk is written within `wait_s`."""
+        self.closed = True
+        if self.ticker is not None:
+            self.ticker.cancel()
+        self.outbox.close()
+        if self.writer is not None:
+            await asyncio.to_thread(self.writer.close, wait_s)
+        for write in self.writes.values():
+            if not write.done():
+                write.set_exception(WriteRefused("the ledger closes: not known whether it was kept"))
+
+    def _running(self) -> Ledger:
+        assert self.core is not None, "start() first"
+        return self.core
+
+    def _number(self) -> str:
+        self.numbers += 1
+        return str(self.numbers)
+
+    async def _submit(self, write: Write | Delete) -> Answer:
+        if self.closed:
+            raise WriteRefused("the ledger is closed")
+        answer: asyncio.Future[Answer] = self.loop.create_future()
+        self.writes[write.id] = answer
+        try:
+            self._give(write)
+            return await answer
+        finally:
+            del self.writes[write.id]
+
+    # Events in, actions out.
+
+    def _give(self, what: Event, to: str = "") -> list[bytes]:
+        """Handle an event; messages for the member `to` are given back, to go with its answer."""
+        back: list[bytes] = []
+        if self.closed:
+            return back
+        for action in self._running().handle(self.loop.time(), what):
+            if isinstance(action, Send) and action.member == to:
+                back.append(encode(action.message))
+            else:
+                self._act(action)
+        return back
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Send(member, message):
+                self.outbox.send(member, message)
+            case Persist():
+                assert self.writer is not None
+                self.writer.write(action)
+            case Acknowledged() | NotConfirmed():
+                if isinstance(action, NotConfirmed):
+                    event("ledger.not_confirmed", dot=_named(action.dot), reason=action.reason)
+                self._settle(action.id, action)
+            case Refused(number, reason):
+                self._settle(number, WriteRefused(reason))
+            case Expose():
+                for listener in self.listeners:
+                    listener(action)
+            case Note(name, fields):
+                self._note(name, dict(fields))
+
+    def _settle(self, number: str, outcome: Answer | WriteRefused) -> None:
+        write = self.writes.get(number)
+        if write is None or write.done():
+            return
+        if isinstance(outcome, WriteRefused):
+            write.set_exception(outcome)
+        else:
+            write.set_result(outcome)
+
+    def _note(self, name: str, fields: dict[str, object]) -> None:
+        now_s = self.loop.time()
+        if now_s - self.note_s >= 1.0:
+            self.notes, self.note_s = 0, now_s
+        self.notes += 1
+        if self.notes <= NOTES_A_SECOND:
+            event(name, **fields)
+
+    def _written(self, outcome: Persisted | PersistFailed) -> None:
+        """On the writer's thread."""
+        try:
+            self.loop.call_soon_threadsafe(self._on_written, outcome)
+        except RuntimeError:
+            return  # the loop has closed: nobody waits for it
+
+    def _on_written(self, outcome: Persisted | PersistFailed) -> None:
+        if isinstance(outcome, PersistFailed):
+            self._note("ledger.write_failed", {"directory": self.directory, "reason": outcome.reason})
+        self._give(outcome)
+
+    def _on_call(self, peer: str, body: Any) -> list[bytes]:
+        """A member's messages; what it is to hear at once goes with the answer. Raises ValueError."""
+        try:
+            messages = unpack(body)
+        except ValueError as error:
+            self.counts["messages_malformed"] += 1
+            self._note("ledger.malformed", {"member": peer, "reason": str(error)})
+            raise
+        back: collections.deque[bytes] = collections.deque()
+        for message in messages:
+            back.extend(self._give(Heard(peer, message), to=peer))
+        answer = pack(back)
+        self.counts["answers_cut"] += len(back)  # the core asks again
+        self.counts["bytes_out"] += sum(map(len, answer))
+        return answer
+
+    def _answered(self, member: str, messages: list[Message]) -> None:
+        for message in messages:
+            self._give(Heard(member, message))
+
+    # Time and the view.
+
+    def _tick(self) -> None:
+        self.ticker = self.loop.call_later(TICK_S, self._tick)
+        self._view_changed()  # no change is told of a member that is reaped
+        if self.membership.joined.is_set():
+            self._give(Tick())
+
+    def _view_changed(self) -> None:
+        others = self.membership.view()
+        others.pop(self.membership.name, None)
+        live = tuple(sorted(name for name, r in others.items() if r.status in PRESENT))
+        gone = tuple(sorted(name for name, r in others.items() if r.status is Status.DEAD))
+        core = self._running()
+        if (live, gone) != (core.live, core.gone):
+            self._give(ViewChanged(live, gone))
+
+    def _address_of(self, member: str) -> str | None:
+        rumour = self.membership.view().get(member)
+        return rumour.address if rumour is not None and rumour.status in PRESENT else None
+
+
+def _open(directory: str) -> tuple[Store, Loaded]:
+    store = Store(directory)
+    return store, store.load()
+
+
+def _named(dot: Dot) -> str:
+    return f"{dot.member}:{dot.incarnation}:{dot.counter}"
