--- a/tests/test_ledger_core.py
+++ b/tests/test_ledger_core.py
@@ -116,6 +116,14 @@
     assert payloads(core) == [b"theirs"]
 
 
+def test_a_disk_that_does_not_answer_is_told_in_the_writes_time() -> None:
+    core = ledger()
+    (persist,) = of(Persist, core.handle(0.0, Write("w", *KEY, b"x", Context(), timeout_s=2.0)))
+    (said,) = of(NotConfirmed, core.handle(2.0, Tick()))
+    assert "not known whether kept" in said.reason
+    assert not of(Acknowledged, core.handle(3.0, Persisted(persist.batch))) and payloads(core) == [b"x"]
+
+
 def test_a_payload_that_does_not_match_is_never_shown_and_another_member_is_asked() -> None:
     core = ledger()
     run(core, ViewChanged(("liar", "c")))
@@ -143,6 +151,7 @@
             run(core, Heard(writer, Piece(digest(b""), 0, 0, b"")))
     assert core.keys("kind") == ["b0", "b1", "b2", "c0", "c1"]
     assert core.intake.counts["over_limits"] == 5
+    assert len(core.intake.fetches.pending) == 0
     for n in range(4):
         actions = run(core, Write(str(n), "kind", f"a{n}", b"", Context()))
     assert of(Refused, actions) == [Refused("3", "over the limit of 3 records of one writer (a)")]
