Ledger storm: an old context is judged by what its key still knows

Two of 1,000 histories called a stale member's record seen by a write whose context no longer named it, since its tombstone had gone everywhere else: the judge was wrong. Choosing whom to ask sorts nothing: 500 members, 60 steps, no violation.

--- a/cloverkeel/fleet/ledger/fetches.py
+++ b/cloverkeel/fleet/ledger/fetches.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from cloverkeel.fleet.ledger.dots import Dot
 from cloverkeel.fleet.ledger.interface import Settings
@@ -72,18 +72,17 @@
             for record in [r for r in transfer.heads.values() if obsolete(r)]:
                 self._unwant(transfer, record)
 
-    def ask(self, now_s: float, live: Iterable[str]) -> list[tuple[str, Fetch]]:
+    def ask(self, now_s: float, live: Sequence[str]) -> list[tuple[str, Fetch]]:
         """What to send: the next piece of each payload that waits for none, within the bound in flight."""
         sends: list[tuple[str, Fetch]] = []
         if not self.wanted or self._full():
             return sends
-        members = sorted(live)
         for transfer in list(self.wanted.values()):
             if self._full():
                 break
             if transfer.asked is not None or now_s < transfer.due_s:
                 continue
-            member = self._next_member(now_s, transfer, members)
+            member = self._next_member(now_s, transfer, live)
             if member is None:
                 transfer.due_s = now_s + self.settings.piece_s
                 continue
@@ -129,10 +128,10 @@
         if teller not in transfer.tellers and len(transfer.tellers) < self.settings.fanout:
             transfer.tellers.append(teller)
 
-    def _next_member(self, now_s: float, transfer: Transfer, members: list[str]) -> str | None:
+    def _next_member(self, now_s: float, transfer: Transfer, members: Sequence[str]) -> str | None:
         if not transfer.to_ask:
             first = [*transfer.tellers, *sorted({dot.member for dot in transfer.heads})]
-            others = [m for m in members if m not in first]
+            others = [member for member in members if member not in first]
             self.rng.shuffle(others)
             transfer.to_ask = [m for m in dict.fromkeys(first) if m in members] + others
         while transfer.to_ask:
--- a/faultlab/storm/cluster/ledger.py
+++ b/faultlab/storm/cluster/ledger.py
@@ -231,7 +231,8 @@
         seen = self.truth.seen(record for record, _ in records)
         if old:
             fitting = [(c, s) for n, c, s in member.old if n == name]
-            context, seen = self.rng.choice(fitting) if fitting else (Context(), frozenset())
+            context, read = self.rng.choice(fitting) if fitting else (Context(), frozenset())
+            seen &= read  # what has gone with its tombstone since, all members know to be gone
         elif self.rng.random() < 0.5:
             member.old.append((name, context, seen))
         self.written[Dot(member.name, core.incarnation, core.counter + 1)] = member.name, seen
