--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -9,9 +9,10 @@
 import argparse
 import sys
 
-from faultlab import recovery
+from faultlab import membership, recovery
+from faultlab.coldstart import command as coldstart
 
-EXPERIMENTS = (recovery,)
+EXPERIMENTS = (coldstart, recovery, membership)
 
 
 def main(argv: list[str]) -> int:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -18,6 +18,7 @@
     Outcome,
     Prices,
     Refuse,
+    RequestArrived,
     RequestClass,
     RequestGone,
     Scope,
@@ -163,6 +164,20 @@
     assert not driver.balancer.lines.get(7)
 
 
+def test_a_client_that_comes_again_under_its_name_while_its_key_rests_is_answered() -> None:
+    """The end of the rest forgot the new request: it was sent, and its answer never passed on."""
+    driver = Driver(ORDERED)
+    name, actions = driver.arrive(key=7, patience_us=900_000)
+    driver.end(name, sends(actions)[0].server, Outcome.RESET)
+    rest = driver.timers[-1]
+    assert not sends(driver.handle(RequestArrived(name, 0, 900_000, 7)))
+    driver.now_us = rest.due_us
+    (send,) = sends(driver.handle(TimerFired(rest.token)))
+    assert send.request == name and name in driver.balancer.requests
+    driver.end(name, send.server)
+    assert not driver.balancer.requests and not driver.balancer.lines and not driver.balancer.out
+
+
 def test_a_popular_key_is_refused_before_a_line_that_cannot_be_served() -> None:
     """The hopeless one was refused its place in line, then sent out of turn all the same."""
     driver = Driver(ORDERED)
@@ -549,6 +564,19 @@
     assert hinted > 3 * unhinted > 0
 
 
+def test_a_server_that_starts_in_a_crowd_is_used_soon() -> None:
+    """The time that answers waited counted as work already sent: it stood idle for seconds."""
+    soon = 0
+    for proxy in range(40):
+        driver = Driver(replace(COLD, proxy=proxy), servers=0, seed=proxy)
+        driver.balancer.smoothed = [1_000_000.0] * 3
+        driver.balancer.mean_work = [10_000.0] * 3
+        driver.list_servers(ListedServer(1, started_us=driver.now_us))
+        driver.now_us += 4 * COLD.fall_us
+        soon += bool(sends(driver.arrive(work_us=10_000)[1]))
+    assert soon > 20
+
+
 def test_a_cold_server_beyond_the_reach_is_not_used() -> None:
     """When many step aside from failing servers, all would meet on the same cold one."""
     driver = Driver(replace(COLD, proxies=300), servers=60)
