--- a/cloverkeel/fleet/ledger/store.py
+++ b/cloverkeel/fleet/ledger/store.py
@@ -62,19 +62,28 @@
             raise StoreError(f"{path} is not there: the state store begins it")
         try:
             self.connection = connect(path)
-            if self.connection.execute("SELECT 1 FROM sqlite_master WHERE name = 'meta'").fetchone() is None:
-                raise StoreError(f"{path} is not begun by the state store")
-            with transaction(self.connection):
-                for table in TABLES:
-                    self.connection.execute(table)
+        except sqlite3.Error as error:
+            raise StoreError(f"{path}: {error}") from None
+        try:
+            self._begin()
+        except sqlite3.Error as error:
+            self.connection.close()
+            raise StoreError(f"{path}: {error}") from None
+        except StoreError:
+            self.connection.close()
+            raise
+
+    def _begin(self) -> None:
+        if self.connection.execute("SELECT 1 FROM sqlite_master WHERE name = 'meta'").fetchone() is None:
+            raise StoreError("the file is not begun by the state store")
+        with transaction(self.connection):
+            for table in TABLES:
+                self.connection.execute(table)
             found = self._meta("schema")
             if found is None:
-                with transaction(self.connection):
-                    self._put_meta("schema", SCHEMA)
+                self._put_meta("schema", SCHEMA)
             elif found != SCHEMA:
                 raise StoreError(f"ledger schema {found!r:.20}, not {SCHEMA!r}")
-        except sqlite3.Error as error:
-            raise StoreError(f"{path}: {error}") from None
 
     def load(self) -> Loaded:
         """All sound records with their payloads, and the context; what is not sound is removed from the file.
