--- a/faultlab/coldstart/settings.py
+++ b/faultlab/coldstart/settings.py
@@ -28,6 +28,7 @@
     patience_s: float = 3.0
     relays: int = 3
     list_calls_per_s: float = 20.0  # of the service, for all members that have to fall back
+    probe_interval_s: float = 1.0  # five times the default: one machine's processor carries all members
     seeds: int = 3
 
     def zone(self, number: int) -> str:
@@ -50,7 +51,8 @@
     def cluster(self, seeds: list[str]) -> dict[str, Any]:
         """What all members' `cluster` objects have in common; the first few are seeds."""
         return {"name": "coldstart", "seeds": seeds, "relays": self.relays,
-                "list_calls_per_s": self.list_calls_per_s}  # fmt: skip
+                "list_calls_per_s": self.list_calls_per_s, "probe_interval_s": self.probe_interval_s,
+                "probe_timeout_s": self.probe_interval_s / 2}  # fmt: skip
 
     def configuration(
         self, gateway: int, port: int, discovery: str, cluster: dict[str, Any] | None
