--- a/faultlab/coldstart/faults.py
+++ b/faultlab/coldstart/faults.py
@@ -8,6 +8,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from cloverkeel.fleet.lists.relays import Peer
+from faultlab.child import Child
+from faultlab.coldstart.liar import relay_name
 from faultlab.coldstart.site import FIRST_S, Site
 
 DOWN_S = 8.0
@@ -55,8 +58,7 @@
 
 async def service_restart(site: Site) -> None:
     """It begins at an index far below the one that all know, and tells of a drain soon after."""
-    for _ in range(3):  # some changes, so that the index has a way to fall
-        await drained(site)
+    await drained_thrice(site)  # some changes, so that the index has a way to fall
     await site.service.ask("restart", index=1)
     await asyncio.sleep(SETTLE_S)
     await drained(site)
@@ -115,6 +117,23 @@
         await asyncio.sleep(SETTLE_S)
 
 
+async def bad_peer(site: Site) -> None:
+    """A member that is a relay and tells bad lists from the first moment on."""
+    if not site.shared:
+        return
+    plan, cluster = site.plan, site.plan.cluster(site.seeds)
+    members = [Peer(f"gw-{n}", plan.zone(n)) for n in range(plan.gateways)]
+    name = relay_name(cluster["name"], members, plan.relays, plan.zone(0))
+    settings = {"cluster": cluster | {"bind": "127.0.0.1:0"}, "name": name, "zone": plan.zone(0),
+                "entries": site.endpoints(), "oldest": 1}  # fmt: skip
+    site.children.append(await Child.start("faultlab.coldstart.liar", settings))
+
+
+async def drained_thrice(site: Site) -> None:
+    for _ in range(3):
+        await drained(site)
+
+
 FAULTS: dict[str, Fault] = {
     "none": Fault(late=drained),
     "service-down": Fault(service_down, drained),
@@ -125,4 +144,5 @@
     "mass-kill": Fault(late=mass_kill),
     "zone-cut": Fault(zone_cut, zone_heal, relayed=True),
     "relay-stop": Fault(late=relay_stop),
+    "bad-peer": Fault(bad_peer, drained_thrice),
 }
--- /dev/null
+++ b/faultlab/coldstart/liar.py
@@ -0,0 +1,85 @@
+"""A member whose lists are bad: an old one, broken ones and an enormous one, in turn.
+
+A process of the lab: `python -m faultlab.coldstart.liar SETTINGS`. It is in membership like any gateway, with
+a name that makes it a relay (`relay_name`), answers `list.get` and serves `list.feed`, and says on every feed
+that it has the way to the list service.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from cloverkeel.fleet.cluster import parse_cluster
+from cloverkeel.fleet.lists.links import FEED
+from cloverkeel.fleet.lists.order import Body, ListVersion, encode, entry_digest
+from cloverkeel.fleet.lists.relays import Peer, choose
+from cloverkeel.fleet.lists.sharing import GET
+from cloverkeel.fleet.membership.feeds import Feed
+from cloverkeel.fleet.membership.frames import FRAME_BYTES
+from cloverkeel.fleet.membership.service import Membership
+from faultlab import child
+
+SAY_S = 0.2
+AHEAD = 1_000_000  # an index that the service does not reach
+
+
+def relay_name(cluster: str, members: list[Peer], relays: int, zone: str) -> str:
+    """A name that rendezvous hashing makes a relay among these members."""
+    names = (f"liar-{number}" for number in itertools.count())
+    return next(n for n in names if n in choose(cluster, [*members, Peer(n, zone)], relays))
+
+
+def lies(entries: list[dict[str, Any]], oldest: int) -> Iterable[Any]:
+    """Lists without end: the one from the start, one of another digest, one with entries that are none, no
+    list at all, one of many megabytes."""
+    digest = sum(map(entry_digest, entries)) % 2**64
+    old = encode(Body(ListVersion(0, oldest), digest, None, tuple(entries)))
+    ahead = [0, AHEAD]
+    broken = old | {"v": ahead, "digest": (digest + 1) % 2**64}
+    no_entries = old | {"v": ahead, "entries": [7, "host-1", None]}
+    enormous = old | {"v": ahead, "entries": [{"name": "x" * 1024}] * (FRAME_BYTES // 1024 + 100)}
+    return itertools.cycle([old, broken, no_entries, "no list", enormous])
+
+
+async def _make(settings: dict[str, Any]) -> child.Handler:
+    cluster = parse_cluster(settings["cluster"], settings["name"])
+    membership = Membership(cluster, settings["name"], settings["zone"], time.time_ns() // 1_000_000)
+    membership.calls.frames.most = 64 * FRAME_BYTES  # its own bound does not hold it back
+    told = lies(settings["entries"], settings["oldest"])
+    lied = 0
+
+    def lie() -> Any:
+        nonlocal lied
+        lied += 1
+        return next(iter(told))
+
+    async def shout(feed: Feed) -> None:
+        while not feed.closed:
+            feed.send({"depth": 0, "list": lie()})
+            await asyncio.sleep(SAY_S)
+
+    tasks: set[asyncio.Task[None]] = set()
+
+    def follow(feed: Feed, body: Any) -> None:
+        task = asyncio.get_running_loop().create_task(shout(feed))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    membership.calls.serve(GET, lambda peer, body: {"list": lie()})
+    membership.calls.serve_feed(FEED, follow)
+    await membership.start()
+
+    async def obey(do: str, order: dict[str, Any]) -> Any:
+        if do != "lied":
+            raise ValueError(f"no command of a liar: {do}")
+        return lied
+
+    return obey
+
+
+if __name__ == "__main__":
+    child.serve(_make)
--- a/faultlab/coldstart/site.py
+++ b/faultlab/coldstart/site.py
@@ -32,6 +32,7 @@
         self.gateways = Gateways(folder, [])
         self.first_ready: dict[int, float] = {}
         self.drains: list[Drain] = []
+        self.seeds: list[str] = []
         self.relay: Relay | None = None
         self.lost: set[int] = set()  # killed for good
         self.again: tuple[float, dict[int, float], list[int]] | None = (
@@ -77,9 +78,9 @@
 
     def clusters(self, ports: list[int]) -> list[dict[str, Any]]:
         """Each gateway's `cluster` object: the first few are the seeds, at ports known ahead."""
-        seeds = [f"127.0.0.1:{port}" for port in ports]
-        binds = [*seeds, *["127.0.0.1:0"] * self.plan.gateways]
-        return [self.plan.cluster(seeds) | {"bind": bind} for bind in binds[: self.plan.gateways]]
+        self.seeds = [f"127.0.0.1:{port}" for port in ports]
+        binds = [*self.seeds, *["127.0.0.1:0"] * self.plan.gateways]
+        return [self.plan.cluster(self.seeds) | {"bind": bind} for bind in binds[: self.plan.gateways]]
 
     async def relayed(self) -> list[dict[str, Any]]:
         """The same, with each member behind the relay."""
@@ -238,6 +239,8 @@
             "drains_broken": sum(map(bool, late)),
             "late_sends": sum(map(len, late)),
             "drain_last_send_s": max((figures.last_send_s(arrivals, d) for d in self.drains), default=0.0),
+            "peers_set_aside": self.gateways.lines("event=lists.peer_refused"),
+            "fallbacks": self.gateways.lines("event=lists.fallback"),
             "tracebacks": self.gateways.lines("Traceback"),
         }
         if self.again is not None:
--- a/tests/test_coldstart_lab.py
+++ b/tests/test_coldstart_lab.py
@@ -14,10 +14,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cloverkeel.fleet.lists.links import FEED
+from cloverkeel.fleet.lists.order import HeldList, ListVersion, Taken, decode
+from cloverkeel.fleet.lists.relays import Peer, choose
+from cloverkeel.fleet.membership.frames import FrameError, Frames
 from faultlab.__main__ import main
 from faultlab.coldstart import figures
 from faultlab.coldstart.fall import HostAccount
 from faultlab.coldstart.figures import Drain
+from faultlab.coldstart.liar import lies, relay_name
 from faultlab.coldstart.settings import Plan
 from faultlab.coldstart.site import Site
 from faultlab.listservice import THRASH, Capacity, Listing
@@ -164,3 +169,23 @@
     assert seen["ready"] == 6 and seen["tracebacks"] == 0
     assert seen["list_calls_whole"] < 6
     assert seen["drains"] == 1 and seen["drains_broken"] == 0
+
+
+def test_a_liar_gets_a_name_that_makes_it_a_relay() -> None:
+    members = [Peer(f"gw-{n}", "abc"[n % 3]) for n in range(40)]
+    name = relay_name("coldstart", members, 3, "a")
+    assert name in choose("coldstart", [*members, Peer(name, "a")], 3)
+
+
+def test_of_a_liars_lists_the_old_one_alone_is_a_list() -> None:
+    told = lies([{"name": "host-0", "status": "SERVING"}], oldest=1)
+    old, broken, no_entries, no_list, enormous = (next(iter(told)) for _ in range(5))
+    held = HeldList()
+    assert held.take(decode(old)) is Taken.NEW and held.version == ListVersion(0, 1)
+    with pytest.raises(ValueError):
+        HeldList().take(decode(broken))
+    for bad in (no_entries, no_list):
+        with pytest.raises(ValueError):
+            decode(bad)
+    with pytest.raises(FrameError):
+        Frames("coldstart").encode(FEED, enormous)
