--- a/cloverkeel/fleet/membership/codec.py
+++ b/cloverkeel/fleet/membership/codec.py
@@ -31,6 +31,7 @@
 VERSION = 1
 NAME_BYTES, ADDRESS_BYTES, ZONE_BYTES = 128, 64, 64
 MOST_INCARNATION = 2**62  # room to refute it within an int64
+KNOWN = 1_024  # rumours as last read, kept to be known again
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_BYTES)]
 Number = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
@@ -128,14 +129,19 @@
 
 
 def _from_wire(wire: _Rumour) -> Rumour:
-    sizes = (wire.name, NAME_BYTES), (wire.zone, ZONE_BYTES), (wire.by, NAME_BYTES)
+    return _checked(wire.name, wire.address, wire.incarnation, wire.status, wire.zone, wire.by)
+
+
+@functools.lru_cache(KNOWN)  # each member hears each rumour some tens of times
+def _checked(name: str, address: str, incarnation: int, status: int, zone: str, by: str) -> Rumour:
+    sizes = (name, NAME_BYTES), (zone, ZONE_BYTES), (by, NAME_BYTES)
     if any(len(text.encode()) > most for text, most in sizes):
-        raise DatagramError("malformed", f"a name or zone is too long: {wire.name!r:.40}")
+        raise DatagramError("malformed", f"a name or zone is too long: {name!r:.40}")
     try:
-        parse_address(wire.address)
+        parse_address(address)
     except ValueError as error:
         raise DatagramError("malformed", str(error)) from None
-    return Rumour(wire.name, wire.address, wire.incarnation, STATUSES[wire.status], wire.zone, wire.by)
+    return Rumour(name, address, incarnation, STATUSES[status], zone, by)
 
 
 def _to_wire(rumour: Rumour) -> _Rumour:
--- a/cloverkeel/fleet/membership/messages.py
+++ b/cloverkeel/fleet/membership/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from dataclasses import dataclass
 
 from cloverkeel.fleet.membership.rumours import Rumour
@@ -139,4 +140,9 @@
 
 
 def rumour_bytes(rumour: Rumour) -> int:
-    return RUMOUR_BYTES + len(f"{rumour.name}{rumour.address}{rumour.zone}{rumour.by}".encode())
+    return _bytes_of(rumour.name, rumour.address, rumour.zone, rumour.by)
+
+
+@functools.lru_cache(1_024)  # asked for every rumour that waits, at each message that goes out
+def _bytes_of(*texts: str) -> int:
+    return RUMOUR_BYTES + len("".join(texts).encode())
--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -88,6 +88,8 @@
     def learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
         """Take what `source` says of another member."""
         before = self.view.members.get(rumour.name)
+        if before is rumour and rumour.status is not Status.SUSPECT:
+            return []  # heard before: most of what comes while many start
         if (
             before is not None
             and rumour.status is Status.SUSPECT
