--- a/cloverkeel/fleet/lists/sharing.py
+++ b/cloverkeel/fleet/lists/sharing.py
@@ -17,17 +17,7 @@
 from cloverkeel.discovery import Discovery, OnList
 from cloverkeel.fleet.cluster import ClusterSettings
 from cloverkeel.fleet.events import event
-from cloverkeel.fleet.lists.actions import (
-    Action,
-    Ask,
-    Depth,
-    Fallback,
-    Have,
-    Relay,
-    Subscribe,
-    Unsubscribe,
-    Watch,
-)
+from cloverkeel.fleet.lists import actions
 from cloverkeel.fleet.lists.follow import ASK_S, BAD_S, Follower, FollowSettings, feeds_limit
 from cloverkeel.fleet.lists.followers import Followers, news, version_or_none
 from cloverkeel.fleet.lists.intake import Intake
@@ -239,26 +229,26 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _do(self, actions: list[Action]) -> None:
+    def _do(self, wanted: list[actions.Action]) -> None:
         if self.closed:
             return
-        for action in actions:
+        for action in wanted:
             match action:
-                case Subscribe(peer):
+                case actions.Subscribe(peer):
                     self._spawn(self.links.follow(peer, self.held.version))
-                case Unsubscribe(name):
+                case actions.Unsubscribe(name):
                     self.links.drop(name)
-                case Ask(peer):
+                case actions.Ask(peer):
                     self._spawn(self._ask(peer))
-                case Have(peer):
+                case actions.Have(peer):
                     self._spawn(self._have(peer))
-                case Watch(on):
+                case actions.Watch(on):
                     self.discovery.watch(on)
-                case Depth(depth):
+                case actions.Depth(depth):
                     self.followers.tell({"depth": depth})
-                case Relay(on):
+                case actions.Relay(on):
                     event("lists.relay", on=on, relays=",".join(self.core.relays), live=len(self.core.peers))
-                case Fallback(waited_s):
+                case actions.Fallback(waited_s):
                     self.counts["list_fallbacks"] += 1
                     event("lists.fallback", waited_s=waited_s, live=len(self.core.peers))
 
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -9,17 +9,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from cloverkeel.fleet.lists.actions import (
-    Action,
-    Ask,
-    Depth,
-    Fallback,
-    Have,
-    Relay,
-    Subscribe,
-    Unsubscribe,
-    Watch,
-)
+from cloverkeel.fleet.lists import actions
 from cloverkeel.fleet.lists.follow import Follower, FollowSettings, admits
 from cloverkeel.fleet.lists.order import ListVersion
 from cloverkeel.fleet.lists.relays import Peer
@@ -149,28 +139,28 @@
             node.core.told(source.core.me.name, ListVersion(0, index))
             self.take(node, index)
 
-    def carry_out(self, node: Node, actions: list[Action]) -> None:
+    def carry_out(self, node: Node, wanted: list[actions.Action]) -> None:
         me = node.core.me.name
-        for action in actions:
+        for action in wanted:
             match action:
-                case Subscribe(peer):
+                case actions.Subscribe(peer):
                     self.after(HOP_S, partial(self.open, node, self.nodes[peer.name]))
-                case Unsubscribe(name):
+                case actions.Unsubscribe(name):
                     if me in self.nodes[name].followers:
                         self.nodes[name].followers.remove(me)
-                case Ask(peer):
+                case actions.Ask(peer):
                     self.after(HOP_S, partial(self.asked, node, self.nodes[peer.name]))
-                case Have(peer):
+                case actions.Have(peer):
                     self.after(HOP_S, partial(self.take, self.nodes[peer.name], node.index))
-                case Watch(True):
+                case actions.Watch(True):
                     self.calls.append(self.now_s)
                     self.after(2 * HOP_S, lambda: self.answer(node) if self.up else self.fail(node))
-                case Depth(depth):
+                case actions.Depth(depth):
                     for name in node.followers:
                         self.after(HOP_S, partial(self.deeper, name, me, depth))
-                case Relay(True):
+                case actions.Relay(True):
                     self.relays_acting.append((self.now_s, me))
-                case Fallback():
+                case actions.Fallback():
                     self.fallbacks += 1
 
     def deeper(self, name: str, source: str, depth: int | None) -> None:
