Being cold no longer lowers a server's rank: as many proxies use it as its budget is parted for

Cause: cold_share counted twice. rank_servers divided the rank by it, so a third of the proxies of a warm server reached a cold one, while fall_budget_us parts its budget among as many as for a warm one; the draw weighs by it too. Change: the rank goes by place, idleness and zone; the draw and the budget still hold a cold server back. Test: as many proxies reach a cold server as a warm one, give or take; none did before.

--- a/caperdrift/policy/lists.py
+++ b/caperdrift/policy/lists.py
@@ -6,7 +6,7 @@
 
 from caperdrift.interface import ListedServer, ListKind, ServerList, ServerStatus, SetTimer
 from caperdrift.policy.choice import nearness, rendezvous
-from caperdrift.policy.cold import cold_share, first_spent_us
+from caperdrift.policy.cold import first_spent_us
 from caperdrift.policy.proxy import LIST_TOKEN, Proxy
 from caperdrift.policy.servers import CEILING, FLOOR, Server
 
@@ -50,7 +50,7 @@
     start = proxy.settings.proxy * GOLDEN % 1.0 * len(ring)
     for place, server in enumerate(ring):
         steps = (place - start) % len(ring) + 1.0
-        fit = server.idle * cold_share(proxy, server) * nearness(proxy, server.entry)
+        fit = server.idle * nearness(proxy, server.entry)
         server.rank = steps / max(FLOOR, fit)
     proxy.ranked = sorted(ring, key=attrgetter("rank"))
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -613,6 +613,16 @@
         assert (member in subset(driver.balancer, 0)) is kept
 
 
+def test_a_cold_server_is_shared_by_as_many_proxies_as_its_budget_is_parted_for() -> None:
+    """Being cold lowered its rank too: a third of those who had a part of its budget ever used it."""
+    users = 0
+    for proxy in range(200):
+        driver = Driver(replace(COLD, proxies=200, proxy=proxy), servers=59)
+        driver.list_servers(ListedServer(59, started_us=driver.now_us), kind=ListKind.DELTA)
+        users += any(s.entry.server == 59 for s in subset(driver.balancer, 0))
+    assert 0.75 < users / (200 * SUBSET / 60) < 1.5
+
+
 def test_drained_servers_leave_the_others_evenly_shared() -> None:
     """In a release a third drained: some servers had three times the proxies of others, and timed out."""
     users: Counter[int] = Counter()
