A new discovery address is asked at once, whatever failed at the old one

Need: where lists are asked for, a move by SIGHUP that came while the module waited after a failed call began no watch: the wait is up to 4 s, and what the new address has to report counts as told 4 s after the signal. Change: a move begins the watch wherever one was asked for, not only where one is open. Test: after a failed call and an endless wait of the module the new address is asked (fails without it).

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -175,6 +175,7 @@
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.failures = 0
         self.closed = False
+        self.watched = False  # a watch was asked for: at another address it begins at once
         self.index: int | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
@@ -188,7 +189,7 @@
         """Go on at another address; its versions need not be those of the old one, so all is asked for."""
         self.set_address(address)
         self.index, self.failures = None, 0
-        if self.watching is not None or self.pushed:
+        if self.watched or self.pushed:
             self.watch(False)
             self.watch(True)
         if self.fetching is not None:
@@ -215,6 +216,7 @@
         """Begin to watch, or stop; a watch that is on goes on as it is."""
         if self.closed:
             return
+        self.watched = on
         if not on and self.watching is not None:
             self.watching.cancel()
             self.watching = None
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -9,6 +9,7 @@
 import pytest
 
 from caperdrift.interface import FetchList, ListKind, ServerList, WatchList
+from cloverkeel.config import parse_address
 from cloverkeel.discovery import CALL_TIMEOUT_S, retry_wait_s
 from tests.sockets import (
     Exchange,
@@ -158,6 +159,22 @@
         registry.script = silent
 
 
+@on_loop
+async def test_a_new_address_is_asked_at_once_whatever_failed_at_the_old_one() -> None:
+    """The module's wait after a failure, up to 4 s, stood: news counts as told 4 s after a move."""
+    async with peer(reset) as old, peer(silent) as new:
+        config = configuration("127.0.0.1:1", discovery=old.address)
+        config["settings"] |= {"membershipMode": "on_request", "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:  # the module's own waits do not end here
+            told = lists(run)
+            watcher(run)
+            await until(lambda: told)
+            assert run.gateway.discovery.watching is None
+            run.gateway.discovery.move(parse_address(new.address, "discovery"))
+            await until(lambda: new.seen)
+            assert asked(new) == ["/registry/instances"]
+
+
 @pytest.mark.parametrize("mode", ["pushed", "on_request"])
 @on_loop
 async def test_a_watch_that_falls_silent_is_opened_anew(monkeypatch: pytest.MonkeyPatch, mode: str) -> None:
