At the end of its time a gateway answers what it still holds as failed

Need: what a process had taken and not answered when it ended after SIGTERM was lost: with silent hosts and a class of 3 s or more, a request of the last moments (new ones come for 0.4 s) met the process's end at 3.4 s. Where the longest deadline is short, SIGKILL may come before that. Change: the process's time is the longest deadline (3 s at most) and 0.6 s, as it was for one that is taken over from; then each connection's requests are answered 504 in order, a long answer that has begun is broken off as a reset. Test: two requests on one connection and one on another are answered 504, and the process ends (fails without it).

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -126,7 +126,7 @@
             async with asyncio.timeout(server.end_s):
                 await server.drain()
         except TimeoutError:
-            log(f"ended with {len(gateway.held)} requests unanswered")
+            log(f"time is out: answered as failed on {await server.fail_rest()} connections")
             final_write_s = 0.0  # no time is left: the snapshot of the signal's moment stands
         counts = gateway.pools.counts
         log(f"ends; connections to hosts: {counts}")
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -180,6 +180,16 @@
         if self.current is request:
             self.answer(504 if timed_out else 502, [], b"")
 
+    def fail_rest(self) -> None:
+        """Answer in order, as failed, what is owed here."""
+        while self.current is not None or self.waiting:
+            if self.current is None:
+                self.current, self.current_id = self.waiting.popleft(), ""
+            if self.source is not None:
+                self.on_broken(self.current)
+                return
+            self.answer(504, [], b"")
+
     def answer(self, status: int, headers: list[Header], body: bytes) -> None:
         """Write the whole answer at once, and go on with the next request."""
         request, transport = self.current, self.transport
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -16,8 +16,7 @@
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
 LONGEST_S = 3.0
-LAST_MOMENT_S = 0.1  # before that, this process ends by itself
-END_S = 3.4  # after SIGTERM: the longest a client waits, and the time that new ones come
+LAST_MOMENT_S = 0.1  # before that, this process answers what is left and ends by itself
 UNREAD_S = 30.0  # a client that takes nothing of a long answer for so long has gone
 SWEEP_S = 0.2
 REPORT_S = 10.0
@@ -62,9 +61,7 @@
 
     @property
     def end_s(self) -> float:
-        """How long after the signal this process may take to end, whatever is left."""
-        if self.inherited is None:
-            return END_S
+        """How long after the signal this process may take, before what is left is answered as failed."""
         longest_s = max(c.give_up_us for c in self.config.settings.classes) / 1e6
         return min(LONGEST_S, longest_s) + KILL_AFTER_S - LAST_MOMENT_S
 
@@ -94,6 +91,14 @@
             self.close_idle()
             await asyncio.sleep(POLL_S)
 
+    async def fail_rest(self) -> int:
+        """Answer as failed all that is still owed; returns on how many connections."""
+        owed = [c for c in self.connections if c.current is not None or c.waiting]
+        for connection in owed:
+            connection.fail_rest()
+        await asyncio.sleep(POLL_S)  # for the loop to write it
+        return len(owed)
+
     def close_idle(self) -> None:
         for connection in [c for c in self.connections if c.is_idle()]:
             connection.close()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -193,15 +193,19 @@
 
 
 @on_loop
-async def test_what_never_ends_does_not_keep_it(tmp_path: Path) -> None:
+async def test_what_never_ends_is_answered_as_failed_and_does_not_keep_it(tmp_path: Path) -> None:
+    """All that was held when its time was out was lost with the process."""
     async with peer(silent) as host, program(tmp_path, configuration(host)) as (process, port):
-        client = await connect(port)
-        client.send(request("transfer"))
-        await until(lambda: host.seen)
+        client, other = await connect(port), await connect(port)
+        client.send(request("transfer") + request("search"))
+        other.send(request("transfer"))
+        await until(lambda: len(host.seen) == 2)
         process.send_signal(signal.SIGTERM)
-        _, errors = await process.communicate()
-        assert process.returncode == 0 and b"1 requests unanswered" in errors
+        assert [(await client.answer()).status for _ in range(2)] == [504, 504]
+        assert (await other.answer()).status == 504
+        assert await process.wait() == 0
         client.close()
+        other.close()
 
 
 @on_loop
