Membership: a killed process takes its name back at once when its old self does not answer

Seven in ten of 100 gateways killed and started again at once: 68 of 70 found their own names still alive in the others' views, ran without membership and each watched the list service by itself (411 calls in 12 s). A taken name is now asked for at its holder's address; where nobody answers to it within 1 s it is taken over.

--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -28,6 +28,8 @@
 
 VIEW = "members.view"  # the call that swaps whole views
 VIEW_S = 2.0  # for it to be answered
+NAME = "members.name"  # the call that asks a member who it is
+NAME_S = 1.0  # for that: a killed process refuses the connection at once
 MOST_EXCHANGES = 8  # at once; the next push-pull makes up for one left out
 LINES_A_SECOND = 20  # on members that change; a fleet that starts at once has more to tell
 LEAVES, LEAVE_GAP_S = 2, 0.03  # a leave is said twice: a datagram may be lost
@@ -58,6 +60,7 @@
         self.joined = asyncio.Event()
         self.calls = Calls(settings.name, name)
         self.calls.serve(VIEW, self._on_view)
+        self.calls.serve(NAME, lambda peer, body: name)
         self.gossip = Gossip(Codec(settings.name), self._on_action)
         self.address = ""
         self.state = "starting"  # joining, alone, member, name_taken, superseded, left
@@ -98,10 +101,11 @@
             except OSError:
                 continue
 
-    def _join(self) -> None:
+    def _join(self, take_over: bool = False) -> None:
         me = Rumour(self.name, self.address, self.incarnation, Status.ALIVE, self.zone)
         settings = self.settings
-        self.member = Member(me, settings.timing, self.seeds, self.take_over, self.rng)
+        take_over = take_over or self.take_over
+        self.member = Member(me, settings.timing, self.seeds, take_over, self.rng)
         self.state = "joining"
         self.gossip.run(self.member)
         if self.member.joining_until_s is None:
@@ -163,6 +167,19 @@
             self.state = "superseded"
             event("members.superseded", member=by.name, by=by.address, incarnation=by.incarnation)
             return
+        self._spawn(self._ask_holder(by))
+
+    async def _ask_holder(self, by: Rumour) -> None:
+        """A killed process holds its name until the others miss it, and is back before: where its address
+        does not answer to the name, this one goes on from it."""
+        try:
+            answer = await self.calls.call(by.address, NAME, None, NAME_S)
+        except CallFailed:
+            answer = None
+        if answer != self.name:
+            event("members.name_free", member=by.name, holder=by.address, incarnation=by.incarnation)
+            self._join(take_over=True)
+            return
         self.state = "name_taken"
         if by.address != self.holder:
             self.holder = by.address
--- a/tests/test_membership_service.py
+++ b/tests/test_membership_service.py
@@ -112,6 +112,19 @@
         twin.close()
 
 
+@on_loop
+async def test_a_killed_process_is_back_under_its_name_before_its_death_is_known() -> None:
+    slow: dict[str, Any] = {"probe_interval_s": 5.0, "probe_timeout_s": 2.0, "push_pull_s": 20.0}
+    async with three(**slow) as (first, second, third):
+        second.close()  # and says no word
+        again = await member("m1", first.address, **slow)
+        await again.joined.wait()
+        assert again.state == "member" and len(again.live()) == 3
+        await until(lambda: all(m.view()["m1"].address == again.address for m in (first, third)))
+        assert first.counters()["deaths"] == 0
+        again.close()
+
+
 @on_loop
 async def test_a_seed_stays_one_through_an_upgrade_and_is_never_seen_dead() -> None:
     old = await member("m0")
