--- a/tests/test_lab_command.py
+++ b/tests/test_lab_command.py
@@ -22,3 +22,20 @@
 
 def test_figures_are_one_line_each_with_nested_names() -> None:
     assert table({"a": 1, "b": {"c": 0.5}}) == "a    1\nb.c  0.500"
+
+
+@pytest.mark.parametrize(
+    ("words", "says"),
+    [
+        (["--sizes", "5,x"], "--sizes: '5,x' is no list"),
+        (["--sizes", "1"], "--sizes: '1' is no list"),
+        (["--kills", "-1"], "--kills: '-1' is not a whole number"),
+        (["--soak-hours", "nan"], "--soak-hours: 'nan' is no number of hours"),
+    ],
+)
+def test_a_fleet_that_cannot_be_is_named_and_refused(
+    words: list[str], says: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit):
+        main(["membership", *words])
+    assert says in capsys.readouterr().err
