--- a/faultlab/fleet.py
+++ b/faultlab/fleet.py
@@ -139,6 +139,7 @@
             self.settings["seeds"] = [m.place.advertise for m in list(self.members.values())[:SEEDS]]
             await asyncio.gather(*(m.start(self.settings) for m in self.members.values()))
             await self.agreed(JOIN_S)
+            self.late_s = 0.0  # starting so many processes holds the loop up
         except BaseException:
             await self.close()
             raise
