--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -9,8 +9,12 @@
 from cloverkeel.fleet.membership.broadcasts import Broadcasts, retransmits
 from cloverkeel.fleet.membership.health import LocalHealth, suspicion_timeout_s
 from cloverkeel.fleet.membership.messages import (
+    DATAGRAM_BYTES,
+    MESSAGE_BYTES,
+    MOST_DATAGRAMS,
     Action,
     Changed,
+    Exchange,
     Message,
     Push,
     Send,
@@ -20,6 +24,8 @@
 from cloverkeel.fleet.membership.rumours import Rumour, Status, View
 
 PRESENT = (Status.ALIVE, Status.SUSPECT)
+VERIFIERS = 6
+HEARSAY = "-"  # holds every suspicion that was read in a view, so that many views confirm nothing
 
 
 class Roster:
@@ -48,25 +54,36 @@
     def count(self) -> int:
         return len(self.live()) + 1
 
-    def send(self, address: str, make: Callable[[tuple[Rumour, ...]], Message]) -> Send:
-        """A message to `address` with as many rumours on it as fit one datagram."""
+    def send(
+        self, address: str, make: Callable[[tuple[Rumour, ...]], Message], target: Rumour | None = None
+    ) -> Send:
+        """A message to `address` with as many rumours on it as fit one datagram beside `target`, which a
+        ping names and other messages carry whole."""
         limit = retransmits(self.timing.retransmit_mult, self.count())
-        budget = self.timing.datagram_bytes - (64 + 2 * rumour_bytes(self.me))
+        budget = DATAGRAM_BYTES - MESSAGE_BYTES - rumour_bytes(self.me)
+        if target is not None:
+            budget -= rumour_bytes(target)
         return Send(address, make(tuple(self.broadcasts.take(budget, rumour_bytes, limit))))
 
-    def push_to(self, address: str, reply: bool) -> list[Action]:
-        """The whole view, in as many datagrams as it takes."""
-        sends: list[Action] = []
-        part: list[Rumour] = []
-        used = 64 + rumour_bytes(self.me)
-        for rumour in self.members().values():
-            if part and used + rumour_bytes(rumour) > self.timing.datagram_bytes:
-                sends.append(Send(address, Push(self.me, tuple(part), reply)))
-                part, used = [], 64 + rumour_bytes(self.me)
-            part.append(rumour)
-            used += rumour_bytes(rumour)
-        sends.append(Send(address, Push(self.me, tuple(part), reply)))
-        return sends
+    def push_to(self, address: str, reply: bool, first: str = "") -> list[Action]:
+        """The whole view, in as many datagrams as it takes, `first`'s rumour in the first of them. A view
+        of more than MOST_DATAGRAMS goes over a stream: asked for with `reply`, else the other is told."""
+        parts: list[list[Rumour]] = []
+        left = 0
+        members = self.members()
+        ahead = [members.pop(first)] if first in members else []
+        for rumour in [*ahead, *members.values()]:
+            size = rumour_bytes(rumour)
+            if not parts or size > left:
+                parts.append([])
+                left = DATAGRAM_BYTES - MESSAGE_BYTES - rumour_bytes(self.me)
+            parts[-1].append(rumour)
+            left -= size
+        if len(parts) > MOST_DATAGRAMS:
+            if reply:
+                return [Exchange(address)]
+            return [Send(address, Push(self.me, tuple(parts[0]), more=True))]
+        return [Send(address, Push(self.me, tuple(part), reply)) for part in parts]
 
     def learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
         """Take what `source` says of another member."""
@@ -78,15 +95,16 @@
             and rumour.name in self.suspicions
         ):
             by = self.suspicions[rumour.name][1]
-            if source not in by:  # an independent confirmation shortens the wait (Lifeguard IV.B)
-                by.add(source)
+            if (rumour.by or source) not in by:  # an independent confirmation shortens the wait
+                by.add(rumour.by or source)
                 self.broadcasts.add(rumour)
             return []
         if self.view.merge(rumour) is None:
             return []
         self.broadcasts.add(rumour)
         if rumour.status is Status.SUSPECT:
-            self.suspicions[rumour.name] = (now_s, {source})
+            self.suspicions[rumour.name] = (now_s, {rumour.by or source})
+            self._verify(rumour.name)
         else:
             self.suspicions.pop(rumour.name, None)
         if rumour.status in PRESENT:
@@ -97,6 +115,35 @@
             self.order.insert(self.rng.randrange(len(self.order) + 1), rumour.name)
         return [Changed(rumour, before, f"heard from {source}")]
 
+    def _verify(self, name: str) -> None:
+        """Some VERIFIERS of all that hear of a suspicion probe the suspect next: a member that answers is
+        soon cleared, and one that does not has its confirmations."""
+        if self.rng.random() * self.count() < VERIFIERS:
+            if name in self.order:
+                self.order.remove(name)
+            self.order.append(name)
+
+    def doubted(self, rumour: Rumour) -> Rumour:
+        """A death read in another's whole view, of one that is present here, counts as a suspicion: it may be
+        old news of a partition, and the member has the time to refute it (as memberlist's push-pull does). So
+        does a suspicion there: who holds it is not independent of the rest of that view."""
+        known = self.view.members.get(rumour.name)
+        if rumour.status is Status.DEAD and known is not None and known.status in PRESENT:
+            return replace(rumour, status=Status.SUSPECT, by=HEARSAY)
+        return rumour
+
+    def held_gone(self, sender: Rumour) -> Rumour | None:
+        """What is held of a member that is gone here, and yet speaks; None: it is present here too."""
+        held = self.view.members.get(sender.name)
+        if held is not None and held.status not in PRESENT and sender.status in PRESENT:
+            return held
+        return None
+
+    def put_off(self, for_s: float) -> None:
+        """Suspicions end so much later."""
+        for name, (since_s, by) in self.suspicions.items():
+            self.suspicions[name] = (since_s + for_s, by)
+
     def next_target(self) -> Rumour | None:
         """Round-robin over a list shuffled anew on each pass, as SWIM's section 4.3 says."""
         for _ in range(2):
@@ -111,9 +158,9 @@
     def suspect(self, name: str, now_s: float) -> list[Action]:
         """This member's own probe of `name` failed."""
         known = self.view.members.get(name)
-        if known is None or known.status is not Status.ALIVE:
+        if known is None or known.status not in PRESENT:
             return []
-        return self.learn(replace(known, status=Status.SUSPECT), now_s, self.me.name)
+        return self.learn(replace(known, status=Status.SUSPECT, by=self.me.name), now_s, self.me.name)
 
     def end_suspicions(self, now_s: float) -> list[Action]:
         """Suspects whose time is over are dead."""
@@ -125,7 +172,7 @@
             )
             known = self.view.members.get(name)
             if now_s - since_s >= wait_s and known is not None:
-                actions += self.learn(replace(known, status=Status.DEAD), now_s, self.me.name)
+                actions += self.learn(replace(known, status=Status.DEAD, by=""), now_s, self.me.name)
         return actions
 
     def reap(self, now_s: float) -> None:
