Membership core: one ping's suspicion is refuted once

A ping to a member held suspect says so twice, by its flag and by the suspicion that rides on it; the member refuted both, the second at the incarnation that it had just taken: two refutations, two steps of local health, and the same again for every such ping.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -137,6 +137,7 @@
         if isinstance(message, Join):
             return roster.push_to(sender.address, reply=False, first=sender.name)
         actions: list[Action] = []
+        incarnation = self.me.incarnation
         for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
             if isinstance(message, Push):
                 rumour = self.roster.doubted(rumour)
@@ -147,7 +148,7 @@
             self.joining_until_s = None
         if isinstance(message, Ping):
             if message.target == self.me.name:
-                if message.suspect:
+                if message.suspect and self.me.incarnation == incarnation:  # not yet refuted above
                     actions += self._about_me(replace(self.me, status=Status.SUSPECT))
                 gone = roster.held_gone(sender)  # it hears so, and refutes it; nobody else is told
                 told = (gone,) if gone is not None else ()
--- /dev/null
+++ b/tests/test_members_faults.py
@@ -0,0 +1,24 @@
+"""Membership's core under faults that the storm found: each on messages and times made by hand."""
+
+from dataclasses import replace
+
+from cloverkeel.fleet.membership.member import Member
+from cloverkeel.fleet.membership.messages import Changed, Ping, Timing
+from cloverkeel.fleet.membership.rumours import Rumour, Status
+
+A = Rumour("a", "127.0.0.1:1", 5, Status.ALIVE)
+B = Rumour("b", "127.0.0.1:2", 3, Status.ALIVE)
+
+
+def started(me: Rumour = A, seeds: tuple[str, ...] = (), take_over: bool = False) -> Member:
+    member = Member(me, Timing(), seeds, take_over)
+    member.start(0.0)
+    return member
+
+
+def test_a_ping_that_says_its_suspicion_twice_is_refuted_once() -> None:
+    member = started()
+    suspicion = replace(A, status=Status.SUSPECT, by="b")
+    actions = member.receive(Ping(1, B, "a", (suspicion,), suspect=True), 1.0)
+    assert [a.rumour.incarnation for a in actions if isinstance(a, Changed) and a.rumour.name == "a"] == [6]
+    assert member.roster.health.score == 1
