--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -99,6 +99,8 @@
                 by.add(rumour.by or source)
                 self.broadcasts.add(rumour)
             return []
+        if before is None and rumour.status not in PRESENT:
+            return []  # forgotten here, and not yet there; else it would be told of for ever
         if self.view.merge(rumour) is None:
             return []
         self.broadcasts.add(rumour)
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -22,3 +22,12 @@
     actions = member.receive(Ping(1, B, "a", (suspicion,), suspect=True), 1.0)
     assert [a.rumour.incarnation for a in actions if isinstance(a, Changed) and a.rumour.name == "a"] == [6]
     assert member.roster.health.score == 1
+
+
+def test_the_forgotten_are_not_learned_again_from_a_member_that_has_yet_to_forget_them() -> None:
+    member = started()
+    member.receive(Ping(1, B, "a"), 1.0)
+    for status in (Status.DEAD, Status.LEFT):
+        gone = Rumour("c", "127.0.0.1:3", 1, status)
+        assert not [a for a in member.receive(Ping(2, B, "a", (gone,)), 2.0) if isinstance(a, Changed)]
+        assert "c" not in member.members() and "c" not in member.roster.broadcasts.waiting
