Membership core: a start with an old incarnation outranks its older self

A process that starts at its address with an incarnation below its older self's (an old state file; refutations raise it past the store's counter in any case) stayed below what all others hold: its leave would not have counted, and ended as a false death. Now it goes one above what it hears of itself; its local health is not touched by that.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -125,7 +125,8 @@
         before = self.me
         if self.view.merge(rumour) is None:
             return []
-        self.roster.health.worse()
+        if rumour.status is not Status.ALIVE:
+            self.roster.health.worse()
         self.roster.broadcasts.add(self.me)
         return [Changed(self.me, before, f"refuted {rumour.status.value} at {rumour.incarnation}")]
 
--- a/cloverkeel/fleet/membership/rumours.py
+++ b/cloverkeel/fleet/membership/rumours.py
@@ -57,9 +57,11 @@
 
     def merge(self, rumour: Rumour) -> Rumour | None:
         """Take a rumour; returns what this view now says where it changed, else None. A rumour that this
-        member is suspect, dead or gone at its present incarnation is refuted: it is alive at the next."""
+        member is suspect, dead or gone at its present incarnation is refuted: it is alive at the next. So is
+        any of a higher one, which is of an older self: what this member says must outrank it."""
         if rumour.name == self.me.name:
-            if rumour.status is not Status.ALIVE and rumour.incarnation >= self.me.incarnation:
+            same = rumour.incarnation == self.me.incarnation and rumour.status is not Status.ALIVE
+            if same or rumour.incarnation > self.me.incarnation:
                 self.me = replace(self.me, incarnation=rumour.incarnation + 1)
                 return self.me
             return None
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -31,3 +31,13 @@
         gone = Rumour("c", "127.0.0.1:3", 1, status)
         assert not [a for a in member.receive(Ping(2, B, "a", (gone,)), 2.0) if isinstance(a, Changed)]
         assert "c" not in member.members() and "c" not in member.roster.broadcasts.waiting
+
+
+def test_a_member_started_with_an_old_incarnation_outranks_what_is_held_of_its_older_self() -> None:
+    member = started()
+    older = replace(A, incarnation=9)
+    member.receive(Ping(1, B, "a", (older,)), 1.0)
+    assert member.me.incarnation == 10 and member.roster.health.score == 0
+    assert member.roster.broadcasts.waiting["a"][2] == member.me
+    member.receive(Ping(2, B, "a", (older, member.me)), 2.0)
+    assert member.me.incarnation == 10
