Membership core: a successor outranks its older self after its join too

In an upgrade the older process refutes what is said of it until it hears of its successor; where that came after the successor's join, the successor heard a higher incarnation than its own and fell silent, and then the older one left: nobody spoke for the name. So did one whose seeds answered after the join wait. A successor now outranks the first process of its name that it hears of whenever it does, four times at most, so that two that each follow the other end.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -32,6 +32,8 @@
 from cloverkeel.fleet.membership.roster import PRESENT, Roster
 from cloverkeel.fleet.membership.rumours import Rumour, Status, View
 
+MOST_OUTRANKED = 4  # times that a successor raises its incarnation above its older self's
+
 
 class Member:
     """`start`, then `tick` and `receive` with the time passed in, each giving actions.
@@ -58,6 +60,8 @@
         self.cycle = ProbeCycle(self.roster)
         self.joining_until_s: float | None = None
         self.refused = False
+        self.older: set[str] = set()  # where the processes are heard that this one takes over from
+        self.outranked = 0  # how often it had to outrank them
         self.next_push_s = self.next_ask_s = self.next_gossip_s = 0.0
         self.ask_gap_s = timing.probe_interval_s  # between two calls to the seeds while nobody is known
 
@@ -113,7 +117,11 @@
             return []
         if rumour.address != self.me.address and rumour.status in PRESENT:
             joining = self.joining_until_s is not None
-            if joining and self.take_over:  # our older self, in an upgrade: outrank it
+            if self._follows(rumour, joining):  # our older self, in an upgrade: outrank it
+                self.older.add(rumour.address)
+                if not joining and rumour.order < self.me.order:
+                    return []
+                self.outranked += 1
                 incarnation = max(self.me.incarnation, rumour.incarnation + 1)
                 self.view.me = replace(self.me, incarnation=incarnation)
                 self.roster.broadcasts.add(self.me)
@@ -130,6 +138,12 @@
         self.roster.broadcasts.add(self.me)
         return [Changed(self.me, before, f"refuted {rumour.status.value} at {rumour.incarnation}")]
 
+    def _follows(self, rumour: Rumour, joining: bool) -> bool:
+        """Whether `rumour` is of a process that this one takes over from: it refutes what is said of it until
+        it hears of this one. Bounded, so that two that each follow the other do not go on for ever."""
+        older = joining or not self.older or rumour.address in self.older
+        return self.take_over and older and self.outranked < MOST_OUTRANKED
+
     def receive(self, message: Message, now_s: float) -> list[Action]:
         """Take one message; what it says of members is merged, then it is answered as SWIM says."""
         if self.left or self.refused:
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from cloverkeel.fleet.membership.member import Member
-from cloverkeel.fleet.membership.messages import Changed, Ping, Timing
+from cloverkeel.fleet.membership.member import MOST_OUTRANKED, Member
+from cloverkeel.fleet.membership.messages import Changed, Ping, Push, Timing
 from cloverkeel.fleet.membership.rumours import Rumour, Status
 
 A = Rumour("a", "127.0.0.1:1", 5, Status.ALIVE)
@@ -41,3 +41,26 @@
     assert member.roster.broadcasts.waiting["a"][2] == member.me
     member.receive(Ping(2, B, "a", (older, member.me)), 2.0)
     assert member.me.incarnation == 10
+
+
+def test_a_successor_outranks_its_older_self_after_its_join_too_until_it_would_go_on_for_ever() -> None:
+    successor = started(replace(A, address="127.0.0.1:9", incarnation=6), ("127.0.0.1:2",), take_over=True)
+    successor.receive(Push(B, (B, A)), 0.1)
+    assert successor.joining_until_s is None and successor.me.incarnation == 6
+    refuted = replace(A, incarnation=7)  # the older one had to refute something before it heard
+    successor.receive(Ping(1, B, "a", (refuted,)), 0.2)
+    assert not successor.refused and successor.me.incarnation == 8
+    for n in range(MOST_OUTRANKED):
+        successor.receive(Ping(2, B, "a", (replace(A, incarnation=10 + 10 * n),)), 0.3)
+    assert successor.refused
+
+
+def test_a_successor_that_nobody_answered_still_follows_the_first_process_that_it_hears_of() -> None:
+    successor = started(replace(A, address="127.0.0.1:9", incarnation=6), ("127.0.0.1:2",), take_over=True)
+    successor.tick(2.0)
+    assert successor.joining_until_s is None
+    successor.receive(Ping(1, B, "a", (replace(A, incarnation=7),)), 3.0)
+    assert not successor.refused and successor.me.incarnation == 8
+    other = Rumour("a", "127.0.0.1:7", 9, Status.ALIVE)  # its own successor: from another address
+    successor.receive(Ping(2, B, "a", (other,)), 4.0)
+    assert successor.refused
