--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -10,8 +10,9 @@
 import sys
 
 from faultlab import recovery
+from faultlab.storm import command as storm
 
-EXPERIMENTS = (recovery,)
+EXPERIMENTS = (recovery, storm)
 
 
 def main(argv: list[str]) -> int:
--- /dev/null
+++ b/faultlab/storm/cluster/verdict.py
@@ -0,0 +1,129 @@
+"""A history from its start to calm, and what must hold at its end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cloverkeel.fleet.invariants import BrokenError
+from cloverkeel.fleet.membership.health import suspicion_timeout_s
+from cloverkeel.fleet.membership.rumours import Rumour, Status
+from faultlab.storm.cluster.faults import History
+from faultlab.storm.cluster.members import Cluster
+
+LOOK_S = 0.25  # simulated seconds between two looks at whether the views agree
+STANDS_S = 2.0  # agreement counts once it has stood for longer than the slowest probe takes
+PUSH_PULLS = 3  # periods of push-pull within which they must, besides one longest suspicion
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How a history ended. `violation` names what broke, at event number `events`; None: nothing did."""
+
+    history: History
+    events: int = 0
+    members: int = 0
+    virtual_s: float = 0.0
+    agreed_s: float | None = None  # from calm until all views agreed
+    deaths: int = 0
+    violation: str | None = None
+    told: list[str] = field(default_factory=list)  # the last that cores told before it
+
+
+def play(history: History, check: bool = True) -> Outcome:
+    """Play `history`; the first violation ends it. Deterministic."""
+    cluster = Cluster(history, check)
+    outcome = Outcome(history)
+    try:
+        outcome.agreed_s = _play(cluster, history)
+    except BrokenError as error:
+        outcome.violation = str(error)
+        outcome.told = [f"{at_s:9.3f} s {p.name} at {p.me.address}: {a}" for at_s, p, a in cluster.told]
+    outcome.events, outcome.members = cluster.events, cluster.most
+    outcome.virtual_s, outcome.deaths = cluster.clock.now_s, len(cluster.deaths)
+    return outcome
+
+
+def _play(cluster: Cluster, history: History) -> float:
+    ends_s = [fault.at_s + fault.length_s for fault in history.faults]
+    first_s = min((fault.at_s for fault in history.faults), default=history.faults_s)
+    calm_s = max([history.faults_s, *ends_s])
+    cluster.clock.run(first_s)
+    _fail(_deaths(cluster), "declared dead before any fault")
+    cluster.clock.run(calm_s)
+    cluster.calm()
+    bound_s = _bound_s(cluster, history)
+    agreed_s = 0.0
+    while cluster.clock.now_s - calm_s < agreed_s + STANDS_S:
+        if found := disagreements(cluster):
+            agreed_s = cluster.clock.now_s - calm_s + LOOK_S
+            _fail(found if agreed_s > bound_s else [], f"no agreement {bound_s:.1f} s into calm")
+        cluster.clock.run(cluster.clock.now_s + LOOK_S)
+    told = len(cluster.deaths)
+    rest_s = history.timing.reap_after_s + bound_s if history.reaped else history.timing.push_pull_s
+    cluster.clock.run(cluster.clock.now_s + rest_s)
+    _fail(disagreements(cluster), "agreement was lost in calm")
+    present = {p.name for p in cluster.speakers()}
+    _fail([f"{by} of {r.name}" for _, by, r in cluster.deaths[told:] if r.name in present], "dead in calm")
+    if history.reaped:
+        _fail(remembered(cluster), "not forgotten")
+    return agreed_s
+
+
+def _fail(found: list[str], what: str) -> None:
+    if found:
+        more = f" and {len(found) - 4} more" if len(found) > 4 else ""
+        raise BrokenError(f"{what}: {'; '.join(found[:4])}{more}")
+
+
+def _bound_s(cluster: Cluster, history: History) -> float:
+    timing = history.timing
+    longest_s = suspicion_timeout_s(
+        cluster.most, 0, timing.probe_interval_s, timing.suspicion_alpha, timing.suspicion_beta
+    )
+    return PUSH_PULLS * timing.push_pull_s + longest_s
+
+
+def _deaths(cluster: Cluster) -> list[str]:
+    return [f"{by} of {rumour.name}" for _, by, rumour in cluster.deaths]
+
+
+def disagreements(cluster: Cluster) -> list[str]:
+    """Where views differ from who is there: each process that speaks, at its incarnation and address, and
+    nobody else as alive; one process to a name; and one for each name whose process nothing befell."""
+    found: list[str] = []
+    present: dict[str, Rumour] = {}
+    for process in cluster.speakers():
+        if process.name in present:
+            found.append(f"{process.name} speaks at {process.me.address} and {present[process.name].address}")
+        present[process.name] = process.member.me
+    for process in cluster.processes.values():
+        if process.up and process.name not in present and process.name not in cluster.unsettled:
+            found.append(f"nobody speaks for {process.name}")
+    for process in cluster.speakers():
+        members = process.member.members()
+        if members == present:
+            continue
+        for name, rumour in present.items():
+            held = members.get(name)
+            if held != rumour:
+                shown = (
+                    "nothing" if held is None else f"{held.status.value} {held.incarnation} at {held.address}"
+                )
+                found.append(
+                    f"{process.name} holds {shown} of {name} ({rumour.incarnation} at {rumour.address})"
+                )
+        for name, held in members.items():
+            if name not in present and held.status in (Status.ALIVE, Status.SUSPECT):
+                found.append(f"{process.name} holds {name} {held.status.value}, which is gone")
+    return found
+
+
+def remembered(cluster: Cluster) -> list[str]:
+    """Names that are gone and still in a view."""
+    present = {p.name for p in cluster.speakers()}
+    return [
+        f"{process.name} still holds {name} {held.status.value}"
+        for process in cluster.speakers()
+        for name, held in process.member.members().items()
+        if name not in present
+    ]
--- /dev/null
+++ b/faultlab/storm/command.py
@@ -0,0 +1,135 @@
+"""python -m faultlab storm --seed S --events N: random load and faults on the module and on whole clusters.
+
+The module's half plays N events, the clusters' half one history for every EVENTS of them, invariants on.
+History number I has the seed S + I. Each history's and the module's first violation is printed with the
+command that replays it: `--replay` plays that one run or history again and prints what befell it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from faultlab.report import Parts, positive, report
+from faultlab.storm.cluster.faults import draw
+from faultlab.storm.cluster.verdict import Outcome, play
+from faultlab.storm.module import run_module
+
+EVENTS = 10_000  # of the module for each history of a cluster
+HALVES = ("module", "cluster")
+
+
+@dataclass(slots=True)
+class Totals:
+    """What the histories of a storm came to."""
+
+    histories: int = 0
+    events: int = 0
+    members: int = 0
+    largest: int = 0
+    virtual_s: float = 0.0
+    agreed: list[float] = field(default_factory=list)  # in periods of push-pull
+    violations: list[str] = field(default_factory=list)
+
+    def add(self, outcome: Outcome) -> None:
+        self.histories += 1
+        self.events += outcome.events
+        self.members += outcome.members
+        self.largest = max(self.largest, outcome.members)
+        self.virtual_s += outcome.virtual_s
+        if outcome.agreed_s is not None:
+            self.agreed.append(outcome.agreed_s / outcome.history.timing.push_pull_s)
+
+
+def register(parts: Parts) -> None:
+    """Add `storm` and its arguments to the lab's commands."""
+    lab = parts.add_parser(
+        "storm", help="random load and faults on cores under simulated time, invariants on"
+    )
+    lab.add_argument("--seed", type=int, default=1)
+    lab.add_argument(
+        "--events", type=positive, default=1_000_000, help="events of the module (default a million)"
+    )
+    lab.add_argument("--histories", type=positive, help=f"clusters (default one for every {EVENTS} events)")
+    lab.add_argument("--part", choices=HALVES, help="one half alone")
+    lab.add_argument("--replay", action="store_true", help="one half's failing seed up to its event, told")
+    lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
+    lab.set_defaults(run=command, parser=lab)
+
+
+def command(arguments: argparse.Namespace) -> int:
+    """0 where nothing broke, 1 where something did."""
+    if arguments.replay:
+        part: str = arguments.part or ""
+        if not part:
+            arguments.parser.error("--replay needs --part module or --part cluster")
+        return replay(part, arguments.seed, arguments.events)
+    began_s = time.monotonic()
+    parts = HALVES if arguments.part is None else (arguments.part,)
+    figures: dict[str, Any] = {"seed": arguments.seed}
+    violations: list[str] = []
+    if "module" in parts:
+        done = run_module(arguments.seed, arguments.events, check=True)
+        figures |= {"events": done.events, "actions_sha256": done.actions_sha256}
+        violations += [_with_replay(v, "module", done.seed, done.events) for v in done.violations]
+    if "cluster" in parts:
+        count = arguments.histories or max(1, arguments.events // EVENTS)
+        totals = clusters(arguments.seed, count)
+        figures |= {"histories": totals.histories, "cluster_events": totals.events, "members": totals.members}
+        figures |= {"largest_cluster": totals.largest, "virtual_s": totals.virtual_s}
+        figures |= {"agreed_push_pulls": quantiles(totals.agreed)}
+        violations += totals.violations
+    figures |= {"violations": len(violations), "wall_s": time.monotonic() - began_s}
+    for violation in violations:
+        print(f"storm: {violation}", file=sys.stderr)
+    report(figures, arguments.json)
+    return 1 if violations else 0
+
+
+def clusters(seed: int, count: int) -> Totals:
+    """Play the histories of `count` seeds from `seed` on. A broken one ends itself, not the rest."""
+    totals = Totals()
+    for number in range(seed, seed + count):
+        outcome = play(draw(number))
+        totals.add(outcome)
+        if outcome.violation is not None:
+            totals.violations.append(_with_replay(outcome.violation, "cluster", number, outcome.events))
+    return totals
+
+
+def quantiles(values: list[float]) -> dict[str, float]:
+    """Median, 99th percentile and most; empty without values."""
+    ranked = sorted(values)
+    if not ranked:
+        return {}
+    return {"p50": ranked[len(ranked) // 2], "p99": ranked[int(len(ranked) * 0.99)], "most": ranked[-1]}
+
+
+def _with_replay(what: str, part: str, seed: int, events: int) -> str:
+    again = f"python -m faultlab storm --part {part} --seed {seed} --events {events} --replay"
+    return f"seed={seed} event={events} broken: {what}; replay: {again}"
+
+
+def replay(part: str, seed: int, events: int) -> int:
+    """Play one failing seed again and print what befell it, and how it ended."""
+    if part == "module":
+        done = run_module(seed, events, check=True)
+        print(f"seed {seed}, {done.events} events, actions {done.actions_sha256}")
+        print("\n".join(done.violations) or "nothing broke")
+        return 1 if done.violations else 0
+    history = draw(seed)
+    print(f"seed {seed}: {history.size} members, {history.seeds} seeds, ticks of {history.tick_s} s")
+    print(f"  {history.timing}")
+    for fault in history.faults:
+        print(f"  {fault.at_s:8.3f} s {fault.kind.value:<11} who {fault.who:>4}, share {fault.share:.2f}, "
+              f"for {fault.length_s:.2f} s")  # fmt: skip
+    outcome = play(history)
+    print("last told:", *outcome.told, sep="\n  ")
+    same = "" if outcome.events == events else f" (not {events}: other code or options)"
+    print(
+        f"event {outcome.events}{same} at {outcome.virtual_s:.3f} s: {outcome.violation or 'nothing broke'}"
+    )
+    return 1 if outcome.violation else 0
--- a/tests/test_lab_command.py
+++ b/tests/test_lab_command.py
@@ -7,8 +7,8 @@
 
 
 def test_every_experiment_registers_a_command_with_help(capsys: pytest.CaptureFixture[str]) -> None:
-    for experiment in EXPERIMENTS:
-        name = experiment.__name__.removeprefix("faultlab.").partition(".")[0]
+    names = [experiment.__name__.removeprefix("faultlab.").partition(".")[0] for experiment in EXPERIMENTS]
+    for name in names:
         with pytest.raises(SystemExit) as ended:
             main([name, "--help"])
         assert ended.value.code == 0 and f"faultlab {name}" in capsys.readouterr().out
