Membership core: what whole views repeat costs less

In clusters of hundreds nearly all that a view says is known, and each datagram asked anew for the size of every rumour that waits. What is held alike is now passed over first, a rumour's size is asked for once, and the queue sorts without a function a rumour.

--- a/cloverkeel/fleet/membership/broadcasts.py
+++ b/cloverkeel/fleet/membership/broadcasts.py
@@ -17,18 +17,22 @@
     times; those sent least go first, and among them the newest, as memberlist's transmit-limited queue does.
     """
 
-    waiting: dict[str, tuple[int, int, Rumour]] = field(default_factory=dict)  # name: times sent, stamp, it
+    # By name: times sent, less the newer it is, bytes (0: not yet asked), the rumour. Sorts as it stands.
+    waiting: dict[str, tuple[int, int, int, Rumour]] = field(default_factory=dict)
     stamp: int = 0
 
     def add(self, rumour: Rumour) -> None:
-        self.stamp += 1
-        self.waiting[rumour.name] = (0, self.stamp, rumour)
+        self.stamp -= 1
+        self.waiting[rumour.name] = (0, self.stamp, 0, rumour)
 
     def take(self, budget: int, size: Callable[[Rumour], int], limit: int) -> list[Rumour]:
-        """As many as fit in `budget` bytes by `size`, in the order above; each taken counts as sent once."""
+        """As many as fit in `budget` bytes by `size`, in the order above; each taken counts as sent once. A
+        rumour's size is asked for once."""
         chosen: list[Rumour] = []
-        for sent, stamp, rumour in sorted(self.waiting.values(), key=lambda w: (w[0], -w[1])):
-            cost = size(rumour)
+        for sent, stamp, cost, rumour in sorted(self.waiting.values()):
+            if not cost:
+                cost = size(rumour)
+                self.waiting[rumour.name] = (sent, stamp, cost, rumour)
             if cost > budget:
                 continue
             budget -= cost
@@ -36,7 +40,7 @@
             if sent + 1 >= limit:
                 del self.waiting[rumour.name]
             else:
-                self.waiting[rumour.name] = (sent + 1, stamp, rumour)
+                self.waiting[rumour.name] = (sent + 1, stamp, cost, rumour)
         return chosen
 
 
--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -88,12 +88,15 @@
     def learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
         """Take what `source` says of another member."""
         before = self.view.members.get(rumour.name)
-        if (
+        same = (
             before is not None
-            and rumour.status is Status.SUSPECT
-            and before.order == rumour.order
-            and rumour.name in self.suspicions
-        ):
+            and before.status is rumour.status
+            and before.incarnation == rumour.incarnation
+            and before.address == rumour.address
+        )
+        if same and rumour.status is not Status.SUSPECT:
+            return []  # nearly all that whole views say
+        if same and rumour.name in self.suspicions:
             by = self.suspicions[rumour.name][1]
             if (rumour.by or source) not in by:  # an independent confirmation shortens the wait
                 by.add(rumour.by or source)
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -38,7 +38,7 @@
     older = replace(A, incarnation=9)
     member.receive(Ping(1, B, "a", (older,)), 1.0)
     assert member.me.incarnation == 10 and member.roster.health.score == 0
-    assert member.roster.broadcasts.waiting["a"][2] == member.me
+    assert member.roster.broadcasts.waiting["a"][-1] == member.me
     member.receive(Ping(2, B, "a", (older, member.me)), 2.0)
     assert member.me.incarnation == 10
 
