--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -59,6 +59,7 @@
         self.roster = Roster(me, timing, self.rng)
         self.cycle = ProbeCycle(self.roster)
         self.joining_until_s: float | None = None
+        self.met = False  # another member has been heard since the join: the name is this one's
         self.refused = False
         self.older: set[str] = set()  # where the processes are heard that this one takes over from
         self.outranked = 0  # how often it had to outrank them
@@ -109,27 +110,28 @@
 
     def _learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
         if rumour.name == self.me.name:
-            return self._about_me(rumour)
+            return self._about_me(rumour, source)
         return self.roster.learn(rumour, now_s, source)
 
-    def _about_me(self, rumour: Rumour) -> list[Action]:
+    def _about_me(self, rumour: Rumour, source: str) -> list[Action]:
         if self.left or self.refused:
             return []
+        # Until another is met the name is but a claim; one that claims it by itself later is a successor.
+        claims = self.joining_until_s is not None or not (self.met or source == self.me.name)
         if rumour.address != self.me.address and rumour.status in PRESENT:
-            joining = self.joining_until_s is not None
-            if self._follows(rumour, joining):  # our older self, in an upgrade: outrank it
+            if self._follows(rumour, claims):  # our older self, in an upgrade: outrank it
                 self.older.add(rumour.address)
-                if not joining and rumour.order < self.me.order:
+                if not claims and rumour.order < self.me.order:
                     return []
                 self.outranked += 1
                 incarnation = max(self.me.incarnation, rumour.incarnation + 1)
                 self.view.me = replace(self.me, incarnation=incarnation)
                 self.roster.broadcasts.add(self.me)
                 return []
-            if not joining and rumour.order < self.me.order:
+            if not claims and rumour.order < self.me.order:
                 return []
             self.refused = True
-            return [Refused(rumour, joining)]
+            return [Refused(rumour, joining=claims)]
         before = self.me
         if self.view.merge(rumour) is None:
             return []
@@ -138,10 +140,10 @@
         self.roster.broadcasts.add(self.me)
         return [Changed(self.me, before, f"refuted {rumour.status.value} at {rumour.incarnation}")]
 
-    def _follows(self, rumour: Rumour, joining: bool) -> bool:
+    def _follows(self, rumour: Rumour, claims: bool) -> bool:
         """Whether `rumour` is of a process that this one takes over from: it refutes what is said of it until
         it hears of this one. Bounded, so that two that each follow the other do not go on for ever."""
-        older = joining or not self.older or rumour.address in self.older
+        older = claims or not self.older or rumour.address in self.older
         return self.take_over and older and self.outranked < MOST_OUTRANKED
 
     def receive(self, message: Message, now_s: float) -> list[Action]:
@@ -155,16 +157,18 @@
         incarnation = self.me.incarnation
         for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
             if isinstance(message, Push):
-                rumour = self.roster.doubted(rumour)
+                if roster.forgotten(rumour):
+                    continue
+                rumour = roster.doubted(rumour)
             actions += self._learn(rumour, now_s, sender.name)
             if self.refused:
                 return actions
-        if self.joining_until_s is not None and isinstance(message, Push) and sender.name != self.me.name:
-            self.joining_until_s = None
+        if sender.name != self.me.name and (isinstance(message, Push) or self.joining_until_s is None):
+            self.joining_until_s, self.met = None, True
         if isinstance(message, Ping):
             if message.target == self.me.name:
                 if message.suspect and self.me.incarnation == incarnation:  # not yet refuted above
-                    actions += self._about_me(replace(self.me, status=Status.SUSPECT))
+                    actions += self._about_me(replace(self.me, status=Status.SUSPECT), sender.name)
                 gone = roster.held_gone(sender)  # it hears so, and refutes it; nobody else is told
                 told = (gone,) if gone is not None else ()
                 ack = roster.send(sender.address, lambda r: Ack(message.seq, self.me, told + r), gone)
@@ -195,12 +199,12 @@
         actions += self.cycle.end_relays(now_s)
         if not self.roster.live():
             if now_s >= self.next_ask_s:
-                actions += self._ask_seeds(now_s)
+                actions += self._ask_seeds(now_s) + self._look_for_the_gone(())
         elif now_s >= self.next_push_s:
             self.next_push_s = now_s + self.timing.push_pull_s
             self.ask_gap_s = self.timing.probe_interval_s
             actions += self.roster.push_to(self.rng.choice(self.roster.live()).address, reply=True)
-            actions += self._look_for_the_gone()
+            actions += self._look_for_the_gone(self.seeds)
         if self.roster.broadcasts.waiting and now_s >= self.next_gossip_s:
             self.next_gossip_s = now_s + self.timing.gossip_interval_s
             actions += self._gossip()
@@ -214,12 +218,12 @@
         sends = [self.roster.send(r.address, lambda riders: Gossip(self.me, riders)) for r in chosen]
         return [s for s in sends if s.message.rumours]
 
-    def _look_for_the_gone(self) -> list[Action]:
-        """A view to one that is dead here, or to a seed that is not known: what a partition has parted finds
-        together again by it."""
+    def _look_for_the_gone(self, seeds: tuple[str, ...]) -> list[Action]:
+        """A view to one that is dead here, or to one of `seeds` that is not known, so that what a partition
+        has parted meets again."""
         live = {r.address for r in self.roster.live()}
         dead = [r.address for r in self.view.members.values() if r.status is Status.DEAD]
-        gone = dead + [seed for seed in self.seeds if seed not in live]
+        gone = dead + [seed for seed in seeds if seed not in live]
         if not gone:
             return []
         address = self.rng.choice(gone)
--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -102,8 +102,6 @@
                 by.add(rumour.by or source)
                 self.broadcasts.add(rumour)
             return []
-        if before is None and rumour.status not in PRESENT:
-            return []  # forgotten here, and not yet there; else it would be told of for ever
         if self.view.merge(rumour) is None:
             return []
         self.broadcasts.add(rumour)
@@ -128,10 +126,15 @@
                 self.order.remove(name)
             self.order.append(name)
 
+    def forgotten(self, rumour: Rumour) -> bool:
+        """Whether a rumour from another's whole view tells of one that is gone there and not known here (any
+        more): those that reap a little later would else bring back for ever what this member has reaped."""
+        known = rumour.name == self.me.name or rumour.name in self.view.members
+        return rumour.status not in PRESENT and not known
+
     def doubted(self, rumour: Rumour) -> Rumour:
         """A death read in another's whole view, of one that is present here, counts as a suspicion: it may be
-        old news of a partition, and the member has the time to refute it (as memberlist's push-pull does). So
-        does a suspicion there: who holds it is not independent of the rest of that view."""
+        old news of a partition, and the member has the time to refute it (as memberlist's push-pull does)."""
         known = self.view.members.get(rumour.name)
         if rumour.status is Status.DEAD and known is not None and known.status in PRESENT:
             return replace(rumour, status=Status.SUSPECT, by=HEARSAY)
--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -9,10 +9,10 @@
 import argparse
 import sys
 
-from faultlab import recovery
+from faultlab import membership, recovery
 from faultlab.storm import command as storm
 
-EXPERIMENTS = (recovery, storm)
+EXPERIMENTS = (recovery, membership, storm)
 
 
 def main(argv: list[str]) -> int:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,6 +20,7 @@
     Gossip,
     Message,
     Push,
+    Refused,
     Send,
     Timing,
 )
@@ -304,3 +305,24 @@
     sent = [a.message for a in member.tick(0.06) if isinstance(a, Send)]
     passed = [CODEC.decode(CODEC.encode(message)) for message in sent if isinstance(message, Gossip)]
     assert {r.by for m in passed for r in m.rumours if r.status is Status.SUSPECT} == {"e"}
+
+
+def test_a_view_that_still_holds_one_gone_does_not_bring_it_back_to_those_that_reaped_it() -> None:
+    member = Member(ME, Timing())
+    sender = Rumour("b", at(1), 1, Status.ALIVE)
+    held = tuple(Rumour(status.value, at(2), 3, status) for status in Status)
+    member.receive(Push(sender, held), 0.0)
+    assert member.members().keys() == {"a", "b", "alive", "suspect"}
+    member.receive(Gossip(sender, held), 0.0)  # news of a death is taken: an older rumour may come after it
+    assert member.members()["dead"].status is Status.DEAD
+
+
+def test_an_upgrade_that_meets_its_old_self_late_takes_over_and_anybody_else_is_refused() -> None:
+    for take_over in (True, False):
+        member = Member(Rumour("b", at(9), 1, Status.ALIVE), Timing(), (at(0),), take_over)
+        member.start(0.0)
+        assert any(isinstance(a, Alone) for a in member.tick(Timing().join_wait_s))
+        view = (Rumour("b", at(2), 4, Status.ALIVE),)  # of a process before that is not heard of any more
+        actions = member.receive(Push(Rumour("a", at(1), 1, Status.ALIVE), view), 2.0)
+        assert member.refused is not take_over and member.me.incarnation == (5 if take_over else 1)
+        assert any(isinstance(a, Refused) and a.joining for a in actions) is not take_over
