--- a/cloverkeel/fleet/lists/sharing.py
+++ b/cloverkeel/fleet/lists/sharing.py
@@ -35,6 +35,7 @@
 from cloverkeel.fleet.lists.relays import Peer
 from cloverkeel.fleet.membership.calls import CallFailed
 from cloverkeel.fleet.membership.feeds import Feed, Subscription
+from cloverkeel.fleet.membership.frames import REASONS
 from cloverkeel.fleet.membership.service import Membership
 
 GET, HAVE, FEED = "list.get", "list.have", "list.feed"
@@ -44,6 +45,11 @@
 MOST_DEPTH = 16
 
 
+def is_no_frame(reason: str) -> bool:
+    """Whether a call or a feed ended since what came was no frame of this cluster, or an enormous one."""
+    return any(f"{word}: " in reason for word in REASONS)
+
+
 class Link:
     """One feed that this member follows, from the wish for it to its end."""
 
@@ -150,9 +156,9 @@
         if self.intake.take(body) is Taken.GAP:
             self._do(self.core.gap(self.loop.time(), name))
 
-    def _refuse(self, name: str, error: Exception) -> None:
+    def _refuse(self, name: str, reason: str) -> None:
         self.counts["peers_set_aside"] += 1
-        event("lists.peer_refused", peer=name, reason=str(error)[:200], for_s=BAD_S)
+        event("lists.peer_refused", peer=name, reason=reason[:200], for_s=BAD_S)
         self._do(self.core.bad(self.loop.time(), name))
 
     def _on_body(self, link: Link, raw: object) -> None:
@@ -183,7 +189,7 @@
             elif raw.get("v") is not None:
                 self._compare(name, raw["v"])
         except ValueError as error:
-            self._refuse(name, error)
+            self._refuse(name, str(error))
 
     def _compare(self, name: str, raw: object) -> None:
         """A member has the list of this version. Raises ValueError where it is none."""
@@ -279,6 +285,9 @@
         link.over = True
         if self.links.get(link.name) is link:
             del self.links[link.name]
+        if is_no_frame(reason):
+            self._refuse(link.name, reason)
+            return
         event("lists.feed_ended", member=link.name, reason=reason)
         self._do(self.core.ended(self.loop.time(), link.name))
 
@@ -304,10 +313,11 @@
                 raise ValueError(f"no answer to {GET}: {raw!r:.40}")
             if raw.get("list") is not None:
                 self._take(peer.name, raw["list"])
-        except CallFailed:
-            pass  # it has gone, or is too slow: others are asked, or the service
+        except CallFailed as error:  # it has gone, or is too slow: others are asked, or the service
+            if is_no_frame(str(error)):
+                self._refuse(peer.name, str(error))
         except ValueError as error:
-            self._refuse(peer.name, error)
+            self._refuse(peer.name, str(error))
         self._do(self.core.asked(self.loop.time(), peer.name))
         if not self.core.asking:
             self.asked.set()
--- a/tests/list_site.py
+++ b/tests/list_site.py
@@ -1,4 +1,4 @@
-"""Gateways of one cluster in this process, and a list service that watches end at: no processes, real sockets."""
+"""Gateways of one cluster in this process on real sockets, and the list service that they share."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
     @staticmethod
     def entry(name: str, **extra: object) -> dict[str, object]:
-        return endpoint(name, "127.0.0.1:9", **extra)
+        return {**endpoint(name, "127.0.0.1:9"), **extra}
 
     def change(self, name: str, status: str) -> None:
         entry = self.entry(name, status=status)
@@ -55,10 +55,9 @@
         asked = parse_qs(urlsplit(exchange.message.first.split(" ")[1]).query)
         from_ = int(asked["from"][0]) if "from" in asked else None
         if from_ == self.index:
-            try:
-                await asyncio.wait_for(self.changed.wait(), int(asked["hold_ms"][0]) / 1000)
-            except TimeoutError:
-                pass
+            await asyncio.wait(
+                [asyncio.ensure_future(self.changed.wait())], timeout=int(asked["hold_ms"][0]) / 1000
+            )
         if from_ is None or not self.first <= from_ <= self.index:
             listed = hosts_list(self.index, *self.entries.values())
         else:
@@ -95,6 +94,13 @@
     def index(self) -> int | None:
         return self.gateway.discovery.index
 
+    @property
+    def rows(self) -> list[dict[str, Any]]:
+        """The member table as operators read it."""
+        found = json.loads(self.fleet.answer().body)["members"]
+        assert isinstance(found, list)
+        return found
+
     def count(self, name: str) -> int:
         return self.fleet.counters()[name]
 
--- /dev/null
+++ b/tests/test_list_sharing.py
@@ -0,0 +1,230 @@
+"""Lists by peers on real sockets: what members tell each other, and what they refuse."""
+
+from __future__ import annotations
+
+import time
+from contextlib import contextmanager
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from caperdrift.policy.sharers import sharers
+from cloverkeel.fleet.cluster import ClusterSettings
+from cloverkeel.config import parse
+from cloverkeel.discovery import Discovery
+from cloverkeel.fleet.lists.intake import Intake
+from cloverkeel.fleet.lists.order import HeldList, ListVersion, Taken, decode, encode
+from cloverkeel.fleet.lists.relays import Peer, choose
+from cloverkeel.fleet.membership.calls import Calls
+from cloverkeel.fleet.membership.service import Membership
+from tests.list_site import Node, Registry, site
+from tests.sockets import configuration, on_loop, until
+
+NOWHERE = "127.0.0.1:1"
+NAMES = [f"g{n}" for n in range(4)]
+RELAYS = choose("site", [Peer(name, "a") for name in NAMES], 2)
+
+
+@on_loop
+async def test_relays_alone_call_the_service_and_a_change_reaches_all() -> None:
+    async with site("s-1", "s-2") as made:
+        for name in NAMES:  # the others could not call it if they wanted to
+            await made.add(name, "" if name in RELAYS else NOWHERE, relays=2)
+        await made.all_have("s-1", "s-2")
+        made.registry.change("s-2", "DRAINING")
+        await until(lambda: all(node.index == 101 for node in made.nodes.values()))
+        draining = [node.gateway.listed[min(node.gateway.listed)] for node in made.nodes.values()]
+        assert all(raw == draining[0] for raw in draining)
+        for name, node in made.nodes.items():
+            assert (node.count("list_service_calls_total") > 0) <= (name in RELAYS)
+            shown = [row["name"] for row in node.rows if row["relay"]]
+            assert sorted(shown) == sorted(RELAYS)
+            assert sharers(node.gateway.balancer) == len(NAMES)
+
+
+@on_loop
+async def test_a_service_that_starts_anew_with_a_lower_index_freezes_nobody() -> None:
+    async with site("s-1", "s-2") as made:
+        for name in NAMES:
+            await made.add(name, relays=2)
+        await made.all_have("s-1", "s-2")
+        made.registry.restart(3, "s-2", "s-3")
+        await made.all_have("s-2", "s-3")
+        made.registry.change("s-3", "DELETED")
+        await made.all_have("s-2")
+        assert {node.index for node in made.nodes.values()} == {4}
+
+
+@on_loop
+async def test_one_with_an_old_list_serves_by_it_until_members_tell_a_newer_one() -> None:
+    old = {"index": 900, "snapshot": True, "endpoints": [Registry.entry("s-old")]}
+    async with site("s-1") as made:
+        await made.add("g0")
+        await made.all_have("s-1")
+        made.registry.up = False  # members alone can tell
+        late = await made.add("g1", known=old)
+        await made.all_have("s-1")
+        assert late.index == 100 and made.nodes["g0"].hosts == {"s-1"}
+
+
+@on_loop
+async def test_full_members_send_followers_on_to_theirs() -> None:
+    async with site("s-1", "s-2") as made:
+        names = [f"g{n}" for n in range(7)]
+        relays = choose("site", [Peer(name, "a") for name in names], 1)
+        for name in names:
+            node = await made.add(name, "" if name in relays else NOWHERE, relays=1)
+            assert node.fleet.sharing is not None
+            node.fleet.sharing.followers.limit = 2
+        await made.all_have("s-1", "s-2")
+        made.registry.change("s-2", "DELETED")
+        await made.all_have("s-1")
+        counts = [node.fleet.gauges()["list_followers"] for node in made.nodes.values()]
+        assert max(counts) <= 2 and sum(count > 0 for count in counts) > 1
+
+
+@on_loop
+async def test_with_pushed_lists_a_start_is_helped_and_each_keeps_its_own_watch() -> None:
+    async with site("s-1") as made:
+        await made.add("g0", mode="pushed")
+        await made.all_have("s-1")
+        made.registry.up = False
+        late = await made.add("g1", mode="pushed")
+        await made.all_have("s-1")
+        assert late.fleet.gauges()["list_feeds"] == 0
+        made.registry.up = True
+        made.registry.change("s-2", "SERVING")
+        await made.all_have("s-1", "s-2")
+        assert late.count("lists_from_service_total") == late.count("lists_from_peers_total") == 1
+
+
+@on_loop
+async def test_lists_are_shared_only_where_the_cluster_says_so() -> None:
+    async with site("s-1") as made:
+        for name in NAMES[:2]:
+            await made.add(name, lists=False)
+        await made.all_have("s-1")
+        assert all(node.gateway.lists is node.gateway.discovery for node in made.nodes.values())
+        assert not any(row["relay"] for node in made.nodes.values() for row in node.rows)
+
+
+def listing(version: ListVersion, *entries: dict[str, Any]) -> dict[str, Any]:
+    _, body = HeldList().answered(None, version, True, entries)
+    assert body is not None
+    return encode(body)
+
+
+GOOD = listing(ListVersion(0, 500), Registry.entry("s-x"))
+STRANGE = [
+    {**GOOD, "digest": 7},
+    {**GOOD, "v": [0, -1]},
+    {**GOOD, "v": [0, 2**63]},
+    {**GOOD, "entries": [{}] * 10_001},
+    listing(ListVersion(0, 500), Registry.entry("s-x", status="NAPPING")),
+    listing(ListVersion(0, 500), Registry.entry("s-x"), Registry.entry("s-y", address="nowhere")),
+    listing(ListVersion(0, 500), Registry.entry("s-x", weight=-1.0)),
+    {**GOOD, "entries": [Registry.entry("s-x", group=b"bytes")]},
+    [GOOD],
+]  # fmt: skip
+
+
+@contextmanager
+def liar(calls: Calls, body: object) -> Iterator[None]:
+    """A member that tells this list to all who ask or follow."""
+    calls.serve("list.get", lambda peer, raw: {"list": body})
+    calls.serve_feed("list.feed", lambda feed, raw: feed.send({"depth": 0, "v": [0, 1], "list": body}))
+    yield
+    calls.close()
+
+
+@pytest.mark.parametrize("body", STRANGE, ids=range(len(STRANGE)))
+@on_loop
+async def test_what_is_no_list_is_refused_and_changes_nothing(body: object) -> None:
+    config = parse(configuration())
+    told: list[Any] = []
+    discovery = Discovery(config.discovery, config.names, lambda *heard: told.append(heard), False)
+    intake = Intake(discovery, discovery.on_list, told.append, told.append)
+    with pytest.raises(ValueError):
+        intake.take(decode(body))
+    assert not told and intake.held.version is None
+    assert intake.take(decode(GOOD)) is Taken.NEW and len(told) == 2
+
+
+@on_loop
+async def test_a_member_that_tells_what_is_no_list_is_set_aside() -> None:
+    await refused(STRANGE[0])
+
+
+async def refused(body: object, frame_bytes: int = 4 * 1024 * 1024) -> None:
+    async with site("s-1") as made:
+        settings = ClusterSettings(name="site", bind="127.0.0.1:0")
+        bad = Membership(settings, "g0", "a", 1)
+        bad.calls = Calls("site", "g0", frame_bytes)
+        with liar(bad.calls, body):
+            await bad.start()
+            made.nodes["g0"] = bad  # type: ignore[assignment]  # the seed
+            node = Node("g1", made.service.address, [bad.address])
+            try:
+                await node.start()
+                await until(lambda: node.hosts == {"s-1"} and node.count("peers_set_aside_total") > 0)
+                assert node.index == 100
+            finally:
+                node.close()
+                bad.close()
+                del made.nodes["g0"]
+
+
+@on_loop
+async def test_a_member_that_tells_an_enormous_list_is_set_aside() -> None:
+    huge = listing(ListVersion(0, 500), *(Registry.entry(f"s-{n}", note="x" * 900) for n in range(6000)))
+    await refused(huge, 64 * 1024 * 1024)
+
+
+@on_loop
+async def test_an_old_list_of_a_member_changes_nothing() -> None:
+    async with site("s-1") as made:
+        await made.add("g0")
+        await made.all_have("s-1")
+        calls = Calls("site", "g9")
+        old = listing(ListVersion(0, 50), Registry.entry("s-old"))
+        with liar(calls, old):
+            node = made.nodes["g0"]
+            sharing = node.fleet.sharing
+            assert sharing is not None
+            sharing._take("g9", old)
+            assert node.hosts == {"s-1"} and node.index == 100
+            # Asked for what is newer than it has, it gives its own; for less, nothing.
+            answer = await calls.call(node.address, "list.get", [0, 50], 1.0)
+            assert answer["list"]["v"] == [0, 100]
+            assert await calls.call(node.address, "list.get", [0, 100], 1.0) == {"list": None}
+
+
+@on_loop
+async def test_a_cold_gateway_starts_with_what_its_neighbours_learned() -> None:
+    async with site("s-1", "s-2") as made:
+        for name in NAMES[:3]:
+            node = await made.add(name)
+            assert node.fleet.neighbours is not None
+            node.fleet.neighbours.since_s -= 60.0  # it has served long enough
+        await made.all_have("s-1", "s-2")
+        for node in made.nodes.values():
+            for server in node.gateway.balancer.servers.values():
+                server.weight = 0.25
+        begun_s = time.monotonic()
+        cold = await made.add("g3")
+        assert time.monotonic() - begun_s < 0.3 + 1.0  # what it waited for others, and a loaded machine
+        await until(lambda: cold.hosts == {"s-1", "s-2"})
+        await until(lambda: {s.weight for s in cold.gateway.balancer.servers.values()} == {0.25})
+        assert cold.fleet.gauges()["warm_neighbours"] == 3
+
+
+@on_loop
+async def test_the_service_gone_for_all_and_back() -> None:
+    async with site("s-1") as made:
+        made.registry.up = False
+        for name in NAMES:
+            await made.add(name, relays=2)
+        await until(lambda: sum(n.count("list_service_calls_total") for n in made.nodes.values()) >= 2)
+        made.registry.up = True
+        await made.all_have("s-1")
