--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -9,9 +9,9 @@
 import argparse
 import sys
 
-from faultlab import recovery
+from faultlab import membership, recovery
 
-EXPERIMENTS = (recovery,)
+EXPERIMENTS = (recovery, membership)
 
 
 def main(argv: list[str]) -> int:
