Storm: lists by peers and the parts of a fall budget, on the views that each member has

Half of the histories now drive each process's follower and held list over the same links, with one list service that changes, fails and restarts at a lower index, told with an epoch or not; some start with a list from before. Checked from outside: lists move only forward in their order, equal views choose equal relays, never more than two feeds, a gateway's part of a fall budget times those it sees never passes the whole. In calm, within 15 s of the views' agreement, all hold the service's list, have a way to it, only relays watch, and the parts add up to no more than the whole; then a change is told to all within 2 s. An exception in a core counts as a violation.

--- /dev/null
+++ b/faultlab/storm/cluster/budget.py
@@ -0,0 +1,42 @@
+"""The parts of a cold host's fall budget that the gateways of a cluster take, by the views that they have."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from caperdrift import Balancer, Effect, RequestClass, Settings
+from caperdrift.interface import Fleet
+from caperdrift.policy.cold import FALL_MARGIN, fall_budget_us
+
+from cloverkeel.fleet.invariants import check
+from cloverkeel.fleet.sharers import by_zone
+
+ZONES = {"z0": 0, "z1": 1, "z2": 2}
+VIEW = RequestClass(aim_us=250_000, give_up_us=500_000, effect=Effect.SAFE)
+SETTINGS = Settings(classes=(VIEW,), proxies=3)
+WHOLE_US = FALL_MARGIN * SETTINGS.fall_multiple * SETTINGS.fall_us
+ROUNDING = 1e-9
+
+
+class Part:
+    """One gateway's module, which hears how many share the hosts."""
+
+    def __init__(self) -> None:
+        self.balancer = Balancer(SETTINGS, seed=0)
+
+    def see(self, now_s: float, zones: Iterable[str], member: str) -> None:
+        """The live members' zones, this one's included. Were all of them to see the same, their parts would
+        not pass the whole."""
+        seen = by_zone(ZONES, zones)
+        self.balancer.handle(round(now_s * 1e6), Fleet(seen))
+        total_us = self.part_us * sum(seen)
+        check(total_us <= WHOLE_US * (1 + ROUNDING), "a fall budget is passed", member=member, seen=seen)
+
+    @property
+    def part_us(self) -> float:
+        return fall_budget_us(self.balancer)
+
+
+def sum_of(parts: Iterable[Part]) -> float:
+    """What all take together, as a share of the whole budget."""
+    return sum(part.part_us for part in parts) / WHOLE_US
--- a/faultlab/storm/cluster/faults.py
+++ b/faultlab/storm/cluster/faults.py
@@ -42,7 +42,8 @@
 @dataclass(slots=True, frozen=True)
 class History:
     """A cluster of `size` that starts within `start_s`, its faults until `faults_s`, and then calm; with
-    `reaped` it is watched in calm until all that are gone must be forgotten."""
+    `reaped` it is watched in calm until all that are gone must be forgotten, with `lists` its processes share
+    lists of hosts."""
 
     seed: int
     size: int
@@ -53,6 +54,7 @@
     faults_s: float = 10.0
     tick_s: float = 0.03
     reaped: bool = False
+    lists: bool = False
 
 
 def draw(seed: int) -> History:
@@ -88,4 +90,5 @@
         faults_s=begin_s + faults_s,
         tick_s=0.05 if large else rng.choice((0.01, 0.03, 0.05)),
         reaped=not large and rng.random() < 0.3,
+        lists=rng.random() < 0.5,
     )
--- /dev/null
+++ b/faultlab/storm/cluster/listservice.py
@@ -0,0 +1,59 @@
+"""The list service of a storm: whole lists and changes by index, restarts at a lower index, silence."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from cloverkeel.fleet.lists.order import Raw, is_gone
+
+FIRST = 100  # the index of a first life; later lives begin below it and never come near it
+LATER = (1, 20)
+
+
+@dataclass(slots=True)
+class ListService:
+    """`epoch` is told where `tells_epoch`. Entries carry a number that no two of them share, in any life."""
+
+    rng: random.Random
+    tells_epoch: bool = False
+    up: bool = True
+    life: int = 0
+    index: int = FIRST
+    made: int = 0
+    entries: dict[str, Raw] = field(default_factory=dict)
+    changes: list[tuple[int, Raw]] = field(default_factory=list)  # of this life, each with its index
+
+    @property
+    def epoch(self) -> int | None:
+        return self.life if self.tells_epoch else None
+
+    def change(self) -> None:
+        """One host comes, changes or goes."""
+        self.index += self.rng.randint(1, 2)
+        self.made += 1
+        name = f"h{self.rng.randrange(12)}"
+        entry: Raw = {"name": name, "made": self.made}
+        if name in self.entries and self.rng.random() < 0.4:
+            entry["status"] = "DELETED"
+        self.changes.append((self.index, entry))
+        if is_gone(entry):
+            del self.entries[name]
+        else:
+            self.entries[name] = entry
+
+    def restart(self) -> None:
+        """A new life, with what hosts it finds: its index starts low and its changes are forgotten."""
+        self.life += 1
+        self.index = self.rng.randint(*LATER)
+        self.changes.clear()
+        self.made += 1
+        self.entries = {f"h{n}": {"name": f"h{n}", "made": self.made} for n in range(self.rng.randint(1, 6))}
+
+    def answer(self, from_index: int | None) -> tuple[int, bool, list[Raw]]:
+        """Index, whether it is the whole list, and entries, to a call from `from_index`; what this life does
+        not know the changes from is answered whole."""
+        first = self.changes[0][0] if self.changes else self.index
+        if from_index is None or not first <= from_index <= self.index:
+            return self.index, True, list(self.entries.values())
+        return self.index, False, [entry for index, entry in self.changes if index > from_index]
--- a/faultlab/storm/cluster/members.py
+++ b/faultlab/storm/cluster/members.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from cloverkeel.fleet.membership.checked import CheckedMember
@@ -28,6 +29,7 @@
     paused_until_s: float = 0.0
     due_s: float = 0.0  # its next tick
     held: list[Message] = field(default_factory=list)
+    changed: bool = True  # its view, since it was last looked at
 
     @property
     def name(self) -> str:
@@ -53,6 +55,7 @@
         self.deaths: list[tuple[float, str, Rumour]] = []  # told: when, by whom, of whom
         self.unsettled: set[str] = set()  # names whose process was killed, replaced or left
         self.upgrading: dict[str, float] = {}  # until when the older process of a name stays
+        self.on_start: Callable[[Process], None] | None = None
         self.events = 0
         self.most = 0
         self.addresses = 0
@@ -83,6 +86,8 @@
         self.most = max(self.most, sum(p.up for p in self.processes.values()))
         self.carry(process, process.member.start(self.clock.now_s))
         self._tick_in(process, self.rng.random() * self.history.tick_s)
+        if self.on_start is not None:
+            self.on_start(process)
 
     def _core(self, me: Rumour, take_over: bool) -> Member:
         rng = random.Random(self.rng.getrandbits(64))
@@ -102,6 +107,7 @@
                     clock.at(clock.now_s + delay_s, self.arrive, action.address, action.message)
                 continue
             self.told.append((clock.now_s, process, action))
+            process.changed = True
             if isinstance(action, Exchange):
                 if self.links.connected(source, action.address):
                     clock.at(clock.now_s + NEAR_S[1], self.exchange, process, action.address)
--- a/faultlab/storm/cluster/verdict.py
+++ b/faultlab/storm/cluster/verdict.py
@@ -4,14 +4,17 @@
 
 from dataclasses import dataclass, field
 
-from cloverkeel.fleet.invariants import BrokenError
+from cloverkeel.fleet import invariants
 from cloverkeel.fleet.membership.health import suspicion_timeout_s
 from cloverkeel.fleet.membership.rumours import Rumour, Status
 from faultlab.storm.cluster.faults import History
+from faultlab.storm.cluster.lists import Lists
 from faultlab.storm.cluster.members import Cluster
 
 LOOK_S = 0.25  # simulated seconds between two looks at whether the views agree
 STANDS_S = 2.0  # agreement counts once it has stood for longer than the slowest probe takes
+LISTS_S = 15.0  # after the views, the lists agree within this
+TOLD_S = 2.0  # and changes are told within this
 PUSH_PULLS = 3  # periods of push-pull within which they must, besides one longest suspicion
 
 
@@ -33,11 +36,14 @@
     """Play `history`; the first violation ends it. Deterministic."""
     cluster = Cluster(history, check)
     outcome = Outcome(history)
+    was_on, invariants.ON = invariants.ON, check
     try:
         outcome.agreed_s = _play(cluster, history)
-    except BrokenError as error:
-        outcome.violation = str(error)
+    except Exception as error:  # a core's own is as much a violation as what a check found
+        outcome.violation = str(error) if isinstance(error, invariants.BrokenError) else repr(error)
         outcome.told = [f"{at_s:9.3f} s {p.name} at {p.me.address}: {a}" for at_s, p, a in cluster.told]
+    finally:
+        invariants.ON = was_on
     outcome.events, outcome.members = cluster.events, cluster.most
     outcome.virtual_s, outcome.deaths = cluster.clock.now_s, len(cluster.deaths)
     return outcome
@@ -47,6 +53,7 @@
     ends_s = [fault.at_s + fault.length_s for fault in history.faults]
     first_s = min((fault.at_s for fault in history.faults), default=history.faults_s)
     calm_s = max([history.faults_s, *ends_s])
+    lists = Lists(cluster, history.seed + 2, calm_s) if history.lists else None
     cluster.clock.run(first_s)
     _fail(_deaths(cluster), "declared dead before any fault")
     cluster.clock.run(calm_s)
@@ -66,13 +73,26 @@
     _fail([f"{by} of {r.name}" for _, by, r in cluster.deaths[told:] if r.name in present], "dead in calm")
     if history.reaped:
         _fail(remembered(cluster), "not forgotten")
+    if lists is not None:
+        _lists_in_calm(cluster, lists)
     return agreed_s
 
 
+def _lists_in_calm(cluster: Cluster, lists: Lists) -> None:
+    """The views have agreed for a while: so must the lists, and a change is told to all in time."""
+    ends_s = cluster.clock.now_s + LISTS_S
+    while (found := lists.unlike()) and cluster.clock.now_s < ends_s:
+        cluster.clock.run(cluster.clock.now_s + LOOK_S)
+    _fail(found, f"lists do not agree {LISTS_S} s after the views")
+    lists.service.change()
+    cluster.clock.run(cluster.clock.now_s + TOLD_S)
+    _fail(lists.unlike(), f"a change is not told {TOLD_S} s later")
+
+
 def _fail(found: list[str], what: str) -> None:
     if found:
         more = f" and {len(found) - 4} more" if len(found) > 4 else ""
-        raise BrokenError(f"{what}: {'; '.join(found[:4])}{more}")
+        raise invariants.BrokenError(f"{what}: {'; '.join(found[:4])}{more}")
 
 
 def _bound_s(cluster: Cluster, history: History) -> float:
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -8,12 +8,14 @@
 from hypothesis import strategies as st
 
 from cloverkeel.fleet.invariants import BrokenError
+from cloverkeel.fleet.lists.order import ListVersion
 from cloverkeel.fleet.membership.checked import CheckedMember
 from cloverkeel.fleet.membership.member import Member
 from cloverkeel.fleet.membership.messages import Action, Changed, Message, Timing
 from cloverkeel.fleet.membership.roster import Roster
 from cloverkeel.fleet.membership.rumours import Rumour, Status
 from faultlab.__main__ import main
+from faultlab.storm.cluster import budget, lists
 from faultlab.storm.cluster.faults import Fault, History, Kind, draw
 from faultlab.storm.cluster.verdict import play
 
@@ -29,18 +31,18 @@
 
 
 @settings(max_examples=30, deadline=None)
-@given(st.lists(faults, max_size=5), st.integers(2, 8), st.integers(0, 3), st.booleans())
-def test_whatever_befalls_a_cluster_its_views_agree_in_calm(
-    befalls: list[Fault], size: int, seed: int, reaped: bool
+@given(st.lists(faults, max_size=5), st.integers(2, 8), st.integers(0, 3), st.booleans(), st.booleans())
+def test_whatever_befalls_a_cluster_its_views_and_lists_agree_in_calm(
+    befalls: list[Fault], size: int, seed: int, reaped: bool, shared: bool
 ) -> None:
-    history = History(
-        seed=seed, size=size, faults=tuple(befalls), timing=TIMING, faults_s=4.0, tick_s=0.05, reaped=reaped
+    calm = History(
+        seed=seed, size=size, timing=TIMING, faults_s=4.0, tick_s=0.05, reaped=reaped, lists=shared
     )
-    assert play(history).violation is None
+    assert play(replace(calm, faults=tuple(befalls))).violation is None
 
 
 def test_a_history_replays_exactly_and_checks_change_nothing() -> None:
-    history = draw(53)
+    history = replace(draw(53), lists=True)
     first, again, unchecked = play(history), play(history), play(history, check=False)
     assert first == again == unchecked
     assert first.events > 1_000 and first.virtual_s > history.faults_s
@@ -50,7 +52,7 @@
 def test_each_fault_befalls_a_cluster(kind: Kind) -> None:
     """Each does something that calm does not, and what it does ends in agreement."""
     fault = Fault(1.0, kind, who=1, share=0.6, length_s=3.0)
-    calm = History(seed=3, size=6, timing=TIMING, faults_s=4.0, tick_s=0.05)
+    calm = History(seed=3, size=6, timing=TIMING, faults_s=4.0, tick_s=0.05, lists=True)
     outcome, quiet = play(replace(calm, faults=(fault,))), play(calm)
     assert outcome.violation is None and quiet.violation is None and not quiet.deaths
     assert outcome.events != quiet.events
@@ -72,6 +74,18 @@
     assert f"event {events} at " in capsys.readouterr().out
 
 
+def test_lists_that_do_not_see_a_restarted_service_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lists, "judge", lambda asked, index, epoch: ListVersion(epoch or 0, index))
+    broken = [play(replace(draw(seed), lists=True)).violation for seed in range(4, 8)]
+    assert any(what is not None and "lists do not agree" in what for what in broken)
+
+
+def test_a_part_that_passes_the_budget_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(budget, "fall_budget_us", lambda proxy: budget.WHOLE_US / 2)
+    outcome = play(History(seed=3, size=6, timing=TIMING, faults_s=4.0, lists=True))
+    assert outcome.violation is not None and "a fall budget is passed" in outcome.violation
+
+
 def test_replay_asks_for_the_half_that_failed(capsys: pytest.CaptureFixture[str]) -> None:
     with pytest.raises(SystemExit):
         main(["storm", "--replay", "--seed", "1"])
