--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -10,9 +10,10 @@
 import sys
 
 from faultlab import membership, recovery
+from faultlab.coldstart import command as coldstart
 from faultlab.storm import command as storm
 
-EXPERIMENTS = (recovery, membership, storm)
+EXPERIMENTS = (coldstart, recovery, membership, storm)
 
 
 def main(argv: list[str]) -> int:
