--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from cloverkeel.fleet import invariants
 from cloverkeel.fleet.cluster import ClusterSettings
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.membership.bind import open_sockets, udp_at
 from cloverkeel.fleet.membership.calls import CallFailed, Calls
+from cloverkeel.fleet.membership.checked import CheckedMember
 from cloverkeel.fleet.membership.codec import (
     Codec,
     DatagramError,
@@ -101,7 +103,8 @@
     def _join(self) -> None:
         me = Rumour(self.name, self.address, self.incarnation, Status.ALIVE, self.zone)
         settings = self.settings
-        self.member = Member(me, settings.timing, self.seeds, self.take_over, self.rng)
+        kind = CheckedMember if invariants.ON else Member
+        self.member = kind(me, settings.timing, self.seeds, self.take_over, self.rng)
         self.state = "joining"
         self.gossip.run(self.member)
         if self.member.joining_until_s is None:
--- a/tests/test_membership_service.py
+++ b/tests/test_membership_service.py
@@ -13,10 +13,12 @@
 
 import pytest
 
+from cloverkeel.fleet import invariants
 from cloverkeel.fleet.cluster import parse_cluster
 from cloverkeel.fleet.membership import serving
 from cloverkeel.fleet.membership.bind import open_sockets
 from cloverkeel.fleet.membership.calls import CallFailed, Calls
+from cloverkeel.fleet.membership.checked import CheckedMember
 from cloverkeel.fleet.membership.codec import Codec, parse_address
 from cloverkeel.fleet.membership.feeds import UNSENT_BYTES, Feed
 from cloverkeel.fleet.membership.frames import FRAME_BYTES, Frames
@@ -340,3 +342,13 @@
                 sent += 100_000
                 await asyncio.sleep(0)
             assert feeds[0].closed and closed == [1] and not callee.feeds
+
+
+@on_loop
+async def test_invariants_are_checked_only_where_they_are_on() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        for on in (False, True):
+            patch.setattr(invariants, "ON", on)
+            made = await member("m0")
+            assert isinstance(made.member, CheckedMember) == on
+            made.close()
