--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cloverkeel.fleet.invariants import BrokenError
@@ -31,6 +31,7 @@
 
 
 @settings(max_examples=30, deadline=None)
+@example([Fault(1.0, Kind.CLAIM, 1, 0.0, 0.2), Fault(1.0, Kind.RESTART_OLD, 1, 0.0, 4.0)], 2, 0, False, False)
 @given(st.lists(faults, max_size=5), st.integers(2, 8), st.integers(0, 3), st.booleans(), st.booleans())
 def test_whatever_befalls_a_cluster_its_views_and_lists_agree_in_calm(
     befalls: list[Fault], size: int, seed: int, reaped: bool, shared: bool
