--- a/cloverkeel/fleet/membership/roster.py
+++ b/cloverkeel/fleet/membership/roster.py
@@ -88,7 +88,7 @@
     def learn(self, rumour: Rumour, now_s: float, source: str) -> list[Action]:
         """Take what `source` says of another member."""
         before = self.view.members.get(rumour.name)
-        same = (
+        same = before is rumour or (
             before is not None
             and before.status is rumour.status
             and before.incarnation == rumour.incarnation
