--- a/cloverkeel/fleet/membership/checked.py
+++ b/cloverkeel/fleet/membership/checked.py
@@ -22,6 +22,7 @@
 from cloverkeel.fleet.membership.rumours import Rumour, Status
 
 EXPECTED = 3  # confirmations that shorten a suspicion; each passes the rumour on anew
+FORGOTTEN = 64  # rumours that may wait of names that were forgotten meanwhile, and its own
 WHOLE_EVERY = 64  # events between two looks at the whole view
 
 
@@ -81,6 +82,9 @@
             invariants.check(self.told.get(rumour.name) == before, "a change was not told", **fields)
             invariants.check(rumour.order > before.order, "a view went back", **fields)
             invariants.check(rumour.incarnation >= before.incarnation, "an incarnation fell", **fields)
+            if rumour.status is Status.DEAD and change.reason == f"heard from {self.me.name}":
+                suspected = before.status is Status.SUSPECT and before.incarnation == rumour.incarnation
+                invariants.check(suspected, "a death of one that was not suspected", **fields)
         self.told[rumour.name] = rumour
         self.most = max(self.most, len(self.told) + 1)
 
@@ -107,4 +111,4 @@
         gone_names = {r.name for r in members.values() if r.status not in PRESENT}
         check(gone_names == set(roster.gone_since), "a gone member would not be forgotten", member=name)
         waiting = len(roster.broadcasts.waiting)
-        check(waiting <= len(members) + 1 + len(gone_names) + 64, "rumours pile up", member=name, n=waiting)
+        check(waiting <= len(members) + FORGOTTEN, "rumours pile up", member=name, waiting=waiting)
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -136,6 +136,10 @@
     return [Changed(OTHER, None, "")] if now_s > 1.0 else []
 
 
+def _kills_unsuspected(core: Member, now_s: float) -> list[Action]:
+    return [Changed(OTHER, None, ""), Changed(replace(OTHER, status=Status.DEAD), OTHER, "heard from a")]
+
+
 def _hides_a_change(core: Member, now_s: float) -> list[Action]:
     core.view.members["b"] = OTHER
     return []
@@ -149,6 +153,7 @@
         (_goes_back, "a view went back"),
         (_refutes_twice, "refuted twice"),
         (_speaks_refused, "speaks"),
+        (_kills_unsuspected, "not suspected"),
         (_hides_a_change, "the view is not what was told"),
     ],
 )
