--- /dev/null
+++ b/tests/test_members_faults.py
@@ -0,0 +1,57 @@
+"""Membership's core under faults that the storm found: each on messages and times made by hand."""
+
+from dataclasses import replace
+
+from cloverkeel.fleet.membership.member import MOST_OUTRANKED, Member
+from cloverkeel.fleet.membership.messages import Changed, Ping, Push, Timing
+from cloverkeel.fleet.membership.rumours import Rumour, Status
+
+A = Rumour("a", "127.0.0.1:1", 5, Status.ALIVE)
+B = Rumour("b", "127.0.0.1:2", 3, Status.ALIVE)
+
+
+def started(me: Rumour = A, seeds: tuple[str, ...] = (), take_over: bool = False) -> Member:
+    member = Member(me, Timing(), seeds, take_over)
+    member.start(0.0)
+    return member
+
+
+def test_a_ping_that_says_its_suspicion_twice_is_refuted_once() -> None:
+    member = started()
+    suspicion = replace(A, status=Status.SUSPECT, by="b")
+    actions = member.receive(Ping(1, B, "a", (suspicion,), suspect=True), 1.0)
+    assert [a.rumour.incarnation for a in actions if isinstance(a, Changed) and a.rumour.name == "a"] == [6]
+    assert member.roster.health.score == 1
+
+
+def test_a_member_started_with_an_old_incarnation_outranks_what_is_held_of_its_older_self() -> None:
+    member = started()
+    older = replace(A, incarnation=9)
+    member.receive(Ping(1, B, "a", (older,)), 1.0)
+    assert member.me.incarnation == 10 and member.roster.health.score == 0
+    assert member.roster.broadcasts.waiting["a"][-1] == member.me
+    member.receive(Ping(2, B, "a", (older, member.me)), 2.0)
+    assert member.me.incarnation == 10
+
+
+def test_a_successor_outranks_its_older_self_after_its_join_too_until_it_would_go_on_for_ever() -> None:
+    successor = started(replace(A, address="127.0.0.1:9", incarnation=6), ("127.0.0.1:2",), take_over=True)
+    successor.receive(Push(B, (B, A)), 0.1)
+    assert successor.joining_until_s is None and successor.me.incarnation == 6
+    refuted = replace(A, incarnation=7)  # the older one had to refute something before it heard
+    successor.receive(Ping(1, B, "a", (refuted,)), 0.2)
+    assert not successor.refused and successor.me.incarnation == 8
+    for n in range(MOST_OUTRANKED):
+        successor.receive(Ping(2, B, "a", (replace(A, incarnation=10 + 10 * n),)), 0.3)
+    assert successor.refused
+
+
+def test_a_successor_that_nobody_answered_still_follows_the_first_process_that_it_hears_of() -> None:
+    successor = started(replace(A, address="127.0.0.1:9", incarnation=6), ("127.0.0.1:2",), take_over=True)
+    successor.tick(2.0)
+    assert successor.joining_until_s is None
+    successor.receive(Ping(1, B, "a", (replace(A, incarnation=7),)), 3.0)
+    assert not successor.refused and successor.me.incarnation == 8
+    other = Rumour("a", "127.0.0.1:7", 9, Status.ALIVE)  # its own successor: from another address
+    successor.receive(Ping(2, B, "a", (other,)), 4.0)
+    assert successor.refused
