Header transforms: a small bounded language, its engine, the active set, check

Developers want headers changed on the way without a release. What leaves is put together from what may not be written as it came; a failure is skipped whole or refuses. Off unless configured: one test of a reference on the request path, lark not imported.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -78,6 +78,14 @@
                 settings.directory, settings.snapshot_s, settings.max_age_s, inherited is not None, kept
             )
         gateway = Gateway(config, warm, kept if keeper is not None else None)
+        if config.transforms is not None:
+            from cloverkeel.transforms.local import load as load_transforms
+
+            try:
+                gateway.transforms = load_transforms(config.transforms)
+            except ConfigError as error:
+                print(f"cloverkeel: {error}", file=sys.stderr)
+                return 2
         server = Server(config, gateway, inherited)
         fleet: FleetParts | None = None
         if config.cluster is not None:
--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -1,4 +1,5 @@
-"""The command line beside the gateway itself: `python -m cloverkeel state check|show DIR` and `members`.
+"""The command line beside the gateway itself: `python -m cloverkeel state check|show DIR`, `members`,
+`transforms check FILE`.
 
 `python -m cloverkeel` with no arguments is the gateway, as the deploy file starts it.
 """
@@ -14,6 +15,7 @@
 from typing import Any
 
 from cloverkeel.fleet import state
+from cloverkeel.transforms import commands as transforms
 
 
 def parser() -> argparse.ArgumentParser:
@@ -29,6 +31,7 @@
     members = parts.add_parser("members", help="the member table of a running gateway")
     members.add_argument("--operator", metavar="HOST:PORT", help="its operators' address (else $LB_OPERATOR)")
     members.add_argument("--json", action="store_true", help="its answer as one JSON object")
+    transforms.register(parts)
     return top
 
 
@@ -38,6 +41,9 @@
         from cloverkeel.fleet.membership import command
 
         return command.run(arguments.operator, arguments.json)
+    if arguments.part == "transforms":
+        code: int = arguments.run(arguments)
+        return code
     path = os.path.join(arguments.directory, state.FILE)
     findings, report = examine(path)
     if arguments.verb == "check":
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.cluster import ClusterSettings
+    from cloverkeel.transforms.settings import TransformSettings
 
 Address = tuple[str, int]
 
@@ -61,6 +62,7 @@
     operator: Address | None = None  # where operators call; None: nowhere
     state: StateSettings = NO_STATE
     cluster: ClusterSettings | None = None  # None: this gateway is no member of any
+    transforms: TransformSettings | None = None  # None: it changes no headers of its own accord
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -120,7 +122,8 @@
     """The new configuration, in numbers that go on from the old one's: those last as long as the process.
 
     What kept its name keeps its number and what is new comes behind. A class that is gone stays in the
-    settings, dropped. The addresses to listen on, the seed and the cluster are those of the start.
+    settings, dropped. The addresses to listen on, the seed, the cluster and the transforms are
+    those of the start.
     """
     was, now = old.names, new.names
     by_class = was.by_class + tuple(name for name in now.by_class if name not in was.by_class)
@@ -145,7 +148,7 @@
     settings = replace(new.settings, classes=classes, tenants=shares, zone=zone)
     return replace(
         new, settings=settings, names=names, listen=old.listen, operator=old.operator, seed=old.seed,
-        cluster=old.cluster,
+        cluster=old.cluster, transforms=old.transforms,
     )  # fmt: skip
 
 
@@ -225,6 +228,7 @@
             operator=parse_address(raw["operator"], "operator") if raw.get("operator") else None,
             state=_state(raw),
             cluster=_cluster(raw),
+            transforms=_transforms(raw),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
@@ -256,6 +260,14 @@
     return parse_cluster(raw["cluster"], raw.get("name"))
 
 
+def _transforms(raw: dict[str, Any]) -> TransformSettings | None:
+    if "transforms" not in raw:
+        return None
+    from cloverkeel.transforms.settings import parse_transforms  # nor does one without any
+
+    return parse_transforms(raw["transforms"])
+
+
 def parse_address(text: object, what: str) -> Address:
     host, mark, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not mark or not host or not port.isascii() or not port.isdigit() or not int(port) < 65536:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -13,7 +13,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from caperdrift.policy.balancer import Balancer
 from caperdrift.interface import (
@@ -55,6 +55,9 @@
 from cloverkeel.streams import Buffer, Upload
 from cloverkeel.telemetry import Result, Telemetry
 
+if TYPE_CHECKING:
+    from cloverkeel.transforms.active import ActiveSet
+
 NONE: Mapping[str, int] = {}
 
 
@@ -118,6 +121,7 @@
         self.closed = False
         self.known = config.known
         self.warm, self.kept = warm, kept  # what the state store had, and what it has done
+        self.transforms: ActiveSet | None = None  # replaced whole; a call keeps the one it came under
         self.listed: dict[int, dict[str, Any]] = {}  # the hosts of the list as discovery gave them
 
     def snapshot(self) -> Snapshot:
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
@@ -37,6 +37,9 @@
 )
 from cloverkeel.streams import LAST_CHUNK, Upload, chunk
 
+if TYPE_CHECKING:
+    from cloverkeel.transforms.active import ActiveSet, Refused
+
 READY_PATH = b"/health/ready"
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
@@ -75,7 +78,7 @@
 
     __slots__ = (
         "answered", "body", "expects", "fault", "headers", "is_old", "keep_alive", "method", "target",
-        "upload", "whole",
+        "transform", "upload", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -90,6 +93,7 @@
         self.answered = False  # before its body had come: the rest is read and dropped
         self.upload: Upload | None = None  # the rest of a body too long to be held
         self.fault: RequestError | None = None
+        self.transform: Callable[[list[Header]], list[Header] | Refused] | None = None  # of its answer
 
 
 class Server:
@@ -504,6 +508,10 @@
         if not id_:
             raise RequestError(400, "no X-Call-Id")
         budget_ms = _whole(headers.get(b"x-budget-ms"), "X-Budget-Ms")
+        passing = end_to_end(request.headers, NOT_PASSED_ON)
+        active = self.server.gateway.transforms
+        if active is not None:
+            passing = self.transformed(request, active, passing, headers, parts[0], path)
         body = b"".join(request.body)
         request.body.clear()
         return Call(
@@ -514,7 +522,7 @@
             work_us=_whole(headers.get(b"x-call-cost"), "X-Call-Cost"),
             is_retry=headers.get(b"x-again") == b"1",
             tenant=names.tenants.get(headers.get(b"x-caller", b""), 0),
-            head=_head(request, body),
+            head=_head(request, passing, body),
             body=body if request.upload is None else request.upload.framed(body),
             upload=request.upload,
             on_served=partial(self.on_served, request),
@@ -526,17 +534,52 @@
             on_failed=partial(self.on_failed, request),
         )
 
+    def transformed(
+        self,
+        request: Request,
+        active: ActiveSet,
+        passing: list[Header],
+        headers: dict[bytes, bytes],
+        klass: bytes,
+        path: bytes,
+    ) -> list[Header]:
+        """The headers to pass on; the answer's are changed by the same set, whichever is active then."""
+        caller, id_ = headers.get(b"x-caller", b""), headers[b"x-call-id"].decode("latin-1")
+        changed = active.request(klass, caller, path, passing, id_)
+        if not isinstance(changed, list):
+            raise RequestError(502, f"transform {changed.name} failed")
+        if active.has_response:
+            request.transform = partial(active.response, klass, caller, path, call_id=id_)
+        return changed
+
+    def passed_back(self, request: Request, reply: Reply) -> list[Header] | None:
+        """An answer's headers as the client gets them; None: a transform that must not be left out failed."""
+        headers = end_to_end(reply.headers, NOT_PASSED_BACK)
+        if request.transform is None:
+            return headers
+        changed = request.transform(headers)
+        return changed if isinstance(changed, list) else None
+
     def on_served(self, request: Request, reply: Reply) -> None:
-        if self.current is request:
-            self.answer(200, end_to_end(reply.headers, NOT_PASSED_BACK), reply.body)
+        if self.current is not request:
+            return
+        headers = self.passed_back(request, reply)
+        if headers is None:
+            self.answer(502, [], b"")
+        else:
+            self.answer(200, headers, reply.body)
 
     def on_begun(self, request: Request, reply: Reply, source: HostConnection) -> None:
         """A long answer begins: its head goes out, and its body passes as fast as the client reads."""
         transport = self.transport
         if self.current is not request or transport is None or transport.is_closing():
             return
+        headers = self.passed_back(request, reply)
+        if headers is None:
+            self.server.gateway.leave(self.current_id)  # nobody reads the rest of it
+            self.answer(502, [], b"")
+            return
         self.source = source
-        headers = end_to_end(reply.headers, NOT_PASSED_BACK)
         length = header(reply.headers, b"content-length")
         if length is not None:
             headers.append((b"Content-Length", length))
@@ -647,10 +690,10 @@
     return int(text)
 
 
-def _head(request: Request, body: bytes) -> bytes:
+def _head(request: Request, headers: list[Header], body: bytes) -> bytes:
     """What goes on to a host, all but the budget and the empty line."""
     lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-    lines += [b"%s: %s" % pair for pair in end_to_end(request.headers, NOT_PASSED_ON)]
+    lines += [b"%s: %s" % pair for pair in headers]
     if request.upload is not None and request.upload.is_chunked:
         lines.append(b"Transfer-Encoding: chunked")
     elif request.upload is not None:
--- /dev/null
+++ b/cloverkeel/transforms/active.py
@@ -0,0 +1,169 @@
+"""What is active in one gateway: an immutable set of transforms, each with the breaker that lets it run.
+
+The request path holds one reference to a set; a call keeps the set that it came under until its answer.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Literal
+
+from caperdrift.policy.breaker import Breaker, State
+
+from cloverkeel.clock import now_us
+from cloverkeel.config import stable_id
+from cloverkeel.fleet import events
+from cloverkeel.http1 import Header
+from cloverkeel.transforms import guard
+from cloverkeel.transforms.protocol import Failure, Head, Manifest, Transform
+
+Listener = Callable[[str, str, State], None]
+WHOLE = 1 << 64
+CHECKED = os.environ.get("LB_CHECK") == "1"
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """The call is not to go on: `name`, whose owner chose `on_error refuse`, failed."""
+
+    name: str
+    why: str
+
+
+class Installed:
+    """A version in this gateway: its breaker and counts go from set to set with it.
+
+    `share` is the part of calls, 0 to 1, that it gets where another version of the same name has the rest;
+    `clock` gives monotonic microseconds.
+    """
+
+    def __init__(self, transform: Transform, share: float = 1.0, clock: Callable[[], int] = now_us) -> None:
+        if not 0.0 <= share <= 1.0:
+            raise ValueError(f"a share is 0 to 1, not {share}")
+        self.transform, self.manifest, self.share, self.clock = transform, transform.manifest, share, clock
+        self.breaker = Breaker()
+        self.counts: Counter[str] = Counter()  # ran, skipped (breaker), and each kind of failure
+        self.last_failure = ""
+        self._limit = int(share * WHOLE)
+        self._listeners: list[Listener] = []
+
+    def on_trip(self, listener: Listener) -> None:
+        """`listener(name, sha256, state)` each time that the breaker has opened or closed."""
+        self._listeners.append(listener)
+
+    def takes(self, call_id: str) -> bool:
+        """Whether a call is of this version's share: the same call always is or never, at every gateway."""
+        return self.share >= 1.0 or stable_id(f"{self.manifest.name}\0{call_id}", 8) < self._limit
+
+    def run(self, head: Head) -> Head | Failure | None:
+        """One run, entered in the breaker; None where the breaker does not let it."""
+        now_us = self.clock()
+        if not self.breaker.lets_through(now_us):
+            self.counts["skipped"] += 1
+            return None
+        trial = self.breaker.take_trial()
+        result = guard.run(self.transform, head)
+        failed = isinstance(result, Failure)
+        if isinstance(result, Failure):
+            self.counts[result.kind] += 1
+            self.last_failure = f"{result.kind}: {result.why}"
+        else:
+            self.counts["ran"] += 1
+        changed = self.breaker.record(now_us, failed, trial, 0.0)
+        if changed is not None:
+            self._tell(changed)
+        return result
+
+    def _tell(self, state: State) -> None:
+        why = {"why": self.last_failure} if state is State.OPEN else {}
+        name, sha256 = self.manifest.name, self.transform.sha256
+        events.event("transforms.trip", transform=name, sha256=sha256, state=state.value, **why)
+        for listener in self._listeners:
+            try:
+                listener(name, sha256, state)
+            except Exception as error:  # guards the call that is under way against the listener's trouble
+                events.event("transforms.listener_failed", transform=name, why=repr(error))
+
+    def status(self) -> dict[str, Any]:
+        return {
+            "name": self.manifest.name, "owner": self.manifest.owner, "sha256": self.transform.sha256,
+            "phase": self.manifest.phase, "share": self.share, "breaker": self.breaker.state.value,
+            "counts": dict(self.counts), "last_failure": self.last_failure,
+        }  # fmt: skip
+
+
+class ActiveSet:
+    """Immutable. Transforms run in the order of their names, each on what the one before left.
+
+    Raises ValueError where a name has more than one version with all of the calls, or more than one canary.
+    """
+
+    __slots__ = ("_request", "_response", "installed")
+
+    def __init__(self, *installed: Installed) -> None:
+        self.installed = installed
+        by_name: dict[str, list[Installed]] = {}
+        for each in sorted(installed, key=lambda i: (i.manifest.name, i.share)):
+            by_name.setdefault(each.manifest.name, []).append(each)
+        for name, versions in by_name.items():
+            if len(versions) > 2 or (len(versions) == 2 and not versions[0].share < versions[1].share == 1.0):
+                raise ValueError(f"{name}: one version, and one canary of a smaller share, at most")
+        # A name's two versions are one choice, though they may differ in phase.
+        names = list(by_name.values())
+        self._request = self._of_phase("request", names)
+        self._response = self._of_phase("response", names)
+
+    @staticmethod
+    def _of_phase(phase: str, names: list[list[Installed]]) -> tuple[tuple[Installed, ...], ...]:
+        return tuple(tuple(v) for v in names if any(i.manifest.phase == phase for i in v))
+
+    @property
+    def has_response(self) -> bool:
+        return bool(self._response)
+
+    def request(
+        self, klass: bytes, caller: bytes, path: bytes, headers: list[Header], call_id: str
+    ) -> list[Header] | Refused:
+        """The end-to-end headers of a request as they go on to a host; `path` is without its query."""
+        return self._changed("request", self._request, Head(tuple(headers), klass, caller, path), call_id)
+
+    def response(
+        self, klass: bytes, caller: bytes, path: bytes, headers: list[Header], call_id: str
+    ) -> list[Header] | Refused:
+        """The same of a host's answer, for the call that it answers."""
+        return self._changed("response", self._response, Head(tuple(headers), klass, caller, path), call_id)
+
+    def _changed(
+        self,
+        phase: Literal["request", "response"],
+        names: tuple[tuple[Installed, ...], ...],
+        head: Head,
+        call_id: str,
+    ) -> list[Header] | Refused:
+        for versions in names:
+            for version in versions:
+                if not version.takes(call_id):
+                    continue
+                manifest = version.manifest
+                if manifest.phase != phase or not manifest.applies(head.klass, head.caller, head.path):
+                    break
+                result = version.run(head)
+                if result is None:
+                    continue  # a canary's breaker is open: the other has its calls
+                if isinstance(result, Head):
+                    if CHECKED:
+                        check(manifest, head, result)
+                    head = result
+                elif manifest.on_error == "refuse":
+                    return Refused(manifest.name, result.why)
+                break
+        return list(head.headers)
+
+
+def check(manifest: Manifest, came: Head, leaves: Head) -> None:
+    """Log where the invariant of the whole part is broken."""
+    if not guard.differs_only_in(manifest.writes, came.headers, leaves.headers):
+        events.event("invariant.broken", what="a head differs only in writes", transform=manifest.name)
--- /dev/null
+++ b/cloverkeel/transforms/local.py
@@ -0,0 +1,62 @@
+"""The transforms that a gateway's own configuration names, made ready before clients are let in."""
+
+from __future__ import annotations
+
+from importlib.metadata import entry_points
+
+from cloverkeel.config import ConfigError
+from cloverkeel.fleet import events
+from cloverkeel.transforms.active import ActiveSet, Installed
+from cloverkeel.transforms.protocol import GROUP, Manifest, Transform
+from cloverkeel.transforms.settings import TransformSettings
+
+
+def load(settings: TransformSettings) -> ActiveSet:
+    """All of them, or ConfigError for the first that cannot be used."""
+    events.setup()
+    installed = [Installed(from_file(path)) for path in settings.files]
+    installed += [Installed(plugin(name)) for name in settings.plugins]
+    try:
+        active = ActiveSet(*installed)
+    except ValueError as error:
+        raise ConfigError(f"transforms: {error}") from None
+    for each in installed:
+        manifest = each.manifest
+        events.event(
+            "transforms.active", transform=manifest.name, sha256=each.transform.sha256, phase=manifest.phase
+        )
+    return active
+
+
+def from_file(path: str) -> Transform:
+    """Raises ConfigError, with the first fault's place; the golden cases must hold too."""
+    # Imported late: shipped code alone needs no parser.
+    from cloverkeel.transforms.engine import compile, failed_cases
+    from cloverkeel.transforms.source import SourceError, parse
+
+    try:
+        with open(path, "rb") as file:
+            compiled = compile(parse(file.read()))
+    except OSError as error:
+        raise ConfigError(f"transforms: {path}: {error.strerror}") from None
+    except SourceError as error:
+        raise ConfigError(f"transforms: {path}:{error.faults[0]}") from None
+    for fault in failed_cases(compiled):
+        raise ConfigError(f"transforms: {path}:{fault}")
+    return compiled
+
+
+def plugin(name: str) -> Transform:
+    """The entry point of that name; raises ConfigError where there is none that can be used."""
+    found = entry_points(group=GROUP, name=name)
+    if not found:
+        raise ConfigError(f"transforms: no entry point {name} in the group {GROUP}")
+    try:
+        transform: Transform = next(iter(found)).load()
+        manifest = transform.manifest
+        is_sound = isinstance(manifest, Manifest) and isinstance(transform.sha256, str)
+    except Exception as error:
+        raise ConfigError(f"transforms: {name} cannot be loaded: {type(error).__name__}: {error}") from None
+    if not is_sound or not callable(getattr(transform, "apply", None)):
+        raise ConfigError(f"transforms: {name} is no transform")
+    return transform
--- /dev/null
+++ b/cloverkeel/transforms/running.py
@@ -0,0 +1,133 @@
+"""One run of a compiled transform: the steps it has left, the headers it works on, the functions of text.
+
+All text is bytes, as on the wire. Steps are paid before the work, and one makes no more than `TEXT_STEP`
+bytes, so that the steps bound the memory too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cloverkeel.transforms.protocol import Head, OverBudgetError
+
+TEXT_MOST = 8 * 1024  # bytes of one value
+TEXT_STEP = 64  # bytes that one step reads or makes
+HEADERS_STEP = 8  # headers that one step walks
+
+
+class FailedError(Exception):
+    """The transform said `fail`, or would make a text that is too long."""
+
+
+class Run:
+    __slots__ = ("caller", "headers", "klass", "left", "path", "value")
+
+    def __init__(self, head: Head, steps: int) -> None:
+        self.left = steps
+        self.headers = [(name.lower(), name, value) for name, value in head.headers]
+        self.klass, self.caller, self.path = head.klass, head.caller, head.path
+        self.value = b""  # of the header that `rewrite` is at
+
+    def pay(self, steps: int) -> None:
+        self.left -= steps
+        if self.left < 0:
+            raise OverBudgetError
+
+    def walk(self) -> None:
+        """Pay for one walk over the headers."""
+        self.pay(1 + len(self.headers) // HEADERS_STEP)
+
+    def first(self, name: bytes) -> bytes | None:
+        self.walk()
+        for lower, _, value in self.headers:
+            if lower == name:
+                return value
+        return None
+
+    def remove(self, name: bytes) -> None:
+        self.walk()
+        self.headers = [entry for entry in self.headers if entry[0] != name]
+
+    def add(self, name: bytes, value: bytes) -> None:
+        self.pay(1)
+        self.headers.append((name, name, value))
+
+    def set(self, name: bytes, value: bytes) -> None:
+        """In the first one's place and spelling, where there is one."""
+        self.walk()
+        changed, is_first = [], True
+        for entry in self.headers:
+            if entry[0] != name:
+                changed.append(entry)
+            elif is_first:
+                changed.append((name, entry[1], value))
+                is_first = False
+        if is_first:
+            changed.append((name, name, value))
+        self.headers = changed
+
+    def rename(self, old: bytes, new: bytes) -> None:
+        self.walk()
+        self.headers = [(new, new, entry[2]) if entry[0] == old else entry for entry in self.headers]
+
+    def rewrite(self, name: bytes, value_of: Callable[[], bytes]) -> None:
+        self.walk()
+        for place, (lower, spelled, value) in enumerate(self.headers):
+            if lower == name:
+                self.pay(1)
+                self.value = value
+                self.headers[place] = (lower, spelled, value_of())
+
+
+def check_text(run: Run, size: int) -> None:
+    """Before a text is made."""
+    if size > TEXT_MOST:
+        raise FailedError(f"a text over {TEXT_MOST} bytes")
+    run.pay(size // TEXT_STEP)
+
+
+def joined(run: Run, parts: list[bytes]) -> bytes:
+    check_text(run, sum(map(len, parts)))
+    return b"".join(parts)
+
+
+def replaced(run: Run, text: bytes, old: bytes, new: bytes) -> bytes:
+    """`old` is not empty where it is found: an empty one is found nowhere."""
+    run.pay((len(text) + len(old) + len(new)) // TEXT_STEP)
+    found = text.count(old) if old else 0
+    if not found:
+        return text
+    check_text(run, len(text) + found * (len(new) - len(old)))
+    return text.replace(old, new)
+
+
+def pair(function: Callable[[bytes, bytes], object]) -> Callable[..., object]:
+    """A function of two texts that makes none longer than the first, paid by their lengths."""
+
+    def paid(run: Run, a: bytes, b: bytes) -> object:
+        run.pay((len(a) + len(b)) // TEXT_STEP)
+        return function(a, b)
+
+    return paid
+
+
+def single(function: Callable[[bytes], bytes]) -> Callable[..., object]:
+    def paid(run: Run, text: bytes) -> object:
+        run.pay(len(text) // TEXT_STEP)
+        return function(text)
+
+    return paid
+
+
+# Name to function of the run and texts, how many texts, and whether it makes a truth.
+FUNCTIONS: dict[str, tuple[Callable[..., object], int, bool]] = {
+    "lower": (single(bytes.lower), 1, False),
+    "upper": (single(bytes.upper), 1, False),
+    "trim": (single(bytes.strip), 1, False),
+    "starts_with": (pair(bytes.startswith), 2, True),
+    "ends_with": (pair(bytes.endswith), 2, True),
+    "contains": (pair(lambda a, b: b in a), 2, True),
+    "before": (pair(lambda a, b: a.partition(b)[0] if b else a), 2, False),
+    "after": (pair(lambda a, b: a.partition(b)[2] if b else b""), 2, False),
+    "replace": (replaced, 3, False),
+}
--- /dev/null
+++ b/cloverkeel/transforms/source.py
@@ -0,0 +1,241 @@
+"""A transform's file: its manifest, its tree and its golden cases, with each fault's line and column."""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, cast
+
+import lark
+from lark.exceptions import UnexpectedEOF, UnexpectedInput, UnexpectedToken
+
+from cloverkeel.http1 import Header
+from cloverkeel.transforms.grammar import GRAMMAR
+from cloverkeel.transforms.guard import NAME
+from cloverkeel.transforms.protocol import DEFAULT_STEPS, FORBIDDEN, STEPS_MOST, Head, Manifest
+
+if TYPE_CHECKING:
+    Tree = lark.Tree[lark.Token]
+
+SOURCE_MOST = 32 * 1024  # bytes
+NESTING_MOST = 64
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Fault:
+    """One thing that is wrong; line and column count from 1, the column in characters."""
+
+    line: int
+    column: int
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.line}:{self.column}: {self.reason}"
+
+
+class SourceError(ValueError):
+    """The file is no transform; `faults` has why, in the file's order."""
+
+    def __init__(self, faults: list[Fault]) -> None:
+        self.faults = sorted(set(faults))
+        super().__init__("; ".join(map(str, self.faults)))
+
+
+@dataclass(slots=True, frozen=True)
+class Case:
+    """A golden case: the head that comes, and what leaves it (None: the run must fail)."""
+
+    title: str
+    line: int
+    column: int
+    came: Head
+    leaves: tuple[Header, ...] | None
+
+
+@dataclass(slots=True, frozen=True, eq=False)
+class Source:
+    manifest: Manifest
+    sha256: str
+    functions: tuple[Tree, ...]
+    statements: tuple[Tree, ...]
+    cases: tuple[Case, ...]
+
+
+def parse(data: bytes) -> Source:
+    """Raises SourceError; what only the compiler sees (types, reads, writes) is `engine.compile`'s to say."""
+    if len(data) > SOURCE_MOST:
+        raise SourceError([Fault(1, 1, f"longer than {SOURCE_MOST} bytes")])
+    try:
+        text = data.decode()
+    except UnicodeDecodeError as error:
+        before = data[: error.start].decode()
+        at = before.count("\n") + 1, len(before) - before.rfind("\n")
+        raise SourceError([Fault(*at, "not UTF-8")]) from None
+    try:
+        tree = parser().parse(text)
+    except UnexpectedInput as error:
+        raise SourceError([_syntax(error, text)]) from None
+    _check_nesting(tree)
+    builder = _Builder()
+    source = builder.source(tree, hashlib.sha256(data).hexdigest())
+    if builder.faults:
+        raise SourceError(builder.faults)
+    return source
+
+
+@functools.cache
+def parser() -> lark.Lark:
+    return lark.Lark(GRAMMAR, parser="lalr", propagate_positions=True, maybe_placeholders=False)
+
+
+def _syntax(error: UnexpectedInput, text: str) -> Fault:
+    expected: set[str] = set(getattr(error, "accepts", None) or getattr(error, "expected", None) or ())
+    expected |= set(getattr(error, "allowed", None) or ())
+    wanted = ", ".join(sorted(name.strip("_").lower() for name in expected)[:12])
+    if isinstance(error, UnexpectedEOF) or (
+        isinstance(error, UnexpectedToken) and error.token.type == "$END"
+    ):
+        return Fault(
+            text.count("\n") + 1, len(text) - text.rfind("\n"), f"the file ends here; expected {wanted}"
+        )
+    word = text[error.pos_in_stream or 0 :].split(maxsplit=1)[:1]
+    return Fault(error.line, error.column, f"unexpected {(word or [''])[0]!r:.40}; expected {wanted}")
+
+
+def _check_nesting(tree: Tree) -> None:
+    """Guards against a tree too deep to walk; walks it itself without recursion."""
+    depths: dict[int, int] = {}
+    for part in tree.iter_subtrees():  # children first
+        below = [depths[id(child)] for child in part.children if isinstance(child, lark.Tree)]
+        depths[id(part)] = depth = 1 + max(below, default=0)
+        if depth > NESTING_MOST:
+            raise SourceError([Fault(part.meta.line, part.meta.column, f"nested deeper than {NESTING_MOST}")])
+
+
+def text_of(token: lark.Token, faults: list[Fault]) -> str:
+    """A text between quotes, or a bare word as it is."""
+    if token.type != "STRING":
+        return str(token)
+    out, rest = [], iter(token[1:-1])
+    for place, c in enumerate(rest):
+        if c == "\\":
+            c = next(rest)
+            if c not in '"\\':
+                faults.append(
+                    Fault(place_of(token)[0], place_of(token)[1], f'\\{c}: only \\" and \\\\ are escapes')
+                )
+        elif not (" " <= c <= "~" or c == "\t"):
+            reason = f"character {place + 1} of this text is not printable ASCII"
+            faults.append(Fault(place_of(token)[0], place_of(token)[1], reason))
+        out.append(c)
+    return "".join(out)
+
+
+def place_of(token: lark.Token) -> tuple[int, int]:
+    return token.line or 0, token.column or 0
+
+
+class _Builder:
+    """Manifest and cases from the tree; `faults` collects what is wrong."""
+
+    def __init__(self) -> None:
+        self.faults: list[Fault] = []
+
+    def fault(self, token: lark.Token, reason: str) -> None:
+        self.faults.append(Fault(*place_of(token), reason))
+
+    def source(self, tree: Tree, sha256: str) -> Source:
+        parts = {part.data: cast("Tree", part) for part in tree.children if isinstance(part, lark.Tree)}
+        manifest = self.manifest(parts["manifest"])
+        cases = tuple(self.case(cast("Tree", case)) for case in parts["cases"].children)
+        functions = cast("tuple[Tree, ...]", tuple(parts["functions"].children))
+        return Source(
+            manifest, sha256, functions, cast("tuple[Tree, ...]", tuple(parts["statements"].children)), cases
+        )
+
+    def manifest(self, tree: Tree) -> Manifest:
+        name_token = cast(lark.Token, tree.children[0])
+        fields: dict[str, Any] = {"name": self.name(name_token)}
+        take: dict[str, Callable[[list[lark.Token]], Any]] = {
+            "owner": lambda tokens: self.name(tokens[0]),
+            "phase": lambda tokens: self.one_of(tokens[0], "request", "response"),
+            "classes": self.values, "callers": self.values,
+            "path_prefix": lambda tokens: text_of(tokens[0], self.faults).encode("ascii", "replace"),
+            "reads": self.headers, "writes": self.written, "steps": self.steps,
+            "on_error": lambda tokens: self.one_of(tokens[0], "skip", "refuse"),
+        }  # fmt: skip
+        for entry in cast("list[Tree]", tree.children[1:]):
+            tokens, key = cast("list[lark.Token]", entry.children), str(entry.data)
+            if key in fields:
+                self.fault(tokens[0], f"{key} is said twice")
+            fields[key] = take[key](tokens)
+        for key in ("owner", "phase"):
+            if key not in fields:
+                self.fault(name_token, f"no {key} is given")
+        return Manifest(**({"owner": "", "phase": "request"} | fields))
+
+    def name(self, token: lark.Token) -> str:
+        name = text_of(token, self.faults)
+        if not 1 <= len(name) <= 128:
+            self.fault(token, "a name has 1 to 128 characters")
+        return name
+
+    def one_of(self, token: lark.Token, *words: str) -> str:
+        if token not in words:
+            self.fault(token, f"neither {' nor '.join(words)}")
+        return str(token)
+
+    def values(self, tokens: list[lark.Token]) -> frozenset[bytes]:
+        return frozenset(text_of(token, self.faults).encode("ascii", "replace") for token in tokens)
+
+    def headers(self, tokens: list[lark.Token]) -> frozenset[bytes]:
+        return frozenset(header_name(token, self.faults) for token in tokens)
+
+    def written(self, tokens: list[lark.Token]) -> frozenset[bytes]:
+        names = [header_name(token, self.faults) for token in tokens]
+        for token, name in zip(tokens, names, strict=True):
+            if name in FORBIDDEN:
+                self.fault(token, f"{token} is not a transform's to write")
+        return frozenset(names) - FORBIDDEN
+
+    def steps(self, tokens: list[lark.Token]) -> int:
+        steps = int(tokens[0])
+        if not 1 <= steps <= STEPS_MOST:
+            self.fault(tokens[0], f"steps is 1 to {STEPS_MOST}")
+        return steps or DEFAULT_STEPS
+
+    def case(self, tree: Tree) -> Case:
+        title = cast(lark.Token, tree.children[0])
+        facts = {"klass": b"", "caller": b"", "path": b""}
+        came: list[Header] = []
+        leaves: list[Header] = []
+        fails = False
+        for part in cast("list[Tree]", tree.children[1:]):
+            key = str(part.data)
+            fails = fails or key == "fails"
+            if key in ("came", "leaves"):
+                (came if key == "came" else leaves).append(self.line(cast(lark.Token, part.children[0])))
+            elif key in facts:
+                facts[key] = text_of(cast(lark.Token, part.children[0]), self.faults).encode(
+                    "ascii", "replace"
+                )
+        if fails and leaves:
+            self.fault(title, "a case that fails has no out")
+        head = Head(tuple(came), facts["klass"], facts["caller"], facts["path"])
+        return Case(text_of(title, self.faults), *place_of(title), head, None if fails else tuple(leaves))
+
+    def line(self, token: lark.Token) -> Header:
+        name, colon, value = text_of(token, self.faults).encode("ascii", "replace").partition(b":")
+        if not colon or not NAME.fullmatch(name):
+            self.fault(token, "not of the form name: value")
+        return name, value.strip(b" \t")
+
+
+def header_name(token: lark.Token, faults: list[Fault]) -> bytes:
+    """In lower case; a name that is none is a fault."""
+    name = text_of(token, faults).lower().encode("ascii", "replace")
+    if not NAME.fullmatch(name):
+        faults.append(Fault(*place_of(token), f"{token} is no header's name"))
+    return name
--- /dev/null
+++ b/tests/test_transforms_active.py
@@ -0,0 +1,198 @@
+"""The active set: breakers, canaries, refusals, and calls in flight through a real gateway."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from caperdrift.policy.breaker import COOLDOWN_US, MINIMUM, TRIALS, State
+from cloverkeel.commands import run as command
+from cloverkeel.config import ConfigError, parse
+from cloverkeel.http1 import Header
+from cloverkeel.transforms import local
+from cloverkeel.transforms.active import ActiveSet, Installed, Refused
+from cloverkeel.transforms.engine import compile
+from cloverkeel.transforms.source import parse as parse_source
+from faultlab.lab import configuration as lab_configuration
+from tests.sockets import answers, configuration, on_loop, peer, reply, request, running
+
+CAME = [(b"a", b"1"), (b"d", b"2")]
+
+
+class Clock:
+    now_us = 0
+
+    def __call__(self) -> int:
+        return self.now_us
+
+
+def installed(
+    body: str, more: str = "", share: float = 1.0, clock: Clock | None = None, name: str = "t"
+) -> Installed:
+    phase = "" if "phase" in more else "phase request"
+    source = f"transform {name} owner o {phase} {more} reads a writes a, b {body}"
+    return Installed(compile(parse_source(source.encode())), share, clock or Clock())
+
+
+def ask(
+    active: ActiveSet, call_id: str = "i", klass: bytes = b"k", caller: bytes = b"c"
+) -> list[Header] | Refused:
+    return active.request(klass, caller, b"/k/1", list(CAME), call_id)
+
+
+def test_it_applies_to_its_calls_alone_and_in_the_order_of_names() -> None:
+    first = installed('set b = "1"', 'applies class k applies caller c applies path "/k/"', name="a")
+    second = installed('add b = header("a") + "2"', name="b")
+    active = ActiveSet(second, first)
+    assert ask(active) == [(b"d", b"2"), (b"a", b"1"), (b"b", b"1"), (b"b", b"12")]
+    assert (
+        ask(active, klass=b"other")
+        == ask(active, caller=b"other")
+        == [(b"d", b"2"), (b"a", b"1"), (b"b", b"12")]
+    )
+
+
+def test_a_canary_has_its_share_and_the_same_call_the_same_version() -> None:
+    active = ActiveSet(installed('set b = "old"'), installed('set b = "new"', share=0.3))
+    took = [ask(active, f"call-{n}") for n in range(2000)]
+    assert took == [ask(active, f"call-{n}") for n in range(2000)]
+    assert 500 < sum((b"b", b"new") in headers for headers in took if isinstance(headers, list)) < 700
+    with pytest.raises(ValueError, match="one version"):
+        ActiveSet(installed(""), installed(""))
+
+
+def test_the_breaker_stops_a_failing_version_tries_it_again_and_tells() -> None:
+    clock = Clock()
+    version = installed('when header("a") == "1" { fail "no" } set b = "x"', clock=clock)
+    told: list[tuple[str, State]] = []
+    version.on_trip(lambda name, sha256, state: told.append((name, state)))
+    active = ActiveSet(version)
+    for _ in range(MINIMUM + 4):
+        assert ask(active) == CAME
+    assert told == [("t", State.OPEN)] and version.counts == {"raised": MINIMUM, "skipped": 4}
+    clock.now_us += COOLDOWN_US
+    assert active.request(b"", b"", b"", [(b"a", b"2")], "i") == [(b"a", b"2"), (b"b", b"x")]
+    for _ in range(TRIALS - 1):
+        active.request(b"", b"", b"", [(b"a", b"2")], "i")
+    assert told == [("t", State.OPEN), ("t", State.CLOSED)]
+    assert version.status()["breaker"] == "closed" and version.status()["last_failure"].endswith("no")
+
+
+def test_a_canary_whose_breaker_is_open_leaves_its_calls_to_the_version_before() -> None:
+    active = ActiveSet(installed('set b = "old"'), installed('fail "no"', share=0.999999))
+    for _ in range(MINIMUM):
+        assert ask(active) == CAME
+    assert (b"b", b"old") in ask(active)  # type: ignore[operator]
+
+
+def test_refuse_refuses_until_the_breaker_opens() -> None:
+    active = ActiveSet(installed('fail "no"', "on_error refuse"))
+    answers = [ask(active) for _ in range(MINIMUM + 1)]
+    assert answers == [Refused("t", "FailedError: no")] * MINIMUM + [CAME]
+
+
+@on_loop
+async def test_both_heads_pass_changed_and_a_call_keeps_the_set_it_came_under() -> None:
+    go = asyncio.Event()
+
+    async def late(exchange: Any) -> None:
+        await go.wait()
+        exchange.answer(reply(200, b"fine", "A: host", "D: 2"))
+
+    both = ActiveSet(
+        installed('set b = header("a", "none") + class', name="q"),
+        installed('rewrite a = value + "!"', "phase response", name="s"),
+    )
+    async with peer(late) as host, running(configuration(host)) as run:
+        run.gateway.transforms = both
+        asked = asyncio.create_task(run.ask(request("transfer", a="1")))
+        while not host.seen:
+            await asyncio.sleep(0.002)
+        run.gateway.transforms = None
+        go.set()
+        answer = await asked
+        assert host.seen[0].message.headers["b"] == "1transfer"
+        assert (answer.status, answer.headers["a"], answer.headers["d"]) == (200, "host!", "2")
+        assert (await run.ask(request("transfer"))).headers["a"] == "host"
+        assert "b" not in host.seen[1].message.headers
+
+
+@on_loop
+async def test_a_failed_transform_is_skipped_or_refuses_short_and_long_answers() -> None:
+    for size in (4, 200_000):
+        async with peer(answers(reply(200, b"x" * size))) as host, running(configuration(host)) as run:
+            run.gateway.transforms = ActiveSet(
+                installed('fail "no"'), installed('fail "no"', "phase response", name="s")
+            )
+            assert len((await run.ask(request("transfer"))).body) == size
+            run.gateway.transforms = ActiveSet(installed('fail "no"', "phase response on_error refuse"))
+            assert (await run.ask(request("transfer"))).status == 502
+            run.gateway.transforms = None
+            assert (await run.ask(request("transfer"))).status == 200
+            run.gateway.transforms = ActiveSet(installed('fail "no"', "on_error refuse"))
+            seen = len(host.seen)
+            assert (await run.ask(request("transfer"))).status == 502
+            assert len(host.seen) == seen and not run.gateway.held
+
+
+def test_check_names_each_fault_and_its_exit_code(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    page = (Path(__file__).parent.parent / "docs" / "transforms.md").read_text()
+    example = page.split("   ```\n")[1].replace("\n   ", "\n").removeprefix("   ")  # the page's own first one
+    file = tmp_path / "route-mark.transform"
+    file.write_text(example)
+    assert command(["transforms", "check", str(file)]) == 0
+    assert "sound: route-mark, phase request, 1 cases hold" in capsys.readouterr().out
+    file.write_text(example.replace("r-north", "r-south"))
+    assert command(["transforms", "check", str(file)]) == 1
+    assert f'{file}:16:6: case "a route is marked' in capsys.readouterr().out
+    file.write_text(example.replace("remove x-debug", "remove x-other"))
+    assert command(["transforms", "check", str(file)]) == 1
+    assert f"{file}:14:8: x-other is not in writes" in capsys.readouterr().out
+    assert command(["transforms", "check", str(tmp_path / "none")]) == 2
+
+
+def test_the_configuration_names_files_and_plugins_or_one_clear_reason(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    good, bad = tmp_path / "good", tmp_path / "bad"
+    good.write_text('transform t owner o phase request writes b set b = "x"')
+    bad.write_text("transform t owner o")
+    raw = lab_configuration("n", 1, "127.0.0.1:1", [])
+    settings = parse(raw | {"transforms": {"files": [str(good)]}}).transforms
+    assert settings is not None and local.load(settings).request(b"", b"", b"", [], "i") == [(b"b", b"x")]
+    assert parse(raw).transforms is None
+    wrongs: tuple[object, ...] = ([], {"files": "x"}, {"file": []}, {"plugins": [1]})
+    for wrong in wrongs:
+        with pytest.raises(ConfigError, match="transforms"):
+            parse(raw | {"transforms": wrong})
+    for key, name, why in (
+        ("files", str(bad), ":1:11: no phase"), ("files", str(tmp_path / "none"), "No such file"),
+        ("plugins", "none", "no entry point none in the group firledge.transforms"),
+    ):  # fmt: skip
+        named = parse(raw | {"transforms": {key: [name]}}).transforms
+        assert named is not None
+        with pytest.raises(ConfigError, match=why):
+            local.load(named)
+    # An entry point as an installed distribution registers it.
+    module = tmp_path / "shipped_mark.py"
+    module.write_text(
+        "from cloverkeel.transforms.protocol import Manifest\n"
+        "class Mark:\n"
+        "    manifest = Manifest('mark', 'o', 'request', writes=frozenset({b'b'}))\n"
+        "    sha256 = '0' * 64\n"
+        "    def apply(self, head): return [(b'b', b'shipped')]\n"
+        "mark, none = Mark(), object()\n"
+    )
+    about = tmp_path / "shipped-1.dist-info"
+    about.mkdir()
+    (about / "METADATA").write_text("Metadata-Version: 2.1\nName: shipped\nVersion: 1\n")
+    (about / "entry_points.txt").write_text(
+        "[firledge.transforms]\nmark = shipped_mark:mark\nnone = shipped_mark:none\n"
+    )
+    monkeypatch.syspath_prepend(tmp_path)
+    assert ActiveSet(Installed(local.plugin("mark"))).request(b"", b"", b"", [], "i") == [(b"b", b"shipped")]
+    with pytest.raises(ConfigError, match="none cannot be loaded"):
+        local.plugin("none")
