--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -9,9 +9,9 @@
 import argparse
 import sys
 
-from faultlab import membership, recovery
+from faultlab import membership, recovery, transforms
 
-EXPERIMENTS = (recovery, membership)
+EXPERIMENTS = (recovery, membership, transforms)
 
 
 def main(argv: list[str]) -> int:
--- a/faultlab/lab.py
+++ b/faultlab/lab.py
@@ -69,6 +69,7 @@
     log: list[str] = field(default_factory=list)
     reader: asyncio.Task[None] | None = None
     logged: asyncio.Event = field(default_factory=asyncio.Event)
+    root: Path = ROOT  # of the program that it runs
 
     @property
     def port(self) -> int:
@@ -87,7 +88,7 @@
         self.log = []  # of this process only
         began = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cloverkeel", cwd=ROOT, env=environment,
+            sys.executable, "-m", "cloverkeel", cwd=self.root, env=environment,
             stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
             pass_fds=() if self.listener is None else (self.listener,),
         )  # fmt: skip
--- /dev/null
+++ b/faultlab/transforms/__init__.py
@@ -0,0 +1,35 @@
+"""`python -m faultlab transforms --part PART`: what header transforms cost. Each part's module has `run`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import tempfile
+from pathlib import Path
+
+from faultlab.report import Parts, positive, report
+from faultlab.transforms import engine
+
+PARTS = {"engine": engine.run}
+
+
+def register(parts: Parts) -> None:
+    """Add `transforms` and its arguments to the lab's commands."""
+    lab = parts.add_parser("transforms", help="throughput of a gateway with a transform against none")
+    lab.add_argument("--part", choices=sorted(PARTS), default="engine")
+    lab.add_argument("--rounds", type=positive, default=20, help="slices of each variant (default 20)")
+    lab.add_argument("--slice-ms", type=positive, default=500, help="a slice's length (default 500)")
+    lab.add_argument("--connections", type=positive, default=4, help="requests at once (default 4)")
+    lab.add_argument("--seed", type=int, default=1)
+    lab.add_argument(
+        "--before", type=Path, metavar="DIR", help="a checkout from before the feature, as a variant"
+    )
+    lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
+    lab.set_defaults(run=command)
+
+
+def command(arguments: argparse.Namespace) -> int:
+    with tempfile.TemporaryDirectory(prefix="faultlab-") as folder:
+        figures = PARTS[arguments.part](arguments, Path(folder))
+        report(asyncio.run(figures), arguments.json)
+    return 0
--- /dev/null
+++ b/faultlab/transforms/engine.py
@@ -0,0 +1,184 @@
+"""Real gateways side by side, without and with a transform, loaded in turn: throughput and CPU a request.
+
+The variants are started once and loaded in short slices in a shuffled order, so that what else the machine
+does meets them all.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import os
+import random
+import signal
+import statistics
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, cast
+
+from cloverkeel.transforms.engine import compile
+from cloverkeel.transforms.protocol import Head
+from cloverkeel.transforms.source import parse
+from faultlab.lab import Gateway, configuration, free_port
+from faultlab.standins import Discovery, endpoint
+from faultlab.standins import Host as Named
+
+SOURCE = b"""
+transform route-mark owner payments phase request applies class transfer
+reads x-route writes x-route-mark, x-debug
+def mark(route) = "r-" + lower(trim(route))
+when has("x-route") { set x-route-mark = mark(header("x-route")) }
+remove x-debug
+"""
+ENDLESS = b'transform endless owner o phase request steps 10000 writes b def f0(s) = ""\n' + b"".join(
+    b"def f%d(s) = f%d(s) + f%d(s)\n" % (n, n - 1, n - 1) for n in range(1, 20)
+) + b'set b = f19("")'  # fmt: skip
+HEADERS = [(b"X-Header-%d" % n, b"value-%d" % n) for n in range(8)] + [
+    (b"Host", b"lab"), (b"X-Route", b"North"), (b"X-Debug", b"1"), (b"Cookie", b"a=b"),
+]  # fmt: skip
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+HOSTS = 8  # so that no gateway takes the load for more than they can bear
+_ids = itertools.count()
+
+
+class Host(asyncio.Protocol):
+    """Answers each bodyless request at once: far cheaper than the gateway, which is what is measured."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(ANSWER * data.count(b"\r\n\r\n"))
+
+
+class Client(asyncio.Protocol):
+    """One request after another on one connection, until `ends`; counts answers of 200 and others."""
+
+    def __init__(self, ends: asyncio.Future[None]) -> None:
+        self.ends, self.good, self.other = ends, 0, 0
+        self.lines = b"".join(b"%s: %s\r\n" % pair for pair in HEADERS)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.ask()
+
+    def ask(self) -> None:
+        head = b"POST /transfer HTTP/1.1\r\n%sX-Call-Id: l%d\r\nContent-Length: 0\r\n\r\n"
+        self.transport.write(head % (self.lines, next(_ids)))
+
+    def data_received(self, data: bytes) -> None:
+        good = data.startswith(b"HTTP/1.1 200")
+        self.good, self.other = self.good + good, self.other + (not good)
+        if not self.ends.done():
+            self.ask()
+
+
+def named(number: int, server: asyncio.Server) -> Named:
+    """A listening server as the discovery lists it."""
+    host = Named(f"host-{number}")
+    host.server = server
+    return host
+
+
+def cpu_s(pid: int) -> float:
+    """CPU seconds of a process so far, to the kernel's tick."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def load(port: int, connections: int, slice_s: float) -> tuple[int, int]:
+    """Answers of 200 and others within a slice."""
+    loop = asyncio.get_running_loop()
+    ends: asyncio.Future[None] = loop.create_future()
+    made = [await loop.create_connection(lambda: Client(ends), "127.0.0.1", port) for _ in range(connections)]
+    await asyncio.sleep(slice_s)
+    ends.set_result(None)
+    for transport, _ in made:
+        transport.close()
+    return sum(client.good for _, client in made), sum(client.other for _, client in made)
+
+
+async def run(arguments: argparse.Namespace, folder: Path) -> dict[str, Any]:
+    """`one_to_none` (goal 0.85) and, with `--before`, `off_to_before` (goal 0.99), by rate and by CPU."""
+    loop = asyncio.get_running_loop()
+    servers = [await loop.create_server(Host, "127.0.0.1", 0) for _ in range(HOSTS)]
+    listed = [endpoint(named(n, server)) for n, server in enumerate(servers)]
+    discovery = Discovery(endpoints=listed)
+    await discovery.start()
+    file = folder / "route-mark.transform"
+    file.write_bytes(SOURCE)
+    variants: dict[str, tuple[dict[str, Any], Path | None]] = {
+        "none": ({}, None), "one": ({"transforms": {"files": [str(file)]}}, None),
+    }  # fmt: skip
+    if arguments.before is not None:
+        variants["before"] = {}, arguments.before
+    gateways: dict[str, Gateway] = {}
+    slices: dict[str, list[dict[str, float]]] = {name: [] for name in variants}
+    try:
+        for name, (more, root) in variants.items():
+            config = configuration(name, free_port(), discovery.address, listed) | more
+            gateways[name] = Gateway(name, folder, config, None)
+            if root is not None:
+                gateways[name].root = root.resolve()
+            if await gateways[name].start() == float("inf"):
+                raise RuntimeError(f"{name} did not start: {gateways[name].log}")
+        order = random.Random(arguments.seed)
+        for _ in range(arguments.rounds):
+            for name in order.sample(list(variants), len(variants)):
+                slices[name].append(await one_slice(gateways[name], arguments))
+    finally:
+        for gateway in gateways.values():
+            await gateway.signal(signal.SIGTERM)
+        discovery.close()
+        for server in servers:
+            server.close()
+    return figures(slices) | {"run": costs()}
+
+
+async def one_slice(gateway: Gateway, arguments: argparse.Namespace) -> dict[str, float]:
+    assert gateway.process is not None
+    pid = gateway.process.pid
+    cpu, began = cpu_s(pid), time.monotonic()
+    good, other = await load(gateway.port, arguments.connections, arguments.slice_ms / 1000)
+    return {"good": good, "other": other, "s": time.monotonic() - began, "cpu_s": cpu_s(pid) - cpu}
+
+
+def figures(slices: dict[str, list[dict[str, float]]]) -> dict[str, Any]:
+    """Throughput: the median of the rounds' ratios, whose slices lie side by side. CPU: of all slices."""
+    rates = {name: [s["good"] / s["s"] for s in these] for name, these in slices.items()}
+    total = {name: {key: sum(s[key] for s in these) for key in these[0]} for name, these in slices.items()}
+    found: dict[str, Any] = {
+        name: {
+            "per_s_median": statistics.median(rates[name]),
+            "cpu_us_per_request": 1e6 * total[name]["cpu_s"] / max(1, total[name]["good"]),
+            "answers": int(total[name]["good"]), "others": int(total[name]["other"]),
+        }
+        for name in slices
+    }  # fmt: skip
+    for over, under, called in (("one", "none", "one_to_none"), ("none", "before", "off_to_before")):
+        if over in rates and under in rates:
+            ratios = [a / b for a, b in zip(rates[over], rates[under], strict=True) if b]
+            cpu = found[under]["cpu_us_per_request"] / max(1e-9, found[over]["cpu_us_per_request"])
+            found[called] = {"throughput": statistics.median(ratios), "by_cpu": cpu}
+    return found
+
+
+def costs() -> dict[str, float]:
+    """CPU of compiling, of one run on 12 headers, and of a run that uses up the largest budget."""
+    came = Head(tuple(HEADERS), b"transfer")
+    compiled = compile(parse(SOURCE))  # the parser is made at the first one
+    endless = compile(parse(ENDLESS))
+    return {
+        "compile_ms": 1e3 * _each(lambda: compile(parse(SOURCE)), 20),
+        "run_us": 1e6 * _each(lambda: compiled.run(came), 2_000),
+        "longest_run_ms": 1e3 * _each(lambda: endless.run(came), 20),
+    }
+
+
+def _each(work: Callable[[], object], times: int) -> float:
+    began = time.process_time()
+    for _ in range(times):
+        work()
+    return (time.process_time() - began) / times
