--- a/faultlab/transforms/engine.py
+++ b/faultlab/transforms/engine.py
@@ -160,7 +160,13 @@
     pid = gateway.process.pid
     cpu, began = cpu_s(pid), time.monotonic()
     good, other = await load(gateway.port, arguments.connections, arguments.slice_ms / 1000)
-    return {"good": good, "other": other, "s": time.monotonic() - began, "cpu_s": cpu_s(pid) - cpu}
+    return {
+        "good": good,
+        "other": other,
+        "all": good + other,
+        "s": time.monotonic() - began,
+        "cpu_s": cpu_s(pid) - cpu,
+    }
 
 
 def figures(slices: dict[str, list[dict[str, float]]]) -> dict[str, Any]:
@@ -170,7 +176,7 @@
     found: dict[str, Any] = {
         name: {
             "per_s_median": statistics.median(rates[name]),
-            "cpu_us_per_request": 1e6 * total[name]["cpu_s"] / max(1, sum(total[name][k] for k in ("good", "other"))),
+            "cpu_us_per_request": 1e6 * total[name]["cpu_s"] / max(1, total[name]["all"]),
             "answers": int(total[name]["good"]), "others": int(total[name]["other"]),
         }
         for name in slices
--- a/tests/test_transforms_active.py
+++ b/tests/test_transforms_active.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -196,3 +198,16 @@
     assert ActiveSet(Installed(local.plugin("mark"))).request(b"", b"", b"", [], "i") == [(b"b", b"shipped")]
     with pytest.raises(ConfigError, match="none cannot be loaded"):
         local.plugin("none")
+
+
+def test_a_gateway_without_transforms_imports_nothing_of_them() -> None:
+    program = (
+        "import sys, cloverkeel.gateway, cloverkeel.front.server\n"
+        "from cloverkeel.config import parse\n"
+        "from faultlab.lab import configuration\n"
+        "parse(configuration('n', 1, '127.0.0.1:1', []))\n"
+        "print([m for m in sys.modules if m.startswith(('cloverkeel.transforms', 'lark'))])\n"
+    )
+    root = Path(__file__).parent.parent
+    done = subprocess.run([sys.executable, "-c", program], cwd=root, capture_output=True, text=True)
+    assert done.stdout == "[]\n", done.stderr
