--- a/cloverkeel/transforms/active.py
+++ b/cloverkeel/transforms/active.py
@@ -55,15 +55,16 @@
 
     def takes(self, call_id: str) -> bool:
         """Whether a call is of this version's share: the same call always is or never, at every gateway."""
-        return self.share >= 1.0 or stable_id(f"{self.manifest.name}\0{call_id}", 8) < self._limit
+        return stable_id(f"{self.manifest.name}\0{call_id}", 8) < self._limit
 
     def run(self, head: Head) -> Head | Failure | None:
         """One run, entered in the breaker; None where the breaker does not let it."""
-        now_us = self.clock()
-        if not self.breaker.lets_through(now_us):
-            self.counts["skipped"] += 1
-            return None
-        trial = self.breaker.take_trial()
+        breaker, now_us, trial = self.breaker, self.clock(), 0
+        if breaker.state is not State.CLOSED:
+            if not breaker.lets_through(now_us):
+                self.counts["skipped"] += 1
+                return None
+            trial = breaker.take_trial()
         result = guard.run(self.transform, head)
         failed = isinstance(result, Failure)
         if isinstance(result, Failure):
@@ -71,7 +72,7 @@
             self.last_failure = f"{result.kind}: {result.why}"
         else:
             self.counts["ran"] += 1
-        changed = self.breaker.record(now_us, failed, trial, 0.0)
+        changed = breaker.record(now_us, failed, trial, 0.0)
         if changed is not None:
             self._tell(changed)
         return result
@@ -144,7 +145,7 @@
     ) -> list[Header] | Refused:
         for versions in names:
             for version in versions:
-                if not version.takes(call_id):
+                if version.share < 1.0 and not version.takes(call_id):
                     continue
                 manifest = version.manifest
                 if manifest.phase != phase or not manifest.applies(head.klass, head.caller, head.path):
--- a/cloverkeel/transforms/engine.py
+++ b/cloverkeel/transforms/engine.py
@@ -10,7 +10,7 @@
 from cloverkeel.http1 import Header
 from cloverkeel.transforms import guard
 from cloverkeel.transforms.expressions import Expressions
-from cloverkeel.transforms.protocol import Failure, Head
+from cloverkeel.transforms.protocol import Failure, Head, OverBudgetError
 from cloverkeel.transforms.running import FailedError, Run
 from cloverkeel.transforms.source import Case, Fault, Source, SourceError, header_name, place_of, text_of
 
@@ -34,6 +34,8 @@
         run = Run(head, self.manifest.steps)
         for step in self._steps:
             step(run)
+        if run.left < 0:
+            raise OverBudgetError
         writes = self.manifest.writes
         return [(name, value) for lower, name, value in run.headers if lower in writes]
 
--- a/cloverkeel/transforms/expressions.py
+++ b/cloverkeel/transforms/expressions.py
@@ -93,7 +93,7 @@
         cost = 1 + len(value) // TEXT_STEP
 
         def run(run: Run, _: tuple[bytes, ...]) -> bytes:
-            run.pay(cost)
+            run.left -= cost
             return value
 
         return Compiled(run, False, 1)
@@ -104,7 +104,7 @@
             place = self.parameters.index(token)
 
             def parameter(run: Run, given: tuple[bytes, ...]) -> bytes:
-                run.pay(1)
+                run.left -= 1
                 return given[place]
 
             return Compiled(parameter, False, 1)
@@ -114,7 +114,7 @@
             return Compiled(lambda run, given: b"", False, 1)
 
         def of_call(run: Run, _: tuple[bytes, ...]) -> bytes:
-            run.pay(1)
+            run.left -= 1
             return fact(run)
 
         return Compiled(of_call, False, 1)
@@ -144,9 +144,17 @@
         self._count(token, len(runs), count)
 
         def builtin(run: Run, outer: tuple[bytes, ...]) -> Any:
-            run.pay(1)
+            run.left -= 1
             return work(run, *[argument(run, outer) for argument in runs])
 
+        def of_one(run: Run, outer: tuple[bytes, ...]) -> Any:
+            run.left -= 1
+            return work(run, only(run, outer))
+
+        if len(runs) == 1:
+            (only,) = runs
+            return Compiled(of_one, is_truth, depth)
+
         return Compiled(builtin, is_truth, depth)
 
     def _count(self, token: lark.Token, given: int, wanted: int) -> None:
@@ -181,7 +189,7 @@
         runs, depth = self._parts(tree, False)
 
         def join(run: Run, outer: tuple[bytes, ...]) -> bytes:
-            run.pay(1)
+            run.left -= 1
             return joined(run, [part(run, outer) for part in runs])
 
         return Compiled(join, False, depth)
@@ -197,7 +205,7 @@
         runs, depth = self._parts(tree, True)
 
         def logic(run: Run, outer: tuple[bytes, ...]) -> bool:
-            run.pay(1)
+            run.left -= 1
             return decide(part(run, outer) for part in runs)
 
         return Compiled(logic, True, depth)
@@ -206,7 +214,7 @@
         runs, depth = self._parts(tree, True)
 
         def negated(run: Run, outer: tuple[bytes, ...]) -> bool:
-            run.pay(1)
+            run.left -= 1
             return not runs[0](run, outer)
 
         return Compiled(negated, True, depth)
@@ -230,7 +238,7 @@
         other = self.expect(no, chosen.is_truth)
 
         def choice(run: Run, outer: tuple[bytes, ...]) -> Any:
-            run.pay(1)
+            run.left -= 1
             return chosen.run(run, outer) if asked.run(run, outer) else other.run(run, outer)
 
         return Compiled(choice, chosen.is_truth, 1 + max(asked.depth, chosen.depth, other.depth))
--- a/cloverkeel/transforms/guard.py
+++ b/cloverkeel/transforms/guard.py
@@ -11,9 +11,8 @@
 from itertools import chain
 
 from cloverkeel.http1 import HEAD_LIMIT, Header
-from cloverkeel.transforms.protocol import FORBIDDEN, Failure, Head, OverBudgetError, Transform
+from cloverkeel.transforms.protocol import FORBIDDEN, NAME, Failure, Head, OverBudgetError, Transform
 
-NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}")  # a token (RFC 9110, 5.6.2)
 VALUE = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]*")
 
 
@@ -57,10 +56,11 @@
         name, value = pair
         if type(name) is not bytes or type(value) is not bytes:
             return "a header is two bytes objects"
-        if not NAME.fullmatch(name):
-            return f"{name!r:.80} is no header's name"
-        if name.lower() not in writes:
-            return f"{name.decode()} is not in writes"
+        if name not in writes:  # else it is a name, in lower case
+            if not NAME.fullmatch(name):
+                return f"{name!r:.80} is no header's name"
+            if name.lower() not in writes:
+                return f"{name.decode()} is not in writes"
         if not VALUE.fullmatch(value):
             return f"{name.decode()} would hold a control character"
     return None
--- a/cloverkeel/transforms/protocol.py
+++ b/cloverkeel/transforms/protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple, Protocol
@@ -11,6 +12,7 @@
 GROUP = "firledge.transforms"  # the entry points of transforms that ship with the program
 DEFAULT_STEPS = 1_000
 STEPS_MOST = 10_000
+NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}")  # a token (RFC 9110, 5.6.2)
 FORBIDDEN = HOP_BY_HOP | {
     b"x-call-id", b"idempotency-key", b"x-budget-ms", b"host", b"x-load-report", b"x-rejected",
 }  # fmt: skip
@@ -20,7 +22,7 @@
 class Manifest:
     """Header names in lower case. Empty `classes` or `callers`: all; `steps` as docs/transforms.md counts.
 
-    Raises ValueError where `writes` has what no transform may write.
+    Raises ValueError where `writes` has what no transform may write, or no name in lower case.
     """
 
     name: str
@@ -36,8 +38,9 @@
     visible: frozenset[bytes] = field(init=False)  # what it is handed
 
     def __post_init__(self) -> None:
-        if self.writes & FORBIDDEN:
-            raise ValueError(f"{self.name} would write {sorted(self.writes & FORBIDDEN)}")
+        for name in self.writes:
+            if name in FORBIDDEN or name != name.lower() or not NAME.fullmatch(name):
+                raise ValueError(f"{self.name} cannot write {name!r:.80}")
         object.__setattr__(self, "visible", self.reads | self.writes)
 
     def applies(self, klass: bytes, caller: bytes, path: bytes) -> bool:
--- a/cloverkeel/transforms/running.py
+++ b/cloverkeel/transforms/running.py
@@ -1,7 +1,8 @@
 """One run of a compiled transform: the steps it has left, the headers it works on, the functions of text.
 
-All text is bytes, as on the wire. Steps are paid before the work, and one makes no more than `TEXT_STEP`
-bytes, so that the steps bound the memory too.
+All text is bytes, as on the wire. Text and walks are paid before the work, and a step makes no more than
+`TEXT_STEP` bytes, so that the steps bound the memory too. What costs one step is only counted; whether any
+are left is looked at with the next payment, at each call of a function and at the end: nothing else repeats.
 """
 
 from __future__ import annotations
@@ -35,7 +36,9 @@
 
     def walk(self) -> None:
         """Pay for one walk over the headers."""
-        self.pay(1 + len(self.headers) // HEADERS_STEP)
+        self.left -= 1 + len(self.headers) // HEADERS_STEP
+        if self.left < 0:
+            raise OverBudgetError
 
     def first(self, name: bytes) -> bytes | None:
         self.walk()
@@ -83,7 +86,8 @@
     """Before a text is made."""
     if size > TEXT_MOST:
         raise FailedError(f"a text over {TEXT_MOST} bytes")
-    run.pay(size // TEXT_STEP)
+    if size >= TEXT_STEP:
+        run.pay(size // TEXT_STEP)
 
 
 def joined(run: Run, parts: list[bytes]) -> bytes:
@@ -105,7 +109,8 @@
     """A function of two texts that makes none longer than the first, paid by their lengths."""
 
     def paid(run: Run, a: bytes, b: bytes) -> object:
-        run.pay((len(a) + len(b)) // TEXT_STEP)
+        if len(a) + len(b) >= TEXT_STEP:
+            run.pay((len(a) + len(b)) // TEXT_STEP)
         return function(a, b)
 
     return paid
@@ -113,7 +118,8 @@
 
 def single(function: Callable[[bytes], bytes]) -> Callable[..., object]:
     def paid(run: Run, text: bytes) -> object:
-        run.pay(len(text) // TEXT_STEP)
+        if len(text) >= TEXT_STEP:
+            run.pay(len(text) // TEXT_STEP)
         return function(text)
 
     return paid
--- a/cloverkeel/transforms/source.py
+++ b/cloverkeel/transforms/source.py
@@ -13,8 +13,7 @@
 
 from cloverkeel.http1 import Header
 from cloverkeel.transforms.grammar import GRAMMAR
-from cloverkeel.transforms.guard import NAME
-from cloverkeel.transforms.protocol import DEFAULT_STEPS, FORBIDDEN, STEPS_MOST, Head, Manifest
+from cloverkeel.transforms.protocol import DEFAULT_STEPS, FORBIDDEN, NAME, STEPS_MOST, Head, Manifest
 
 if TYPE_CHECKING:
     Tree = lark.Tree[lark.Token]
@@ -198,7 +197,7 @@
         for token, name in zip(tokens, names, strict=True):
             if name in FORBIDDEN:
                 self.fault(token, f"{token} is not a transform's to write")
-        return frozenset(names) - FORBIDDEN
+        return frozenset(name for name in names if name not in FORBIDDEN and NAME.fullmatch(name))
 
     def steps(self, tokens: list[lark.Token]) -> int:
         steps = int(tokens[0])
