--- a/tests/test_transforms_active.py
+++ b/tests/test_transforms_active.py
@@ -14,9 +14,11 @@
 from cloverkeel.commands import run as command
 from cloverkeel.config import ConfigError, parse
 from cloverkeel.http1 import Header
-from cloverkeel.transforms import local
+from cloverkeel.fleet import events, invariants
+from cloverkeel.transforms import guard, local
 from cloverkeel.transforms.active import ActiveSet, Installed, Refused
 from cloverkeel.transforms.engine import compile
+from cloverkeel.transforms.protocol import Head
 from cloverkeel.transforms.source import parse as parse_source
 from faultlab.lab import configuration as lab_configuration
 from tests.sockets import answers, configuration, on_loop, peer, reply, request, running
@@ -211,3 +213,17 @@
     root = Path(__file__).parent.parent
     done = subprocess.run([sys.executable, "-c", program], cwd=root, capture_output=True, text=True)
     assert done.stdout == "[]\n", done.stderr
+
+
+def test_a_head_that_differs_elsewhere_is_logged_where_invariants_are_checked(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(invariants, "ON", True)
+    monkeypatch.setattr(events.LOGGER, "propagate", True)
+    sound = ActiveSet(installed('set b = "x"'))
+    with caplog.at_level("INFO", logger=events.LOGGER.name):
+        ask(sound)
+        assert not caplog.records
+        monkeypatch.setattr(guard, "run", lambda transform, head: Head(head.headers[:1]))
+        assert ask(sound) == CAME[:1]  # the check is a witness, not a judge
+    assert [record.getMessage() for record in caplog.records] == ["invariant.broken"]
