--- a/faultlab/coldstart/settings.py
+++ b/faultlab/coldstart/settings.py
@@ -16,7 +16,7 @@
     hosts: int
     seed: int
     rate_per_s: float = 240.0
-    work_s: float = 0.05  # of a request at a warm host
+    cold_load: float = 0.6  # share of what the hosts can do at the start that the traffic asks for
     failing: float = 0.1  # share of the hosts that answer every request with an error
     host_cap: int = 48  # connections
     start_capacity: float = 0.33
@@ -31,6 +31,11 @@
     probe_interval_s: float = 1.0  # five times the default: one machine's processor carries all members
     seeds: int = 3
 
+    @property
+    def work_s(self) -> float:
+        """What a request takes of a warm host."""
+        return self.cold_load * self.hosts * self.start_capacity / self.rate_per_s
+
     def zone(self, number: int) -> str:
         return ZONES[number % len(ZONES)]
 
--- a/faultlab/listservice.py
+++ b/faultlab/listservice.py
@@ -161,6 +161,8 @@
                     return
                 if not await self.turn(reader):
                     self.failed += 1
+                    if writer.is_closing() or reader.at_eof():
+                        return
                     writer.write(reply(503, b"", "Service Unavailable"))
                     continue
                 if self.slow_s:
@@ -211,16 +213,18 @@
 
     def advance(self) -> None:
         self.timer = None
-        for number, (turn, reader) in list(self.turns.items()):
+        for number, (_, reader) in list(self.turns.items()):
             if reader.at_eof() and self.capacity.leave(number):
-                del self.turns[number]
-                turn.set_result(False)
+                self.end(number, False)
         for number, answered in self.capacity.advance(time.monotonic()):
-            turn, _ = self.turns.pop(number)
-            if not turn.done():
-                turn.set_result(answered)
+            self.end(number, answered)
         self.wait()
 
+    def end(self, number: int, answered: bool) -> None:
+        turn, _ = self.turns.pop(number)
+        if not turn.done():  # else its connection has been reset
+            turn.set_result(answered)
+
     async def obey(self, do: str, order: dict[str, Any]) -> Any:
         """One command of the lab; ValueError where it is none."""
         match do:
