--- a/faultlab/relay/streams.py
+++ b/faultlab/relay/streams.py
@@ -106,6 +106,8 @@
         self.open.add(stream)
         try:
             await stream.run()
+        except asyncio.CancelledError:
+            pass  # by `close`: to the system's callback a cancelled task is an error that it cannot read
         finally:
             self.open.discard(stream)
             self._tasks.discard(task)
