--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -11,8 +11,9 @@
 
 from faultlab import membership, recovery
 from faultlab.coldstart import command as coldstart
+from faultlab.storm import command as storm
 
-EXPERIMENTS = (coldstart, recovery, membership)
+EXPERIMENTS = (coldstart, recovery, membership, storm)
 
 
 def main(argv: list[str]) -> int:
