Lists by peers: one that has found none of many members draws a moment, and is no relay of its own

Of 200 gateways that start at once on a busy machine some 25 hear no seed within the second that a join waits. Each was its own only relay and called the list service: 39 calls for the whole list in one start, 118 calls in 10 s. Alone among several by the settings, a member now draws within gateways / list_calls_per_s, 5 s at most.

--- a/cloverkeel/fleet/lists/follow.py
+++ b/cloverkeel/fleet/lists/follow.py
@@ -53,6 +53,7 @@
 FULL_NAMES = 4  # named by a full one
 BLIND_WIDTH = 4.0  # the draw is so much wider while a relay speaks
 RETRY_S, RETRY_MOST_S = 0.4, 2.0  # between a relay's failed calls: doubled from the one up to the other
+ALONE_S = 5.0  # one that has found no member yet spreads its first call over so long at most
 LEAST_DRAW_S = 0.2  # a feed that ended has its successor by then
 
 
@@ -61,6 +62,7 @@
     cluster: str
     relays: int = 3
     list_calls_per_s: float = 20.0  # of the whole fleet, where all have to fall back
+    gateways: int = 1  # of the whole fleet, as the settings count them
     own_watch: bool = False  # lists are pushed at no cost: each keeps its own watch, peers help at the start
 
 
@@ -198,12 +200,20 @@
         """Whether one that is followed has a way to the service."""
         return any(feed.depth is not None for feed in self.feeds.values())
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other has been found of several: after a power loss most of a fleet is so for a moment,
+        and each of them a relay would call the service for itself."""
+        return len(self.peers) == 1 and self.settings.gateways > 1
+
     def _is_away(self, now_s: float, name: str) -> bool:
         return self.away.get(name, 0.0) > now_s
 
     def _draw_s(self) -> float:
         """How long the fleet's calls are spread. A relay that speaks and has no way itself tells that the
         service fails for all rather than that the relays are gone: less often then."""
+        if self.is_alone:
+            return max(LEAST_DRAW_S, min(ALONE_S, self.settings.gateways / self.settings.list_calls_per_s))
         draw_s = max(LEAST_DRAW_S, len(self.peers) / self.settings.list_calls_per_s)
         return draw_s * (BLIND_WIDTH if any(feed.heard for feed in self.feeds.values()) else 1.0)
 
@@ -240,7 +250,7 @@
         return actions
 
     def _role(self, now_s: float) -> list[Action]:
-        should = self.me.name in self.relays
+        should = self.me.name in self.relays and not self.is_alone
         if should == self.is_relay or now_s < self.settled_s:
             return []
         self.is_relay = should
@@ -295,7 +305,8 @@
             return [Watch(True)]
         if self.call_due_s is None:
             self.drawn_s = now_s
-            self.call_due_s = max(now_s, self.changed_s + GRACE_S) + self._draw_s() * self.rng.random()
+            from_s = now_s if self.is_alone else max(now_s, self.changed_s + GRACE_S)
+            self.call_due_s = from_s + self._draw_s() * self.rng.random()
         if now_s < self.call_due_s:
             return []
         self.watching, self.call_due_s = True, None
--- a/cloverkeel/fleet/lists/sharing.py
+++ b/cloverkeel/fleet/lists/sharing.py
@@ -39,7 +39,8 @@
     """`start` before the gateway starts; from then on `discovery` asks here what is newer. `sockets`: the
     descriptors that the process may have; `must_ask_s`: the longest silence that the settings allow towards
     the list service without a subscription. A feed is one; without any, the draw for a call of one's own ends
-    within it where `list_calls_per_s` lets the whole fleet call that fast, and a line says where it does not.
+    within it where `list_calls_per_s` lets the whole fleet call that fast, and a line says where it does not;
+    `gateways`: how many the fleet has by the settings.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         on_list: OnList,
         sockets: int,
         must_ask_s: float,
+        gateways: int,
         rng: random.Random | None = None,
     ) -> None:
         self.membership, self.calls = membership, membership.calls
@@ -60,7 +62,7 @@
         self.held = self.intake.held
         me = Peer(membership.name, membership.zone, membership.address)
         wanted = FollowSettings(
-            settings.name, settings.relays, settings.list_calls_per_s, own_watch=discovery.pushed
+            settings.name, settings.relays, settings.list_calls_per_s, gateways, discovery.pushed
         )
         self.core = Follower(me, wanted, self.rng)
         self.followers = Followers(self.held, self.core, feeds_limit(sockets), self.rng)
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -74,6 +74,7 @@
                 gateway.on_list,
                 self.config.sockets,
                 must_ask_s,
+                gateway.settings.proxies,
             )
             gateway.lists = self.sharing
             self.sharing.start()
--- a/tests/test_list_follow.py
+++ b/tests/test_list_follow.py
@@ -9,6 +9,7 @@
 
 from cloverkeel.fleet.lists.actions import Ask, Fallback, Have, Subscribe, Unsubscribe, Watch
 from cloverkeel.fleet.lists.follow import (
+    ALONE_S,
     BAD_S,
     BLIND_S,
     DEPTH,
@@ -196,3 +197,25 @@
 
 def test_the_limit_of_followers_follows_the_descriptors() -> None:
     assert [feeds_limit(n) for n in (64, 256, 1024)] == [16, 32, 128]
+
+
+def test_one_that_has_found_nobody_of_many_draws_before_it_calls_and_no_relay_is_made_of_it() -> None:
+    made = []
+    for seed in range(200):
+        core = Follower(ME, FollowSettings("site", gateways=200), random.Random(seed))
+        core.view(0.0, True, [ME])
+        moments = [n / 10 for n in range(60) if Watch(True) in core.tick(n / 10, None)]
+        assert len(moments) == 1 and not core.is_relay
+        made += moments
+    assert max(made) <= ALONE_S + 0.1
+    assert max(sum(at <= moment < at + 1 for moment in made) for at in range(6)) < 200 / ALONE_S * 1.5
+
+
+def test_one_that_finds_the_others_before_its_draw_never_calls() -> None:
+    core = Follower(ME, FollowSettings("site", gateways=200), random.Random(4))
+    core.view(0.0, True, [ME])
+    assert Watch(True) not in core.tick(0.1, None)
+    actions = core.view(0.2, True, [ME, *OTHERS])
+    first = next(a.peer.name for a in actions if isinstance(a, Subscribe))
+    core.opened(0.3, first, 0)
+    assert not any(Watch(True) in core.tick(0.3 + n / 10, None) for n in range(100))
