Discovery: a start without a list waits longer for a slow service with each call that ran out of time

With a list service that takes a second for each answer no gateway ever had a list, with cluster off or on: 668 calls in a minute by 40 gateways, all given up after 1 s. Where a list is held nothing changes.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -17,6 +17,7 @@
 TOLD_S = 6.0  # after a watch has fallen silent, what it misses counts as told ...
 TOLD_LATE_S = 2.0  # ... but not before this much after its wait is over
 CALL_TIMEOUT_S = TOLD_LATE_S / 2  # for an answer beyond its wait, then for a new connection and its answer
+PATIENCE = 3  # times that, for one that has no list yet and whose calls have run out of time
 # A longer wait only puts off news that a silent watch misses, a shorter one costs calls. Each call draws its
 # own from the upper half: gateways that were told of one change must not all ask again in one moment.
 HOLD_S = TOLD_S - TOLD_LATE_S
@@ -177,6 +178,7 @@
         self.closed = False
         self.watched = False  # a watch was asked for: at another address it begins at once
         self.index: int | None = None
+        self.late = 0  # calls in a row that ran out of time
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
         self.set_address(address)
@@ -241,6 +243,7 @@
         except (OSError, CallError, TimeoutError, ValueError, KeyError, TypeError) as error:
             # Cleared first: the module may ask again while it hears of this.
             self._forget(asyncio.current_task())
+            self.late = self.late + 1 if isinstance(error, TimeoutError) else 0
             log(f"discovery: {error or type(error).__name__}")
             if self.order is not None and not self.pushed:
                 self.order.failed()
@@ -258,6 +261,12 @@
         if self.fetching is task:
             self.fetching = None
 
+    @property
+    def timeout_s(self) -> float:
+        """For an answer that need not wait: a service that is slow for all must not leave a start without a
+        list, which loses nothing by a longer wait."""
+        return CALL_TIMEOUT_S * (1 if self.index is not None else min(1 + self.late, PATIENCE))
+
     async def _connect(self) -> _Line:
         _, call = await asyncio.get_running_loop().create_connection(_Line, *self.address)
         return call
@@ -271,7 +280,7 @@
             call.close()
         raw = json.loads(reply.body)
         index, whole, entries = parse_list(raw, self.names)
-        self.failures = 0
+        self.failures = self.late = 0
         if self.order is not None:
             self.order.answered(begun, raw, index, whole, entries)
             return
@@ -281,7 +290,7 @@
     async def _fetch(self) -> None:
         call: _Line | None = None
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(self.timeout_s):
                 call = await self._connect()
                 await self._ask(call, LIST)
         finally:
@@ -294,7 +303,7 @@
         try:
             while True:
                 try:
-                    async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
+                    async with asyncio.timeout(wait_s + self.timeout_s):
                         if call is None or call.transport is None or call.transport.is_closing():
                             call = await self._connect()
                         target = LIST
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -98,6 +98,25 @@
         assert not told and run.gateway.discovery.watching is None
 
 
+@on_loop
+async def test_a_slow_service_is_waited_for_longer_where_there_is_no_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("cloverkeel.discovery.CALL_TIMEOUT_S", 0.2)
+
+    async def slow(exchange: Exchange) -> None:
+        await asyncio.sleep(0.3)  # what is measured: each answer takes longer than one call's time
+        exchange.answer(list_reply(9, endpoint("s-3", "127.0.0.1:1")))
+
+    async with peer(slow) as registry:
+        config = configuration(discovery=registry.address)
+        config["known"] = {}
+        config["settings"]["membershipMode"] = "on_request"
+        async with running(config) as run:
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            assert len(asked(registry)) >= 2 and run.gateway.discovery.late == 0
+
+
 @on_loop
 async def test_the_whole_list_drops_what_it_does_not_name() -> None:
     listed = endpoint("s-1", "127.0.0.1:1", zone="b", group=3, since_ms=5, weight=2)
