--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -10,14 +10,13 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverkeel.front.reading import RequestReader
-from cloverkeel.front.requests import Request, RequestError, kept_for, read_call
+from cloverkeel.front.requests import Request, RequestError, kept_for, passed_back, read_call
 from cloverkeel.hosts import HostConnection
 from cloverkeel.http1 import (
     LINGER_S,
     Header,
     Reply,
     answer_head,
-    end_to_end,
     end_writing,
     header,
     write_answer,
@@ -31,7 +30,6 @@
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
 UPLOAD_LINGER_S = 10.0  # for a client to end a body whose answer it has
 RESERVE = 64  # descriptors kept free of pools and idle clients
-NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
 
 
 class ClientConnection(RequestReader):
@@ -112,23 +110,32 @@
                 raise RequestError(405, "GET it", (b"Allow", b"GET, HEAD"))
             self.answer(200 if self.server.is_ready else 503, [], b"")
             return
-        call = read_call(self.server.config, request, path, self)
+        call = read_call(self.server.config, request, path, self, self.server.gateway.transforms)
         self.current_id = call.id
         if not self.server.gateway.arrive(call):
             self.current_id = ""
             raise RequestError(400, "this X-Call-Id is in use")
 
     def on_served(self, request: Request, reply: Reply) -> None:
-        if self.current is request:
-            self.answer(200, end_to_end(reply.headers, NOT_PASSED_BACK), reply.body)
+        if self.current is not request:
+            return
+        headers = passed_back(request, reply)
+        if headers is None:
+            self.answer(502, [], b"")
+        else:
+            self.answer(200, headers, reply.body)
 
     def on_begun(self, request: Request, reply: Reply, source: HostConnection) -> None:
         """A long answer begins: its head goes out, and its body passes as fast as the client reads."""
         transport = self.transport
         if self.current is not request or transport is None or transport.is_closing():
             return
+        headers = passed_back(request, reply)
+        if headers is None:
+            self.server.gateway.leave(self.current_id)  # nobody reads the rest of it
+            self.answer(502, [], b"")
+            return
         self.source = source
-        headers = end_to_end(reply.headers, NOT_PASSED_BACK)
         length = header(reply.headers, b"content-length")
         if length is not None:
             headers.append((b"Content-Length", length))
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from caperdrift.interface import Effect
 
@@ -13,7 +14,11 @@
 from cloverkeel.http1 import Header, Reply, end_to_end, header
 from cloverkeel.streams import Upload
 
+if TYPE_CHECKING:
+    from cloverkeel.transforms.active import ActiveSet, Refused
+
 NOT_PASSED_ON = frozenset({b"x-budget-ms"})
+NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
 
 
 class RequestError(ValueError):
@@ -30,7 +35,7 @@
 
     __slots__ = (
         "answered", "body", "expects", "fault", "headers", "is_old", "keep_alive", "method", "target",
-        "upload", "whole",
+        "transform", "upload", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -45,6 +50,7 @@
         self.answered = False  # before its body had come: the rest is read and dropped
         self.upload: Upload | None = None  # the rest of a body too long to be held
         self.fault: RequestError | None = None
+        self.transform: Callable[[list[Header]], list[Header] | Refused] | None = None  # of its answer
 
 
 class Answers(Protocol):
@@ -59,7 +65,9 @@
     def on_failed(self, request: Request, timed_out: bool) -> None: ...
 
 
-def read_call(config: Config, request: Request, path: bytes, answers: Answers) -> Call:
+def read_call(
+    config: Config, request: Request, path: bytes, answers: Answers, active: ActiveSet | None = None
+) -> Call:
     """The request in the gateway's terms; RequestError where it is none that can be passed on."""
     headers = {n.lower(): v for n, v in request.headers}
     names = config.names
@@ -82,6 +90,9 @@
     if not id_:
         raise RequestError(400, "no X-Call-Id")
     budget_ms = _whole(headers.get(b"x-budget-ms"), "X-Budget-Ms")
+    passing = end_to_end(request.headers, NOT_PASSED_ON)
+    if active is not None:
+        passing = transformed(request, active, passing, headers, parts[0], path)
     body = b"".join(request.body)
     request.body.clear()
     return Call(
@@ -92,7 +103,7 @@
         work_us=_whole(headers.get(b"x-call-cost"), "X-Call-Cost"),
         is_retry=headers.get(b"x-again") == b"1",
         tenant=names.tenants.get(headers.get(b"x-caller", b""), 0),
-        head=_head(request, body),
+        head=_head(request, passing, body),
         body=body if request.upload is None else request.upload.framed(body),
         upload=request.upload,
         on_served=partial(answers.on_served, request),
@@ -105,6 +116,33 @@
     )
 
 
+def transformed(
+    request: Request,
+    active: ActiveSet,
+    passing: list[Header],
+    headers: dict[bytes, bytes],
+    klass: bytes,
+    path: bytes,
+) -> list[Header]:
+    """The headers to pass on; the answer's are changed by the same set, whichever is active then."""
+    caller, id_ = headers.get(b"x-caller", b""), headers[b"x-call-id"].decode("latin-1")
+    changed = active.request(klass, caller, path, passing, id_)
+    if not isinstance(changed, list):
+        raise RequestError(502, f"transform {changed.name} failed")
+    if active.has_response:
+        request.transform = partial(active.response, klass, caller, path, call_id=id_)
+    return changed
+
+
+def passed_back(request: Request, reply: Reply) -> list[Header] | None:
+    """An answer's headers as the client gets them; None: a transform that must not be left out failed."""
+    headers = end_to_end(reply.headers, NOT_PASSED_BACK)
+    if request.transform is None:
+        return headers
+    changed = request.transform(headers)
+    return changed if isinstance(changed, list) else None
+
+
 def kept_for(request: Request, headers: list[Header], last: bool) -> list[Header]:
     """An old client is told that its connection stays open."""
     return headers if last or not request.is_old else [*headers, (b"Connection", b"keep-alive")]
@@ -118,10 +156,10 @@
     return int(text)
 
 
-def _head(request: Request, body: bytes) -> bytes:
+def _head(request: Request, headers: list[Header], body: bytes) -> bytes:
     """What goes on to a host, all but the budget and the empty line."""
     lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-    lines += [b"%s: %s" % pair for pair in end_to_end(request.headers, NOT_PASSED_ON)]
+    lines += [b"%s: %s" % pair for pair in headers]
     if request.upload is not None and request.upload.is_chunked:
         lines.append(b"Transfer-Encoding: chunked")
     elif request.upload is not None:
--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -9,11 +9,11 @@
 import argparse
 import sys
 
-from faultlab import membership, recovery
+from faultlab import membership, recovery, transforms
 from faultlab.coldstart import command as coldstart
 from faultlab.storm import command as storm
 
-EXPERIMENTS = (coldstart, recovery, membership, storm)
+EXPERIMENTS = (coldstart, recovery, membership, storm, transforms)
 
 
 def main(argv: list[str]) -> int:
