Activation core: orders to staged, canary, active by epochs decided with Paxos over records

A fleet needs one answer to "which version runs", with no process to ask and none given by a minority. The core takes what the ledger shows, the view and the engine's word, and gives records to write and sets to run: orders in a Lamport sequence, votes and proposals as ledger records, one value for an epoch's number, canaries by rendezvous hashing, quarantine, rollback, at most two versions of a name. No clock and no I/O.

--- /dev/null
+++ b/cloverkeel/transforms/activation/book.py
@@ -0,0 +1,99 @@
+"""What this member's ledger shows of activation, decoded. Equal ledgers give equal books."""
+
+from __future__ import annotations
+
+from cloverkeel.transforms.activation.records import (
+    EPOCH,
+    ORDER,
+    PROPOSAL,
+    REPORT,
+    VOTE,
+    Body,
+    Epoch,
+    Order,
+    Proposal,
+    Report,
+    Vote,
+    decode,
+    merge_votes,
+)
+
+
+class Book:
+    def __init__(self) -> None:
+        self.orders: dict[str, Order] = {}  # by id
+        self.proposals: dict[str, tuple[Proposal, ...]] = {}  # by member
+        self.votes: dict[str, Vote] = {}
+        self.reports: dict[str, Report] = {}
+        self.epoch = Epoch()
+
+    def take(self, kind: str, key: str, payloads: tuple[bytes, ...]) -> list[str]:
+        """Take over what stands under a key now; the faults found in it, a line each."""
+        bodies: list[Body] = []
+        faults = []
+        for payload in payloads:
+            try:
+                bodies.append(decode(kind, key, payload))
+            except ValueError as error:
+                faults.append(str(error))
+        match kind:
+            case _ if kind == ORDER:
+                self.orders.pop(key.rpartition("/")[2], None)
+                self.orders.update({order.id: order for order in bodies if isinstance(order, Order)})
+            case _ if kind == PROPOSAL:
+                self.proposals[key] = tuple(p for p in bodies if isinstance(p, Proposal))
+            case _ if kind == VOTE:
+                votes = [vote for vote in bodies if isinstance(vote, Vote)]
+                if votes:
+                    self.votes[key] = merge_votes(votes)
+            case _ if kind == REPORT:
+                reports = [report for report in bodies if isinstance(report, Report)]
+                if reports:
+                    self.reports[key] = max(reports, key=lambda report: report.number)
+            case _ if kind == EPOCH:
+                epochs = [epoch for epoch in bodies if isinstance(epoch, Epoch)]
+                self.epoch = max([self.epoch, *epochs], key=lambda epoch: epoch.number)
+        return faults
+
+    def open_orders(self, name: str) -> list[Order]:
+        """Orders of a name not carried out yet, in sequence."""
+        last = self.epoch.slot(name).last
+        mine = (order for order in self.orders.values() if order.name == name and order.sequence > last)
+        return sorted(mine, key=lambda order: order.sequence)
+
+    def names(self) -> list[str]:
+        return sorted({*self.epoch.slots, *(order.name for order in self.orders.values())})
+
+    def next_number(self, name: str) -> int:
+        """The number of an order written now: above all that this member has seen of the name."""
+        numbers = [order.number for order in self.orders.values() if order.name == name]
+        return max([self.epoch.slot(name).last[0], *numbers]) + 1
+
+    def wanted(self) -> dict[str, Order]:
+        """By id, the versions that this member is to have staged: those that slots name, and the last open
+        order of each name where it publishes one."""
+        ids: set[str] = set()
+        for slot in self.epoch.slots.values():
+            ids |= slot.named()
+        found = {id: self.orders[id] for id in sorted(ids) if id in self.orders}
+        for name in self.names():
+            orders = self.open_orders(name)
+            if orders and orders[-1].verb == "publish":
+                found[orders[-1].id] = orders[-1]
+        return found
+
+
+def runs(epoch: Epoch, member: str, staged: frozenset[str]) -> dict[str, str]:
+    """The active set of a member that has these versions staged: name to version. A pure function."""
+    found = {}
+    for name, slot in sorted(epoch.slots.items()):
+        if member in slot.behind:
+            choice = ["" if slot.candidate else slot.before]
+        elif member in slot.canaries:
+            choice = [slot.candidate, slot.active]
+        else:
+            choice = [slot.active]
+        version = next((version for version in choice if version in staged), "")
+        if version:
+            found[name] = version
+    return found
--- /dev/null
+++ b/cloverkeel/transforms/activation/interface.py
@@ -0,0 +1,110 @@
+"""What goes into the core and what comes out of it. Times are seconds of a monotonic clock."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cloverkeel.transforms.activation.records import Body
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    size: int  # members that the fleet is made of: the first epoch's quorum is more than half of it
+    stage_timeout_s: float = 10.0  # for a version to be staged at all, before most are enough
+    canary_share: float = 0.2  # of the live members, one at least
+    canary_s: float = 5.0  # that the canaries run a version before all do
+    quarantine_share: float = 0.25  # of those that run a version: more open breakers stop it
+    retry_s: float = 1.0  # for a ballot to come to its end, at least
+    resend_s: float = 2.0  # until a record that the ledger did not take is written again
+    voters_after_s: float = 30.0  # that others than the voters are live, before they are made voters
+
+
+@dataclasses.dataclass(frozen=True)
+class Recorded:
+    """The ledger shows these siblings under a key; none: deleted."""
+
+    kind: str
+    key: str
+    payloads: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class ViewChanged:
+    """`live`: members alive or suspected, this one included; `known`: those and the dead not yet reaped."""
+
+    live: tuple[str, ...]
+    known: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Settled:
+    """Whether the ledger holds all that the fleet held when this member came."""
+
+    settled: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Staged:
+    """A version asked for by `Stage` is compiled and vetted, or `reason` says why it is not."""
+
+    id: str
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Tripped:
+    """This member's breaker of a version has opened, or closed again."""
+
+    id: str
+    is_open: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Due about each 0.1 s."""
+
+
+Event = Recorded | ViewChanged | Settled | Staged | Tripped | Tick
+
+
+@dataclasses.dataclass(frozen=True)
+class Put:
+    """Write this over all that the ledger shows under its key."""
+
+    kind: str
+    key: str
+    body: Body
+
+
+@dataclasses.dataclass(frozen=True)
+class Drop:
+    kind: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Stage:
+    """Compile and vet this file, then say `Staged`."""
+
+    id: str
+    name: str
+    source: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Activate:
+    """From now on run these: transform's name to the id of a staged version."""
+
+    epoch: int
+    versions: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Note:
+    """Something for the log."""
+
+    name: str
+    fields: tuple[tuple[str, object], ...]
+
+
+Action = Put | Drop | Stage | Activate | Note
--- /dev/null
+++ b/cloverkeel/transforms/activation/planning.py
@@ -0,0 +1,216 @@
+"""What the next epoch should be: a function of the book, the view and how long things have been so.
+
+`step` moves one slot by one change. An epoch that brings a version in waits until each live member runs
+the current one; one that only takes a version out never waits (docs/activation.md, "From an order to all
+members").
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from cloverkeel.transforms.activation.book import Book
+from cloverkeel.transforms.activation.interface import Settings
+from cloverkeel.transforms.activation.records import NAMES_MAX, Epoch, Order, Slot
+
+LINE = 400  # characters of a slot's reason
+
+Lasting = Callable[[str], float]  # for how long the condition of this name has been asked after, seconds
+
+
+@dataclasses.dataclass
+class Plan:
+    """The slots of the next epoch, and for each name that is waited for, the reason."""
+
+    slots: dict[str, Slot]
+    waits: dict[str, str]
+
+
+def share(count: int, part: float) -> int:
+    return max(1, round(count * part))
+
+
+def canaries(version: str, members: Iterable[str], part: float) -> tuple[str, ...]:
+    """The members that run a version first: rendezvous hashing (Thaler, Ravishankar, 1998) on both names."""
+    ranked = sorted(members, key=lambda m: hashlib.sha256(f"{version}\0{m}".encode()).digest())
+    return tuple(sorted(ranked[: share(len(ranked), part)]))
+
+
+def plan(book: Book, live: tuple[str, ...], settings: Settings, lasting: Lasting) -> Plan:
+    found = Plan(dict(book.epoch.slots), {})
+    for name in book.names():
+        slot, orders = book.epoch.slot(name), book.open_orders(name)
+        if name not in book.epoch.slots and len(found.slots) >= NAMES_MAX:
+            found.waits[name] = f"over {NAMES_MAX} names"
+            continue
+        outcome = Step(book, live, settings, lasting, slot, orders).next()
+        if isinstance(outcome, Slot):
+            found.slots[name] = outcome
+        elif outcome:
+            found.waits[name] = outcome
+    return found
+
+
+def voters(epoch: Epoch, live: tuple[str, ...], size: int) -> tuple[str, ...]:
+    """The live, and of the former ones that are absent as many as make up `size`."""
+    absent = sorted(set(epoch.voters) - set(live))
+    return tuple(sorted({*live, *absent[: max(0, size - len(live))]}))
+
+
+@dataclasses.dataclass
+class Step:
+    """One name's next change."""
+
+    book: Book
+    live: tuple[str, ...]
+    settings: Settings
+    lasting: Lasting
+    slot: Slot
+    orders: list[Order]  # open, in sequence
+
+    def next(self) -> Slot | str:
+        """The slot after the next change; or why there is none ("" where nothing is to be done)."""
+        slot, top = self.slot, self.orders[-1] if self.orders else None
+        if top is not None and top.verb == "rollback":
+            return self._rolled_back(top)
+        if (tripped := self._tripped(slot.active)) is not None:
+            return self._without_active(f"quarantined: {slot.active} {tripped}", slot.last)
+        if slot.candidate:
+            return self._canary(top)
+        if not slot.active and slot.before:
+            return self._brought_back()
+        if still := tuple(m for m in slot.behind if not self._has(m, slot.active)):
+            if still != slot.behind:
+                return msgspec.structs.replace(slot, behind=still)
+        elif slot.behind:
+            return msgspec.structs.replace(slot, behind=())
+        return self._introduce(top) if top is not None else ""
+
+    # Taking out.
+
+    def _rolled_back(self, order: Order) -> Slot | str:
+        if self.slot.candidate:
+            why = f"rolled back: {self.slot.candidate}, a candidate"
+            return msgspec.structs.replace(self.slot, candidate="", canaries=(), last=order.sequence, why=why)
+        why = f"rolled back: {self.slot.active or 'nothing was active'}"
+        return self._without_active(why, order.sequence)
+
+    def _without_active(self, why: str, last: tuple[int, str]) -> Slot:
+        gone = msgspec.structs.replace(self.slot, active="", behind=(), last=last, why=why[:LINE])
+        if gone.before and not gone.candidate and not self._behind_epoch():  # both in one step
+            gone = msgspec.structs.replace(gone, active=gone.before, before="")
+        return gone
+
+    def _brought_back(self) -> Slot | str:
+        if missing := self._behind_epoch():
+            return f"{missing[0]} does not run epoch {self.book.epoch.number} yet"
+        return msgspec.structs.replace(self.slot, active=self.slot.before, before="")
+
+    def _canary(self, top: Order | None) -> Slot | str:
+        slot, settings = self.slot, self.settings
+        without = msgspec.structs.replace(slot, candidate="", canaries=())
+        if (tripped := self._tripped(slot.candidate)) is not None:
+            why = f"quarantined: {slot.candidate} {tripped}"
+            return msgspec.structs.replace(without, why=why[:LINE])
+        if top is not None:
+            return msgspec.structs.replace(without, why=f"overtaken: {slot.candidate} by {top.id}")
+        running = [m for m in slot.canaries if m in self.live and self._has(m, slot.candidate)]
+        if not running:
+            able = [m for m in self.live if self._has(m, slot.candidate)]
+            if not able:
+                return "no live member has the candidate"
+            chosen = canaries(slot.candidate, able, settings.canary_share)
+            return msgspec.structs.replace(slot, canaries=chosen)
+        if any(slot.candidate in self.book.reports[m].open for m in running):
+            return "a canary's breaker is open"
+        if late := self._behind_epoch(running):
+            return f"canary {late[0]} does not run epoch {self.book.epoch.number} yet"
+        if self.lasting(f"canary {slot.candidate} {','.join(running)}") < settings.canary_s:
+            return f"canaries run it: {', '.join(running)}"
+        behind = tuple(m for m in self.live if not self._has(m, slot.candidate))
+        return Slot(
+            active=slot.candidate,
+            before=slot.active or slot.before,
+            behind=behind,
+            last=slot.last,
+            why="active",
+        )
+
+    # Bringing in.
+
+    def _introduce(self, order: Order) -> Slot | str:
+        slot, settings, live = self.slot, self.settings, self.live
+        answers = {
+            m: r.staged[order.id] for m in live if (r := self.book.reports.get(m)) and order.id in r.staged
+        }
+        able = [m for m, reason in answers.items() if not reason]
+        waited_s = self.lasting(f"staging {order.id}")
+        if len(able) < len(live):
+            unable = {m: reason for m, reason in answers.items() if reason}
+            first = next((f"{m}: {reason}" for m, reason in unable.items()), "")
+            if len(unable) == len(live) or (
+                2 * len(unable) >= len(live) and waited_s >= settings.stage_timeout_s
+            ):
+                why = f"refused: {order.id} by {len(unable)} of {len(live)}: {first}"
+                return msgspec.structs.replace(slot, last=order.sequence, why=why[:LINE])
+            if waited_s < settings.stage_timeout_s or 2 * len(able) <= len(live):
+                silent = next((m for m in live if m not in answers), live[0])
+                return f"staged at {len(able)} of {len(live)}: {first or silent + ' has not answered'}"
+        if slot.behind:
+            return msgspec.structs.replace(slot, behind=())  # they run none of it from now on
+        if missing := self._behind_epoch():
+            return f"{missing[0]} does not run epoch {self.book.epoch.number} yet"
+        chosen = canaries(order.id, able, settings.canary_share)
+        return msgspec.structs.replace(
+            slot, candidate=order.id, canaries=chosen, last=order.sequence, why="canary"
+        )
+
+    # What the reports say.
+
+    def _has(self, member: str, version: str) -> bool:
+        report = self.book.reports.get(member)
+        return report is not None and report.staged.get(version) == ""
+
+    def _behind_epoch(self, members: Iterable[str] | None = None) -> list[str]:
+        """Live members that do not run the current epoch, as far as they have said."""
+        reports = self.book.reports
+        return [
+            m for m in (self.live if members is None else members)
+            if (r := reports.get(m)) is None or r.epoch != self.book.epoch.number
+        ]  # fmt: skip
+
+    def _tripped(self, version: str) -> str | None:
+        """Where too many of those that run it have its breaker open, how many."""
+        if not version:
+            return None
+        slot, reports = self.slot, self.book.reports
+        running = [
+            m for m in self.live
+            if self._has(m, version) and m not in slot.behind
+            and (version != slot.candidate or m in slot.canaries)
+        ]  # fmt: skip
+        tripped = [m for m in running if version in reports[m].open]
+        if tripped and len(tripped) > self.settings.quarantine_share * len(running):
+            return f"breakers open at {len(tripped)} of {len(running)}: {', '.join(tripped[:5])}"
+        return None
+
+
+def next_epoch(
+    book: Book, live: tuple[str, ...], known: int, settings: Settings, lasting: Lasting
+) -> tuple[Epoch | None, dict[str, str]]:
+    """The epoch to propose, and what is waited for, by name ("" for what concerns all)."""
+    current = book.epoch
+    found = plan(book, live, settings, lasting)
+    waits = found.waits
+    wanted = voters(current, live, settings.size)
+    stale = bool(current.voters) and wanted != current.voters
+    if not current.voters and known > settings.size:
+        return None, {**waits, "": f"{known} members are known, and size is {settings.size}"}
+    renew = stale and lasting(f"voters {','.join(wanted)}") >= settings.voters_after_s
+    if found.slots == current.slots and not renew:
+        return None, waits
+    return Epoch(current.number + 1, wanted, found.slots), waits
--- /dev/null
+++ b/cloverkeel/transforms/activation/records.py
@@ -0,0 +1,148 @@
+"""What activation keeps in the ledger: orders, proposals, votes, reports and epochs, as msgpack.
+
+Everything read is checked on its way in; `decode` raises ValueError, with one line, for what is no such
+record.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+ORDER, PROPOSAL, VOTE, REPORT, EPOCH = (
+    "transforms.order", "transforms.proposal", "transforms.vote", "transforms.report", "transforms.epoch",
+)  # fmt: skip
+KINDS = (ORDER, PROPOSAL, VOTE, REPORT, EPOCH)
+EPOCH_KEY = "epoch"
+SOURCE_MAX = 255 * 1024  # bytes of a file; the record around it has to fit the ledger's 256 KiB
+NAMES_MAX = 64  # names with a slot
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Id = Annotated[str, msgspec.Meta(min_length=1, max_length=32)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+Line = Annotated[str, msgspec.Meta(max_length=500)]
+Members = Annotated[tuple[Name, ...], msgspec.Meta(max_length=4096)]
+Sequence = tuple[Number, str]  # an order's number and id: orders of a name are taken in this order
+Ballot = tuple[Number, Name, Number]  # round, member, process life: none is used twice
+
+
+class Order(msgspec.Struct, frozen=True, array_like=True):
+    """What a developer asks of one transform. `source`: the file as published, empty to roll back."""
+
+    name: Name
+    id: Id
+    number: Number
+    verb: Literal["publish", "rollback"]
+    source: Annotated[bytes, msgspec.Meta(max_length=SOURCE_MAX)] = b""
+
+    @property
+    def sequence(self) -> Sequence:
+        return self.number, self.id
+
+    @property
+    def key(self) -> str:
+        return f"{self.name}/{self.id}"
+
+
+class Slot(msgspec.Struct, frozen=True, array_like=True):
+    """One name in an epoch. Versions are the ids of the orders that published them, "" for none.
+
+    `canaries` run `candidate`, the others `active`; those `behind` could not stage it and run `before`, or
+    nothing while there is a candidate. `last`: the last order carried out, or barred. `why`: for people."""
+
+    active: str = ""
+    candidate: str = ""
+    canaries: Members = ()
+    before: str = ""
+    behind: Members = ()
+    last: Sequence = (0, "")
+    why: Line = ""
+
+    def versions(self) -> frozenset[str]:
+        """What may run under this slot."""
+        behind = self.before if self.behind and not self.candidate else ""
+        return frozenset({self.active, self.candidate, behind} - {""})
+
+    def named(self) -> frozenset[str]:
+        return frozenset({self.active, self.candidate, self.before} - {""})
+
+
+class Epoch(msgspec.Struct, frozen=True, array_like=True):
+    """All that is active, and the `voters` who decide the next one. Number 0: nothing has been decided."""
+
+    number: Number = 0
+    voters: Members = ()
+    slots: Annotated[dict[Name, Slot], msgspec.Meta(max_length=NAMES_MAX)] = {}
+
+    def slot(self, name: str) -> Slot:
+        return self.slots.get(name) or Slot()
+
+
+class Proposal(msgspec.Struct, frozen=True, array_like=True):
+    """A ballot for an epoch's number; without a value it asks for promises."""
+
+    epoch: Number
+    ballot: Ballot
+    value: Epoch | None = None
+
+
+class Vote(msgspec.Struct, frozen=True, array_like=True):
+    """A member's word on an epoch: no lower ballot than `promised`; `value` accepted at `accepted`."""
+
+    epoch: Number
+    promised: Ballot
+    accepted: Ballot | None = None
+    value: Epoch | None = None
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """What one member runs and holds: its epoch, versions staged ("" or why not), open breakers."""
+
+    number: Number
+    epoch: Number
+    staged: dict[Id, Line] = {}
+    open: tuple[Id, ...] = ()
+
+
+Body = Order | Proposal | Vote | Report | Epoch
+TYPES: dict[str, type[Body]] = {
+    ORDER: Order, PROPOSAL: Proposal, VOTE: Vote, REPORT: Report, EPOCH: Epoch,
+}  # fmt: skip
+_decoders: dict[str, msgspec.msgpack.Decoder[Body]] = {
+    kind: msgspec.msgpack.Decoder(body) for kind, body in TYPES.items()
+}
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode(body: Body) -> bytes:
+    return _encoder.encode(body)
+
+
+def decode(kind: str, key: str, payload: bytes) -> Body:
+    """Raises ValueError for a payload that is none of its kind, or stands under another's key."""
+    try:
+        body: Body = _decoders[kind].decode(payload)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise ValueError(str(error)) from None
+    if isinstance(body, Order) and body.key != key:
+        raise ValueError("the order's name and id are not its key's")
+    if isinstance(body, Proposal) and (body.ballot[1] != key or _differ(body.epoch, body.value)):
+        raise ValueError("the proposal is another member's, or its value another epoch's")
+    if isinstance(body, Vote) and (
+        (body.accepted is None) != (body.value is None) or _differ(body.epoch, body.value)
+    ):
+        raise ValueError("the vote accepts no value, or another epoch's")
+    return body
+
+
+def _differ(number: int, value: Epoch | None) -> bool:
+    return value is not None and value.number != number
+
+
+def merge_votes(votes: list[Vote]) -> Vote:
+    """One member's votes that the ledger kept side by side: the highest ballots of the highest epoch."""
+    number = max(vote.epoch for vote in votes)
+    votes = [vote for vote in votes if vote.epoch == number]
+    best = max(votes, key=lambda vote: vote.accepted or (-1, "", 0))
+    return Vote(number, max(vote.promised for vote in votes), best.accepted, best.value)
