--- /dev/null
+++ b/faultlab/storm/cluster/activation.py
@@ -0,0 +1,305 @@
+"""Activation over ledger cores on simulated time: publishers, proposers, members that fail at every step.
+
+`run_history(seed)` is one random history over the ledger's simulated cluster (`ledger.Cluster`), with an
+engine that takes its time to stage a version, cannot stage some, and whose breakers open on some. Then all is
+healed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from cloverkeel.fleet.ledger.dots import Dot
+from cloverkeel.fleet.ledger.interface import Acknowledged, Expose, Level, ViewChanged, Write
+from cloverkeel.fleet.ledger.interface import Action as LedgerAction
+from cloverkeel.fleet.ledger.interface import Delete as LedgerDelete
+from cloverkeel.fleet.ledger.interface import Event as LedgerEvent
+from cloverkeel.fleet.ledger.interface import Settings as LedgerSettings
+from cloverkeel.transforms.activation.core import Activation
+from cloverkeel.transforms.activation.interface import (
+    Activate,
+    Drop,
+    Event,
+    Put,
+    Recorded,
+    Settings,
+    Settled,
+    Stage,
+    Staged,
+    Tick,
+    Tripped,
+)
+from cloverkeel.transforms.activation.interface import ViewChanged as BrainView
+from cloverkeel.transforms.activation.records import KINDS, ORDER, VOTE, Body, Order, Vote, decode, encode
+
+from faultlab.storm.cluster.activation_truth import ActivationTruth
+from faultlab.storm.cluster.ledger import Cluster, Member
+
+TOGETHER_S = 6.0  # side by side for so long, members are held to two versions
+PUBLISH_S = 4.0  # for a publication to reach its level
+
+
+class Brain:
+    """One process life: activation, and an engine that forgets all at its end."""
+
+    def __init__(self, member: Member, core: Activation) -> None:
+        self.member, self.core = member, core
+        self.compiled: set[str] = set()
+        self.settled = False
+        self.epoch = 0
+
+
+class ActivationCluster(Cluster):
+    def __init__(self, seed: int, members: int, tick_s: float = 0.1) -> None:
+        self.brains: dict[str, Brain] = {}
+        self.alone_s: dict[str, float] = {}  # when a member last started, or changed sides
+        self.reach: dict[str, int] = {}
+        self.activation = ActivationTruth(members)
+        self.brain_settings = Settings(
+            size=members, stage_timeout_s=3.0, canary_s=1.0, canary_share=0.3, voters_after_s=4.0
+        )
+        self.bad: set[str] = set()  # versions whose breakers open
+        self.unable: dict[str, set[str]] = {}  # version to the members that cannot stage it
+        self.published = 0
+        self.first_s: dict[int, float] = {}  # by epoch: when it was first run somewhere
+        super().__init__(seed, members, tick_s, LedgerSettings(size=members, digest_s=1.0, reap_after_s=6.0))
+
+    # Members.
+
+    def start(self, member: Member) -> None:
+        super().start(member)
+        life = self.rng.getrandbits(40)
+        brain = Brain(member, Activation(member.name, life, self.brain_settings, self.rng))
+        self.brains[member.name] = brain
+        self.alone_s[member.name] = self.now_s
+        core = member.core
+        assert core is not None
+        for kind in KINDS:
+            for key in core.keys(kind):
+                records, _ = core.read(kind, key)
+                payloads = tuple(payload for _, payload in records if payload is not None)
+                self.tell(brain, Recorded(kind, key, payloads))
+        self.later(self.rng.random() * self.tick_s, self._brain_ticker(brain))
+
+    def _brain_ticker(self, brain: Brain) -> Callable[[], None]:
+        def tick() -> None:
+            if not self.runs(brain):
+                return
+            core = brain.member.core
+            assert core is not None
+            if brain.settled != core.settling.settled:
+                brain.settled = core.settling.settled
+                self.tell(brain, Settled(brain.settled))
+            self.tell(brain, Tick())
+            self.later(self.tick_s, tick)
+
+        return tick
+
+    def runs(self, brain: Brain) -> bool:
+        return brain.member.core is not None and self.brains[brain.member.name] is brain
+
+    def give(self, member: Member, event: LedgerEvent) -> None:
+        super().give(member, event)
+        if isinstance(event, ViewChanged) and member.core is not None:
+            me = member.name
+            self.tell(self.brains[me], BrainView((me, *event.live), (me, *event.live, *event.gone)))
+
+    def _act(self, member: Member, action: LedgerAction) -> None:
+        super()._act(member, action)
+        if isinstance(action, Expose):
+            payloads = tuple(payload for _, payload in action.records if payload is not None)
+            self.tell(self.brains[member.name], Recorded(action.kind, action.key, payloads))
+        elif isinstance(action, Acknowledged):
+            self.published += action.level is not Level.LOCAL
+
+    # Activation's actions.
+
+    def tell(self, brain: Brain, event: Event) -> None:
+        if not self.runs(brain):
+            return
+        for action in brain.core.handle(self.now_s, event):
+            match action:
+                case Put(kind, key, body):
+                    self.later(0.0, self._writer(brain, kind, key, body))
+                case Drop(kind, key):
+                    self.later(0.0, self._dropper(brain, kind, key))
+                case Stage(id, _, _):
+                    self.later(self.rng.uniform(0.01, 0.4), self._stager(brain, id))
+                case Activate():
+                    self._activated(brain, action)
+        epoch = brain.core.book.epoch
+        if epoch.number != brain.epoch:
+            brain.epoch = epoch.number
+            self.first_s.setdefault(epoch.number, self.now_s)
+            self.activation.epoch_seen(brain.member.name, epoch, self._votes())
+
+    def _votes(self) -> list[tuple[str, Vote]]:
+        """Each member's own word, from its own disk."""
+        found = []
+        for member in self.members.values():
+            for put in member.disk.rows.values():
+                if put.record.kind == VOTE and put.record.key == member.name and put.payload:
+                    vote = decode(VOTE, member.name, put.payload)
+                    assert isinstance(vote, Vote)
+                    found.append((member.name, vote))
+        return found
+
+    def _writer(
+        self, brain: Brain, kind: str, key: str, body: Body, level: Level = Level.LOCAL
+    ) -> Callable[[], None]:
+        def write() -> None:
+            core = brain.member.core
+            if core is None or not self.runs(brain):
+                return
+            records, context = core.read(kind, key)
+            dot = Dot(brain.member.name, core.incarnation, core.counter + 1)
+            self.written[dot] = brain.member.name, self.truth.seen(record for record, _ in records)
+            number = str(next(self.numbers))
+            self.give(brain.member, Write(number, kind, key, encode(body), context, level, PUBLISH_S))
+
+        return write
+
+    def _dropper(self, brain: Brain, kind: str, key: str) -> Callable[[], None]:
+        def drop() -> None:
+            core = brain.member.core
+            if core is None or not self.runs(brain):
+                return
+            records, context = core.read(kind, key)
+            dot = Dot(brain.member.name, core.incarnation, core.counter + 1)
+            self.written[dot] = brain.member.name, self.truth.seen(record for record, _ in records)
+            self.give(brain.member, LedgerDelete(str(next(self.numbers)), kind, key, context))
+
+        return drop
+
+    def _stager(self, brain: Brain, id: str) -> Callable[[], None]:
+        def staged() -> None:
+            reason = "no memory" if brain.member.name in self.unable.get(id, ()) else ""
+            if not reason:
+                brain.compiled.add(id)
+            self.tell(brain, Staged(id, reason))
+
+        return staged
+
+    def _activated(self, brain: Brain, action: Activate) -> None:
+        self.activation.running(brain.member.name, brain.core, brain.compiled)
+        for version in sorted(set(action.versions.values()) & self.bad):
+            self.later(self.rng.uniform(0.05, 0.8), self._tripper(brain, version))
+
+    def _tripper(self, brain: Brain, version: str) -> Callable[[], None]:
+        def trip() -> None:
+            if version in brain.core.active.values():
+                self.tell(brain, Tripped(version, True))
+
+        return trip
+
+    # Load.
+
+    def order(self, member: Member, name: str, verb: str, level: Level) -> str:
+        """A developer's order through this member."""
+        book = self.brains[member.name].core.book
+        id = f"{self.rng.getrandbits(64):016x}"
+        order = Order(name, id, book.next_number(name), "publish" if verb == "publish" else "rollback")
+        self._writer(self.brains[member.name], ORDER, order.key, order, level)()
+        return id
+
+    def check(self) -> None:
+        super().check()
+        sides: dict[int, list[Activation]] = {}
+        for member in self.up():
+            brain = self.brains[member.name]
+            if (
+                self.reach.get(member.name) != member.side or member.full
+            ):  # it hears of nothing, or keeps nothing
+                self.reach[member.name] = member.side
+                self.alone_s[member.name] = self.now_s
+            if self.now_s - self.alone_s[member.name] >= TOGETHER_S:
+                sides.setdefault(member.side, []).append(brain.core)
+        for brains in sides.values():
+            voters = max((brain.epoch for brain in brains), key=lambda epoch: epoch.number).voters
+            if 2 * len({brain.me for brain in brains} & set(voters)) > len(voters):
+                self.activation.together(brains)
+
+    def rested(self) -> bool:
+        if not self.agreed():
+            return False
+        brains = [self.brains[m.name].core for m in self.up()]
+        return all(
+            b.epoch == brains[0].epoch and not b.unread and not b.staging
+            and not any(slot.candidate or b.book.open_orders(name) for name, slot in b.epoch.slots.items())
+            and not any(b.book.open_orders(name) for name in b.book.names())
+            and not set(b.active.values()) & self.bad
+            for b in brains
+        )  # fmt: skip
+
+    def finish(self) -> None:
+        self.drop = self.double = 0.0
+        for member in self.members.values():
+            member.side, member.full, member.false = 0, False, 0.0
+            if member.core is None:
+                self.start(member)
+        self.run(90.0, self.rested)
+        self.check()
+        self.activation.at_the_end([self.brains[m].core for m in self.members], self.bad)
+
+
+def run_history(seed: int, members: int | None = None, steps: int = 50) -> list[str]:
+    """One random history of 3 to 7 members (or so many); the violations found, none where all held."""
+    rng = random.Random(seed)
+    cluster = ActivationCluster(seed, members or rng.choice((3, 4, 5, 7)))
+    names = [f"t{i}" for i in range(rng.randint(1, 2))]
+    cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.2)), rng.choice((0.0, 0.1))
+    cluster.run(1.0)
+    for _ in range(steps):
+        for _ in range(rng.choice((1, 1, 3, 10))):
+            cluster.run(rng.choice((0.01, 0.05, 0.2, 0.6)))
+            cluster.check()
+        up = cluster.up()
+        if up and rng.random() < 0.4:
+            _order(cluster, rng, names)
+        else:
+            _fault(cluster, rng)
+    cluster.finish()
+    return cluster.truth.violations + cluster.activation.violations
+
+
+def _order(cluster: ActivationCluster, rng: random.Random, names: list[str]) -> None:
+    name = rng.choice(names)
+    for _ in range(rng.choice((1, 1, 2))):  # two developers at once
+        member = rng.choice(cluster.up())
+        level = rng.choice(tuple(Level))
+        if rng.random() < 0.2:
+            cluster.order(member, name, "rollback", level)
+            continue
+        id = cluster.order(member, name, "publish", level)
+        if rng.random() < 0.3:
+            cluster.bad.add(id)
+        elif rng.random() < 0.3:
+            count = rng.choice((1, 1, len(cluster.members) // 2 + 1, len(cluster.members)))
+            cluster.unable[id] = set(rng.sample(sorted(cluster.members), count))
+    if rng.random() < 0.3 and len(cluster.up()) > 1:
+        cluster.stop(member)  # the publisher, before or after its disk
+
+
+def _fault(cluster: ActivationCluster, rng: random.Random) -> None:
+    members = list(cluster.members.values())
+    member = rng.choice(members)
+    match rng.randrange(9):
+        case 0:
+            cluster.stop(member)
+        case 1 | 2 | 3:
+            for other in members:
+                if other.core is None and rng.random() < 0.8:
+                    cluster.start(other)
+        case 4:
+            for other in members:
+                other.side = rng.randrange(2)
+        case 5 | 6:
+            for other in members:
+                other.side = 0
+        case 7:
+            member.side = 9  # stopped, or cut off alone, for a while
+            cluster.run(rng.choice((0.3, 2.0, 9.0)))
+            member.side = 0
+        case 8:
+            member.full = not member.full
--- /dev/null
+++ b/tests/test_activation_core.py
@@ -0,0 +1,218 @@
+"""Activation's core: deciding an epoch, what runs from it, and whole clusters through random histories."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from cloverkeel.fleet.ledger.interface import Level
+from cloverkeel.transforms.activation.book import Book, runs
+from cloverkeel.transforms.activation.core import Activation
+from cloverkeel.transforms.activation.deciding import Proposer, Voter
+from cloverkeel.transforms.activation.interface import Note, Put, Recorded, Settings, Stage, Staged, Tick
+from cloverkeel.transforms.activation.planning import canaries
+from cloverkeel.transforms.activation.records import (
+    EPOCH,
+    EPOCH_KEY,
+    ORDER,
+    PROPOSAL,
+    SOURCE_MAX,
+    VOTE,
+    Body,
+    Epoch,
+    Order,
+    Proposal,
+    Slot,
+    Vote,
+    decode,
+    encode,
+)
+from faultlab.storm.cluster.activation import ActivationCluster, run_history
+
+
+def take(book: Book, kind: str, key: str, *bodies: Body) -> None:
+    assert book.take(kind, key, tuple(map(encode, bodies))) == []
+
+
+def settled(members: int = 5) -> ActivationCluster:
+    cluster = ActivationCluster(7, members)
+    assert cluster.run(20.0, lambda: all(brain.settled for brain in cluster.brains.values()))
+    return cluster
+
+
+def rest(cluster: ActivationCluster) -> list[Epoch]:
+    """Let all come to rest; the epochs decided so far, from 1 on."""
+    assert cluster.run(60.0, cluster.rested)
+    cluster.finish()
+    assert cluster.truth.violations + cluster.activation.violations == []
+    return [cluster.activation.epochs[n] for n in sorted(cluster.activation.epochs) if n]
+
+
+def test_a_value_that_a_quorum_may_have_accepted_binds_every_later_ballot() -> None:
+    book, rng = Book(), random.Random(1)
+    first, second = Epoch(1, ("a",)), Epoch(1, ("b",))
+    accepted = Vote(1, (1, "a", 9), (1, "a", 9), first)
+    take(book, VOTE, "b", accepted)
+    proposer = Proposer("c", 5, 3, 1.0, rng)
+    ask = proposer.step(0.0, book, second)
+    assert isinstance(ask, Proposal) and ask == Proposal(1, (2, "c", 5))  # above all that it has heard of
+    take(book, VOTE, "b", Vote(1, ask.ballot, accepted.accepted, first))
+    assert proposer.step(0.1, book, second) is None  # one of three
+    take(book, VOTE, "c", Vote(1, ask.ballot))
+    assert proposer.step(0.2, book, second) == Proposal(1, ask.ballot, first)
+    for member in ("b", "c"):
+        take(book, VOTE, member, Vote(1, ask.ballot, ask.ballot, first))
+    assert proposer.step(0.3, book, second) == first
+
+
+def test_a_voter_keeps_its_promise_before_the_ledger_shows_it_and_after_a_restart() -> None:
+    book, voter = Book(), Voter("m")
+    take(book, PROPOSAL, "b", Proposal(1, (2, "b", 1)))
+    promise = voter.consider(book)
+    assert promise == Vote(1, (2, "b", 1))
+    take(book, PROPOSAL, "a", Proposal(1, (1, "a", 1), Epoch(1)))
+    assert voter.consider(book) is None  # a lower ballot
+    take(book, VOTE, "m", promise)
+    assert Voter("m").consider(book) is None  # read back from the disk
+    take(book, PROPOSAL, "b", Proposal(1, (2, "b", 1), Epoch(1, ("b",))))
+    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)))
+    take(book, EPOCH, EPOCH_KEY, Epoch(1, ("x", "y")))
+    take(book, PROPOSAL, "x", Proposal(2, (1, "x", 1)))
+    assert voter.consider(book) is None  # no voter any more
+
+
+def test_what_runs_is_a_function_of_epoch_and_member() -> None:
+    slot = Slot("a", "c", ("m1",), "z", ("m2",))
+    canary, quiet = Epoch(3, (), {"t": slot}), Epoch(4, (), {"t": Slot("a", before="z", behind=("m2",))})
+    able = frozenset("acz")
+    assert [runs(canary, m, able) for m in ("m0", "m1", "m2")] == [{"t": "a"}, {"t": "c"}, {}]
+    assert [runs(quiet, m, able) for m in ("m0", "m1", "m2")] == [{"t": "a"}, {"t": "a"}, {"t": "z"}]
+    assert runs(canary, "m1", frozenset("a")) == {"t": "a"}  # a canary that has not staged it yet
+    assert runs(quiet, "m0", frozenset("cz")) == {}  # not before all others: nothing, never another version
+    assert slot.versions() == {"a", "c"}
+
+
+def test_canaries_differ_from_version_to_version_and_not_from_member_to_member() -> None:
+    members = [f"m{i}" for i in range(10)]
+    assert canaries("v", members, 0.2) == canaries("v", reversed(members), 0.2)
+    assert len(canaries("v", members, 0.2)) == 2 and len(canaries("v", members, 0.01)) == 1
+    assert len({canaries(f"v{i}", members, 0.2) for i in range(20)}) > 5
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"", b"\xc1", b"\x93\x01\x02\x03", encode(Order("t", "2", 1, "publish")),
+        encode(Order("t", "1", 1, "publish", bytes(SOURCE_MAX + 1))),
+    ],
+)  # fmt: skip
+def test_what_is_no_record_is_told_and_changes_nothing(payload: bytes) -> None:
+    with pytest.raises(ValueError):
+        decode(ORDER, "t/1", payload)
+    core = Activation("m", 1, Settings(1), random.Random(1))
+    notes = [a for a in core.handle(0.0, Recorded(ORDER, "t/1", (payload,))) if isinstance(a, Note)]
+    assert [note.name for note in notes] == ["transforms.malformed"] and not core.book.orders
+
+
+def test_one_gateway_alone_decides_for_itself_and_only_where_it_is_the_whole_fleet() -> None:
+    for size, expected in ((1, True), (2, False)):
+        core = Activation("m", 1, Settings(size, canary_s=0.0), random.Random(1))
+        ledger: dict[tuple[str, str], Body] = {(ORDER, "t/1"): Order("t", "1", 1, "publish")}
+        for n in range(40):
+            for (kind, key), body in list(ledger.items()):
+                for action in core.handle(n * 0.1, Recorded(kind, key, (encode(body),))):
+                    if isinstance(action, Stage):
+                        core.handle(n * 0.1, Staged(action.id))
+                    elif isinstance(action, Put):
+                        ledger[action.kind, action.key] = action.body
+            core.handle(n * 0.1, Tick())
+        assert (core.active == {"t": "1"}) is expected
+
+
+def test_published_to_canaries_then_all_then_rolled_back() -> None:
+    cluster = settled()
+    one = cluster.order(cluster.members["m3"], "t", "publish", Level.QUORUM)
+    canary, active = rest(cluster)
+    assert canary.slots["t"].candidate == one and 1 <= len(canary.slots["t"].canaries) < 5
+    assert active.slots["t"].active == one and active.voters == tuple(cluster.members)
+    two = cluster.order(cluster.members["m1"], "t", "publish", Level.QUORUM)
+    assert rest(cluster)[-1].slots["t"].active == two
+    cluster.order(cluster.members["m4"], "t", "rollback", Level.QUORUM)
+    last = rest(cluster)[-1]
+    assert last.slots["t"].active == one and last.slots["t"].why == f"rolled back: {two}"
+    assert all(brain.core.active == {"t": one} for brain in cluster.brains.values())
+    orders = [sorted(brain.core.book.orders) for brain in cluster.brains.values()]
+    assert cluster.run(
+        20.0, lambda: all(list(b.core.book.orders) == [one] for b in cluster.brains.values())
+    ), orders
+
+
+def test_two_publish_one_name_at_once_the_last_in_sequence_is_taken_on_all() -> None:
+    cluster = settled()
+    ids = [cluster.order(cluster.members[m], "t", "publish", Level.LOCAL) for m in ("m1", "m4")]
+    epochs = rest(cluster)
+    assert epochs[-1].slots["t"].active == max(ids)
+    assert min(ids) not in {slot.active for epoch in epochs for slot in epoch.slots.values()}
+
+
+def test_a_version_that_trips_is_quarantined_and_the_one_before_runs_on() -> None:
+    cluster = settled()
+    good = cluster.order(cluster.members["m0"], "t", "publish", Level.ALL)
+    rest(cluster)
+    bad = cluster.order(cluster.members["m2"], "t", "publish", Level.ALL)
+    cluster.bad.add(bad)
+    last = rest(cluster)[-1].slots["t"]
+    assert last.active == good and last.why.startswith(f"quarantined: {bad} breakers open at")
+    late = cluster.order(cluster.members["m2"], "t", "publish", Level.ALL)
+    rest(cluster)
+    cluster.bad.add(late)  # fails only once it runs everywhere
+    for brain in list(cluster.brains.values()):
+        cluster._tripper(brain, late)()
+    last = rest(cluster)[-1].slots["t"]
+    assert last.active == good and not last.before
+    assert all(brain.core.active == {"t": good} for brain in cluster.brains.values())
+
+
+def test_a_member_that_cannot_stage_blocks_with_its_reason_and_is_left_behind() -> None:
+    cluster = settled()
+    old = cluster.order(cluster.members["m0"], "t", "publish", Level.ALL)
+    rest(cluster)
+    id = cluster.order(cluster.members["m0"], "t", "publish", Level.ALL)
+    cluster.unable[id] = {"m4"}
+    cluster.run(2.0)
+    assert cluster.brains["m0"].core.waits == {"t": "staged at 4 of 5: m4: no memory"}
+    slot = rest(cluster)[-1].slots["t"]
+    assert (slot.active, slot.behind) == (id, ("m4",)) and cluster.brains["m4"].core.active == {"t": old}
+    refused = cluster.order(cluster.members["m0"], "t", "publish", Level.ALL)
+    cluster.unable[refused] = {"m1", "m2", "m3"}
+    slot = rest(cluster)[-1].slots["t"]
+    assert slot.active == id and slot.why == f"refused: {refused} by 3 of 5: m1: no memory"
+
+
+def test_a_minority_takes_no_new_epoch_and_ends_on_the_same_after_the_heal() -> None:
+    cluster = settled()
+    cluster.order(cluster.members["m0"], "t", "publish", Level.ALL)
+    number = rest(cluster)[-1].number
+    for name in ("m0", "m1"):
+        cluster.members[name].side = 1
+    mine = cluster.order(cluster.members["m0"], "t", "publish", Level.QUORUM)
+    theirs = [cluster.order(cluster.members["m3"], "t", "publish", Level.QUORUM) for _ in range(2)][-1]
+    cluster.run(15.0)  # simulated
+    assert [cluster.brains[m].core.epoch.number == number for m in cluster.members] == [True] * 2 + [
+        False
+    ] * 3
+    assert cluster.brains["m3"].core.active == {"t": theirs}
+    for member in cluster.members.values():
+        member.side = 0
+    last = rest(cluster)[-1].slots["t"]
+    assert last.active == theirs and mine not in {
+        e.slots["t"].candidate for e in cluster.activation.epochs.values() if e.slots
+    }
+    assert all(brain.core.active == {"t": theirs} for brain in cluster.brains.values())
+
+
+@pytest.mark.parametrize("first", range(0, 10, 5))
+def test_random_histories(first: int) -> None:
+    for seed in range(first, first + 5):
+        assert run_history(seed) == [], f"seed {seed}"
