Operators' front: calls with a body of up to 256 KiB, answered later

To publish a file to a fleet an operator sends it, and the answer waits for other members. Such paths take POST of `application/octet-stream` alone (a page in a browser cannot send that unasked), are bounded in bytes and in time, and are carried out where their caller has gone. GET paths are as before.

--- a/cloverkeel/operator.py
+++ b/cloverkeel/operator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import cast
 
 import httptools
@@ -14,6 +14,9 @@
 CALL_S = 3.0  # for a call to come whole
 MOST = 32  # connections at once; beyond, the oldest gives way
 CALL_LIMIT = HEAD_LIMIT + BODY_LIMIT  # bytes of one call
+POST_LIMIT = 256 * 1024  # bytes of a call's body that is for a `Post`
+POST_S = 20.0  # for a `Post` to be answered
+POST_TYPE = b"application/octet-stream"  # a page in an operator's browser cannot send it unasked
 
 
 class Answer:
@@ -26,13 +29,15 @@
 
 
 Calls = dict[bytes, Callable[[], Answer]]  # by path; each is answered to GET and HEAD
+Post = Callable[[bytes, bytes], Awaitable[Answer]]  # of the query and the body
 
 
 class Operator:
     """Answers operators' calls. It holds nothing but their connections."""
 
-    def __init__(self, address: Address, calls: Calls) -> None:
-        self.address, self.calls = address, calls
+    def __init__(self, address: Address, calls: Calls, posts: Mapping[bytes, Post] | None = None) -> None:
+        self.address, self.calls, self.posts = address, calls, posts or {}
+        self.tasks: set[asyncio.Task[None]] = set()
         self.connections: dict[OperatorConnection, None] = {}  # the oldest first
         self.listener: asyncio.Server | None = None
 
@@ -45,6 +50,8 @@
             self.listener.close()
         for connection in list(self.connections):
             connection.abort()
+        for task in self.tasks:
+            task.cancel()
 
 
 class OperatorConnection(asyncio.Protocol):
@@ -55,6 +62,8 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
+        self.content_type = b""
+        self.body: list[bytes] = []
         self.size = 0
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
@@ -86,22 +95,58 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.answer(Answer(400, b"malformed\n"))
-        if self.size > CALL_LIMIT:
+        is_post = self.target.partition(b"?")[0] in self.operator.posts
+        if self.size > (HEAD_LIMIT + POST_LIMIT if is_post else CALL_LIMIT):
             self.answer(Answer(413, b"the call is too long\n"))
 
     def on_url(self, url: bytes) -> None:
         self.target += url
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"content-type":
+            self.content_type = value
+
+    def on_body(self, body: bytes) -> None:
+        self.body.append(body)  # `data_received` bounds it
+
     def on_message_complete(self) -> None:
         method = self.parser.get_method()
-        call = self.operator.calls.get(self.target.partition(b"?")[0])
-        if call is None:
+        path, _, query = self.target.partition(b"?")
+        call, post = self.operator.calls.get(path), self.operator.posts.get(path)
+        if post is not None:
+            self._post(post, method, query)
+        elif call is None:
             self.answer(Answer(404, b"unknown path\n"))
         elif method not in (b"GET", b"HEAD"):
             self.answer(Answer(405, b"GET it\n", (b"Allow", b"GET, HEAD")))
         else:
             self.answer(call(), method == b"HEAD")
 
+    def _post(self, post: Post, method: bytes, query: bytes) -> None:
+        if self.answered:
+            return
+        if method != b"POST":
+            self.answer(Answer(405, b"POST it\n", (b"Allow", b"POST")))
+        elif self.content_type != POST_TYPE:
+            self.answer(Answer(415, b"the Content-Type has to be " + POST_TYPE + b"\n"))
+        elif self.size > HEAD_LIMIT + POST_LIMIT or len(body := b"".join(self.body)) > POST_LIMIT:
+            self.answer(Answer(413, b"the call is too long\n"))
+        else:
+            if self.timer is not None:
+                self.timer.cancel()
+            task = asyncio.get_running_loop().create_task(self._posted(post, query, body))
+            self.operator.tasks.add(task)
+            task.add_done_callback(self.operator.tasks.discard)
+
+    async def _posted(self, post: Post, query: bytes, body: bytes) -> None:
+        """It goes on where its caller has gone: what is begun is not left half done."""
+        try:
+            async with asyncio.timeout(POST_S):
+                answer = await post(query, body)
+        except TimeoutError:
+            answer = Answer(504, b"no answer in time: not known how far it came\n")
+        self.answer(answer)
+
     def answer(self, answer: Answer, head_only: bool = False) -> None:
         """The one answer, and the close; what still comes in is left unread."""
         if self.answered or self.transport is None or self.transport.is_closing():
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cloverkeel import operator as front
-from cloverkeel.operator import Answer, Operator
+from cloverkeel.operator import POST_LIMIT, Answer, Operator
 from tests.sockets import Client, Message, on_loop, until
 
 READY = b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n"
@@ -17,7 +17,13 @@
 
 @asynccontextmanager
 async def operators(status: int = 200) -> AsyncIterator[tuple[Operator, int]]:
-    made = Operator(("127.0.0.1", 0), {b"/api/ready": lambda: Answer(status, b"so\n")})
+    async def take(query: bytes, body: bytes) -> Answer:
+        if query == b"never":
+            await asyncio.Event().wait()
+        return Answer(200, query + b" %d" % len(body))
+
+    calls = {b"/api/ready": lambda: Answer(status, b"so\n")}
+    made = Operator(("127.0.0.1", 0), calls, {b"/api/take": take})
     await made.start()
     assert made.listener is not None
     try:
@@ -71,6 +77,29 @@
         assert (await call(port, data)).status == status
 
 
+def post(size: int, query: str = "a=b", kind: str = "application/octet-stream") -> bytes:
+    head = f"POST /api/take?{query} HTTP/1.1\r\nContent-Type: {kind}\r\nContent-Length: {size}\r\n\r\n"
+    return head.encode() + bytes(size)
+
+
+@on_loop
+async def test_a_body_is_taken_up_to_its_limit_and_only_where_one_is_wanted() -> None:
+    async with operators() as (_, port):
+        for size in (0, 1, POST_LIMIT):
+            answer = await call(port, post(size))
+            assert (answer.status, answer.body) == (200, b"a=b %d" % size)
+        assert (await call(port, post(POST_LIMIT + 1))).status == 413
+        assert (await call(port, post(1, kind="text/plain"))).status == 415  # as a page's form would
+        assert (await call(port, READY.replace(b"ready", b"take"))).status == 405
+
+
+@on_loop
+async def test_a_body_s_call_that_is_never_done_ends_with_504(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "POST_S", 0.05)
+    async with operators() as (made, port):
+        assert (await call(port, post(1, "never"))).status == 504 and not made.tasks
+
+
 @on_loop
 async def test_one_call_to_a_connection() -> None:
     async with operators() as (_, port):
