Activation in the gateway: publish, status and rollback over a shared ledger

`transforms.fleet` (off unless configured; it needs a cluster and a state directory) starts the ledger and the activator once the state store is this process's. Versions are compiled and vetted off the loop, the active set is replaced by one reference, and none active costs what it cost before. One line each for what is ordered, staged, activated, tripped, quarantined, rolled back or refused.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -82,7 +82,8 @@
             from cloverkeel.transforms.local import load as load_transforms
 
             try:
-                gateway.transforms = load_transforms(config.transforms)
+                loaded = load_transforms(config.transforms)
+                gateway.transforms = loaded if loaded.installed else None
             except ConfigError as error:
                 print(f"cloverkeel: {error}", file=sys.stderr)
                 return 2
@@ -104,7 +105,14 @@
         }
         if fleet is not None:
             calls[b"/api/members"] = fleet.answer
-        operator = Operator(config.operator, calls) if config.operator else None
+        posts = {}
+        if fleet is not None and fleet.transforms is not None:
+            calls[b"/api/transforms"] = fleet.transforms.status
+            posts = {
+                b"/api/transforms/publish": fleet.transforms.publish,
+                b"/api/transforms/rollback": fleet.transforms.rollback,
+            }
+        operator = Operator(config.operator, calls, posts) if config.operator else None
         address = config.operator or config.listen
         try:
             if operator is not None:
--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -1,5 +1,5 @@
 """The command line beside the gateway itself: `python -m cloverkeel state check|show DIR`, `members`,
-`transforms check FILE`.
+`transforms check|publish|status|rollback`.
 
 `python -m cloverkeel` with no arguments is the gateway, as the deploy file starts it.
 """
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -183,6 +183,10 @@
     directory = environment.get("LB_STATE_DIR")
     if directory:
         config = replace(config, state=replace(config.state, directory=directory))
+    if config.transforms is not None and config.transforms.fleet is not None:
+        lacking = "a cluster" if config.cluster is None else "" if config.state.directory else "a state_dir"
+        if lacking:
+            raise ConfigError(f"transforms.fleet: it needs {lacking} in the configuration")
     return config
 
 
--- a/cloverkeel/fleet/membership/command.py
+++ b/cloverkeel/fleet/membership/command.py
@@ -53,36 +53,45 @@
 
 def fetch(host: str, port: int) -> dict[str, Any]:
     """The gateway's answer, within ANSWER_S. Raises CommandError."""
+    status, body = ask(host, port, "GET", "/api/members")
+    if status == 404:
+        raise CommandError("this gateway has no cluster in its configuration")
+    if status != 200:
+        raise CommandError(f"answered {status}: {body[:80].decode('utf-8', 'replace').strip()}")
+    try:
+        answer = json.loads(body)
+        rows = answer["members"]
+        if not all(isinstance(row, dict) and row.keys() >= set(COLUMNS) for row in rows):
+            raise ValueError("a row without its columns")
+        answer["name"], answer["cluster"], answer["address"], answer["state"]
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
+        raise CommandError(f"the answer is no member table: {error!r:.80}") from None
+    return dict(answer)
+
+
+def ask(
+    host: str, port: int, method: str, target: str, body: bytes | None = None, answer_s: float = ANSWER_S
+) -> tuple[int, bytes]:
+    """A gateway's answer to its operators: status and body, all of it within `answer_s`. Raises
+    CommandError."""
 
     def late(signum: int, frame: FrameType | None) -> None:
-        raise TimeoutError(f"no whole answer in {ANSWER_S:g} s")
+        raise TimeoutError(f"no whole answer in {answer_s:g} s")
 
     before = signal.signal(signal.SIGALRM, late)  # over the whole call, however slowly it trickles
-    signal.setitimer(signal.ITIMER_REAL, ANSWER_S)
-    connection = http.client.HTTPConnection(host, port, timeout=ANSWER_S)
+    signal.setitimer(signal.ITIMER_REAL, answer_s)
+    connection = http.client.HTTPConnection(host, port, timeout=answer_s)
     try:
-        connection.request("GET", "/api/members")
+        headers = {"Content-Type": "application/octet-stream"} if body is not None else {}
+        connection.request(method, target, body, headers)
         response = connection.getresponse()
-        body = response.read(ANSWER_BYTES + 1)
+        return response.status, response.read(ANSWER_BYTES + 1)
     except (OSError, http.client.HTTPException) as error:
         raise CommandError(getattr(error, "strerror", None) or str(error) or repr(error)) from None
     finally:
         signal.setitimer(signal.ITIMER_REAL, 0)
         signal.signal(signal.SIGALRM, before)
         connection.close()
-    if response.status == 404:
-        raise CommandError("this gateway has no cluster in its configuration")
-    if response.status != 200:
-        raise CommandError(f"answered {response.status}: {body[:80].decode('utf-8', 'replace').strip()}")
-    try:
-        answer = json.loads(body)
-        rows = answer["members"]
-        if not all(isinstance(row, dict) and row.keys() >= set(COLUMNS) for row in rows):
-            raise ValueError("a row without its columns")
-        answer["name"], answer["cluster"], answer["address"], answer["state"]
-    except (ValueError, TypeError, KeyError, RecursionError) as error:
-        raise CommandError(f"the answer is no member table: {error!r:.80}") from None
-    return dict(answer)
 
 
 def cell(value: object) -> str:
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from cloverkeel.fleet.state import Keeper
     from cloverkeel.gateway import Gateway
+    from cloverkeel.transforms.activation.parts import TransformParts
 
 NUMBER_S = 1.0  # for the store to hand out an incarnation
 TAKEN_OVER_S = 0.2  # the same, where the process before may still hold the store
@@ -55,6 +56,12 @@
         self.sharing: Sharing | None = None
         self.neighbours: Neighbours | None = None
         self.restoring: asyncio.Task[None] | None = None
+        self.transforms: TransformParts | None = None
+        published = config.transforms.fleet if config.transforms is not None else None
+        if published is not None and keeper is not None:
+            from cloverkeel.transforms.activation.parts import TransformParts
+
+            self.transforms = TransformParts(published, gateway, keeper)
 
     async def start(self) -> None:
         """Raises OSError where `cluster.bind` cannot be had."""
@@ -63,6 +70,8 @@
         zone = zones.get(self.config.settings.zone, "")
         self.membership = Membership(self.cluster, self.config.name, zone, incarnation, self.take_over)
         await self.membership.start()
+        if self.transforms is not None:
+            self.transforms.start(self.membership, self.cluster.reap_after_s)
         gateway = self.gateway
         self.sharers = Sharers(self.membership, gateway)
         if self.cluster.lists:
@@ -141,6 +150,8 @@
         counts = {f"members_{name}_total": n for name, n in self.membership.counters().items()}
         if self.sharing is not None:
             counts |= self.sharing.counters()
+        if self.transforms is not None:
+            counts |= self.transforms.counters()
         return counts
 
     def gauges(self) -> dict[str, int]:
@@ -151,6 +162,8 @@
             figures |= self.sharing.gauges()
         if self.neighbours is not None:
             figures["warm_neighbours"] = self.neighbours.answers
+        if self.transforms is not None:
+            figures |= self.transforms.gauges()
         return figures
 
     def descriptors(self) -> int:
@@ -158,6 +171,8 @@
         return self.membership.descriptors() if self.membership is not None else 0
 
     async def leave(self) -> None:
+        if self.transforms is not None:
+            await self.transforms.close()
         if self.membership is not None:
             await self.membership.leave()
 
--- a/cloverkeel/transforms/activation/core.py
+++ b/cloverkeel/transforms/activation/core.py
@@ -112,7 +112,7 @@
         if order is None:
             return
         self.staged[id] = reason[:500]
-        fields = (("name", order.name), ("version", id), ("outcome", reason or "staged"))
+        fields = (("transform", order.name), ("version", id), ("outcome", reason or "staged"))
         out.append(Note("transforms.staged", fields))
 
     def _tripped(self, id: str, is_open: bool, out: list[Action]) -> None:
@@ -139,18 +139,20 @@
             if slot == old:
                 continue
             fields = (
-                ("epoch", epoch.number), ("name", name), ("active", slot.active or "-"),
+                ("epoch", epoch.number), ("transform", name), ("active", slot.active or "-"),
                 ("candidate", slot.candidate or "-"), ("behind", ",".join(slot.behind) or "-"),
                 ("why", slot.why),
             )  # fmt: skip
-            out.append(Note("transforms.epoch", fields))
+            happened = slot.why.partition(":")[0].replace(" ", "_") if slot.why != old.why else "epoch"
+            named = happened if happened in ("quarantined", "rolled_back", "refused") else "epoch"
+            out.append(Note(f"transforms.{named}", fields))
             for order in self.book.orders.values():
                 over = order.name == name and old.last < order.sequence < slot.last
                 if over:
                     out.append(
                         Note(
                             "transforms.passed_over",
-                            (("name", name), ("version", order.id), ("by", slot.last[1])),
+                            (("transform", name), ("version", order.id), ("by", slot.last[1])),
                         )
                     )
 
--- /dev/null
+++ b/cloverkeel/transforms/activation/engine.py
@@ -0,0 +1,58 @@
+"""The gateway's engine as activation uses it: versions staged by id, and the set that the gateway runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from caperdrift.policy.breaker import State
+
+from cloverkeel.transforms.active import ActiveSet, Installed
+from cloverkeel.transforms.engine import Compiled, compile, failed_cases
+from cloverkeel.transforms.source import SourceError, parse
+
+if TYPE_CHECKING:
+    from cloverkeel.gateway import Gateway
+
+
+def vetted(source: bytes) -> Compiled:
+    """Compiled, with its golden cases true. Raises ValueError with the faults, a line each."""
+    try:
+        compiled = compile(parse(source))
+    except SourceError as error:
+        raise ValueError("\n".join(map(str, error.faults))) from None
+    if faults := failed_cases(compiled):
+        raise ValueError("\n".join(map(str, faults)))
+    return compiled
+
+
+class Engine:
+    """What is staged here. `own`: what the gateway's configuration names, which runs come what may."""
+
+    def __init__(self, gateway: Gateway, tripped: Callable[[str, bool], None]) -> None:
+        self.gateway, self.tripped = gateway, tripped
+        self.own = gateway.transforms.installed if gateway.transforms is not None else ()
+        self.staged: dict[str, Installed] = {}
+
+    def refusal(self, name: str) -> str:
+        """Why nothing may be published under a name here, or ""."""
+        taken = any(each.manifest.name == name for each in self.own)
+        return f"{name} is named by this gateway's own configuration" if taken else ""
+
+    def install(self, id: str, name: str, compiled: Compiled) -> str:
+        """Keep a version to be run; why not, or ""."""
+        if compiled.manifest.name != name:
+            return f"its own name is {compiled.manifest.name}"
+        if why := self.refusal(name):
+            return why
+        installed = self.staged[id] = Installed(compiled)
+        installed.on_trip(lambda _name, _sha256, state: self.tripped(id, state is not State.CLOSED))
+        return ""
+
+    def activate(self, versions: dict[str, str]) -> None:
+        """From now on the gateway runs these; a call under way keeps the set that it came under."""
+        chosen = [self.staged[id] for id in versions.values()]
+        self.gateway.transforms = ActiveSet(*self.own, *chosen) if self.own or chosen else None
+
+    def forget(self, wanted: set[str]) -> None:
+        self.staged = {id: each for id, each in self.staged.items() if id in wanted}
--- /dev/null
+++ b/cloverkeel/transforms/activation/shell.py
@@ -0,0 +1,187 @@
+"""Activation in a gateway: the core joined to the ledger, to membership's view and to the engine."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Coroutine
+from typing import Any, Literal
+
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.ledger.interface import Acknowledged, Expose, Level
+from cloverkeel.fleet.ledger.shell import Answer, Service, WriteRefused
+from cloverkeel.fleet.membership.roster import PRESENT
+from cloverkeel.fleet.membership.rumours import Status
+from cloverkeel.transforms.activation.core import Activation
+from cloverkeel.transforms.activation.engine import Engine, vetted
+from cloverkeel.transforms.activation.interface import (
+    Action,
+    Activate,
+    Drop,
+    Event,
+    Note,
+    Put,
+    Recorded,
+    Settings,
+    Settled,
+    Stage,
+    Staged,
+    Tick,
+    Tripped,
+    ViewChanged,
+)
+from cloverkeel.transforms.activation.records import KINDS, NAMES_MAX, ORDER, SOURCE_MAX, Order, encode
+from cloverkeel.transforms.activation.status import status
+
+TICK_S = 0.1
+
+
+class Activator:
+    """`start` once `ledger` has started; `close` before it closes."""
+
+    def __init__(self, ledger: Service, settings: Settings, engine: Engine) -> None:
+        self.ledger, self.engine = ledger, engine
+        engine.tripped = lambda id, is_open: self.give(Tripped(id, is_open))
+        self.membership = ledger.membership
+        life = secrets.randbits(62)
+        self.core = Activation(self.membership.name, life, settings, random.Random())
+        self.loop = asyncio.get_running_loop()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.ticker: asyncio.TimerHandle | None = None
+        self.view: ViewChanged | None = None
+        self.closed = False
+
+    def start(self) -> None:
+        for kind in KINDS:
+            for key in self.ledger.keys(kind):
+                self._show(kind, key, self.ledger.read(kind, key)[0])
+        self.ledger.on_expose(self._on_expose)
+        self.membership.on_change(lambda _rumour, _before: self._look())
+        self._tick()
+
+    def close(self) -> None:
+        self.closed = True
+        if self.ticker is not None:
+            self.ticker.cancel()
+        for task in self.tasks:
+            task.cancel()
+
+    # For developers.
+
+    async def publish(self, source: bytes, wait: Level, timeout_s: float) -> tuple[Order, str, Answer]:
+        """Have a file run by all: the order, the file's SHA-256, and how far it is held. Raises ValueError
+        where the file cannot be published, WriteRefused where the ledger did not keep it."""
+        if len(source) > SOURCE_MAX:
+            raise ValueError(f"the file has {len(source)} bytes, and at most {SOURCE_MAX} can be published")
+        compiled = await asyncio.to_thread(vetted, source)
+        name = compiled.manifest.name
+        if why := self.engine.refusal(name):
+            raise ValueError(why)
+        names = self.core.book.names()
+        if name not in names and len(names) >= NAMES_MAX:
+            raise ValueError(f"there are {NAMES_MAX} transforms already")
+        order, answer = await self._order(name, "publish", source, wait, timeout_s)
+        return order, compiled.sha256, answer
+
+    async def rollback(self, name: str, wait: Level, timeout_s: float) -> tuple[Order, Answer]:
+        """Take out the candidate, or else what is active. Raises ValueError where there is neither, and
+        WriteRefused."""
+        slot = self.core.book.epoch.slot(name)
+        if not slot.active and not slot.candidate and not self.core.book.open_orders(name):
+            raise ValueError(f"there is nothing of {name} to roll back")
+        return await self._order(name, "rollback", b"", wait, timeout_s)
+
+    async def _order(
+        self, name: str, verb: Literal["publish", "rollback"], source: bytes, wait: Level, timeout_s: float
+    ) -> tuple[Order, Answer]:
+        number = self.core.book.next_number(name)
+        order = Order(name, secrets.token_hex(8), number, verb, source)
+        context = self.ledger.read(ORDER, order.key)[1]
+        answer = await self.ledger.write(ORDER, order.key, encode(order), context, wait, timeout_s)
+        done = f"held by {answer.held}" if isinstance(answer, Acknowledged) else answer.reason
+        event("transforms.ordered", verb=verb, transform=name, version=order.id, number=number,
+              wait=wait.value, outcome=done)  # fmt: skip
+        return order, answer
+
+    def status(self) -> dict[str, Any]:
+        return status(self.core)
+
+    # Events in, actions out.
+
+    def give(self, what: Event) -> None:
+        if self.closed:
+            return
+        for action in self.core.handle(self.loop.time(), what):
+            self._act(action)
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Put() | Drop():
+                self._spawn(self._write(action))
+            case Stage():
+                self._spawn(self._stage(action))
+            case Activate(epoch, versions):
+                self.engine.activate(versions)
+                self.engine.forget(set(self.core.staged))
+                shown = ",".join(f"{name}:{id}" for name, id in versions.items())
+                event("transforms.activated", epoch=epoch, versions=shown or "-")
+            case Note(name, fields):
+                event(name, **dict(fields))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _write(self, action: Put | Drop) -> None:
+        """What is refused the core writes again: it is not shown."""
+        kind, key = action.kind, action.key
+        context = self.ledger.read(kind, key)[1]
+        try:
+            if isinstance(action, Put):
+                await self.ledger.write(kind, key, encode(action.body), context)
+            else:
+                await self.ledger.delete(kind, key, context)
+        except WriteRefused as error:
+            if not self.closed:
+                event("transforms.not_written", kind=kind, key=key, reason=str(error))
+
+    async def _stage(self, action: Stage) -> None:
+        try:
+            compiled = await asyncio.to_thread(vetted, action.source)
+            reason = self.engine.install(action.id, action.name, compiled)
+        except ValueError as error:
+            reason = str(error).partition("\n")[0]
+        except (MemoryError, RecursionError) as error:
+            reason = type(error).__name__
+        self.give(Staged(action.id, reason))
+
+    def _on_expose(self, shown: Expose) -> None:
+        if shown.kind in KINDS:
+            self._show(shown.kind, shown.key, shown.records)
+
+    def _show(self, kind: str, key: str, records: Any) -> None:
+        payloads = tuple(payload for _, payload in records if payload is not None)
+        self.give(Recorded(kind, key, payloads))
+
+    # Time and the view.
+
+    def _tick(self) -> None:
+        self.ticker = self.loop.call_later(TICK_S, self._tick)
+        self._look()
+        core = self.ledger.core
+        if core is not None and core.settling.settled != self.core.settled:
+            self.give(Settled(core.settling.settled))
+        self.give(Tick())
+
+    def _look(self) -> None:
+        if not self.membership.joined.is_set():
+            return
+        rumours = self.membership.view()
+        live = sorted(name for name, r in rumours.items() if r.status in PRESENT)
+        known = sorted(name for name, r in rumours.items() if r.status in PRESENT or r.status is Status.DEAD)
+        view = ViewChanged(tuple(live), tuple(known))
+        if view != self.view:
+            self.view = view
+            self.give(view)
--- /dev/null
+++ b/cloverkeel/transforms/activation/status.py
@@ -0,0 +1,67 @@
+"""What `transforms status` says of each name, as one member's ledger shows it. Pure."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+from cloverkeel.transforms.activation.core import Activation
+from cloverkeel.transforms.activation.records import Order
+
+
+def status(core: Activation) -> dict[str, Any]:
+    """`members`: epoch and failed versions of each that has reported; `waits`: known at the first member."""
+    book = core.book
+    return {
+        "member": core.me,
+        "epoch": core.epoch.number,
+        "may_decide": core.may_decide(),
+        "first": core.live[0],
+        "waits": dict(core.waits),
+        "transforms": [_name(core, name) for name in book.names()],
+        "members": [
+            {
+                "name": member,
+                "live": member in core.live,
+                "epoch": report.epoch,
+                "failed": {id: reason for id, reason in report.staged.items() if reason},
+                "open": list(report.open),
+            }
+            for member, report in sorted(book.reports.items())
+            if member in core.known
+        ],
+    }
+
+
+def _name(core: Activation, name: str) -> dict[str, Any]:
+    book = core.book
+    slot, orders = book.epoch.slot(name), book.open_orders(name)
+    runs = slot.candidate or slot.active
+    state = "canary" if slot.candidate else "active" if slot.active else "none"
+    if orders:
+        state = "staging" if orders[-1].verb == "publish" else "rolling back"
+    return {
+        "name": name,
+        "state": state,
+        "active": _version(book.orders.get(slot.active), slot.active),
+        "candidate": _version(book.orders.get(slot.candidate), slot.candidate),
+        "canaries": list(slot.canaries),
+        "before": _version(book.orders.get(slot.before), slot.before),
+        "behind": list(slot.behind),
+        "open_orders": [_version(order, order.id) for order in orders],
+        "staged_at": sum(
+            report.staged.get(orders[-1].id if orders else runs) == ""
+            for member, report in book.reports.items()
+            if member in core.live
+        ),
+        "of": len(core.live),
+        "why": slot.why,
+        "waits": core.waits.get(name, ""),
+    }
+
+
+def _version(order: Order | None, id: str) -> dict[str, str] | None:
+    if not id:
+        return None
+    sha256 = hashlib.sha256(order.source).hexdigest() if order is not None and order.source else ""
+    return {"id": id, "sha256": sha256, "verb": order.verb if order is not None else ""}
--- a/cloverkeel/transforms/commands.py
+++ b/cloverkeel/transforms/commands.py
@@ -1,4 +1,5 @@
-"""`python -m cloverkeel transforms check FILE`: compile a transform and run its golden cases, offline."""
+"""`python -m cloverkeel transforms check FILE`: compile a transform and run its golden cases, offline.
+`activation.command` has the verbs that ask a gateway."""
 
 from __future__ import annotations
 
@@ -14,6 +15,9 @@
     verb = verbs.add_parser("check", help="compile FILE and run its cases, offline: exit 0 if sound, else 1")
     verb.add_argument("file", metavar="FILE", help="a transform's source")
     verb.set_defaults(run=check)
+    from cloverkeel.transforms.activation import command  # the fleet's verbs, over a gateway
+
+    command.register(verbs)
 
 
 def check(arguments: argparse.Namespace) -> int:
--- /dev/null
+++ b/tests/test_activation_parts.py
@@ -0,0 +1,108 @@
+"""Activation beside a gateway: its configuration, the commands, an engine that is told what to run."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from caperdrift.policy.breaker import State
+from cloverkeel.config import ConfigError, load, parse
+from cloverkeel.gateway import Gateway
+from cloverkeel.transforms.activation.command import lines
+from cloverkeel.transforms.activation.engine import Engine, vetted
+from tests.helpers import trip
+from tests.sockets import configuration, on_loop
+
+CLUSTER = {"name": "blue", "bind": "127.0.0.1:0"}
+SOURCE = b'transform mark owner o phase request writes x-mark set x-mark = "1"'
+
+
+@pytest.mark.parametrize(
+    ("fleet", "says"),
+    [
+        (None, "fleet"),
+        ({}, "`size`"),
+        ({"size": 0}, "`size`"),
+        ({"size": True}, "`size`"),
+        ({"size": 3, "canary": 1}, "`canary`"),
+        ({"size": 3, "canary_share": 0}, "`canary_share`"),
+        ({"size": 3, "quarantine_share": 1.0}, "`quarantine_share`"),
+        ({"size": 3, "stage_timeout_s": float("nan")}, "`stage_timeout_s`"),
+    ],
+)
+def test_a_fleet_that_cannot_be_used_is_one_line_that_names_the_key(fleet: object, says: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        parse(configuration() | {"transforms": {"fleet": fleet}})
+    line = str(error.value)
+    assert line.startswith("transforms.fleet: ") and says in line and "\n" not in line
+
+
+@pytest.mark.parametrize(("more", "says"), [({}, "a cluster"), ({"cluster": CLUSTER}, "a state_dir")])
+def test_a_fleet_needs_a_cluster_and_a_place_for_the_ledger(
+    tmp_path: Path, more: dict[str, Any], says: str
+) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration() | {"transforms": {"fleet": {"size": 3}}} | more))
+    with pytest.raises(ConfigError, match=f"transforms.fleet: it needs {says}"):
+        load({"LB_CONFIG": str(file)})
+    found = load({"LB_CONFIG": str(file), "LB_STATE_DIR": "/x"}) if more else None
+    assert found is None or (found.transforms is not None and found.transforms.fleet is not None)
+
+
+def test_a_version_is_vetted_before_it_is_kept() -> None:
+    case = b' case "c" { out "x-mark: %d" }'
+    assert vetted(SOURCE + case % 1).manifest.name == "mark"
+    for source, says in ((SOURCE + case % 2, 'case "c"'), (b"transform", "1:"), (b"\xff", "not UTF-8")):
+        with pytest.raises(ValueError, match=says):
+            vetted(source)
+
+
+@on_loop
+async def test_the_engine_runs_what_it_is_told_and_tells_of_breakers() -> None:
+    gateway = Gateway(parse(configuration()))
+    told: list[tuple[str, bool]] = []
+    engine = Engine(gateway, lambda id, is_open: told.append((id, is_open)))
+    assert engine.install("1", "mark", vetted(SOURCE)) == ""
+    assert engine.install("2", "other", vetted(SOURCE)) == "its own name is mark"
+    engine.activate({"mark": "1"})
+    assert gateway.transforms is not None
+    (installed,) = gateway.transforms.installed
+    trip(installed.breaker, 0)
+    installed._tell(State.OPEN)
+    installed._tell(State.CLOSED)
+    assert told == [("1", True), ("1", False)]
+    engine.activate({})
+    assert gateway.transforms is None  # nothing to pay for in the request path
+    engine.forget(set())
+    assert not engine.staged
+    gateway.close()
+
+
+def test_the_status_for_people_says_what_runs_and_what_is_in_its_way() -> None:
+    version = {"id": "v1", "sha256": "ab" * 32, "verb": "publish"}
+    entry = {
+        "name": "mark", "state": "canary", "active": None, "candidate": version, "before": None,
+        "canaries": ["m1"], "behind": ["m2"], "open_orders": [], "staged_at": 2, "of": 3, "why": "canary",
+        "waits": "canaries run it: m1",
+    }  # fmt: skip
+    members = [
+        {"name": "m1", "live": True, "epoch": 4, "failed": {}, "open": ["v1"]},
+        {"name": "m2", "live": True, "epoch": 3, "failed": {"v1": "no memory"}, "open": []},
+        {"name": "m3", "live": False, "epoch": 1, "failed": {}, "open": []},
+    ]
+    status = {
+        "member": "m1", "epoch": 4, "may_decide": True, "first": "m1", "waits": {"": "4 members are known"},
+        "transforms": [entry], "members": members,
+    }  # fmt: skip
+    assert lines(status) == [
+        "epoch 4 as m1 sees it; 1 of 2 live members run it; m1 proposes",
+        "  blocked: 4 members are known",
+        "mark: canary; candidate v1 (abababababab); canaries m1; left behind m2; staged at 2 of 3",
+        "  canary",
+        "  canaries run it: m1",
+        "m1: breaker open on v1",
+        "m2 cannot stage v1: no memory",
+    ]
