--- a/faultlab/transforms/__init__.py
+++ b/faultlab/transforms/__init__.py
@@ -8,16 +8,19 @@
 from pathlib import Path
 
 from faultlab.report import Parts, positive, report
-from faultlab.transforms import engine
+from faultlab.transforms import activation, engine
 
-PARTS = {"engine": engine.run}
+PARTS = {"activation": activation.run, "engine": engine.run}
 
 
 def register(parts: Parts) -> None:
     """Add `transforms` and its arguments to the lab's commands."""
-    lab = parts.add_parser("transforms", help="throughput of a gateway with a transform against none")
+    lab = parts.add_parser("transforms", help="what header transforms cost, and how fast a fleet takes them")
     lab.add_argument("--part", choices=sorted(PARTS), default="engine")
-    lab.add_argument("--rounds", type=positive, default=20, help="slices of each variant (default 20)")
+    lab.add_argument(
+        "--rounds", type=positive, default=20, help="slices of each variant, or publications (default 20)"
+    )
+    lab.add_argument("--gateways", type=positive, default=10, help="of the activation part (default 10)")
     lab.add_argument("--slice-ms", type=positive, default=500, help="a slice's length (default 500)")
     lab.add_argument("--connections", type=positive, default=4, help="requests at once (default 4)")
     lab.add_argument("--seed", type=int, default=1)
--- /dev/null
+++ b/faultlab/transforms/activation.py
@@ -0,0 +1,128 @@
+"""`--part activation`: from a publication to all gateways, and from a bad one to its end, in one fleet."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import re
+import statistics
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from faultlab.lab import ask
+from faultlab.transforms.published import POLL_S, Published, Timed
+
+CANARY_S = 0.5
+QUIET_S = 10.0
+CALLS_S = 10.0  # calls a second to each gateway while a bad version is out
+SOURCE = 'transform mark owner lab phase request reads x-bad writes x-mark set x-mark = "%d"'
+BAD = 'transform mark owner lab phase request reads x-bad writes x-mark when has("x-bad") { fail "%d" }'
+CALL = b"POST /transfer HTTP/1.1\r\nHost: l\r\nX-Call-Id: l\r\nX-Bad: 1\r\nContent-Length: 0\r\n\r\n"
+BYTES = re.compile(rb"^lb_ledger_bytes_out_total (\d+)$", re.MULTILINE)
+
+
+async def run(arguments: argparse.Namespace, folder: Path) -> dict[str, Any]:
+    """Seconds. `spread`: from the first gateway that runs a version as active to the last."""
+    settings = {"canary_s": CANARY_S}
+    staged, spread, all_active, stopped = [], [], [], []
+    statuses: Counter[int] = Counter()
+    async with Published(arguments.gateways, folder, settings) as fleet:
+        quiet = await quiet_bytes(fleet)
+        for number in range(arguments.rounds):
+            began = time.monotonic()
+            id = await fleet.publish(fleet.names[number % len(fleet.names)], (SOURCE % number).encode())
+            at = await said(fleet, "event=transforms.staged", f"version={id}", "outcome=staged")
+            staged.append(max(at) - began)
+            at = await said(fleet, "event=transforms.epoch", f"active={id}")
+            spread.append(max(at) - min(at))
+            all_active.append(max(at) - began)
+            await fleet.all(rests)
+            began = time.monotonic()
+            async with load(fleet, statuses):
+                id = await fleet.publish(fleet.names[-1 - number % len(fleet.names)], (BAD % number).encode())
+                await said(fleet, "event=transforms.epoch", f"candidate={id}")
+                ends = await said(fleet, "event=transforms.quarantined", after_s=began)
+                stopped.append(max(ends) - began)
+            await fleet.all(rests)
+    return {
+        "gateways": arguments.gateways,
+        "rounds": arguments.rounds,
+        "canary_s": CANARY_S,
+        "published_to_staged_everywhere": quantiles(staged),
+        "published_to_active_everywhere": quantiles(all_active),
+        "spread": quantiles(spread) | {"goal": 1.0},
+        "bad_published_to_stopped_everywhere": quantiles(stopped) | {"goal": 3.0},
+        "calls_meanwhile": statuses.total(),
+        "calls_lost": statuses.total() - statuses[200],
+        "quiet_ledger_bytes_per_member_per_s": quiet,
+    }
+
+
+def rests(status: dict[str, Any]) -> bool:
+    """Nothing is on its way, and all live members run the epoch: the next round begins alike."""
+    return all(each["state"] == "active" for each in status["transforms"]) and all(
+        member["epoch"] == status["epoch"] for member in status["members"] if member["live"]
+    )
+
+
+def quantiles(values: list[float]) -> dict[str, float]:
+    """The median and the 99th of a hundred (of fewer values the greatest)."""
+    ranked = sorted(values)
+    return {
+        "p50": round(statistics.median(ranked), 3),
+        "p99": round(ranked[min(len(ranked) - 1, int(0.99 * len(ranked)))], 3),
+    }
+
+
+async def said(fleet: Published, *words: str, after_s: float = 0.0, timeout_s: float = 60.0) -> list[float]:
+    """When each gateway last wrote a line with these words, once all have after `after_s`."""
+    gateways: list[Timed] = list(fleet.gateways.values())
+    async with asyncio.timeout(timeout_s):
+        while True:
+            found = [gateway.said_s(*words) for gateway in gateways]
+            at = [at_s for at_s in found if at_s is not None and at_s > after_s]
+            if len(at) == len(gateways):
+                return at
+            await asyncio.sleep(POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def load(fleet: Published, statuses: Counter[int]) -> Any:
+    """Calls that a bad version fails on, to each gateway at `CALLS_S`; their statuses are counted."""
+    ended = asyncio.Event()
+
+    async def one(port: int) -> None:
+        while not ended.is_set():
+            statuses[await ask(port, CALL)] += 1
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(ended.wait(), 1 / CALLS_S)
+
+    tasks = [asyncio.create_task(one(gateway.port)) for gateway in fleet.gateways.values()]
+    try:
+        yield
+    finally:
+        ended.set()
+        await asyncio.gather(*tasks)
+
+
+async def quiet_bytes(fleet: Published) -> float:
+    """What a member's ledger sends in a second while nothing changes, the mean of all."""
+    before = await _bytes(fleet)
+    began = time.monotonic()
+    await asyncio.sleep(QUIET_S)  # the measurement itself
+    passed_s = time.monotonic() - began
+    return round((await _bytes(fleet) - before) / passed_s / len(fleet.names), 1)
+
+
+async def _bytes(fleet: Published) -> int:
+    total = 0
+    for name in fleet.names:
+        _, body = await fleet.call(name, "/api/telemetry")
+        found = BYTES.search(body)
+        if found is None:
+            raise RuntimeError(f"{name} gives no ledger's bytes")
+        total += int(found[1])
+    return total
