--- a/cloverkeel/transforms/activation/core.py
+++ b/cloverkeel/transforms/activation/core.py
@@ -60,7 +60,7 @@
         self.known: tuple[str, ...] = (member,)
         self.settled = False
         self.voter = Voter(member)
-        self.proposer = Proposer(member, life, settings.size, settings.retry_s, rng)
+        self.proposer = Proposer(member, life, settings, rng)
         self.staged: dict[str, str] = {}  # versions tried: "" or why not
         self.staging: set[str] = set()
         self.open: set[str] = set()
--- a/cloverkeel/transforms/activation/deciding.py
+++ b/cloverkeel/transforms/activation/deciding.py
@@ -9,6 +9,7 @@
 import random
 
 from cloverkeel.transforms.activation.book import Book
+from cloverkeel.transforms.activation.interface import Settings
 from cloverkeel.transforms.activation.records import Ballot, Epoch, Proposal, Vote, merge_votes
 
 
@@ -61,10 +62,11 @@
 
 
 class Proposer:
-    def __init__(self, me: str, life: int, size: int, retry_s: float, rng: random.Random) -> None:
-        self.me, self.life, self.size, self.retry_s, self.rng = me, life, size, retry_s, rng
+    def __init__(self, me: str, life: int, settings: Settings, rng: random.Random) -> None:
+        self.me, self.life, self.settings, self.rng = me, life, settings, rng
         self.proposal: Proposal | None = None
         self.until_s = 0.0
+        self.outbid = False
 
     def step(self, now_s: float, book: Book, value: Epoch | None) -> Proposal | Epoch | None:
         """What to write next so that `value`, or what a quorum may have accepted before it, becomes the next
@@ -77,7 +79,10 @@
                 return None
             return self._begin(now_s, book, number)
         votes = [v for m, v in book.votes.items() if v.epoch == number and counts(book.epoch, m)]
-        needed = quorum(book.epoch, self.size)
+        if any(vote.promised > mine.ballot for vote in votes) and not self.outbid:
+            self.outbid = True
+            self.until_s = min(self.until_s, now_s + self.settings.outbid_s * self.rng.random())
+        needed = quorum(book.epoch, self.settings.size)
         if mine.value is None:
             promises = [vote for vote in votes if vote.promised == mine.ballot]
             if len(promises) < needed:
@@ -98,7 +103,8 @@
             ballots.append(self.proposal.ballot)
         highest = max((ballot[0] for ballot in ballots), default=0)
         self.proposal = Proposal(number, (highest + 1, self.me, self.life))
-        self.until_s = now_s + self.retry_s * (1 + self.rng.random())
+        self.until_s = now_s + self.settings.retry_s * (1 + self.rng.random())
+        self.outbid = False
         return self.proposal
 
 
--- a/cloverkeel/transforms/activation/interface.py
+++ b/cloverkeel/transforms/activation/interface.py
@@ -14,7 +14,8 @@
     canary_share: float = 0.2  # of the live members, one at least
     canary_s: float = 5.0  # that the canaries run a version before all do
     quarantine_share: float = 0.25  # of those that run a version: more open breakers stop it
-    retry_s: float = 1.0  # for a ballot to come to its end, at least
+    retry_s: float = 5.0  # for a ballot to come to its end, at least
+    outbid_s: float = 0.5  # the same once a higher one is seen, at most
     resend_s: float = 2.0  # until a record that the ledger did not take is written again
     voters_after_s: float = 30.0  # that others than the voters are live, before they are made voters
 
--- a/faultlab/transforms/activation.py
+++ b/faultlab/transforms/activation.py
@@ -55,8 +55,7 @@
         "published_to_active_everywhere": quantiles(all_active),
         "spread": quantiles(spread) | {"goal": 1.0},
         "bad_published_to_stopped_everywhere": quantiles(stopped) | {"goal": 3.0},
-        "calls_meanwhile": statuses.total(),
-        "calls_lost": statuses.total() - statuses[200],
+        "calls_by_status": dict(sorted(statuses.items())),  # 0: no answer in time
         "quiet_ledger_bytes_per_member_per_s": quiet,
     }
 
--- a/tests/test_activation_core.py
+++ b/tests/test_activation_core.py
@@ -55,7 +55,7 @@
     first, second = Epoch(1, ("a",)), Epoch(1, ("b",))
     accepted = Vote(1, (1, "a", 9), (1, "a", 9), first)
     take(book, VOTE, "b", accepted)
-    proposer = Proposer("c", 5, 3, 1.0, rng)
+    proposer = Proposer("c", 5, Settings(3), rng)
     ask = proposer.step(0.0, book, second)
     assert isinstance(ask, Proposal) and ask == Proposal(1, (2, "c", 5))  # above all that it has heard of
     take(book, VOTE, "b", Vote(1, ask.ballot, accepted.accepted, first))
