--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -32,6 +32,8 @@
 from cloverkeel.fleet.membership.roster import PRESENT, Roster
 from cloverkeel.fleet.membership.rumours import Rumour, Status, View
 
+MOST_OUTRANKED = 4  # times that a successor raises its incarnation above its older self's
+
 
 class Member:
     """`start`, then `tick` and `receive` with the time passed in, each giving actions.
@@ -59,6 +61,8 @@
         self.joining_until_s: float | None = None
         self.met = False  # another member has been heard since the join: the name is this one's
         self.refused = False
+        self.older: set[str] = set()  # where the processes are heard that this one takes over from
+        self.outranked = 0  # how often it had to outrank them
         self.next_push_s = self.next_ask_s = self.next_gossip_s = 0.0
         self.ask_gap_s = timing.probe_interval_s  # between two calls to the seeds while nobody is known
 
@@ -115,7 +119,11 @@
         # Until another is met the name is but a claim; one that claims it by itself later is a successor.
         claims = self.joining_until_s is not None or not (self.met or source == self.me.name)
         if rumour.address != self.me.address and rumour.status in PRESENT:
-            if claims and self.take_over:  # our older self, in an upgrade: outrank it
+            if self._follows(rumour, claims):  # our older self, in an upgrade: outrank it
+                self.older.add(rumour.address)
+                if not claims and rumour.order < self.me.order:
+                    return []
+                self.outranked += 1
                 incarnation = max(self.me.incarnation, rumour.incarnation + 1)
                 self.view.me = replace(self.me, incarnation=incarnation)
                 self.roster.broadcasts.add(self.me)
@@ -127,10 +135,17 @@
         before = self.me
         if self.view.merge(rumour) is None:
             return []
-        self.roster.health.worse()
+        if rumour.status is not Status.ALIVE:
+            self.roster.health.worse()
         self.roster.broadcasts.add(self.me)
         return [Changed(self.me, before, f"refuted {rumour.status.value} at {rumour.incarnation}")]
 
+    def _follows(self, rumour: Rumour, claims: bool) -> bool:
+        """Whether `rumour` is of a process that this one takes over from: it refutes what is said of it until
+        it hears of this one. Bounded, so that two that each follow the other do not go on for ever."""
+        older = claims or not self.older or rumour.address in self.older
+        return self.take_over and older and self.outranked < MOST_OUTRANKED
+
     def receive(self, message: Message, now_s: float) -> list[Action]:
         """Take one message; what it says of members is merged, then it is answered as SWIM says."""
         if self.left or self.refused:
@@ -139,6 +154,7 @@
         if isinstance(message, Join):
             return roster.push_to(sender.address, reply=False, first=sender.name)
         actions: list[Action] = []
+        incarnation = self.me.incarnation
         for rumour in (*message.rumours, sender):  # a view's answer to our join is judged before we join
             if isinstance(message, Push):
                 if roster.forgotten(rumour):
@@ -151,7 +167,7 @@
             self.joining_until_s, self.met = None, True
         if isinstance(message, Ping):
             if message.target == self.me.name:
-                if message.suspect:
+                if message.suspect and self.me.incarnation == incarnation:  # not yet refuted above
                     actions += self._about_me(replace(self.me, status=Status.SUSPECT), sender.name)
                 gone = roster.held_gone(sender)  # it hears so, and refutes it; nobody else is told
                 told = (gone,) if gone is not None else ()
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from cloverkeel.fleet import invariants
 from cloverkeel.fleet.cluster import ClusterSettings
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.membership.bind import open_sockets, udp_at
 from cloverkeel.fleet.membership.calls import CallFailed, Calls
+from cloverkeel.fleet.membership.checked import CheckedMember
 from cloverkeel.fleet.membership.codec import (
     Codec,
     DatagramError,
@@ -104,8 +106,9 @@
     def _join(self, take_over: bool = False) -> None:
         me = Rumour(self.name, self.address, self.incarnation, Status.ALIVE, self.zone)
         settings = self.settings
+        kind = CheckedMember if invariants.ON else Member
         take_over = take_over or self.take_over
-        self.member = Member(me, settings.timing, self.seeds, take_over, self.rng)
+        self.member = kind(me, settings.timing, self.seeds, take_over, self.rng)
         self.state = "joining"
         self.gossip.run(self.member)
         if self.member.joining_until_s is None:
