Storm: the ledger and activation are parts of the command, seeds replayed as for the others

The histories of both had no way in but the tests. They are parts now beside module and cluster: one history for every 10,000 events each, one in 100 of 500 members, the first violation printed with the command that replays it to the same event.

--- a/faultlab/storm/cluster/activation.py
+++ b/faultlab/storm/cluster/activation.py
@@ -1,13 +1,11 @@
-"""Activation over ledger cores on simulated time: publishers, proposers, members that fail at every step.
+"""Activation over ledger cores on simulated time (`ledger.Cluster`), with an engine for each member.
 
-`run_history(seed)` is one random history over the ledger's simulated cluster (`ledger.Cluster`), with an
-engine that takes its time to stage a version, cannot stage some, and whose breakers open on some. Then all is
-healed.
+The engine takes its time to stage a version, cannot stage some, and its breakers open on some.
+`activation_history` plays random histories on it.
 """
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 from cloverkeel.fleet.ledger.dots import Dot
@@ -75,6 +73,9 @@
         self.first_s: dict[int, float] = {}  # by epoch: when it was first run somewhere
         super().__init__(seed, members, tick_s, LedgerSettings(size=members, digest_s=1.0, reap_after_s=6.0))
 
+    def broken(self) -> list[str]:
+        return self.truth.violations + self.activation.violations
+
     # Members.
 
     def start(self, member: Member) -> None:
@@ -252,65 +253,3 @@
         self.run(90.0, self.rested)
         self.check()
         self.activation.at_the_end([self.brains[m].core for m in self.members], self.bad)
-
-
-def run_history(seed: int, members: int | None = None, steps: int = 50) -> list[str]:
-    """One random history of 3 to 7 members (or so many); the violations found, none where all held."""
-    rng = random.Random(seed)
-    cluster = ActivationCluster(seed, members or rng.choice((3, 4, 5, 7)))
-    names = [f"t{i}" for i in range(rng.randint(1, 2))]
-    cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.2)), rng.choice((0.0, 0.1))
-    cluster.run(1.0)
-    for _ in range(steps):
-        for _ in range(rng.choice((1, 1, 3, 10))):
-            cluster.run(rng.choice((0.01, 0.05, 0.2, 0.6)))
-            cluster.check()
-        up = cluster.up()
-        if up and rng.random() < 0.4:
-            _order(cluster, rng, names)
-        else:
-            _fault(cluster, rng)
-    cluster.finish()
-    return cluster.truth.violations + cluster.activation.violations
-
-
-def _order(cluster: ActivationCluster, rng: random.Random, names: list[str]) -> None:
-    name = rng.choice(names)
-    for _ in range(rng.choice((1, 1, 2))):  # two developers at once
-        member = rng.choice(cluster.up())
-        level = rng.choice(tuple(Level))
-        if rng.random() < 0.2:
-            cluster.order(member, name, "rollback", level)
-            continue
-        id = cluster.order(member, name, "publish", level)
-        if rng.random() < 0.3:
-            cluster.bad.add(id)
-        elif rng.random() < 0.3:
-            count = rng.choice((1, 1, len(cluster.members) // 2 + 1, len(cluster.members)))
-            cluster.unable[id] = set(rng.sample(sorted(cluster.members), count))
-    if rng.random() < 0.3 and len(cluster.up()) > 1:
-        cluster.stop(member)  # the publisher, before or after its disk
-
-
-def _fault(cluster: ActivationCluster, rng: random.Random) -> None:
-    members = list(cluster.members.values())
-    member = rng.choice(members)
-    match rng.randrange(9):
-        case 0:
-            cluster.stop(member)
-        case 1 | 2 | 3:
-            for other in members:
-                if other.core is None and rng.random() < 0.8:
-                    cluster.start(other)
-        case 4:
-            for other in members:
-                other.side = rng.randrange(2)
-        case 5 | 6:
-            for other in members:
-                other.side = 0
-        case 7:
-            member.side = 9  # stopped, or cut off alone, for a while
-            cluster.run(rng.choice((0.3, 2.0, 9.0)))
-            member.side = 0
-        case 8:
-            member.full = not member.full
--- /dev/null
+++ b/faultlab/storm/cluster/activation_history.py
@@ -0,0 +1,86 @@
+"""Random histories of activation: publishers, two at once, proposers, members that fail at every step.
+
+Some versions cannot be staged by some members, and the breakers of some open. Then all is healed.
+"""
+
+from __future__ import annotations
+
+import random
+
+from cloverkeel.fleet.ledger.interface import Level
+
+from faultlab.storm.cluster.activation import ActivationCluster
+from faultlab.storm.cluster.ledger import TICK_S
+from faultlab.storm.cluster.played import Played, perform
+
+LARGE, LARGE_STEPS, LARGE_TICK_S = 500, 20, 0.5  # members, and what keeps a history of so many short
+
+
+def draw(seed: int) -> Played:
+    """The history of a seed: one in 100 is of LARGE members."""
+    if random.Random(f"size {seed}").random() < 1 / 100:
+        return play(seed, LARGE, LARGE_STEPS, LARGE_TICK_S)
+    return play(seed)
+
+
+def play(seed: int, members: int | None = None, steps: int = 50, tick_s: float = TICK_S) -> Played:
+    """One random history of 3 to 7 members (or so many)."""
+    rng = random.Random(seed)
+    cluster = ActivationCluster(seed, members or rng.choice((3, 4, 5, 7)), tick_s)
+    names = [f"t{i}" for i in range(rng.randint(1, 2))]
+    cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.2)), rng.choice((0.0, 0.1))
+    cluster.run(1.0)
+
+    def step() -> None:
+        for _ in range(rng.choice((1, 1, 3, 10))):
+            cluster.run(rng.choice((0.01, 0.05, 0.2, 0.6)))
+            cluster.check()
+        up = cluster.up()
+        if up and rng.random() < 0.4:
+            _order(cluster, rng, names)
+        else:
+            _fault(cluster, rng)
+
+    return perform(cluster, steps, step)
+
+
+def _order(cluster: ActivationCluster, rng: random.Random, names: list[str]) -> None:
+    name = rng.choice(names)
+    for _ in range(rng.choice((1, 1, 2))):  # two developers at once
+        member = rng.choice(cluster.up())
+        level = rng.choice(tuple(Level))
+        if rng.random() < 0.2:
+            cluster.order(member, name, "rollback", level)
+            continue
+        id = cluster.order(member, name, "publish", level)
+        if rng.random() < 0.3:
+            cluster.bad.add(id)
+        elif rng.random() < 0.3:
+            count = rng.choice((1, 1, len(cluster.members) // 2 + 1, len(cluster.members)))
+            cluster.unable[id] = set(rng.sample(sorted(cluster.members), count))
+    if rng.random() < 0.3 and len(cluster.up()) > 1:
+        cluster.stop(member)  # the publisher, before or after its disk
+
+
+def _fault(cluster: ActivationCluster, rng: random.Random) -> None:
+    members = list(cluster.members.values())
+    member = rng.choice(members)
+    match rng.randrange(9):
+        case 0:
+            cluster.stop(member)
+        case 1 | 2 | 3:
+            for other in members:
+                if other.core is None and rng.random() < 0.8:
+                    cluster.start(other)
+        case 4:
+            for other in members:
+                other.side = rng.randrange(2)
+        case 5 | 6:
+            for other in members:
+                other.side = 0
+        case 7:
+            member.side = 9  # stopped, or cut off alone, for a while
+            cluster.run(rng.choice((0.3, 2.0, 9.0)))
+            member.side = 0
+        case 8:
+            member.full = not member.full
--- a/faultlab/storm/cluster/ledger.py
+++ b/faultlab/storm/cluster/ledger.py
@@ -1,8 +1,6 @@
 """A cluster of ledger cores on simulated time, a simulated network and simulated disks, driven by one seed.
 
-`run_history(seed)` is one random history: writes under fresh and under old contexts, deletes, drops,
-doubles, delays, partitions, members that crash, are away, come back, lose their disk or get an old copy of
-it, disks that refuse, members that serve false payloads. Then all is healed, and all must agree.
+`ledger_history` plays random histories on it.
 """
 
 from __future__ import annotations
@@ -77,9 +75,14 @@
         self.written: dict[Dot, tuple[str, frozenset[Dot]]] = {}
         self.sent_bytes = 0
         self.acknowledged = 0
+        self.events = 0  # of the queue, that came about
         for member in self.members.values():
             self.start(member)
 
+    def broken(self) -> list[str]:
+        """The violations found so far."""
+        return self.truth.violations
+
     # Time.
 
     def later(self, delay_s: float, what: Callable[[], None]) -> None:
@@ -88,13 +91,16 @@
     def run(self, for_s: float, until: Callable[[], bool] | None = None) -> bool:
         """Let time pass; ends early, and says True, once `until` (asked each simulated second) holds."""
         end_s, ask_s = self.now_s + for_s, self.now_s + 1.0
-        while self.queue and self.queue[0][0] <= end_s:
+        while self.queue and self.queue[0][0] <= end_s and not self.broken():
             self.now_s, _, what = heapq.heappop(self.queue)
+            self.events += 1
             what()
             if until is not None and self.now_s >= ask_s:
                 ask_s = self.now_s + 1.0
                 if until():
                     return True
+        if self.broken():
+            return False
         self.now_s = end_s
         return until is not None and until()
 
@@ -290,58 +296,3 @@
                 self.truth.violated(f"{member.name} holds what its disk does not")
         assert core is not None
         self.truth.at_the_end({m.disk.number for m in self.members.values()}, core.replica.records)
-
-
-def run_history(seed: int, members: int | None = None, steps: int = 60, tick_s: float = TICK_S) -> list[str]:
-    """One random history of 5 to 20 members (or so many); the violations found, none where all held."""
-    rng = random.Random(seed)
-    cluster = Cluster(seed, members or rng.randint(5, 20), tick_s)
-    names = [("kind", f"key{i}") for i in range(rng.randint(1, 6))]
-    copies: dict[str, Disk] = {}
-    cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.3)), rng.choice((0.0, 0.1))
-    for _ in range(steps):
-        cluster.run(rng.choice((0.01, 0.05, 0.3, 1.0)))
-        cluster.check()
-        up = cluster.up()
-        if up and rng.random() < 0.6:
-            for _ in range(rng.randint(1, 3)):
-                level = rng.choice(tuple(Level))
-                cluster.write(
-                    rng.choice(up), rng.choice(names), rng.random() < 0.2, rng.random() < 0.3, level
-                )
-        else:
-            _fault(cluster, rng, copies)
-    cluster.finish()
-    return cluster.truth.violations
-
-
-def _fault(cluster: Cluster, rng: random.Random, copies: dict[str, Disk]) -> None:
-    member = rng.choice(list(cluster.members.values()))
-    match rng.randrange(10):
-        case 0:
-            cluster.stop(member)
-        case 1 | 2:
-            for other in cluster.members.values():
-                if other.core is None and rng.random() < 0.7:
-                    cluster.start(other)
-        case 3:
-            for other in cluster.members.values():
-                other.side = rng.randrange(2)
-        case 4 | 5:
-            for other in cluster.members.values():
-                other.side = 0
-        case 6:
-            member.full = not member.full
-        case 7:
-            member.false = rng.choice((0.0, 0.5, 1.0))
-        case 8:
-            copies[member.name] = cluster.copy_disk(member)
-        case 9:
-            if rng.random() < 0.3:
-                cluster.lose_disk(member)
-            elif member.name in copies:
-                cluster.set_back(member, copies.pop(member.name))
-            else:
-                member.side = 2
-                cluster.run(rng.choice((2.0, 9.0)))  # away, perhaps past `reap_after_s`
-                member.side = 0
--- /dev/null
+++ b/faultlab/storm/cluster/ledger_history.py
@@ -0,0 +1,80 @@
+"""Random histories of a cluster of ledgers.
+
+Writes under fresh and under old contexts, deletes, drops, doubles, delays, partitions, members that crash,
+are away, come back, lose their disk or get an old copy of it, disks that refuse, members that serve false
+payloads. Then all is healed, and all must agree.
+"""
+
+from __future__ import annotations
+
+import random
+
+from cloverkeel.fleet.ledger.interface import Level
+
+from faultlab.storm.cluster.ledger import TICK_S, Cluster, Disk
+from faultlab.storm.cluster.played import Played, perform
+
+LARGE, LARGE_STEPS, LARGE_TICK_S = 500, 20, 0.5  # members, and what keeps a history of so many short
+
+
+def draw(seed: int) -> Played:
+    """The history of a seed: one in 100 is of LARGE members."""
+    if random.Random(f"size {seed}").random() < 1 / 100:
+        return play(seed, LARGE, LARGE_STEPS, LARGE_TICK_S)
+    return play(seed)
+
+
+def play(seed: int, members: int | None = None, steps: int = 60, tick_s: float = TICK_S) -> Played:
+    """One random history of 5 to 20 members (or so many)."""
+    rng = random.Random(seed)
+    cluster = Cluster(seed, members or rng.randint(5, 20), tick_s)
+    names = [("kind", f"key{i}") for i in range(rng.randint(1, 6))]
+    copies: dict[str, Disk] = {}
+    cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.3)), rng.choice((0.0, 0.1))
+
+    def step() -> None:
+        cluster.run(rng.choice((0.01, 0.05, 0.3, 1.0)))
+        cluster.check()
+        up = cluster.up()
+        if up and rng.random() < 0.6:
+            for _ in range(rng.randint(1, 3)):
+                level = rng.choice(tuple(Level))
+                cluster.write(
+                    rng.choice(up), rng.choice(names), rng.random() < 0.2, rng.random() < 0.3, level
+                )
+        else:
+            _fault(cluster, rng, copies)
+
+    return perform(cluster, steps, step)
+
+
+def _fault(cluster: Cluster, rng: random.Random, copies: dict[str, Disk]) -> None:
+    member = rng.choice(list(cluster.members.values()))
+    match rng.randrange(10):
+        case 0:
+            cluster.stop(member)
+        case 1 | 2:
+            for other in cluster.members.values():
+                if other.core is None and rng.random() < 0.7:
+                    cluster.start(other)
+        case 3:
+            for other in cluster.members.values():
+                other.side = rng.randrange(2)
+        case 4 | 5:
+            for other in cluster.members.values():
+                other.side = 0
+        case 6:
+            member.full = not member.full
+        case 7:
+            member.false = rng.choice((0.0, 0.5, 1.0))
+        case 8:
+            copies[member.name] = cluster.copy_disk(member)
+        case 9:
+            if rng.random() < 0.3:
+                cluster.lose_disk(member)
+            elif member.name in copies:
+                cluster.set_back(member, copies.pop(member.name))
+            else:
+                member.side = 2
+                cluster.run(rng.choice((2.0, 9.0)))  # away, perhaps past `reap_after_s`
+                member.side = 0
--- a/faultlab/storm/command.py
+++ b/faultlab/storm/command.py
@@ -1,8 +1,9 @@
 """python -m faultlab storm --seed S --events N: random load and faults on the module and on whole clusters.
 
-The module's half plays N events, the clusters' half one history for every EVENTS of them, invariants on.
-History number I has the seed S + I. Each history's and the module's first violation is printed with the
-command that replays it: `--replay` plays that one run or history again and prints what befell it.
+The module's part plays N events; clusters of membership, the ledger and activation each play one history for
+every EVENTS of them, invariants on. History number I has the seed S + I. Each history's and the module's
+first violation is printed with the command that replays it: `--replay` plays that one run or history again
+and prints what befell it.
 """
 
 from __future__ import annotations
@@ -10,16 +11,23 @@
 import argparse
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from faultlab.report import Parts, positive, report
+from faultlab.storm.cluster import activation_history, ledger_history
 from faultlab.storm.cluster.faults import draw
+from faultlab.storm.cluster.played import Played
 from faultlab.storm.cluster.verdict import Outcome, play
 from faultlab.storm.module import run_module
 
 EVENTS = 10_000  # of the module for each history of a cluster
-HALVES = ("module", "cluster")
+REPLICAS: dict[str, Callable[[int], Played]] = {
+    "ledger": ledger_history.draw,
+    "activation": activation_history.draw,
+}
+PARTS = ("module", "cluster", *REPLICAS)
 
 
 @dataclass(slots=True)
@@ -54,8 +62,8 @@
         "--events", type=positive, default=1_000_000, help="events of the module (default a million)"
     )
     lab.add_argument("--histories", type=positive, help=f"clusters (default one for every {EVENTS} events)")
-    lab.add_argument("--part", choices=HALVES, help="one half alone")
-    lab.add_argument("--replay", action="store_true", help="one half's failing seed up to its event, told")
+    lab.add_argument("--part", choices=PARTS, help="one part alone")
+    lab.add_argument("--replay", action="store_true", help="one part's failing seed up to its event, told")
     lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
     lab.set_defaults(run=command, parser=lab)
 
@@ -65,23 +73,28 @@
     if arguments.replay:
         part: str = arguments.part or ""
         if not part:
-            arguments.parser.error("--replay needs --part module or --part cluster")
+            arguments.parser.error(f"--replay needs --part {' or '.join(PARTS)}")
         return replay(part, arguments.seed, arguments.events)
     began_s = time.monotonic()
-    parts = HALVES if arguments.part is None else (arguments.part,)
+    parts = PARTS if arguments.part is None else (arguments.part,)
     figures: dict[str, Any] = {"seed": arguments.seed}
     violations: list[str] = []
     if "module" in parts:
         done = run_module(arguments.seed, arguments.events, check=True)
         figures |= {"events": done.events, "actions_sha256": done.actions_sha256}
         violations += [_with_replay(v, "module", done.seed, done.events) for v in done.violations]
+    count = arguments.histories or max(1, arguments.events // EVENTS)
     if "cluster" in parts:
-        count = arguments.histories or max(1, arguments.events // EVENTS)
         totals = clusters(arguments.seed, count)
         figures |= {"histories": totals.histories, "cluster_events": totals.events, "members": totals.members}
         figures |= {"largest_cluster": totals.largest, "virtual_s": totals.virtual_s}
         figures |= {"agreed_push_pulls": quantiles(totals.agreed)}
         violations += totals.violations
+    for part, draws in REPLICAS.items():
+        if part in parts:
+            told, broken = replicas(part, draws, arguments.seed, count)
+            figures[part] = told
+            violations += broken
     figures |= {"violations": len(violations), "wall_s": time.monotonic() - began_s}
     for violation in violations:
         print(f"storm: {violation}", file=sys.stderr)
@@ -100,6 +113,26 @@
     return totals
 
 
+def replicas(
+    part: str, draws: Callable[[int], Played], seed: int, count: int
+) -> tuple[dict[str, Any], list[str]]:
+    """Figures and violations of a replicated part's histories, of `count` seeds from `seed` on."""
+    played = {number: draws(number) for number in range(seed, seed + count)}
+    done = list(played.values())
+    figures = {
+        "histories": count,
+        "events": sum(each.events for each in done),
+        "members": sum(each.members for each in done),
+        "largest_cluster": max(each.members for each in done),
+        "virtual_s": sum(each.virtual_s for each in done),
+    }
+    return figures, [
+        _with_replay(each.violations[0], part, number, each.events)
+        for number, each in played.items()
+        if each.violations
+    ]
+
+
 def quantiles(values: list[float]) -> dict[str, float]:
     """Median, 99th percentile and most; empty without values."""
     ranked = sorted(values)
@@ -120,6 +153,12 @@
         print(f"seed {seed}, {done.events} events, actions {done.actions_sha256}")
         print("\n".join(done.violations) or "nothing broke")
         return 1 if done.violations else 0
+    if part in REPLICAS:
+        played = REPLICAS[part](seed)
+        print(f"seed {seed}: {played.members} members")
+        print(f"event {played.events}{_same(played.events, events)} at {played.virtual_s:.3f} s:")
+        print("\n".join(played.violations) or "nothing broke")
+        return 1 if played.violations else 0
     history = draw(seed)
     print(f"seed {seed}: {history.size} members, {history.seeds} seeds, ticks of {history.tick_s} s")
     print(f"  {history.timing}")
@@ -128,8 +167,12 @@
               f"for {fault.length_s:.2f} s")  # fmt: skip
     outcome = play(history)
     print("last told:", *outcome.told, sep="\n  ")
-    same = "" if outcome.events == events else f" (not {events}: other code or options)"
+    same = _same(outcome.events, events)
     print(
         f"event {outcome.events}{same} at {outcome.virtual_s:.3f} s: {outcome.violation or 'nothing broke'}"
     )
     return 1 if outcome.violation else 0
+
+
+def _same(events: int, told: int) -> str:
+    return "" if events == told else f" (not {told}: other code or options)"
--- a/tests/test_activation_core.py
+++ b/tests/test_activation_core.py
@@ -29,7 +29,8 @@
     decode,
     encode,
 )
-from faultlab.storm.cluster.activation import ActivationCluster, run_history
+from faultlab.storm.cluster.activation import ActivationCluster
+from faultlab.storm.cluster.activation_history import play
 
 
 def take(book: Book, kind: str, key: str, *bodies: Body) -> None:
@@ -221,4 +222,4 @@
 def test_random_histories(first: int, block: int, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(records, "BLOCK", block)  # with 2, keys are left behind all the time
     for seed in range(first, first + 5):
-        assert run_history(seed) == [], f"seed {seed}"
+        assert play(seed).violations == [], f"seed {seed}"
--- a/tests/test_ledger_core.py
+++ b/tests/test_ledger_core.py
@@ -31,7 +31,8 @@
 from cloverkeel.fleet.ledger.messages import Digest, Fetch, Heads, Held, Piece
 from cloverkeel.fleet.ledger.records import Record, digest
 from cloverkeel.fleet.ledger.replica import Put
-from faultlab.storm.cluster.ledger import TICK_S, Cluster, run_history
+from faultlab.storm.cluster.ledger import TICK_S, Cluster
+from faultlab.storm.cluster.ledger_history import play
 
 T = TypeVar("T")
 KEY = ("kind", "key")
@@ -229,4 +230,4 @@
 
 @pytest.mark.parametrize("seed", range(15))
 def test_no_invariant_breaks_in_a_random_history(seed: int) -> None:
-    assert run_history(seed) == []
+    assert play(seed).violations == []
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -15,7 +15,7 @@
 from cloverkeel.fleet.membership.roster import Roster
 from cloverkeel.fleet.membership.rumours import Rumour, Status
 from faultlab.__main__ import main
-from faultlab.storm.cluster import budget, lists
+from faultlab.storm.cluster import activation_truth, budget, ledger_truth, lists
 from faultlab.storm.cluster.faults import Fault, History, Kind, draw
 from faultlab.storm.cluster.verdict import play
 
@@ -75,6 +75,43 @@
     assert f"event {events} at " in capsys.readouterr().out
 
 
+def _other_digest(payload: bytes) -> bytes:
+    return b"another"
+
+
+def _none_may_run(self: activation_truth.ActivationTruth, *_: object) -> None:
+    self.violated("runs what it may not")
+
+
+@pytest.mark.parametrize(
+    ("part", "place", "wrong", "what"),
+    [
+        ("ledger", (ledger_truth, "digest"), _other_digest, "shown with a payload that does not match"),
+        ("activation", (activation_truth.ActivationTruth, "running"), _none_may_run, "runs what it may not"),
+    ],
+)
+def test_a_replicated_part_plays_and_a_rule_that_breaks_is_replayed(
+    part: str,
+    place: tuple[object, str],
+    wrong: object,
+    what: str,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    once = ["storm", "--part", part, "--seed", "3", "--histories", "1", "--json"]
+    assert main(once) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert told["violations"] == 0 and told[part]["events"] > 1_000
+    monkeypatch.setattr(*place, wrong)
+    assert main(once) == 1
+    shown = capsys.readouterr()
+    events = json.loads(shown.out)[part]["events"]
+    assert f"seed=3 event={events} broken: " in shown.err and what in shown.err
+    assert main(shown.err.partition("replay: python -m faultlab ")[2].split()) == 1
+    again = capsys.readouterr().out
+    assert f"event {events} at " in again and what in again
+
+
 def test_lists_that_do_not_see_a_restarted_service_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(lists, "judge", lambda asked, index, epoch: ListVersion(epoch or 0, index))
     broken = [play(replace(draw(seed), lists=True)).violation for seed in range(4, 8)]
@@ -87,10 +124,10 @@
     assert outcome.violation is not None and "a fall budget is passed" in outcome.violation
 
 
-def test_replay_asks_for_the_half_that_failed(capsys: pytest.CaptureFixture[str]) -> None:
+def test_replay_asks_for_the_part_that_failed(capsys: pytest.CaptureFixture[str]) -> None:
     with pytest.raises(SystemExit):
         main(["storm", "--replay", "--seed", "1"])
-    assert "--replay needs --part module or --part cluster" in capsys.readouterr().err
+    assert "--replay needs --part module or cluster or ledger or activation" in capsys.readouterr().err
 
 
 ME, OTHER = Rumour("a", "10.0.0.1:7", 5, Status.ALIVE), Rumour("b", "10.0.0.2:7", 3, Status.ALIVE)
