Membership core: a suspicion of a claim that went is refuted, not taken for a successor's

A process that had claimed a taken name was gone, but one view still had it; suspected there, at the member's own incarnation, it outranked the living member in all views (a later state before an address), and that one took it for its successor and fell silent for ever. Change: who is suspected elsewhere at no higher incarnation is refuted like any suspicion; a successor's is higher.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -118,7 +118,9 @@
             return []
         # Until another is met the name is but a claim; one that claims it by itself later is a successor.
         claims = self.joining_until_s is not None or not (self.met or source == self.me.name)
-        if rumour.address != self.me.address and rumour.status in PRESENT:
+        # Who is suspected there at no higher incarnation is no successor, but a claim that went.
+        went = not claims and rumour.status is Status.SUSPECT and rumour.incarnation <= self.me.incarnation
+        if rumour.address != self.me.address and rumour.status in PRESENT and not went:
             if self._follows(rumour, claims):  # our older self, in an upgrade: outrank it
                 self.older.add(rumour.address)
                 if not claims and rumour.order < self.me.order:
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -55,3 +55,15 @@
     other = Rumour("a", "127.0.0.1:7", 9, Status.ALIVE)  # its own successor: from another address
     successor.receive(Ping(2, B, "a", (other,)), 4.0)
     assert successor.refused
+
+
+def test_a_suspicion_of_a_process_that_claimed_the_name_and_went_is_refuted() -> None:
+    """It stood over the living member at the same incarnation, which took it for its successor."""
+    member = started()
+    member.receive(Ping(1, B, "a"), 0.1)
+    ghost = replace(A, address="127.0.0.1:9", status=Status.SUSPECT, by="b")
+    actions = member.receive(Ping(2, B, "a", (ghost,)), 1.0)
+    assert [a.rumour.incarnation for a in actions if isinstance(a, Changed)] == [A.incarnation + 1]
+    assert not member.refused and member.roster.broadcasts.waiting["a"][-1] == member.me
+    member.receive(Ping(3, B, "a", (replace(ghost, incarnation=A.incarnation + 2),)), 2.0)
+    assert member.refused  # a successor's number is higher
