Warm by neighbours: another member is asked in the place of one that cannot be reached

Seven in ten of 60 gateways killed and started again: 28 of 43 had one answer, too few for any open breaker to be taken over, since the three members they asked were mostly among the killed.

--- a/cloverkeel/fleet/warm/neighbours.py
+++ b/cloverkeel/fleet/warm/neighbours.py
@@ -21,6 +21,7 @@
 
 GET = "learned.get"
 NEIGHBOURS = 3
+TRIED = 12  # members that are tried for these: after a crash of many most are gone, and not yet missed
 STEADY_S = 5.0  # a gateway that has served for less has learned nothing worth telling
 
 
@@ -47,13 +48,24 @@
         return {"classes": self.classes, "learned": encode(Snapshot(time.time(), learned))}
 
     async def within(self, wait_s: float) -> Learned | None:
-        """The median of what those told that answered within `wait_s`; None: nobody has."""
+        """The median of what those told that answered within `wait_s`; None: nobody has. In the place of one
+        that cannot be reached another is asked."""
         others = [r for r in self.membership.live() if r.name != self.membership.name]
         near = [r for r in others if r.zone == self.membership.zone]
-        chosen = self.rng.sample(near, min(NEIGHBOURS, len(near)))
-        if not chosen:
+        if not near:
             return None
-        asked = [self.loop.create_task(self._ask(r.name, r.address, wait_s)) for r in chosen]
+        end_s = self.loop.time() + wait_s
+        candidates = iter(self.rng.sample(near, min(TRIED, len(near))))
+
+        async def one() -> Learned | None:
+            for r in candidates:
+                try:
+                    return await self._ask(r.name, r.address, end_s - self.loop.time())
+                except CallFailed:
+                    continue
+            return None
+
+        asked = [self.loop.create_task(one()) for _ in range(min(NEIGHBOURS, len(near)))]
         done, late = await asyncio.wait(asked, timeout=wait_s)
         for task in late:
             task.cancel()
@@ -62,11 +74,10 @@
         return combine(answers)
 
     async def _ask(self, name: str, address: str, wait_s: float) -> Learned | None:
+        """None where it has nothing of use. Raises CallFailed where it cannot be reached."""
         try:
             raw = await self.membership.calls.call(address, GET, None, wait_s)
             return self._read(raw) if raw is not None else None
-        except CallFailed:
-            return None
         except ValueError as error:
             event("warm.refused", peer=name, reason=str(error)[:200])
             return None
