Storm: activation loses disks, its publisher is killed at any step, and its ledger is judged at the end

A publisher was killed at the moment of its order alone, no disk was ever lost, and what the ledger held at the end of an activation history was not judged. Now kills come within 3 s after an order, up to one disk fewer than a quorum is lost in a history (votes on lost disks count as given), and records that a disk took in must be left.

--- a/faultlab/storm/cluster/activation.py
+++ b/faultlab/storm/cluster/activation.py
@@ -70,6 +70,9 @@
         self.bad: set[str] = set()  # versions whose breakers open
         self.unable: dict[str, set[str]] = {}  # version to the members that cannot stage it
         self.published = 0
+        self.healed = False  # nothing befalls it any more
+        self.lost_disks = 0
+        self.lost_votes: list[tuple[str, Vote]] = []  # what a lost disk held of its member's own word
         self.first_s: dict[int, float] = {}  # by epoch: when it was first run somewhere
         super().__init__(seed, members, tick_s, LedgerSettings(size=members, digest_s=1.0, reap_after_s=6.0))
 
@@ -94,6 +97,12 @@
         self.alone_s[member.name] = self.now_s
         self.later(self.rng.random() * self.tick_s, self._brain_ticker(brain))
 
+    def lose_disk(self, member: Member) -> None:
+        self.lost_disks += 1
+        self.lost_votes += self._votes_of(member)
+        self.activation.highest.pop(member.name, None)
+        super().lose_disk(member)
+
     def _brain_ticker(self, brain: Brain) -> Callable[[], None]:
         def tick() -> None:
             if not self.runs(brain):
@@ -144,17 +153,20 @@
         if epoch.number != brain.epoch:
             brain.epoch = epoch.number
             self.first_s.setdefault(epoch.number, self.now_s)
-            self.activation.epoch_seen(brain.member.name, epoch, self._votes())
+            self.activation.epoch_seen(brain.member.name, epoch, self._votes)
 
     def _votes(self) -> list[tuple[str, Vote]]:
-        """Each member's own word, from its own disk."""
+        """Each member's own word, from its own disk and from those that it lost."""
+        found = [vote for member in self.members.values() for vote in self._votes_of(member)]
+        return found + self.lost_votes
+
+    def _votes_of(self, member: Member) -> list[tuple[str, Vote]]:
         found = []
-        for member in self.members.values():
-            for put in member.disk.rows.values():
-                if put.record.kind == VOTE and owner_of(put.record.key) == member.name and put.payload:
-                    vote = decode(VOTE, put.record.key, put.payload)
-                    assert isinstance(vote, Vote)
-                    found.append((member.name, vote))
+        for put in member.disk.rows.values():
+            if put.record.kind == VOTE and owner_of(put.record.key) == member.name and put.payload:
+                vote = decode(VOTE, put.record.key, put.payload)
+                assert isinstance(vote, Vote)
+                found.append((member.name, vote))
         return found
 
     def _writer(
@@ -245,6 +257,7 @@
         )  # fmt: skip
 
     def finish(self) -> None:
+        self.healed = True
         self.drop = self.double = 0.0
         for member in self.members.values():
             member.side, member.full, member.false = 0, False, 0.0
@@ -253,3 +266,9 @@
         self.run(90.0, self.rested)
         self.check()
         self.activation.at_the_end([self.brains[m].core for m in self.members], self.bad)
+        core = next(iter(self.members.values())).core
+        assert core is not None
+        if self.agreed():
+            self.truth.at_the_end({m.disk.number for m in self.members.values()}, core.replica.records)
+        else:
+            self.truth.violated("no agreement after the heal")
--- a/faultlab/storm/cluster/activation_history.py
+++ b/faultlab/storm/cluster/activation_history.py
@@ -59,13 +59,19 @@
             count = rng.choice((1, 1, len(cluster.members) // 2 + 1, len(cluster.members)))
             cluster.unable[id] = set(rng.sample(sorted(cluster.members), count))
     if rng.random() < 0.3 and len(cluster.up()) > 1:
-        cluster.stop(member)  # the publisher, before or after its disk
+        life = member.life
+
+        def kill() -> None:  # the publisher, at any step: before its disk, its quorum, the epoch or after
+            if member.life == life and not cluster.healed:
+                cluster.stop(member)
+
+        cluster.later(rng.choice((0.0, 0.02, 0.3, 3.0)) * rng.random(), kill)
 
 
 def _fault(cluster: ActivationCluster, rng: random.Random) -> None:
     members = list(cluster.members.values())
     member = rng.choice(members)
-    match rng.randrange(9):
+    match rng.randrange(10):
         case 0:
             cluster.stop(member)
         case 1 | 2 | 3:
@@ -84,3 +90,6 @@
             member.side = 0
         case 8:
             member.full = not member.full
+        case 9:
+            if cluster.lost_disks < len(members) // 2:  # one fewer than the quorum
+                cluster.lose_disk(member)
--- a/faultlab/storm/cluster/activation_truth.py
+++ b/faultlab/storm/cluster/activation_truth.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from cloverkeel.transforms.activation.core import Activation
 from cloverkeel.transforms.activation.records import Epoch, Vote
 
+Votes = Callable[[], Iterable[tuple[str, Vote]]]
+
 
 class ActivationTruth:
     """Told of every epoch seen and of what members run; `violations` is empty where all held."""
@@ -22,8 +24,8 @@
         if len(self.violations) < 20:
             self.violations.append(what)
 
-    def epoch_seen(self, member: str, epoch: Epoch, votes: Iterable[tuple[str, Vote]]) -> None:
-        """`votes`: what each member's own disk holds of its own word."""
+    def epoch_seen(self, member: str, epoch: Epoch, votes: Votes) -> None:
+        """`votes`: of each member's own word, what its disks hold, once asked for."""
         if epoch.number < self.highest.get(member, 0):
             self.violated(f"{member} falls from epoch {self.highest[member]} to {epoch.number}")
         self.highest[member] = epoch.number
@@ -37,7 +39,7 @@
             self.violated(f"epoch {epoch.number} without the one before it")
             return
         electorate = set(before.voters)
-        backing = {m for m, vote in votes if vote.value == epoch and (not electorate or m in electorate)}
+        backing = {m for m, vote in votes() if vote.value == epoch and (not electorate or m in electorate)}
         if 2 * len(backing) <= (len(electorate) or self.size):
             self.violated(
                 f"epoch {epoch.number} on the word of {len(backing)} of {len(electorate) or self.size}"
