--- a/tests/test_activation_core.py
+++ b/tests/test_activation_core.py
@@ -223,3 +223,8 @@
     monkeypatch.setattr(records, "BLOCK", block)  # with 2, keys are left behind all the time
     for seed in range(first, first + 5):
         assert play(seed).violations == [], f"seed {seed}"
+
+
+def test_a_member_that_votes_again_after_it_lost_its_disk_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Activation, "may_decide", lambda self: True)  # settled or not
+    assert "two values for epoch 2" in play(3030, 3).violations
