Ledger: what came since the last tick is passed on in one message, not a message a record

Need: a vote of each of 30 members made each member that took it in tell four others at once. Change: records taken in, and own ones at level local, wait for the next tick (0.1 s) and go to `fanout` members together, but not to who told of them. Writes at a level are told to all at once as before.

--- a/cloverkeel/fleet/ledger/ledger.py
+++ b/cloverkeel/fleet/ledger/ledger.py
@@ -86,6 +86,7 @@
         self.planned: tuple[list[Op], Delta] | None = None  # the batch at the disk
         self.compare_s = 0.0  # when the next comparison is due
         self.turn = 0  # of the live members, to compare with while unsettled
+        self.rumours: list[tuple[Record, str]] = []  # taken in, and who told of each: for the next tick
         self.persist_failures = 0
 
     # What a user of the ledger reads.
@@ -203,8 +204,6 @@
         touched = self.replica.commit(delta)
         if any(isinstance(op, Join) for op in ops):
             self.intake.fetches.forget(lambda record: self.replica.context.covers(record.dot))
-        own: list[Record] = []
-        told: dict[str, list[Record]] = {}
         confirmed: dict[str, list[Dot]] = {}
         for op in ops:
             if not isinstance(op, Put):
@@ -222,16 +221,12 @@
                 continue
             if write is not None:
                 self._own(now_s, op.record, write, until_s, out)
-                if write.wait is Level.LOCAL:
-                    own.append(op.record)
             elif teller:
-                told.setdefault(teller, []).append(op.record)
+                self.rumours.append((op.record, teller))
             for member in waiting:
                 confirmed.setdefault(member, []).append(dot)
         for member, dots in confirmed.items():
             out.append(Send(member, Held(tuple(dots))))
-        for teller, records in (("", own), *told.items()):
-            self._send_heads(out, self._some(self.settings.fanout, teller), records, fresh=True)
         for kind, key in sorted(touched):
             exposed, context = self.read(kind, key)
             out.append(Expose(kind, key, exposed, context))
@@ -245,6 +240,8 @@
         self.waits.by_dot[record.dot] = wait
         if write.wait is not Level.LOCAL:
             self._send_heads(out, self.live, [record], fresh=True, confirm=True)
+        else:
+            self.rumours.append((record, self.me))
 
     def _failed(self, now_s: float, batch: int, reason: str, out: list[Action]) -> None:
         if self.planned is None or batch != self.batch:
@@ -265,6 +262,7 @@
 
     def _tick(self, now_s: float, out: list[Action]) -> None:
         self.staged += self.intake.tick(now_s)
+        self._pass_on(out)
         for dot, (write, until_s) in self.local.items():
             if write is not None and now_s >= until_s:
                 self.local[dot] = None, until_s
@@ -323,9 +321,15 @@
             self.settling.settled = True
             out.append(Note("ledger.settled", (("records", len(self.replica.records)),)))
 
-    def _some(self, most: int, but: str) -> list[str]:
-        others = [m for m in self.live if m != but]
-        return self.rng.sample(others, min(most, len(others)))
+    def _some(self, most: int) -> list[str]:
+        return self.rng.sample(self.live, min(most, len(self.live)))
+
+    def _pass_on(self, out: list[Action]) -> None:
+        """What has come since the last tick and is still held, in one message to each of a few members."""
+        held = [(record, teller) for record, teller in self.rumours if record.dot in self.replica.records]
+        self.rumours = []
+        for member in self._some(self.settings.fanout) if held else ():
+            self._send_heads(out, [member], [r for r, teller in held if teller != member], fresh=True)
 
     def _send_heads(
         self, out: list[Action], members: Iterable[str], records: list[Record],
--- a/tests/test_ledger_core.py
+++ b/tests/test_ledger_core.py
@@ -154,6 +154,17 @@
     assert payloads(core) == [b"small"] and not core.intake.fetches.wanted
 
 
+def test_what_came_since_the_last_tick_is_passed_on_in_one_message_but_to_who_told_of_it() -> None:
+    core = ledger(fanout=2)
+    run(core, ViewChanged(("b", "c")))
+    records = [Record("kind", f"key{n}", digest(b""), 0, Dot("b", 1, n), Context()) for n in (1, 2)]
+    for record in records:
+        assert not of(Send, run(core, Heard("b", Heads((record,), fresh=True, payloads=(b"",)))))
+    (passed,) = [send for send in of(Send, run(core, Tick())) if isinstance(send.message, Heads)]
+    assert passed == Send("c", Heads(tuple(records), fresh=True, payloads=(b"",)))
+    assert not [send for send in of(Send, run(core, Tick(), 0.1)) if isinstance(send.message, Heads)]
+
+
 def test_a_member_that_floods_fills_its_own_share_only() -> None:
     core = ledger(limits=Limits(records=10, writer_records=3))
     run(core, ViewChanged(("b", "c")))
