Storm: one place notes the dot of a write or delete that activation asks for

Need: the writer and the dropper of activation's histories had the same six lines. Change: _context() serves both.

--- a/faultlab/storm/cluster/activation.py
+++ b/faultlab/storm/cluster/activation.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from cloverkeel.fleet.ledger.dots import Dot
+from cloverkeel.fleet.ledger.dots import Context, Dot
 from cloverkeel.fleet.ledger.interface import Acknowledged, Expose, Level, ViewChanged, Write
 from cloverkeel.fleet.ledger.interface import Action as LedgerAction
 from cloverkeel.fleet.ledger.interface import Delete as LedgerDelete
@@ -170,16 +170,23 @@
                 found.append((member.name, vote))
         return found
 
+    def _context(self, brain: Brain, kind: str, key: str) -> Context | None:
+        """What to write under, the write's dot noted for the judge; None: the member runs no longer."""
+        core = brain.member.core
+        if core is None or not self.runs(brain):
+            return None
+        records, context = core.read(kind, key)
+        dot = Dot(brain.member.name, core.incarnation, core.counter + 1)
+        self.written[dot] = brain.member.name, self.truth.seen(record for record, _ in records)
+        return context
+
     def _writer(
         self, brain: Brain, kind: str, key: str, body: Body, level: Level = Level.QUORUM, to: str = ""
     ) -> Callable[[], None]:
         def write() -> None:
-            core = brain.member.core
-            if core is None or not self.runs(brain):
+            context = self._context(brain, kind, key)
+            if context is None:
                 return
-            records, context = core.read(kind, key)
-            dot = Dot(brain.member.name, core.incarnation, core.counter + 1)
-            self.written[dot] = brain.member.name, self.truth.seen(record for record, _ in records)
             number = str(next(self.numbers))
             self.give(brain.member, Write(number, kind, key, encode(body), context, level, PUBLISH_S, to))
 
@@ -187,12 +194,9 @@
 
     def _dropper(self, brain: Brain, kind: str, key: str) -> Callable[[], None]:
         def drop() -> None:
-            core = brain.member.core
-            if core is None or not self.runs(brain):
+            context = self._context(brain, kind, key)
+            if context is None:
                 return
-            records, context = core.read(kind, key)
-            dot = Dot(brain.member.name, core.incarnation, core.counter + 1)
-            self.written[dot] = brain.member.name, self.truth.seen(record for record, _ in records)
             self.give(brain.member, LedgerDelete(str(next(self.numbers)), kind, key, context))
 
         return drop
