--- a/cloverkeel/fleet/lists/follow.py
+++ b/cloverkeel/fleet/lists/follow.py
@@ -37,9 +37,7 @@
 
 FEEDS = 2  # what a member follows at once, and what it asks at once
 DEPTH = 3  # of the tree: a member this deep has no followers
-SETTLE_S = (
-    0.5  # a relay acts once its view of the relays has stood so long, up to half as long again by chance
-)
+SETTLE_S = 0.5  # a relay acts once its view of the relays has stood so long, half as long again by chance
 GRACE_S = 1.0  # nobody draws before the relays have stood so long: they need time to act
 BLIND_S = 5.0  # a relay whose calls have failed for so long tells its followers
 LOST_S = 2.0  # one that is no relay and has no way itself is left after this
