Fleet: one ledger's part for all that keep records in it, with its sizes checked together

TransformParts began the ledger itself, so that a second kind (routes) would have opened the same tables twice. The size for the quorum is the configuration's, and has to be equal where two parts give one.

--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -13,6 +13,7 @@
 
 from caperdrift.interface import Settings, Tenant
 from caperdrift.wire import WireError, parse_settings
+from cloverkeel.fleet import needs
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.cluster import ClusterSettings
@@ -183,10 +184,8 @@
     directory = environment.get("LB_STATE_DIR")
     if directory:
         config = replace(config, state=replace(config.state, directory=directory))
-    if config.transforms is not None and config.transforms.fleet is not None:
-        lacking = "a cluster" if config.cluster is None else "" if config.state.directory else "a state_dir"
-        if lacking:
-            raise ConfigError(f"transforms.fleet: it needs {lacking} in the configuration")
+    if why := needs.fault(config):
+        raise ConfigError(why)
     return config
 
 
--- /dev/null
+++ b/cloverkeel/fleet/needs.py
@@ -0,0 +1,28 @@
+"""What parts that keep records in the shared ledger need of the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cloverkeel.config import Config
+
+
+def ledger_sizes(config: Config) -> dict[str, int]:
+    """The gateways that the fleet is made of, as each part that uses the ledger has it, by its key."""
+    sizes: dict[str, int] = {}
+    if config.transforms is not None and config.transforms.fleet is not None:
+        sizes["transforms.fleet"] = config.transforms.fleet.size
+    return sizes
+
+
+def fault(config: Config) -> str:
+    """Why the parts cannot be had, in one line; "": they can."""
+    sizes = ledger_sizes(config)
+    lacking = "a cluster" if config.cluster is None else "" if config.state.directory else "a state_dir"
+    for key in sizes if lacking else ():
+        return f"{key}: it needs {lacking} in the configuration"
+    if len(set(sizes.values())) > 1:
+        shown = " and ".join(f"{key}.size is {size}" for key, size in sizes.items())
+        return f"{shown}: they have to be equal"
+    return ""
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -16,7 +16,7 @@
 from caperdrift.interface import Learned, Restore
 
 from cloverkeel.config import Config
-from cloverkeel.fleet import events
+from cloverkeel.fleet import events, needs
 from cloverkeel.fleet.cluster import ClusterSettings
 from cloverkeel.fleet.kept import Snapshot
 from cloverkeel.fleet.lists.sharing import Sharing
@@ -26,6 +26,7 @@
 from cloverkeel.operator import Answer
 
 if TYPE_CHECKING:
+    from cloverkeel.fleet.ledger.part import LedgerPart
     from cloverkeel.fleet.state import Keeper
     from cloverkeel.gateway import Gateway
     from cloverkeel.transforms.activation.parts import TransformParts
@@ -57,11 +58,12 @@
         self.neighbours: Neighbours | None = None
         self.restoring: asyncio.Task[None] | None = None
         self.transforms: TransformParts | None = None
+        self.ledger = ledger_of(config, cluster, keeper)  # one, whatever parts keep records in it
         published = config.transforms.fleet if config.transforms is not None else None
-        if published is not None and keeper is not None:
+        if published is not None and self.ledger is not None:
             from cloverkeel.transforms.activation.parts import TransformParts
 
-            self.transforms = TransformParts(published, gateway, keeper)
+            self.transforms = TransformParts(published, gateway, self.ledger)
 
     async def start(self) -> None:
         """Raises OSError where `cluster.bind` cannot be had."""
@@ -70,8 +72,10 @@
         zone = zones.get(self.config.settings.zone, "")
         self.membership = Membership(self.cluster, self.config.name, zone, incarnation, self.take_over)
         await self.membership.start()
+        if self.ledger is not None:
+            self.ledger.start(self.membership)
         if self.transforms is not None:
-            await self.transforms.start(self.membership, self.cluster.reap_after_s, self.take_over)
+            await self.transforms.start(self.take_over)
         gateway = self.gateway
         self.sharers = Sharers(self.membership, gateway)
         if self.cluster.lists:
@@ -159,8 +163,8 @@
         counts = {f"members_{name}_total": n for name, n in self.membership.counters().items()}
         if self.sharing is not None:
             counts |= self.sharing.counters()
-        if self.transforms is not None:
-            counts |= self.transforms.counters()
+        if self.ledger is not None:
+            counts |= self.ledger.counters()
         return counts
 
     def gauges(self) -> dict[str, int]:
@@ -181,7 +185,9 @@
 
     async def leave(self) -> None:
         if self.transforms is not None:
-            await self.transforms.close()
+            self.transforms.close()
+        if self.ledger is not None:
+            await self.ledger.close()
         if self.membership is not None:
             await self.membership.leave()
 
@@ -196,6 +202,19 @@
             self.membership.close()
 
 
+def ledger_of(config: Config, cluster: ClusterSettings, keeper: Keeper | None) -> LedgerPart | None:
+    """The ledger's part, where another part keeps records in it and there is a state store; equal sizes are
+    the configuration's check (needs.py)."""
+    sizes = needs.ledger_sizes(config)
+    if not sizes or keeper is None:
+        return None
+    from cloverkeel.fleet.ledger.interface import Settings
+    from cloverkeel.fleet.ledger.part import LedgerPart
+
+    size = max(sizes.values())
+    return LedgerPart(keeper, Settings(size=size, reap_after_s=cluster.reap_after_s))
+
+
 async def incarnation_of(keeper: Keeper | None, take_over: bool) -> int:
     """A number higher than any that this gateway's name had: the store's counter, raised and written before
     it is used; without a store, or where it does not answer in time, the wall clock in milliseconds.
--- a/cloverkeel/transforms/activation/command.py
+++ b/cloverkeel/transforms/activation/command.py
@@ -8,11 +8,10 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from cloverkeel.config import ConfigError
-from cloverkeel.fleet.membership.command import CommandError, address_of, ask
-from cloverkeel.operator import POST_LIMIT, POST_S
+from cloverkeel.fleet.asking import Address, add_operator, add_wait, call, read_file
+from cloverkeel.fleet.membership.command import CommandError
 
-LEVELS = ("local", "quorum", "all")
+LACKS = "transforms.fleet"
 
 
 def register(verbs: Any) -> None:
@@ -24,46 +23,21 @@
     rollback = verbs.add_parser("rollback", help="take out the candidate of NAME, or else what is active")
     rollback.add_argument("name", metavar="NAME")
     for verb, run in ((publish, _publish), (status, _status), (rollback, _rollback)):
-        verb.add_argument(
-            "--operator", metavar="HOST:PORT", help="a gateway's operators' address (else $LB_OPERATOR)"
-        )
-        verb.set_defaults(run=lambda arguments, run=run: _guarded(run, arguments))
+        add_operator(verb, run)
     for verb in (publish, rollback):
-        verb.add_argument(
-            "--wait", choices=LEVELS, default="quorum", help="members that hold it first (default quorum)"
-        )
-
-
-def _guarded(run: Any, arguments: argparse.Namespace) -> int:
-    """0: done; 1: refused, or kept and not confirmed; 2: the address or the file cannot be used."""
-    try:
-        address = address_of(arguments.operator)
-    except ConfigError as error:
-        print(f"cloverkeel: {error}", file=sys.stderr)
-        return 2
-    try:
-        code: int = run(address, arguments)
-        return code
-    except OSError as error:
-        print(f"cloverkeel: {arguments.file}: {error.strerror}", file=sys.stderr)
-        return 2
-    except CommandError as error:
-        print(f"cloverkeel: {address[0]}:{address[1]}: {error}", file=sys.stderr)
-        return 1
-
-
-def _publish(address: tuple[str, int], arguments: argparse.Namespace) -> int:
-    with open(arguments.file, "rb") as file:
-        source = file.read(POST_LIMIT + 1)
-    if len(source) > POST_LIMIT:
-        raise CommandError(f"{arguments.file} is longer than {POST_LIMIT} bytes")
-    answer = _call(address, f"/api/transforms/publish?wait={arguments.wait}", source)
+        add_wait(verb)
+
+
+def _publish(address: Address, arguments: argparse.Namespace) -> int:
+    source = read_file(arguments.file)
+    answer = call(address, f"/api/transforms/publish?wait={arguments.wait}", source, lacks=LACKS)
     return _said("published", answer, arguments.wait)
 
 
-def _rollback(address: tuple[str, int], arguments: argparse.Namespace) -> int:
+def _rollback(address: Address, arguments: argparse.Namespace) -> int:
     query = urlencode({"name": arguments.name, "wait": arguments.wait})
-    return _said("rollback ordered", _call(address, f"/api/transforms/rollback?{query}", b""), arguments.wait)
+    answer = call(address, f"/api/transforms/rollback?{query}", b"", lacks=LACKS)
+    return _said("rollback ordered", answer, arguments.wait)
 
 
 def _said(done: str, answer: dict[str, Any], wait: str) -> int:
@@ -75,28 +49,12 @@
     return 1
 
 
-def _status(address: tuple[str, int], arguments: argparse.Namespace) -> int:
-    answer = _call(address, "/api/transforms")
+def _status(address: Address, arguments: argparse.Namespace) -> int:
+    answer = call(address, "/api/transforms", lacks=LACKS)
     print(json.dumps(answer) if arguments.json else "\n".join(lines(answer)))
     return 0
 
 
-def _call(address: tuple[str, int], target: str, body: bytes | None = None) -> dict[str, Any]:
-    method = "GET" if body is None else "POST"
-    status, found = ask(*address, method, target, body, POST_S + 2.0)
-    if status == 404:
-        raise CommandError("this gateway has no transforms.fleet in its configuration")
-    if status not in (200, 202):
-        raise CommandError(found[:400].decode("utf-8", "replace").strip().replace("\n", "; "))
-    try:
-        answer = json.loads(found)
-        if not isinstance(answer, dict):
-            raise ValueError("no object")
-    except (ValueError, RecursionError) as error:
-        raise CommandError(f"the answer is not its own: {error!r:.80}") from None
-    return answer
-
-
 def lines(answer: dict[str, Any]) -> list[str]:
     """The status for people: one line on the fleet, then one for each name and what is in its way."""
     if not {"epoch", "member", "transforms", "members", "first"} <= answer.keys():
--- a/tests/test_activation_parts.py
+++ b/tests/test_activation_parts.py
@@ -10,6 +10,7 @@
 
 from caperdrift.policy.breaker import State
 from cloverkeel.config import ConfigError, load, parse
+from cloverkeel.fleet import needs
 from cloverkeel.gateway import Gateway
 from cloverkeel.transforms.activation.command import lines
 from cloverkeel.transforms.activation.engine import Engine, vetted
@@ -52,6 +53,14 @@
     assert found is None or (found.transforms is not None and found.transforms.fleet is not None)
 
 
+def test_parts_that_share_the_ledger_have_one_size(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    monkeypatch.setattr(needs, "ledger_sizes", lambda _config: {"transforms.fleet": 3, "routes": 5})
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration() | {"state_dir": "/x", "cluster": CLUSTER}))
+    with pytest.raises(ConfigError, match="^transforms.fleet.size is 3 and routes.size is 5: they have to"):
+        load({"LB_CONFIG": str(file)})
+
+
 def test_a_version_is_vetted_before_it_is_kept() -> None:
     case = b' case "c" { out "x-mark: %d" }'
     assert vetted(SOURCE + case % 1).manifest.name == "mark"
