--- a/cloverkeel/fleet/asking.py
+++ b/cloverkeel/fleet/asking.py
@@ -1,4 +1,4 @@
-"""What the fleet's commands have in common: a gateway is asked at its operators' address, and one line says what
+"""What the commands of the fleet share: a gateway is asked at its operators' address, and one line says what
 is in the way."""
 
 from __future__ import annotations
