--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from caperdrift.plan import Plan
 
 class Effect(Enum):
     """What running a request a second time would do."""
@@ -201,6 +202,7 @@
     group: int = 0
     kind: int = 0
     started_us: int = 0  # clock reading; 0: long ago
+    labels: frozenset[int] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
@@ -219,6 +221,7 @@
     is_retry: bool = False
     tenant: int = 0  # its place in the settings
     open: bool = False  # its body is still coming: its time begins with BodyEnded
+    route: int = 0  # its number in the plan in force (plan.py); 0: none
 
 
 @dataclass(slots=True, frozen=True)
@@ -354,6 +357,7 @@
     ServerList
     | Restore
     | Fleet
+    | Plan
     | RequestArrived
     | BodyPassing
     | BodyEnded
--- /dev/null
+++ b/cloverkeel/fleet/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes of many teams, merged over the ledger (docs/routes.md); imported only where configured."""
