Module: the Plan event; a route narrows servers, attempts, deadline and requests at once

Need: routes of many teams say for the requests that they match which hosts they may go to, with which shares and caps. Inside that, breakers, weights, subset and shedding are to go on as they are.

Change: policy/routes.py. A request's target is drawn by share on arrival (a random number is drawn only where there are two or more), then the greatest is its fallback. The servers of a target are filtered and ranked once for each ranking, alone: with the order of all servers, proxies whose start lies between them would meet on one. A cold server's part of the budget follows the number of servers to choose from, else sixty proxies that all use the three servers of a route would each take the part of one in four. What the limit refuses counts for nothing but the vote on its class's patience.

--- a/caperdrift/__init__.py
+++ b/caperdrift/__init__.py
@@ -45,6 +45,7 @@
     TimerFired,
     WatchList,
 )
+from caperdrift.plan import Hosts, Plan, Route, Target
 
 __all__ = [
     "Action",
@@ -60,6 +61,7 @@
     "FetchList",
     "Fleet",
     "Goal",
+    "Hosts",
     "Learned",
     "LearnedBreaker",
     "LearnedServer",
@@ -69,6 +71,7 @@
     "Log",
     "Outcome",
     "PeerMessage",
+    "Plan",
     "Prices",
     "Probe",
     "Probed",
@@ -78,6 +81,7 @@
     "RequestClass",
     "RequestGone",
     "Restore",
+    "Route",
     "Scope",
     "Send",
     "ServerList",
@@ -86,6 +90,7 @@
     "Settings",
     "SettingsChanged",
     "StreamStarted",
+    "Target",
     "TellPeers",
     "Tenant",
     "TimerFired",
--- a/caperdrift/policy/__init__.py
+++ b/caperdrift/policy/__init__.py
@@ -4,6 +4,6 @@
 through. A server's weight in the draw is its listed weight times the weight of the feedback controller, less
 for what this proxy has out there. docs/design.md says what was kept, what changed, and when exactly it acts.
 
-Each file calls only those before it here: breaker, servers, proxy, sharers, cold, choice, shedding, weights,
-admission, sending, answers, retries, streams, lists, learned, balancer.
+Each file calls only those before it here: breaker, servers, proxy, sharers, cold, routes, choice, shedding,
+weights, admission, sending, answers, retries, streams, lists, learned, balancer.
 """
--- a/caperdrift/policy/admission.py
+++ b/caperdrift/policy/admission.py
@@ -1,9 +1,9 @@
 """Admission: what is known of a request when it arrives."""
 
-from __future__ import annotations
-
 from caperdrift.interface import RequestArrived
+from caperdrift.plan import Route
 from caperdrift.policy.proxy import RETRY_BURST, TENANT_MEMORY, Proxy
+from caperdrift.policy.routes import capped, targets
 from caperdrift.policy.servers import Request
 from caperdrift.policy.weights import SMOOTHING
 
@@ -13,7 +13,7 @@
 MEMORY = 500  # first tries after which the shares of asked and served work count half
 OVER_SHARE = 1.5  # times its share: a tenant's tries beyond are more than chance
 
-def admit(proxy: Proxy, event: RequestArrived) -> Request:
+def admit(proxy: Proxy, event: RequestArrived, route: Route) -> Request:
     klass = proxy.settings.classes[event.klass]
     gone_us = used_us(proxy, event)
     first_try = not event.is_retry and gone_us == 0
@@ -28,15 +28,15 @@
         if sum(proxy.asked) > MEMORY:
             proxy.asked = [n / 2 for n in proxy.asked]
             proxy.served = [n / 2 for n in proxy.served]
+    most, patience_us, aim_us = capped(proxy, route, event.patience_us, max(0, klass.aim_us - gone_us))
     return Request(
-        event.request, event.klass, klass, proxy.settings.max_attempts, event.key, event.work_us or 0,
-        proxy.now_us + event.patience_us, proxy.now_us + max(0, klass.aim_us - gone_us), size, first_try,
-        excess(proxy, event.tenant), opened_us=proxy.now_us if event.open else 0,
+        event.request, event.klass, klass, most, event.key, event.work_us or 0, proxy.now_us + patience_us,
+        proxy.now_us + aim_us, size, first_try, excess(proxy, event.tenant), event.route,
+        targets(proxy, route), opened_us=proxy.now_us if event.open else 0,
     )
 
 def excess(proxy: Proxy, tenant: int) -> float:
     """Part of a tenant's tries of late beyond its share; 0 where none is stated.
-
     Guards against a tenant's clients that repeat without limit: while anything is shed they yield first.
     """
     if not 0 <= tenant < len(proxy.tries):
@@ -48,7 +48,6 @@
 
 def used_us(proxy: Proxy, event: RequestArrived) -> int:
     """How much of its time a request's earlier tries have used; a first try has used none.
-
     First tries of a class are all given the same time, found by majority vote; another time marks a
     repeat. Guards against taking first tries, given less than the last, for late repeats.
     """
--- a/caperdrift/policy/answers.py
+++ b/caperdrift/policy/answers.py
@@ -1,7 +1,5 @@
 """Final answers, what is called off with them, and the order of requests by key."""
 
-from __future__ import annotations
-
 from collections import deque
 
 from caperdrift.interface import Cancel, Effect, Fail, Refuse, RequestGone, Scope
@@ -31,12 +29,11 @@
     wait_us = min(b.open_until_us for b in breakers) - proxy.now_us
     return max(0, min(wait_us, proxy.settings.max_retry_after_us))
 
-def finish(proxy: Proxy, request: Request) -> None:
+def finish(proxy: Proxy, request: Request, goes_on: bool = False) -> None:
     request.done = True
     if request.out == 0:
         free(proxy, request)
-        return
-    if not request.streaming:
+    elif not request.streaming and not goes_on:
         call_off(proxy, request)
 
 def call_off(proxy: Proxy, request: Request, spared: int | None = None) -> None:
@@ -49,18 +46,13 @@
     request = proxy.requests.get(event.request)
     if request is None or request.done:
         return
-    if proxy.settings.attempts_per_connection > 1 or any(a.overdue for a in request.attempts):
-        finish(proxy, request)
-    else:
-        # Calling off ends the connection: the next costs the server more than the rest of the work, which
-        # goes on anyhow, and what the attempt would still tell of the server is lost.
-        request.done = True
-        if request.out == 0:
-            free(proxy, request)
+    # Calling off ends the connection: the next costs the server more than the rest of the work, which goes
+    # on anyhow, and what the attempt would still tell of the server is lost.
+    costly = proxy.settings.attempts_per_connection == 1
+    finish(proxy, request, goes_on=costly and not any(a.overdue for a in request.attempts))
 
 def waits_its_turn(proxy: Proxy, request: Request) -> bool:
     """Put a request of an in-order class in its key's line; True unless its turn is now.
-
     A line grows no longer than can be served from: who would come too late is refused when that is clear.
     """
     if request.key is None or not request.rules.in_order:
@@ -79,6 +71,7 @@
     """Forget a request that is over; in order, the next of its key has its turn once the key rested."""
     if proxy.requests.get(request.id) is request:  # while it rested in line its client may have come again
         del proxy.requests[request.id]
+        proxy.routed[request.route] -= 1
     line = proxy.lines.get(request.key) if request.key is not None else None
     if line is None or request not in line:
         return
--- a/caperdrift/policy/balancer.py
+++ b/caperdrift/policy/balancer.py
@@ -1,21 +1,25 @@
 """The balancer: one event in, its actions out. Their types and the settings are in interface.py."""
 
-from __future__ import annotations
+from collections.abc import Callable
+from typing import Any
 
 from caperdrift.interface import (
-    Action, AttemptEnded, BodyEnded, BodyPassing, Event, Fail, Fleet, Learned, RequestArrived, RequestGone,
-    Restore, ServerList, SettingsChanged, SetTimer, Settings, StreamStarted, TimerFired, WatchList,
+    Action, AttemptEnded, BodyEnded, BodyPassing, Event, Fail, Fleet, Refuse, RequestArrived, RequestGone,
+    Restore, ServerList, SettingsChanged, SetTimer, StreamStarted, TimerFired, WatchList,
 )
-from caperdrift.policy import choice, learned
-from caperdrift.policy.admission import admit
+from caperdrift.plan import Plan
+from caperdrift.policy.admission import admit, used_us
 from caperdrift.policy.answers import answer_unserved, free, on_gone, waits_its_turn
+from caperdrift.policy.choice import skipped
+from caperdrift.policy.learned import learned, on_restore
 from caperdrift.policy.lists import on_list, rank_servers
 from caperdrift.policy.proxy import LIST_TOKEN, TENANT_MEMORY, Proxy
 from caperdrift.policy.retries import on_attempt_ended, on_overdue
+from caperdrift.policy.routes import is_full, on_plan, route_of
 from caperdrift.policy.sending import try_send
 from caperdrift.policy.sharers import on_fleet
 from caperdrift.policy.shedding import is_shed
-from caperdrift.policy.streams import on_body_ended, on_body_passing, on_stream
+from caperdrift.policy.streams import on_body_ended, on_stream, tie
 
 class Balancer(Proxy):
     """Decides for one proxy. Feed it events in order; carry out the actions that each returns."""
@@ -24,39 +28,13 @@
         """Take one event; returns what to do, in order."""
         self.now_us = max(now_us, self.now_us)  # a clock that steps back stands still instead
         self.actions = []
-        if isinstance(event, AttemptEnded):
-            on_attempt_ended(self, event)
-        elif isinstance(event, RequestArrived):
-            self.on_request(event)
-        elif isinstance(event, TimerFired):
-            self.on_timer(event.token)
-        elif isinstance(event, RequestGone):
-            on_gone(self, event)
-        elif isinstance(event, ServerList):
-            on_list(self, event)
-        elif isinstance(event, StreamStarted):
-            on_stream(self, event)
-        elif isinstance(event, BodyPassing):
-            on_body_passing(self, event)
-        elif isinstance(event, BodyEnded):
-            on_body_ended(self, event.request)
-        elif isinstance(event, SettingsChanged):
-            self.on_settings(event.settings)
-        elif isinstance(event, Restore):
-            learned.on_restore(self, event.learned, max(0, event.age_us))
-        elif isinstance(event, Fleet):
-            on_fleet(self, event)
+        handler = HANDLERS.get(type(event))
+        if handler is not None:  # else it says nothing that is decided by
+            handler(self, event)
         return self.actions
 
-    def learned(self) -> Learned:
-        """What this proxy has learned, for a process after it (see Restore); changes nothing."""
-        return learned.learned(self)
-
-    def skipped(self, now_us: int) -> int:
-        """How many listed servers may not be used for any class now."""
-        return choice.skipped(self, now_us)
-
-    # What no other file decides
+    learned = learned
+    skipped = skipped
 
     def on_request(self, event: RequestArrived) -> None:
         if event.request in self.requests:
@@ -67,14 +45,20 @@
             self.log(f"request {event.request} is of unknown class {event.klass}")
             self.actions.append(Fail(event.request))
             return
-        request = admit(self, event)
+        route = route_of(self, event.route)
+        if is_full(self, event.route, route):
+            used_us(self, event)  # a first try tells of its class's patience all the same
+            self.actions.append(Refuse(event.request))
+            return
+        request = admit(self, event, route)
         self.requests[request.id] = request
+        self.routed[request.route] += 1
         if is_shed(self, request) or not (waits_its_turn(self, request) or try_send(self, request)):
             answer_unserved(self, request)
 
-    def on_timer(self, token: int) -> None:
-        request = self.timers.pop(token, None)
-        if token == LIST_TOKEN and not self.settings.list_is_pushed:
+    def on_timer(self, event: TimerFired) -> None:
+        request = self.timers.pop(event.token, None)
+        if event.token == LIST_TOKEN and not self.settings.list_is_pushed:
             self.actions.append(WatchList())
         elif request is not None and request.done and request.out == 0:
             free(self, request)
@@ -83,9 +67,10 @@
         elif request is not None and not request.done:
             on_overdue(self, request)
 
-    def on_settings(self, settings: Settings) -> None:
+    def on_settings(self, event: SettingsChanged) -> None:
         """Go by other settings from now on; what was learned stays, and open requests keep their rules."""
-        old, self.settings = self.settings, settings
+        old, settings = self.settings, event.settings
+        self.settings = settings
         known = len(old.classes)
         for values in (self.smoothed, self.unhindered):
             values += [c.aim_us / 4 for c in settings.classes[known:]]
@@ -101,3 +86,18 @@
         if old.list_is_pushed and not settings.list_is_pushed:
             self.actions.append(SetTimer(self.now_us, LIST_TOKEN))
         rank_servers(self)
+
+HANDLERS: dict[type, Callable[[Any, Any], object]] = {
+    AttemptEnded: on_attempt_ended,
+    RequestArrived: Balancer.on_request,
+    TimerFired: Balancer.on_timer,
+    RequestGone: on_gone,
+    ServerList: on_list,
+    StreamStarted: on_stream,
+    BodyPassing: tie,
+    BodyEnded: on_body_ended,
+    SettingsChanged: Balancer.on_settings,
+    Restore: on_restore,
+    Fleet: on_fleet,
+    Plan: on_plan,
+}
--- a/caperdrift/policy/breaker.py
+++ b/caperdrift/policy/breaker.py
@@ -1,7 +1,5 @@
 """Circuit breakers: what a ring of outcomes says of a server, or of one class at it."""
 
-from __future__ import annotations
-
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
@@ -65,8 +63,7 @@
                 return None  # in half-open only the trials' outcomes count
             self.trials_out -= 1
             self.trial_results.append(failed)
-            bad = sum(self.trial_results)
-            if bad / TRIALS >= THRESHOLD:  # the rest cannot save it
+            if sum(self.trial_results) / TRIALS >= THRESHOLD:  # the rest cannot save it
                 return self.reopen(now_us)
             return self.close() if len(self.trial_results) == TRIALS else None
         if len(self.ring) == RING:
--- a/caperdrift/policy/choice.py
+++ b/caperdrift/policy/choice.py
@@ -1,57 +1,53 @@
 """The choice of a server: who may be used, the subset, and the weighted draw."""
 
-from __future__ import annotations
-
 import math
 
-from caperdrift.interface import Effect, ListedServer, Scope
+from caperdrift.interface import Effect, Scope
 from caperdrift.policy.breaker import State
 from caperdrift.policy.cold import cold_room, cold_share
 from caperdrift.policy.proxy import OVERDUE, Proxy
+from caperdrift.policy.routes import nearness, pools
 from caperdrift.policy.servers import Request, Server
 
-AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
 OWN = 4  # power of own attempts out in the draw: known at once, where listed weights are late, alike for all
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
 HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
 
 def rendezvous(key: int, server: int, weight: float) -> float:
     """Lowest at the server that a key belongs to: weighted rendezvous hashing.
-
     Everyone ranks alike without a word, and a server that comes or goes moves only what ranks it first.
     """
     mixed = (key ^ (server * HASH_FACTOR)) * HASH_FACTOR & HASH_MASK
     mixed = (mixed ^ (mixed >> 29)) * HASH_FACTOR & HASH_MASK
     return -math.log((mixed + 1) / (HASH_MASK + 1)) / weight
 
-def subset(proxy: Proxy, klass: int) -> list[Server]:
+def subset(proxy: Proxy, klass: int, ranked: list[Server]) -> list[Server]:
     """The servers that this proxy spreads over: the first in rank that may be used.
-
     Guards against full connection tables, a handshake for each request, and thin evidence. A proxy with
     more in hand reaches further; an open or silent server gives its place to the next. A cold one is
     used only by those who rank it high without that, so that many who step aside never meet on it.
     """
     found: list[Server] = []
-    for place, server in enumerate(proxy.ranked):
+    for place, server in enumerate(ranked):
         if len(found) >= proxy.reach:
             break
         if is_eligible(proxy, server, klass) and (place < proxy.reach or cold_share(proxy, server) >= 1.0):
             found.append(server)
     return found
 
-def allowed_servers(proxy: Proxy, request: Request) -> list[Server]:
+def allowed_servers(proxy: Proxy, request: Request, ranked: list[Server]) -> list[Server]:
     """Servers that another attempt may go to."""
     tried = [a.server for a in request.attempts]
     klass = request.rules
     ran = [a for a in request.attempts if a.may_have_run]
-    servers = [s for s in subset(proxy, request.klass) if s not in tried]
+    servers = [s for s in subset(proxy, request.klass, ranked) if s not in tried]
     if ran and klass.effect is Effect.UNSAFE:
         return []
     if ran and klass.effect is Effect.KEYED:
         if proxy.now_us - ran[0].sent_us >= klass.window_us:
             return []
-        servers = [s for s in proxy.ranked if s not in tried and is_eligible(proxy, s, request.klass)]
-        reached = proxy.ranked[: math.ceil(proxy.reach)]
+        servers = [s for s in ranked if s not in tried and is_eligible(proxy, s, request.klass)]
+        reached = ranked[: math.ceil(proxy.reach)]
         servers = [s for s in servers if s in reached or cold_share(proxy, s) >= 1.0]
         if klass.scope is Scope.ZONE:
             servers = [s for s in servers if all(s.entry.zone == a.server.entry.zone for a in ran)]
@@ -61,18 +57,11 @@
 
 def pick(proxy: Proxy, request: Request) -> Server | None:
     """Weighted random choice among the servers that may take this request now."""
-    candidates = allowed_servers(proxy, request) if request.attempts else subset(proxy, request.klass)
-    repeatable = request.rules.effect is not Effect.UNSAFE
-    weights: list[tuple[float, Server]] = []
-    total = 0.0
-    for server in candidates:
-        weight = draw_weight(proxy, server, request)
-        # Trials risk their request, so one that could not be repeated goes to closed servers.
-        if weight > 0.0 and (repeatable or server.breaker.state is State.CLOSED):
-            weights.append((weight, server))
-            total += weight
-    if not weights:
+    weighings = (weighed(proxy, request, ranked) for ranked in pools(proxy, request))
+    weights = next(filter(None, weighings), None)
+    if weights is None:
         return None
+    total = sum(weight for weight, _ in weights)
     if proxy.settings.warm_keys and request.key is not None:
         total += favour_home(request.key, weights)
     point = proxy.random.random() * total
@@ -82,6 +71,16 @@
             return server
     return weights[-1][1]
 
+def weighed(proxy: Proxy, request: Request, ranked: list[Server]) -> list[tuple[float, Server]]:
+    """The servers of one pool that may take this request now, with their weights in the draw."""
+    request.among = len(ranked)
+    repeated, klass = request.attempts, request.klass
+    candidates = allowed_servers(proxy, request, ranked) if repeated else subset(proxy, klass, ranked)
+    repeatable = request.rules.effect is not Effect.UNSAFE
+    weights = [(draw_weight(proxy, server, request), server) for server in candidates]
+    # Trials risk their request, so one that could not be repeated goes to closed servers.
+    return [(w, s) for w, s in weights if w > 0.0 and (repeatable or s.breaker.state is State.CLOSED)]
+
 def favour_home(key: int, weights: list[tuple[float, Server]]) -> float:
     """Raise the weight of the key's home among the candidates; returns by how much."""
     ranks = [rendezvous(key, server.entry.server, 1.0) for _, server in weights]
@@ -99,10 +98,6 @@
     weight = server.weight * server.part(request.klass).weight
     return server.entry.weight * weight * free * nearness(proxy, server.entry) * share
 
-def nearness(proxy: Proxy, entry: ListedServer) -> float:
-    """1 in this proxy's zone, less in others the more a crossing costs."""
-    return 1.0 / (1.0 + AWAY * proxy.settings.prices.cross_zone * (entry.zone != proxy.settings.zone))
-
 def is_eligible(proxy: Proxy, server: Server, klass: int) -> bool:
     """Whether it may be used; cooldowns that are over end."""
     breakers = server.breaker, server.part(klass).breaker
--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -1,7 +1,5 @@
 """Cold servers: how much of one that has just started may be used."""
 
-from __future__ import annotations
-
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.servers import Request, Server
 from caperdrift.policy.sharers import sharers
@@ -13,7 +11,7 @@
     share = cold_share(proxy, server)
     if share >= 1.0:
         return True
-    half_us = fall_budget_us(proxy) * share / 2
+    half_us = fall_budget_us(proxy, request.among) * share / 2
     elapsed_us = proxy.now_us - server.spent_at_us
     server.spent_us = max(0.0, server.spent_us - half_us * elapsed_us / proxy.settings.fall_us)
     server.spent_at_us = proxy.now_us
@@ -28,19 +26,16 @@
     come at the planned rate then, and not together. Guards against counting the time that answers wait as
     work: in a crowd, which a new server could relieve, it stood idle for the first half of its warming.
     """
-    costs = [
-        work or between_us(proxy, klass)
-        for klass, work in enumerate(proxy.mean_work)
-        if not proxy.settings.classes[klass].dropped
-    ]
+    classes = [index for index, klass in enumerate(proxy.settings.classes) if not klass.dropped]
+    costs = [proxy.mean_work[klass] or between_us(proxy, klass) for klass in classes]
     return proxy.random.random() * max([*costs, fall_budget_us(proxy) / 2])
 
-def fall_budget_us(proxy: Proxy) -> float:
+def fall_budget_us(proxy: Proxy, among: int = 0) -> float:
     """This proxy's part of the work that a server of one core may be sent in a fall window when warm.
-
+    `among`: servers that the work is spread over, 0 for all. Of a route's few, more proxies use each.
     The parts of all add up to the whole; half of it, drained by half in each window, never passes it.
     """
-    users = max(1.0, sharers(proxy) * min(1.0, proxy.reach / max(1, len(proxy.ranked))))
+    users = max(1.0, sharers(proxy) * min(1.0, proxy.reach / max(1, among or len(proxy.ranked))))
     return FALL_MARGIN * proxy.settings.fall_multiple * proxy.settings.fall_us / users
 
 def cold_cost_us(proxy: Proxy, request: Request) -> float:
--- a/caperdrift/policy/learned.py
+++ b/caperdrift/policy/learned.py
@@ -1,25 +1,23 @@
 """What a proxy has learned, handed on to the process after it."""
 
-from __future__ import annotations
-
-from caperdrift.interface import Learned, LearnedServer, Log
+from caperdrift.interface import Learned, LearnedServer, Log, Restore
 from caperdrift.policy.lists import rank_servers
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.servers import CEILING, FLOOR
 
 def learned(proxy: Proxy) -> Learned:
     """What this proxy has learned, for a process after it (see Restore); changes nothing."""
-    now_us = proxy.now_us
     servers = tuple(
         LearnedServer(
-            number, s.entry.started_us, s.weight, s.idle, s.breaker.learned(now_us),
-            tuple((k, p.weight, p.breaker.learned(now_us)) for k, p in s.parts.items()),
+            number, s.entry.started_us, s.weight, s.idle, s.breaker.learned(proxy.now_us),
+            tuple((k, p.weight, p.breaker.learned(proxy.now_us)) for k, p in s.parts.items()),
         )
         for number, s in proxy.servers.items()
     )  # fmt: skip
     return Learned(servers, tuple(proxy.smoothed), tuple(proxy.unhindered))
 
-def on_restore(proxy: Proxy, learned: Learned, age_us: int) -> None:
+def on_restore(proxy: Proxy, event: Restore) -> None:
+    learned, age_us = event.learned, max(0, event.age_us)
     known = len(proxy.settings.classes)
     latencies = zip(learned.smoothed_us, learned.unhindered_us, strict=False)
     for index, (smoothed, unhindered) in enumerate(latencies):
--- a/caperdrift/policy/lists.py
+++ b/caperdrift/policy/lists.py
@@ -1,16 +1,12 @@
 """The server list: who is there, and in which order this proxy ranks them."""
 
-from __future__ import annotations
-
-from operator import attrgetter
-
 from caperdrift.interface import ListedServer, ListKind, ServerList, ServerStatus, SetTimer
-from caperdrift.policy.choice import nearness, rendezvous
+from caperdrift.policy.choice import rendezvous
 from caperdrift.policy.cold import first_spent_us
 from caperdrift.policy.proxy import LIST_TOKEN, Proxy
-from caperdrift.policy.servers import CEILING, FLOOR, Server
+from caperdrift.policy.routes import ranking
+from caperdrift.policy.servers import CEILING, Server
 
-GOLDEN = 0.6180339887  # of the ring from one proxy's start to the next: any few of them lie evenly spread
 IDLE_SMOOTHING = 0.15  # share of the newest list in how idle a server is: all hear the same, none must swarm
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
 
@@ -39,18 +35,8 @@
     rank_servers(proxy)
 
 def rank_servers(proxy: Proxy) -> None:
-    """Order the servers that may be sent to, by steps on the ring from this proxy's start.
-
-    Guards against a run of drained servers: they take no steps, else all whose start lies among them would
-    meet on the first server after them.
-    """
-    ring = sorted((s for s in proxy.servers.values() if s.ready), key=attrgetter("hash"))
-    start = proxy.settings.proxy * GOLDEN % 1.0 * len(ring)
-    for place, server in enumerate(ring):
-        steps = (place - start) % len(ring) + 1.0
-        fit = server.idle * nearness(proxy, server.entry)
-        server.rank = steps / max(FLOOR, fit)
-    proxy.ranked = sorted(ring, key=attrgetter("rank"))
+    proxy.ranked = ranking(proxy, list(proxy.servers.values()))
+    proxy.narrowed = {}
 
 def list_server(proxy: Proxy, entry: ListedServer) -> None:
     known = proxy.servers.get(entry.server)
--- a/caperdrift/policy/proxy.py
+++ b/caperdrift/policy/proxy.py
@@ -1,11 +1,11 @@
 """The state of one proxy, which all decisions read and change, and what each of them needs of it."""
 
-from __future__ import annotations
-
 import random
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Mapping
 
 from caperdrift.interface import Action, Log, SetTimer, Settings
+from caperdrift.plan import Hosts, Route
 from caperdrift.policy.servers import Request, Server
 
 SUBSET = 4  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
@@ -25,6 +25,9 @@
         self.actions: list[Action] = []
         self.servers: dict[int, Server] = {}
         self.ranked: list[Server] = []  # the same by rank: the subset is the first of them that may be used
+        self.routes: Mapping[int, Route] = {}  # of the plan in force, by number
+        self.routed: Counter[int] = Counter()  # requests held, by their route's number; 0: none
+        self.narrowed: dict[Hosts, list[Server]] = {}  # as ranked, of those alone that a route names
         self.reach = float(SUBSET)
         self.out = 0  # attempts out everywhere
         self.requests: dict[str, Request] = {}
--- a/caperdrift/policy/retries.py
+++ b/caperdrift/policy/retries.py
@@ -1,7 +1,5 @@
 """What follows an attempt that ended or is overdue: the answer, another try, or a second copy."""
 
-from __future__ import annotations
-
 from caperdrift.interface import NEVER_RAN, AttemptEnded, Effect, Outcome
 from caperdrift.policy.answers import answer_unserved, finish, free
 from caperdrift.policy.proxy import Proxy
@@ -60,7 +58,6 @@
 
 def may_repeat(proxy: Proxy) -> bool:
     """Whether a retry or a second copy of what may have run can be afforded.
-
     Guards against an overload that feeds itself: none while anything is shed.
     """
     return proxy.retry_tokens >= 1 and proxy.shed <= 0.0
--- /dev/null
+++ b/caperdrift/policy/routes.py
@@ -0,0 +1,79 @@
+"""Which servers a request may go to, by its route if it has one, and in which order; a route's other caps."""
+
+from operator import attrgetter
+
+from caperdrift.interface import ListedServer
+from caperdrift.plan import Hosts, Plan, Route
+from caperdrift.policy.proxy import Proxy
+from caperdrift.policy.servers import FLOOR, Request, Server
+from caperdrift.policy.sharers import sharers
+
+AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
+GOLDEN = 0.6180339887  # of the ring from one proxy's start to the next: any few of them lie evenly spread
+NO_ROUTE = Route()
+
+def nearness(proxy: Proxy, entry: ListedServer) -> float:
+    """1 in this proxy's zone, less in others the more a crossing costs."""
+    return 1.0 / (1.0 + AWAY * proxy.settings.prices.cross_zone * (entry.zone != proxy.settings.zone))
+
+def ranking(proxy: Proxy, servers: list[Server]) -> list[Server]:
+    """Those of the servers that may be sent to, by steps on the ring from this proxy's start.
+    Guards against a run of servers that are drained, or not a route's: they take no steps, else all whose
+    start lies among them would meet on the first server after them.
+    """
+    ring = sorted((s for s in servers if s.ready), key=attrgetter("hash"))
+    start = proxy.settings.proxy * GOLDEN % 1.0 * len(ring)
+    for place, server in enumerate(ring):
+        steps = (place - start) % len(ring) + 1.0
+        fit = server.idle * nearness(proxy, server.entry)
+        server.rank = steps / max(FLOOR, fit)
+    return sorted(ring, key=attrgetter("rank"))
+
+def on_plan(proxy: Proxy, event: Plan) -> None:
+    proxy.routes, proxy.routed = event.routes, +proxy.routed  # without those of which none is held
+    if len(proxy.narrowed) > len(event.routes):  # else kept: an edit of one route must not rank for all anew
+        proxy.narrowed = {}
+
+def route_of(proxy: Proxy, number: int) -> Route:
+    if number and number not in proxy.routes:
+        proxy.log(f"route {number} is not in the plan; its requests go as if there were none")
+    return proxy.routes.get(number, NO_ROUTE)
+
+def is_full(proxy: Proxy, number: int, route: Route) -> bool:
+    """Whether this proxy holds its part of the route's limit already."""
+    return route.limit > 0 and proxy.routed[number] >= -(-route.limit // sharers(proxy))  # rounded up
+
+def capped(proxy: Proxy, route: Route, patience_us: int, aim_us: int) -> tuple[int, int, int]:
+    """Most attempts, deadline and aim, from now, of a request that has this much of each by the settings."""
+    if route.deadline_us:
+        patience_us = min(patience_us, route.deadline_us)
+        aim_us = min(aim_us, patience_us)
+    attempts = proxy.settings.max_attempts
+    return min(attempts, route.max_attempts or attempts), patience_us, aim_us
+
+def targets(proxy: Proxy, route: Route) -> tuple[Hosts, ...]:
+    """The target that a request is meant for, drawn by share, then the greatest; empty: all servers."""
+    if len(route.targets) < 2:
+        return tuple(target.hosts for target in route.targets)
+    shares = [target.share for target in route.targets]
+    drawn, greatest = proxy.random.choices(route.targets, shares)[0], route.targets[shares.index(max(shares))]
+    return (drawn.hosts,) if drawn is greatest else (drawn.hosts, greatest.hosts)
+
+def pools(proxy: Proxy, request: Request) -> list[list[Server]]:
+    """The servers that a request may go to, by rank; the first pool is used where any of it may be."""
+    if not request.targets:
+        return [proxy.ranked]
+    for hosts in request.targets:
+        if hosts not in proxy.narrowed:
+            allowed = [server for server in proxy.servers.values() if names(hosts, server.entry)]
+            proxy.narrowed[hosts] = ranking(proxy, allowed)
+    return [proxy.narrowed[hosts] for hosts in request.targets]
+
+def names(hosts: Hosts, entry: ListedServer) -> bool:
+    return (
+        (not hosts.kinds or entry.kind in hosts.kinds)
+        and (not hosts.groups or entry.group in hosts.groups)
+        and (not hosts.zones or entry.zone in hosts.zones)
+        and (not hosts.labels or not hosts.labels.isdisjoint(entry.labels))
+        and not any(names(others, entry) for others in hosts.none_of)
+    )
--- a/caperdrift/policy/sending.py
+++ b/caperdrift/policy/sending.py
@@ -1,7 +1,5 @@
 """Sending an attempt, and the account of what is out."""
 
-from __future__ import annotations
-
 from caperdrift.interface import Effect, Send
 from caperdrift.policy.choice import pick
 from caperdrift.policy.cold import cold_cost_us, cold_share
--- a/caperdrift/policy/servers.py
+++ b/caperdrift/policy/servers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from caperdrift.interface import ListedServer, RequestClass, ServerStatus
+from caperdrift.plan import Hosts
 from caperdrift.policy.breaker import PART_MINIMUM, Breaker
 
 FLOOR, CEILING = 0.05, 1.0  # of the controller's weight
@@ -68,6 +69,9 @@
     size: float  # expected work over the class's mean
     first_try: bool
     excess: float  # part of its tenant's tries that is beyond the tenant's share
+    route: int  # its number; 0: none
+    targets: tuple[Hosts, ...]  # of its route, the one drawn first; empty: all servers
+    among: int = 0  # servers that its last attempt was chosen from
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
     done: bool = False
--- a/caperdrift/policy/sharers.py
+++ b/caperdrift/policy/sharers.py
@@ -1,7 +1,5 @@
 """How many proxies share the servers: the settings' number, or what the proxies see of each other."""
 
-from __future__ import annotations
-
 from caperdrift.interface import Fleet
 from caperdrift.policy.proxy import Proxy
 
@@ -9,11 +7,10 @@
 
 def on_fleet(proxy: Proxy, event: Fleet) -> None:
     """Go by what is seen; the settings' number at the first word counts as seen just before it."""
-    live = sum(event.gateways)
+    live, seen = sum(event.gateways), proxy.sharers_seen
     if live <= 0:
-        proxy.sharers_seen.clear()
+        seen.clear()
         return
-    seen = proxy.sharers_seen
     if not seen:
         seen.append((proxy.now_us, proxy.settings.proxies))
     since_us = proxy.now_us
--- a/caperdrift/policy/shedding.py
+++ b/caperdrift/policy/shedding.py
@@ -1,7 +1,5 @@
 """Shedding: which requests to refuse on arrival, and how many."""
 
-from __future__ import annotations
-
 from caperdrift.interface import AttemptEnded, Outcome
 from caperdrift.policy.proxy import OVERDUE, Proxy
 from caperdrift.policy.servers import Request
@@ -16,7 +14,6 @@
 
 def is_shed(proxy: Proxy, request: Request) -> bool:
     """Whether to refuse a request before it costs a server anything.
-
     Guards against queues that grow past every aim: what gains the goal least for its work goes first.
     """
     if request.rules.late_worth <= 0.0 and proxy.now_us >= request.aim_us:
--- a/caperdrift/policy/streams.py
+++ b/caperdrift/policy/streams.py
@@ -1,8 +1,6 @@
 """Bodies that come or go in pieces: they tie a request to one attempt."""
 
-from __future__ import annotations
-
-from caperdrift.interface import AttemptEnded, BodyPassing, Outcome, StreamStarted
+from caperdrift.interface import AttemptEnded, BodyEnded, BodyPassing, Outcome, StreamStarted
 from caperdrift.policy.answers import call_off
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.retries import count_served
@@ -12,7 +10,7 @@
 
 def on_stream(proxy: Proxy, event: StreamStarted) -> None:
     """The answer's first bytes are here: they tell of the server, the rest of the line and the client."""
-    request = tie(proxy, event.request, event.attempt)
+    request = tie(proxy, event)
     if request is None:
         return
     request.streaming = True
@@ -25,21 +23,18 @@
     attempt.trial_of = attempt.part_trial_of = 0  # it has had its say
     count_served(proxy, request)
 
-def tie(proxy: Proxy, name: str, number: int) -> Request | None:
+def tie(proxy: Proxy, event: StreamStarted | BodyPassing) -> Request | None:
     """Leave a request to one attempt of it: what is out besides is called off."""
-    request = proxy.requests.get(name)
+    request, number = proxy.requests.get(event.request), event.attempt
     if request is None or request.done or not 0 <= number < len(request.attempts):
         return None
     request.tied = True
     call_off(proxy, request, spared=number)
     return None if request.attempts[number].ended or request.streaming else request
 
-def on_body_passing(proxy: Proxy, event: BodyPassing) -> None:
-    tie(proxy, event.request, event.attempt)
-
-def on_body_ended(proxy: Proxy, name: str) -> None:
+def on_body_ended(proxy: Proxy, event: BodyEnded) -> None:
     """The last byte has come: the request's time, and that of the attempt that carries it, begin."""
-    request = proxy.requests.get(name)
+    request = proxy.requests.get(event.request)
     if request is None or not request.opened_us:
         return
     taken_us = proxy.now_us - request.opened_us
--- a/caperdrift/policy/weights.py
+++ b/caperdrift/policy/weights.py
@@ -1,7 +1,5 @@
 """Judging servers by their outcomes: breakers, the weight controller, and smoothed latencies."""
 
-from __future__ import annotations
-
 from caperdrift.interface import AttemptEnded, Outcome
 from caperdrift.policy.breaker import Breaker, State
 from caperdrift.policy.proxy import Proxy
@@ -48,13 +46,11 @@
         changed = server.breaker.reopen(proxy.now_us)
     log_change(proxy, server, server.breaker, changed)
 
-def log_change(
-    proxy: Proxy, server: Server, breaker: Breaker, changed: State | None, scope: str = ""
-) -> None:
+def log_change(proxy: Proxy, server: Server, breaker: Breaker, changed: State | None, of: str = "") -> None:
     if changed is State.OPEN:
-        proxy.log(f"server {server.entry.server}: breaker{scope} open for {breaker.cooldown_us / 1e6:g} s")
+        proxy.log(f"server {server.entry.server}: breaker{of} open for {breaker.cooldown_us / 1e6:g} s")
     elif changed is State.CLOSED:
-        proxy.log(f"server {server.entry.server}: breaker{scope} closed")
+        proxy.log(f"server {server.entry.server}: breaker{of} closed")
 
 def learn_latency(proxy: Proxy, request: Request, latency_us: int) -> None:
     index, latency = request.klass, latency_us / request.size
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -32,11 +32,18 @@
 )
 from caperdrift.policy.admission import excess
 from caperdrift.policy.breaker import State
-from caperdrift.policy.choice import draw_weight, is_silent, subset
+from caperdrift.policy import choice
+from caperdrift.policy.balancer import Balancer
+from caperdrift.policy.choice import draw_weight, is_silent
 from caperdrift.policy.proxy import LOG_GAP_US, OVERDUE, SUBSET
+from caperdrift.policy.servers import Server
 from caperdrift.policy.shedding import SHED_STEP
 
 
+def subset(balancer: Balancer, klass: int) -> list[Server]:
+    return choice.subset(balancer, klass, balancer.ranked)
+
+
 def test_an_unsafe_request_that_may_have_run_fails_at_once() -> None:
     driver = Driver()
     name, actions = driver.arrive(klass=2)
--- /dev/null
+++ b/tests/test_routes_module.py
@@ -0,0 +1,186 @@
+"""Routes in the decision module: what a plan narrows, and that nothing else changes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from caperdrift.interface import (
+    Action,
+    Fail,
+    Fleet,
+    ListedServer,
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    ServerStatus,
+    TimerFired,
+)
+from caperdrift.plan import Hosts, Plan, Route, Target
+from caperdrift.policy.cold import fall_budget_us
+from caperdrift.policy.proxy import SUBSET
+from tests.helpers import SETTINGS, START_US, Driver, finals, sends
+
+ODD, EVEN = Hosts(groups=frozenset({1})), Hosts(groups=frozenset({0}))  # as the driver's servers are grouped
+REST = Hosts(none_of=(ODD,))
+
+
+def driver_with(*routes: Route, servers: int = 12) -> Driver:
+    driver = Driver(servers=servers)
+    assert driver.handle(Plan(dict(enumerate(routes, 1)))) == []
+    return driver
+
+
+def sent_to(actions: list[Action]) -> int:
+    return sends(actions)[0].server
+
+
+@pytest.mark.parametrize(
+    ("hosts", "named"),
+    [
+        (Hosts(), {1, 2, 3, 4}),
+        (Hosts(kinds=frozenset({7})), {1, 2}),
+        (Hosts(zones=frozenset({0, 1}), labels=frozenset({5, 6})), {1}),
+        (Hosts(none_of=(Hosts(kinds=frozenset({7})), Hosts(labels=frozenset({6})))), {4}),
+    ],
+)
+def test_hosts_are_named_by_what_the_list_says(hosts: Hosts, named: set[int]) -> None:
+    driver = driver_with(Route((Target(hosts),)), servers=0)
+    driver.list_servers(
+        ListedServer(1, kind=7, zone=1, labels=frozenset({5})),
+        ListedServer(2, kind=7, zone=2, labels=frozenset({5})),
+        ListedServer(3, zone=0, labels=frozenset({6, 8}), status=ServerStatus.DRAINING),
+        ListedServer(4),
+    )
+    driver.list_servers(ListedServer(3, zone=3, labels=frozenset({6, 8})), kind=ListKind.DELTA)
+    used = set()
+    for _ in range(200):
+        name, actions = driver.arrive(route=1)
+        used.add(sent_to(actions))
+        driver.end(name, sent_to(actions))
+    assert used == named
+
+
+def test_targets_are_drawn_by_share() -> None:
+    driver = driver_with(Route((Target(ODD, 0.2), Target(REST, 0.8))))
+    drawn: Counter[int] = Counter()
+    for _ in range(4_000):
+        name, actions = driver.arrive(route=1)
+        drawn[sent_to(actions) % 2] += 1
+        driver.end(name, sent_to(actions))
+    assert 700 < drawn[1] < 900  # 800 of 4000; four standard deviations are 101
+
+
+def test_where_the_drawn_target_has_no_host_the_greatest_has_its_requests() -> None:
+    driver = driver_with(Route((Target(Hosts(groups=frozenset({9})), 0.4), Target(EVEN, 0.6))))
+    for _ in range(50):
+        name, actions = driver.arrive(route=1)
+        assert sent_to(actions) % 2 == 0
+        driver.end(name, sent_to(actions))
+    driver = driver_with(Route((Target(Hosts(groups=frozenset({9}))),)))
+    name, actions = driver.arrive(route=1)
+    assert finals(actions) == [Refuse(name)] and not driver.balancer.routed[1]
+
+
+def test_retries_and_second_copies_stay_inside_the_route() -> None:
+    driver = driver_with(Route((Target(ODD),)), servers=4)
+    name, actions = driver.arrive(route=1)
+    again = driver.end(name, sent_to(actions), Outcome.CONNECT_FAILED)
+    assert {sent_to(actions), sent_to(again)} == {1, 3}
+    assert finals(driver.end(name, sent_to(again), Outcome.CONNECT_FAILED, attempt=1)) == [Refuse(name)]
+    driver = driver_with(Route((Target(ODD),)), servers=4)
+    name, actions = driver.arrive(route=1)
+    timer = driver.timers[-1]
+    driver.now_us = timer.due_us
+    assert {sent_to(actions), sent_to(driver.handle(TimerFired(timer.token)))} == {1, 3}
+
+
+def test_caps_are_the_lower_of_both_and_the_class_s_patience_is_learned_all_the_same() -> None:
+    driver = driver_with(Route(max_attempts=2, deadline_us=100_000), Route(max_attempts=9, deadline_us=10**9))
+    plain = Driver(servers=12)
+    name, actions = driver.arrive(route=1)
+    _, was = plain.arrive()
+    assert sends(actions)[0].timeout_us == 100_000 and sends(was)[0].timeout_us == 400_000
+    assert driver.balancer.requests[name].aim_us == START_US + 100_000
+    assert driver.balancer.patience == plain.balancer.patience
+    again = driver.end(name, sent_to(actions), Outcome.CONNECT_FAILED)
+    assert len(sends(again)) == 1
+    assert finals(driver.end(name, sent_to(again), Outcome.CONNECT_FAILED, attempt=1)) == [Refuse(name)]
+    name, actions = driver.arrive(route=2)
+    assert sends(actions)[0].timeout_us == 400_000
+    assert driver.balancer.requests[name].max_attempts == SETTINGS.max_attempts
+
+
+def test_a_limit_is_the_fleet_s_and_each_has_its_part_of_it_rounded_up() -> None:
+    driver = driver_with(Route(limit=5))
+    driver.handle(Fleet((2,)))
+    held = [driver.arrive(route=1) for _ in range(3)]
+    name, actions = driver.arrive(route=1)
+    assert actions == [Refuse(name)] and name not in driver.balancer.requests
+    assert len(sends(driver.arrive()[1])) == 1  # those of no route are not counted
+    driver.handle(Plan({1: Route(limit=9)}))  # what is held counts on under another plan
+    assert len(sends(driver.arrive(route=1)[1])) == 1
+    driver.handle(Plan({1: Route(limit=5)}))
+    driver.end(held[0][0], sent_to(held[0][1]))
+    assert driver.balancer.routed[1] == 3 and finals(driver.arrive(route=1)[1])
+    driver.end(held[1][0], sent_to(held[1][1]))
+    assert len(sends(driver.arrive(route=1)[1])) == 1
+
+
+def test_an_open_request_keeps_its_route_through_a_new_plan() -> None:
+    driver = driver_with(Route((Target(ODD),), max_attempts=2))
+    name, actions = driver.arrive(route=1)
+    driver.handle(Plan({1: Route((Target(EVEN),), max_attempts=1)}))
+    assert sent_to(driver.end(name, sent_to(actions), Outcome.CONNECT_FAILED)) % 2 == 1
+    assert sent_to(driver.arrive(route=1)[1]) % 2 == 0
+
+
+def test_a_route_that_the_plan_has_not_is_told_and_narrows_nothing() -> None:
+    driver, plain = driver_with(Route((Target(ODD),))), Driver(servers=12)
+    (_, actions), (_, was) = driver.arrive(route=7), plain.arrive()
+    assert actions == [Log("route 7 is not in the plan; its requests go as if there were none"), *was]
+
+
+def test_the_servers_of_a_target_are_worked_out_once_for_each_ranking() -> None:
+    driver = driver_with(Route((Target(ODD),)), Route((Target(replace(ODD)),)))
+    driver.arrive(route=1)
+    (ranked,) = driver.balancer.narrowed.values()
+    driver.arrive(route=2)
+    assert [id(r) for r in driver.balancer.narrowed.values()] == [id(ranked)]  # equal hosts share one
+    driver.list_servers(ListedServer(50, group=1), kind=ListKind.DELTA)
+    driver.arrive(route=1)
+    assert len(driver.balancer.narrowed[ODD]) == len(ranked) + 1
+    driver.handle(Plan())
+    assert not driver.balancer.narrowed
+
+
+def test_requests_without_a_route_go_as_if_there_were_no_plan() -> None:
+    planned, plain = driver_with(Route((Target(ODD, 0.5), Target(REST, 0.5)))), Driver(servers=12)
+    for turn in range(500):
+        (name, actions), (_, was) = planned.arrive(turn % 3), plain.arrive(turn % 3)
+        assert actions == was
+        outcome = (Outcome.OK, Outcome.OK, Outcome.ERROR)[turn // 2 % 3]
+        if sends(actions):
+            server = sent_to(actions)
+            assert planned.end(name, server, outcome) == plain.end(name, server, outcome)
+
+
+def test_a_cold_server_s_budget_is_shared_by_all_who_have_few_to_choose_from() -> None:
+    """Of three named servers each of 60 proxies uses all; of 60 servers few use each."""
+    settings = replace(SETTINGS, proxies=60, warm_after_us=8_000_000, start_capacity=0.1)
+    driver = Driver(settings, servers=0)
+    driver.list_servers(*(ListedServer(n, group=int(n < 3)) for n in range(60)))
+    driver.handle(Plan({1: Route((Target(ODD),))}))
+    of_all_us, of_few_us = fall_budget_us(driver.balancer), fall_budget_us(driver.balancer, 3)
+    assert of_all_us / of_few_us == pytest.approx(60 / SUBSET)
+    (routed, _), (plain, _) = driver.arrive(route=1), driver.arrive()
+    assert driver.balancer.requests[routed].among == 3 and driver.balancer.requests[plain].among == 60
+
+
+def test_a_class_that_is_not_there_fails_whatever_its_route() -> None:
+    driver = driver_with(Route(limit=1))
+    name, actions = driver.arrive(klass=9, route=1)
+    assert finals(actions) == [Fail(name)] and not driver.balancer.routed
