--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.cluster import ClusterSettings
+    from cloverkeel.fleet.routes.settings import RoutesSettings
     from cloverkeel.transforms.settings import TransformSettings
 
 Address = tuple[str, int]
@@ -64,6 +65,7 @@
     state: StateSettings = NO_STATE
     cluster: ClusterSettings | None = None  # None: this gateway is no member of any
     transforms: TransformSettings | None = None  # None: it changes no headers of its own accord
+    routes: RoutesSettings | None = None  # None: what teams route is nothing to it
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -123,8 +125,8 @@
     """The new configuration, in numbers that go on from the old one's: those last as long as the process.
 
     What kept its name keeps its number and what is new comes behind. A class that is gone stays in the
-    settings, dropped. The addresses to listen on, the seed, the cluster and the transforms are
-    those of the start.
+    settings, dropped. The addresses to listen on, the seed, the cluster, the transforms and the
+    routes are those of the start.
     """
     was, now = old.names, new.names
     by_class = was.by_class + tuple(name for name in now.by_class if name not in was.by_class)
@@ -149,7 +151,7 @@
     settings = replace(new.settings, classes=classes, tenants=shares, zone=zone)
     return replace(
         new, settings=settings, names=names, listen=old.listen, operator=old.operator, seed=old.seed,
-        cluster=old.cluster, transforms=old.transforms,
+        cluster=old.cluster, transforms=old.transforms, routes=old.routes,
     )  # fmt: skip
 
 
@@ -232,6 +234,7 @@
             state=_state(raw),
             cluster=_cluster(raw),
             transforms=_transforms(raw),
+            routes=_routes(raw),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
@@ -271,6 +274,14 @@
     return parse_transforms(raw["transforms"])
 
 
+def _routes(raw: dict[str, Any]) -> RoutesSettings | None:
+    if "routes" not in raw:
+        return None
+    from cloverkeel.fleet.routes.settings import parse_routes  # nor one that teams do not route
+
+    return parse_routes(raw["routes"])
+
+
 def parse_address(text: object, what: str) -> Address:
     host, mark, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not mark or not host or not port.isascii() or not port.isdigit() or not int(port) < 65536:
--- a/cloverkeel/fleet/needs.py
+++ b/cloverkeel/fleet/needs.py
@@ -13,6 +13,8 @@
     sizes: dict[str, int] = {}
     if config.transforms is not None and config.transforms.fleet is not None:
         sizes["transforms.fleet"] = config.transforms.fleet.size
+    if config.routes is not None:
+        sizes["routes"] = config.routes.size
     return sizes
 
 
--- /dev/null
+++ b/cloverkeel/fleet/routes/files.py
@@ -0,0 +1,249 @@
+"""A team's TOML: parsed, exported, and compared with the plan that it was exported from. docs/routes.md.
+
+`base` of a file is what its author had seen: the context of the plan and the values of the team's routes.
+"""
+
+from __future__ import annotations
+
+import base64
+import math
+import tomllib
+import zlib
+from collections.abc import Iterable, Mapping
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from cloverkeel.fleet.ledger.dots import Context
+from cloverkeel.fleet.routes.changes import DELETED, EDITS_MAX, NAME_MAX, Change, Edit
+from cloverkeel.fleet.routes.interface import View
+
+FILE_MAX = 256 * 1024  # bytes of a file
+BASE_MAX = 4 * 1024 * 1024  # bytes of a base, decompressed
+DEPTH_MAX = 8  # of lists and maps in a value
+FAULTS_MAX = 20  # told of one file
+OWNER = "owner"
+Fields = dict[str, Any]
+
+
+class Base(msgspec.Struct, frozen=True, array_like=True):
+    """`routes`: their fields, the owner among them."""
+
+    context: Context
+    routes: dict[str, Fields]
+
+
+@dataclass(slots=True, frozen=True)
+class TeamFile:
+    """`routes`: by name, the fields as they stand in the file. `base`: None in a new file."""
+
+    team: str
+    routes: Mapping[str, Fields]
+    base: Base | None = None
+
+
+class FileError(ValueError):
+    """The file is no team's file; a line for each fault."""
+
+    def __init__(self, faults: list[str]) -> None:
+        more = [f"and {len(faults) - FAULTS_MAX} more"] if len(faults) > FAULTS_MAX else []
+        super().__init__("\n".join([*faults[:FAULTS_MAX], *more]))
+
+
+_BASE: msgspec.msgpack.Decoder[Base] = msgspec.msgpack.Decoder(Base)
+
+
+def parse(data: bytes) -> TeamFile:
+    """Raises FileError."""
+    if len(data) > FILE_MAX:
+        raise FileError([f"the file has {len(data)} bytes, over {FILE_MAX}"])
+    try:
+        top = tomllib.loads(data.decode())
+    except UnicodeDecodeError as error:
+        raise FileError([f"not UTF-8 at byte {error.start}"]) from None
+    except tomllib.TOMLDecodeError as error:
+        raise FileError([f"not TOML: {error}"]) from None
+    except (RecursionError, ValueError) as error:  # ValueError: a number of thousands of digits
+        raise FileError([f"not TOML: {type(error).__name__}: {error}"]) from None
+    faults = [
+        f"{key!r:.40} is not known; a file has team, base and route"
+        for key in top.keys() - {"team", "base", "route"}
+    ]
+    team, routes = top.get("team"), top.get("route", {})
+    if (why := name_fault(team)) is not None:
+        faults.append(f"team: {why}")
+    if not isinstance(routes, dict):
+        raise FileError([*faults, "route is no table: name each route, as [route.NAME]"])
+    for name, fields in routes.items():
+        faults += _route_faults(name, fields)
+    base = None
+    if "base" in top:
+        try:
+            base = unpack(top["base"])
+        except ValueError as error:
+            faults.append(f"base: {error}")
+    if faults:
+        raise FileError(faults)
+    return TeamFile(str(team), routes, base)
+
+
+def name_fault(name: object) -> str | None:
+    """Why this names no team, route or field, or None."""
+    if isinstance(name, str) and 0 < len(name) <= NAME_MAX and name.isprintable():
+        return None
+    return f"a name has 1 to {NAME_MAX} printable characters"
+
+
+def _route_faults(name: str, fields: object) -> list[str]:
+    where = f"route {name!r:.140}"
+    if (why := name_fault(name)) is not None:
+        return [f"{where}: {why}"]
+    if not isinstance(fields, dict):
+        return [f"{where} is no table of fields"]
+    faults = []
+    for key, value in fields.items():
+        why = name_fault(key) or value_fault(value)
+        if key == DELETED:
+            why = "to delete a route, leave it out of a file whose base has it"
+        if why is not None:
+            faults.append(f"{where}: {key!r:.140}: {why}")
+    return faults
+
+
+def value_fault(value: object, depth: int = 0) -> str | None:
+    """Why a change cannot carry this value, or None."""
+    if depth > DEPTH_MAX:
+        return f"nested over {DEPTH_MAX} deep"
+    if isinstance(value, bool | str):
+        return None
+    if isinstance(value, int):
+        return None if abs(value) < 2**63 else "a number over 63 bits"
+    if isinstance(value, float):
+        return None if math.isfinite(value) else "no finite number"
+    if isinstance(value, list | dict):
+        inner = value if isinstance(value, list) else value.values()
+        return next((why for each in inner if (why := value_fault(each, depth + 1)) is not None), None)
+    return f"a {type(value).__name__} is no value of a field"
+
+
+# A base, packed and unpacked.
+
+
+def pack(base: Base) -> str:
+    return base64.b64encode(zlib.compress(msgspec.msgpack.encode(base, order="sorted"), 9)).decode()
+
+
+def unpack(text: object) -> Base:
+    """Raises ValueError."""
+    if not isinstance(text, str):
+        raise ValueError("not a text; `routes show --toml` makes it")
+    try:
+        stream = zlib.decompressobj()
+        data = stream.decompress(base64.b64decode(text, validate=True), BASE_MAX)
+        if stream.unconsumed_tail or not stream.eof or stream.unused_data:
+            raise ValueError("cut short or too long")
+        base = _BASE.decode(data)
+    except (ValueError, zlib.error, msgspec.MsgspecError, RecursionError, TypeError) as error:
+        raise ValueError(f"not what `routes show --toml` made: {str(error)[:120]}") from None
+    if (why := base.context.fault()) is not None:
+        raise ValueError(why)
+    return base
+
+
+def based_on(file: TeamFile, change: Change) -> str:
+    """The base of a file that has been committed as this change: its author has seen that, and no more."""
+    context = change.context.add((change.dot,))
+    return pack(Base(context, {name: _with_owner(file, name) for name in file.routes}))
+
+
+# What a file changes.
+
+
+def difference(file: TeamFile) -> tuple[Edit, ...]:
+    """What differs between a file and its base. A route that the file lacks and the base has is deleted, a
+    field removed is written as null; what is new names its owner. Raises FileError where that is too much."""
+    before = file.base.routes if file.base is not None else {}
+    edits = []
+    for name in sorted(file.routes):
+        was, now = before.get(name, {}), _with_owner(file, name)
+        for key in sorted(now.keys() | was.keys()):
+            if key not in was or key not in now or not same(was[key], now[key]):
+                edits.append(Edit(name, key, now.get(key)))
+    edits += [Edit(name, DELETED, True) for name in sorted(before.keys() - file.routes.keys())]
+    if len(edits) > EDITS_MAX:
+        raise FileError([f"{len(edits)} fields differ, over {EDITS_MAX} for one change: apply it in parts"])
+    return tuple(edits)
+
+
+def _with_owner(file: TeamFile, name: str) -> Fields:
+    """A route's fields; where its file names no owner it is the base's, and of a new route the team."""
+    before = file.base.routes.get(name, {}) if file.base is not None else {}
+    return {OWNER: before.get(OWNER, file.team), **file.routes[name]}
+
+
+def same(a: object, b: object) -> bool:
+    """Equal as TOML: 1 and true are not."""
+    if isinstance(a, dict) and isinstance(b, dict):
+        return a.keys() == b.keys() and all(same(value, b[key]) for key, value in a.items())
+    if isinstance(a, list) and isinstance(b, list):
+        return len(a) == len(b) and all(map(same, a, b))
+    return isinstance(a, bool) == isinstance(b, bool) and a == b
+
+
+# Export.
+
+
+def exported(team: str, view: View) -> Base:
+    """A team's routes as a file can hold them; a field that TOML cannot hold is left out, and stays."""
+    routes: dict[str, Fields] = {}
+    for name, route in view.routes.items():
+        if route.owner == team:
+            fields = {key: plain(value) for key, value in {**route.others, **route.values}.items()}
+            routes[name] = {key: value for key, value in fields.items() if value_fault(value) is None}
+            routes[name][OWNER] = team
+    return Base(view.context, routes)
+
+
+def export(team: str, view: View, notes: Iterable[str] = ()) -> str:
+    """A team's file, with `notes` as comments at its head."""
+    import tomli_w  # at a gateway nobody else needs it
+
+    base = exported(team, view)
+    shown = {
+        name: {key: value for key, value in fields.items() if (key, value) != (OWNER, team)}
+        for name, fields in sorted(base.routes.items())
+    }
+    comments = "".join(f"# {''.join(c if c.isprintable() else ' ' for c in note)}\n" for note in notes)
+    top = tomli_w.dumps({"team": team, "base": pack(base)})
+    return f"{comments}{top}\n{tomli_w.dumps({'route': shown})}" if shown else comments + top
+
+
+def plain(value: Any) -> Any:
+    """A value in canonical form as lists and dicts."""
+    if isinstance(value, Mapping):
+        return {key: plain(each) for key, each in value.items()}
+    if isinstance(value, AbstractSet):
+        return sorted(map(plain, value))
+    if isinstance(value, list | tuple):
+        return [plain(each) for each in value]
+    return value
+
+
+def rebased(text: str, base: str) -> str:
+    """A file's text with this base, all else as it is. Raises ValueError where that cannot be done."""
+    before = tomllib.loads(text)
+    lines = text.splitlines(keepends=True)
+    for place, line in enumerate(lines):
+        key = line.partition("=")[0].strip()
+        if key == "base" and "base" in before:
+            lines[place] = f'base = "{base}"\n'
+            break
+        if key == "team" and "base" not in before:
+            lines[place] = line.rstrip("\r\n") + f'\nbase = "{base}"\n'
+            break
+    made = "".join(lines)
+    if tomllib.loads(made) != before | {"base": base}:
+        raise ValueError("the place of its base is not found")
+    return made
--- /dev/null
+++ b/tests/test_routes_files.py
@@ -0,0 +1,161 @@
+"""A team's file: its faults, what it changes, and that an export changes nothing."""
+
+from __future__ import annotations
+
+import base64
+import zlib
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.routes.changes import DELETED, Change, Edit
+from cloverkeel.fleet.routes.files import (
+    BASE_MAX,
+    Base,
+    FileError,
+    based_on,
+    difference,
+    export,
+    pack,
+    parse,
+    rebased,
+)
+from cloverkeel.fleet.routes.interface import RouteView, View
+
+SEEN = Context().add((Dot("g1", 7, 1), Dot("g2", 9, 4)))
+PAY: dict[str, Any] = {
+    "classes": ("transfer",), "path": "/transfer/eu", "targets": ({"groups": ("3",), "share": 5},),
+    "note": 'a "canary"\nof new hosts', "owner": "payments",
+}  # fmt: skip
+
+
+def view(**routes: dict[str, Any]) -> View:
+    made = {name: RouteView(name, str(values["owner"]), values, {}) for name, values in routes.items()}
+    return View("0" * 32, made, {}, (), (), (), SEEN)
+
+
+def test_an_export_changes_nothing_and_an_edit_of_it_is_that_edit_alone() -> None:
+    text = export("payments", view(pay=PAY, other=PAY | {"owner": "cards"}), ["conflict\x00 one", "two"])
+    assert text.startswith("# conflict  one\n# two\nteam = ") and "other" not in text
+    file = parse(text.encode())
+    assert file.team == "payments" and file.base is not None and file.base.context == SEEN
+    assert difference(file) == ()
+
+    edited = text.replace("/transfer/eu", "/transfer/de").replace("[route.pay]", "[route.pay]\nlimit = 7")
+    edited = "\n".join(line for line in edited.splitlines() if not line.startswith("note"))
+    assert difference(parse(edited.encode())) == (
+        Edit("pay", "limit", 7), Edit("pay", "note", None), Edit("pay", "path", "/transfer/de"),
+    )  # fmt: skip
+    gone = text[: text.index("[route.pay]")]
+    assert difference(parse(gone.encode())) == (Edit("pay", DELETED, True),)
+    others = text.replace('team = "payments"', 'team = "cards"').replace("/eu", "/at")
+    assert difference(parse(others.encode())) == (Edit("pay", "path", "/transfer/at"),)  # no new owner
+
+
+def test_a_new_file_names_its_owner_and_is_based_on_its_own_change_once_committed() -> None:
+    text = '# mine\nteam = "cards"  # us\n[route.a]\nlimit = 1\n[route.b]\nowner = "x"\n'
+    file = parse(text.encode())
+    edits = difference(file)
+    assert edits == (
+        Edit("a", "limit", 1), Edit("a", "owner", "cards"), Edit("b", "owner", "x"),
+    )  # fmt: skip
+    change = Change(dot=Dot("g1", 3, 1), context=Context(), team="cards", edits=edits)
+    again = rebased(text, based_on(file, change))
+    assert again.startswith('# mine\nteam = "cards"  # us\nbase = "') and again.endswith(
+        text[text.index("[") :]
+    )
+    assert difference(parse(again.encode())) == ()
+    later = parse(again.replace("limit = 1", "limit = 2").encode())
+    assert difference(later) == (Edit("a", "limit", 2),)
+    assert later.base is not None and later.base.context.covers(change.dot)
+    assert rebased(again, "new") == again.replace(based_on(file, change), "new")
+
+
+@pytest.mark.parametrize(
+    ("text", "lines"),
+    [
+        (b"\xff", ["not UTF-8 at byte 0"]),
+        (b"team = ", ["not TOML: Invalid value (at end of document)"]),
+        (b"x = " + b"[" * 5_000, ["not TOML: RecursionError"]),
+        (b"", ["team: a name has"]),
+        (b'team = "t"\nroutes = 1', ["'routes' is not known"]),
+        (b'team = "t"\nroute = 1', ["route is no table"]),
+        (b'team = "t"\nroute.a = 1', ["route 'a' is no table of fields"]),
+        (b'team = "t"\nroute.a.x = 2024-01-01\nroute.b.y = inf', ["route 'a': 'x': a date", "route 'b': 'y': no"]),
+        (b'team = "t"\nroute.a.x = 9223372036854775808', ["route 'a': 'x': a number over 63 bits"]),
+        (b'team = "t"\nroute.a.deleted = true', ["route 'a': 'deleted': to delete a route, leave"]),
+        (b'team = "t"\nroute."a\\n".x = 1', ["route 'a\\\\n': a name has"]),
+        (b'team = "t"\nbase = 7', ["base: not a text"]),
+        (b'team = "t"\nbase = "%%%"', ["base: not what `routes show --toml` made"]),
+        (b'team = "t"\n#' + b"x" * 256 * 1024, ["the file has 262157 bytes"]),
+    ],
+)  # fmt: skip
+def test_each_fault_is_a_line_that_names_its_place(text: bytes, lines: list[str]) -> None:
+    with pytest.raises(FileError) as found:
+        parse(text)
+    said = str(found.value).split("\n")
+    assert len(said) == len(lines)
+    assert all(one.startswith(line) for one, line in zip(said, lines, strict=True)), said
+
+
+def packed(data: bytes) -> str:
+    return base64.b64encode(zlib.compress(data)).decode()
+
+
+@pytest.mark.parametrize(
+    "base",
+    [
+        packed(bytes(BASE_MAX + 1)),
+        packed(b"\xc1"),
+        packed(msgspec.msgpack.encode([[{}], {}]))[:-8],
+        packed(msgspec.msgpack.encode([[{"a": [2, 1]}], {}])),
+        packed(msgspec.msgpack.encode([Context({("m", 1): (3, 2)}), {}])),
+    ],
+)
+def test_a_base_that_is_none_is_refused_in_a_line(base: str) -> None:
+    with pytest.raises(FileError, match=r"^base: [^\n]+$"):
+        parse(f'team = "t"\nbase = "{base}"'.encode())
+
+
+def test_a_file_that_changes_too_much_is_refused() -> None:
+    many = "\n".join(f"route.r{n}.limit = 1" for n in range(2_049))
+    with pytest.raises(FileError, match="4098 fields differ, over 4096 for one change"):
+        difference(parse(f'team = "t"\n{many}'.encode()))
+
+
+leaf = st.booleans() | st.integers(-(2**63) + 1, 2**63 - 1) | st.text() | st.floats(allow_nan=False)
+values = st.recursive(leaf, lambda v: st.lists(v, max_size=3) | st.dictionaries(st.text(), v, max_size=3))
+routes = st.dictionaries(st.text(), st.dictionaries(st.text(), values, max_size=4), max_size=3)
+
+
+@given(routes)
+def test_whatever_a_plan_holds_its_export_is_a_file_that_changes_nothing(found: dict[str, Any]) -> None:
+    named = {
+        name: {key: value for key, value in fields.items() if key not in (DELETED, "owner")}
+        for name, fields in found.items()
+    }
+    plan = view(**{})
+    made = {name: RouteView(name, "t", fields, {}) for name, fields in named.items()}
+    text = export("t", View(plan.hash, made, {}, (), (), (), SEEN))
+    try:
+        file = parse(text.encode())
+    except FileError:
+        assert any(not name or not name.isprintable() for each in (named, *named.values()) for name in each)
+        return
+    assert difference(file) == ()
+
+
+@given(st.binary(max_size=200) | st.text(max_size=200).map(str.encode))
+def test_no_file_makes_another_error(data: bytes) -> None:
+    try:
+        parse(data)
+    except FileError as error:
+        assert str(error)
+
+
+def test_pack_is_the_same_for_equal_bases() -> None:
+    assert pack(Base(SEEN, {"a": {"x": 1, "y": 2}})) == pack(Base(SEEN, {"a": {"y": 2, "x": 1}}))
