Routes: the fields, their canonical form, and values that are plain data alone

What two teams write is compared, hashed and checked in one form; a value that a gateway could not encode (a map with other keys than texts, infinity, 17 lists deep) is no change.

--- a/cloverkeel/fleet/routes/changes.py
+++ b/cloverkeel/fleet/routes/changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import Any
 
 import msgspec
@@ -14,6 +15,7 @@
 VERSION = 1
 NAME_MAX = 128  # characters of a route's, a field's and a team's name
 EDITS_MAX = 4_096  # of one change
+DEPTH_MAX = 16  # lists and maps within each other, of a value
 
 
 class Edit(msgspec.Struct, frozen=True, array_like=True):
@@ -93,4 +95,24 @@
             )
     if len({(e.route, e.field) for e in change.edits}) < len(change.edits):
         return "a change writes one field twice"
+    for edit in change.edits:
+        if not _plain(edit.value, DEPTH_MAX):
+            return f"the value of {edit.field!r} is no plain data, or over {DEPTH_MAX} deep"
     return None
+
+
+def _plain(value: Any, deep: int) -> bool:
+    """Whether every gateway can hold, encode and compare it."""
+    if value is None or isinstance(value, str | bool):
+        return True
+    if isinstance(value, int):
+        return -(2**63) <= value < 2**64
+    if isinstance(value, float):
+        return isfinite(value)
+    if isinstance(value, list | tuple):
+        return deep > 0 and all(_plain(each, deep - 1) for each in value)
+    return (
+        isinstance(value, dict)
+        and deep > 0
+        and all(isinstance(key, str) and _plain(each, deep - 1) for key, each in value.items())
+    )
--- /dev/null
+++ b/cloverkeel/fleet/routes/fields.py
@@ -0,0 +1,162 @@
+"""The fields of a route: which values each may have, and their canonical form. docs/routes.md."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from cloverkeel.fleet.routes.changes import DELETED, NAME_MAX
+
+NAMES_MAX = 1_024  # of one list
+TARGETS_MAX, TRANSFORMS_MAX, BEFORE_MAX = 64, 32, 64
+NOTE_MAX, PATH_MAX = 4_096, 1_024  # characters
+WHOLE_MAX = 2**31 - 1
+PER_CENT = 1_000  # shares are counted in thousandths of a percent: sums are exact, in any order
+ANY_KIND = ("types", "groups", "zones", "labels")  # of a target: hosts that have one of each kind named
+
+_ENCODER = msgspec.msgpack.Encoder(order="sorted")
+
+
+def encoded(value: Any) -> bytes:
+    """The one form of a plain value, whatever the order of its maps."""
+    return _ENCODER.encode(value)
+
+
+def canonical(field: str, value: Any) -> Any:
+    """`value` in the form in which equal ones are the same; None: as if it were not written. Lists that stand
+    for sets are sorted, once each. A field that is not known is passed as it is. Raises ValueError."""
+    if value is None and field != "owner":
+        return None
+    known = FIELDS.get(field)
+    return value if known is None else known(value)
+
+
+def sound(field: str, value: Any) -> tuple[Any, str]:
+    """The canonical form and an empty text, or the value as it is and why the field cannot have it."""
+    try:
+        return canonical(field, value), ""
+    except ValueError as error:
+        return value, str(error)
+
+
+def share_of(target: Mapping[str, Any]) -> int:
+    """The share of a target in canonical form, in thousandths of a percent."""
+    return int(round(target["share"] * PER_CENT))
+
+
+def route_hash(name: str, values: Mapping[str, Any], others: Mapping[str, Any]) -> int:
+    """128 bits of one route of a plan."""
+    return int.from_bytes(hashlib.blake2b(encoded((name, values, others)), digest_size=16).digest(), "big")
+
+
+def plan_hash(total: int) -> str:
+    """The name of a plan, from the sum of its routes' hashes modulo 2**128: 32 hex digits."""
+    return hashlib.blake2b(total.to_bytes(16, "big"), digest_size=16).hexdigest()
+
+
+def _name(value: Any) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= NAME_MAX or not value.isprintable():
+        raise ValueError(f"a name is 1 to {NAME_MAX} printable characters, not {value!r:.40}")
+    return value
+
+
+def _list(value: Any, most: int) -> list[Any]:
+    if not isinstance(value, list | tuple) or len(value) > most:
+        raise ValueError(f"a list of up to {most} is wanted, not {value!r:.40}")
+    return list(value)
+
+
+def _names(value: Any) -> list[str] | None:
+    return sorted({_name(each) for each in _list(value, NAMES_MAX)}) or None
+
+
+def _before(value: Any) -> list[str] | None:
+    return sorted({_name(each) for each in _list(value, BEFORE_MAX)}) or None
+
+
+def _groups(value: Any) -> list[str] | None:
+    every = _list(value, NAMES_MAX)
+    return _names([str(each) if type(each) is int else each for each in every])
+
+
+def _path(value: Any) -> str | None:
+    if not isinstance(value, str) or not value.startswith("/") or len(value) > PATH_MAX:
+        raise ValueError(f"a path begins with / and has up to {PATH_MAX} characters, not {value!r:.40}")
+    if not value.isprintable() or any(mark in value for mark in "?# "):
+        raise ValueError(f"a path has no query, fragment or space: {value!r:.40}")
+    segments = value.rstrip("/").split("/")[1:]
+    if any(segment in ("", ".", "..") for segment in segments):
+        raise ValueError(f"a path has no empty segment, . or ..: {value!r:.40}")
+    return "/" + "/".join(segments) if segments else None
+
+
+def _share(value: Any) -> int | float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= 100:
+        raise ValueError(f"a share is 0 to 100 percent, not {value!r:.40}")
+    thousandths = int(round(value * PER_CENT))
+    if abs(thousandths - value * PER_CENT) > 1e-6:
+        raise ValueError(f"a share has up to three decimals, not {value!r:.40}")
+    return thousandths // PER_CENT if thousandths % PER_CENT == 0 else thousandths / PER_CENT
+
+
+def _target(value: Any) -> dict[str, Any]:
+    if not isinstance(value, Mapping) or not all(isinstance(key, str) for key in value):
+        raise ValueError(f"a target is a map of {', '.join(ANY_KIND)} and share, not {value!r:.40}")
+    target = {key: each for key, each in value.items() if key not in ANY_KIND}
+    target["share"] = _share(value.get("share", 100))
+    for kind in ANY_KIND:
+        if value.get(kind) is not None:
+            names = _groups(value[kind]) if kind == "groups" else _names(value[kind])
+            if names:
+                target[kind] = names
+    return target
+
+
+def _targets(value: Any) -> list[dict[str, Any]] | None:
+    every = [_target(each) for each in _list(value, TARGETS_MAX)]
+    return sorted(every, key=encoded) if len(every) > 1 else every or None
+
+
+def _whole(value: Any) -> int:
+    if type(value) is not int or not 1 <= value <= WHOLE_MAX:
+        raise ValueError(f"a whole number from 1 to {WHOLE_MAX} is wanted, not {value!r:.40}")
+    return value
+
+
+def _transforms(value: Any) -> list[str]:
+    chain = [_name(each) for each in _list(value, TRANSFORMS_MAX)]
+    if len(set(chain)) < len(chain):
+        raise ValueError("a transform stands twice in the chain")
+    return chain
+
+
+def _note(value: Any) -> str | None:
+    if not isinstance(value, str) or len(value) > NOTE_MAX:
+        raise ValueError(f"a note is a text of up to {NOTE_MAX} characters, not {value!r:.40}")
+    return value or None
+
+
+def _deleted(value: Any) -> bool:
+    if type(value) is not bool:
+        raise ValueError(f"true or false is wanted, not {value!r:.40}")
+    return value
+
+
+FIELDS: Mapping[str, Callable[[Any], Any]] = {
+    "classes": _names,
+    "callers": _names,
+    "zones": _names,
+    "path": _path,
+    "targets": _targets,
+    "attempts": _whole,
+    "deadline_ms": _whole,
+    "limit": _whole,
+    "transforms": _transforms,
+    "before": _before,
+    "owner": _name,
+    "note": _note,
+    DELETED: _deleted,
+}
