Routes: configuration, and a team's TOML as edits of what its base had

A team edits its routes as a file. `files.py` parses it (each fault a line that names route and field), exports it with `base` (the context and values it was made from, bounded when read back), and compares the two: what differs is edits, a route left out a delete, a field left out null. A field or a target's key that no version here knows is refused unless its base has it: a slip of the pen, or a later version's.

A payload is encoded once, so its order need not be.

--- a/cloverkeel/fleet/routes/files.py
+++ b/cloverkeel/fleet/routes/files.py
@@ -18,6 +18,7 @@
 
 from cloverkeel.fleet.ledger.dots import Context
 from cloverkeel.fleet.routes.changes import DELETED, EDITS_MAX, NAME_MAX, Change, Edit
+from cloverkeel.fleet.routes.fields import ANY_KIND, FIELDS, canonical, sound
 from cloverkeel.fleet.routes.interface import View
 
 FILE_MAX = 256 * 1024  # bytes of a file
@@ -74,16 +75,16 @@
     team, routes = top.get("team"), top.get("route", {})
     if (why := name_fault(team)) is not None:
         faults.append(f"team: {why}")
-    if not isinstance(routes, dict):
-        raise FileError([*faults, "route is no table: name each route, as [route.NAME]"])
-    for name, fields in routes.items():
-        faults += _route_faults(name, fields)
     base = None
     if "base" in top:
         try:
             base = unpack(top["base"])
         except ValueError as error:
             faults.append(f"base: {error}")
+    if not isinstance(routes, dict):
+        raise FileError([*faults, "route is no table: name each route, as [route.NAME]"])
+    for name, fields in routes.items():
+        faults += _route_faults(name, fields, base.routes.get(name, {}) if base is not None else {})
     if faults:
         raise FileError(faults)
     return TeamFile(str(team), routes, base)
@@ -96,7 +97,7 @@
     return f"a name has 1 to {NAME_MAX} printable characters"
 
 
-def _route_faults(name: str, fields: object) -> list[str]:
+def _route_faults(name: str, fields: object, before: Fields) -> list[str]:
     where = f"route {name!r:.140}"
     if (why := name_fault(name)) is not None:
         return [f"{where}: {why}"]
@@ -104,14 +105,31 @@
         return [f"{where} is no table of fields"]
     faults = []
     for key, value in fields.items():
-        why = name_fault(key) or value_fault(value)
+        why = name_fault(key) or value_fault(value) or _known_fault(key, value, before)
         if key == DELETED:
             why = "to delete a route, leave it out of a file whose base has it"
-        if why is not None:
+        if why:
             faults.append(f"{where}: {key!r:.140}: {why}")
     return faults
 
 
+def _known_fault(key: str, value: Any, before: Fields) -> str:
+    """Why a field cannot have the value. What no version here knows has to be as the base has it: a later
+    version's, and no slip of the pen."""
+    if key in before and same(before[key], value):
+        return ""
+    if key not in FIELDS:
+        return f"no field; a route has {', '.join(name for name in FIELDS if name != DELETED)}"
+    _, why = sound(key, value)
+    if not why and key == "targets":
+        old = before.get(key) or []
+        for target in value:
+            unknown = [each for each in target if each not in (*ANY_KIND, "share")]
+            if unknown and target not in old:
+                return f"a target has {', '.join(ANY_KIND)} and share, not {unknown[0]!r:.40}"
+    return why
+
+
 def value_fault(value: object, depth: int = 0) -> str | None:
     """Why a change cannot carry this value, or None."""
     if depth > DEPTH_MAX:
@@ -132,7 +150,7 @@
 
 
 def pack(base: Base) -> str:
-    return base64.b64encode(zlib.compress(msgspec.msgpack.encode(base, order="sorted"), 9)).decode()
+    return base64.b64encode(zlib.compress(msgspec.msgpack.encode(base), 9)).decode()
 
 
 def unpack(text: object) -> Base:
@@ -169,14 +187,22 @@
     for name in sorted(file.routes):
         was, now = before.get(name, {}), _with_owner(file, name)
         for key in sorted(now.keys() | was.keys()):
-            if key not in was or key not in now or not same(was[key], now[key]):
-                edits.append(Edit(name, key, now.get(key)))
+            if key not in was or key not in now or not same(_form(key, was[key]), _form(key, now[key])):
+                edits.append(Edit(name, key, _form(key, now[key]) if key in now else None))
     edits += [Edit(name, DELETED, True) for name in sorted(before.keys() - file.routes.keys())]
     if len(edits) > EDITS_MAX:
         raise FileError([f"{len(edits)} fields differ, over {EDITS_MAX} for one change: apply it in parts"])
     return tuple(edits)
 
 
+def _form(key: str, value: Any) -> Any:
+    """In canonical form, where it has one: a base may be of another version."""
+    try:
+        return canonical(key, value)
+    except ValueError:
+        return value
+
+
 def _with_owner(file: TeamFile, name: str) -> Fields:
     """A route's fields; where its file names no owner it is the base's, and of a new route the team."""
     before = file.base.routes.get(name, {}) if file.base is not None else {}
