Lab: the fleet of real gateways behind the relay in a module of its own, for parts to derive from

Need: the lab of routes starts the same fleet as that of transforms, with another configuration and status.

--- /dev/null
+++ b/faultlab/gateways.py
@@ -0,0 +1,179 @@
+"""A fleet of real gateways behind the relay: configured, started, asked, stopped, told apart.
+
+Who derives from `Gateways` says what goes into each configuration, and what a gateway's status is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Self, cast
+
+from faultlab.lab import Gateway, configuration, free_port
+from faultlab.relay import Relay
+from faultlab.standins import Discovery, endpoint
+from faultlab.standins import Host as Named
+
+SEEDS = 3
+HOSTS = 4
+POLL_S = 0.02
+START_S = 60.0
+STARTS = 3
+AT_ONCE = 4  # gateways that start at the same time: each is busy for a second
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Host(asyncio.Protocol):
+    """Answers each bodyless request at once: far cheaper than the gateway, which is what is measured."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(ANSWER * data.count(b"\r\n\r\n"))
+
+
+def named(number: int, server: asyncio.Server) -> Named:
+    """A listening server as the discovery lists it."""
+    host = Named(f"host-{number}")
+    host.server = server
+    return host
+
+
+@dataclass
+class Timed(Gateway):
+    """Its log's lines with the moment at which each was read."""
+
+    times: list[float] = field(default_factory=list)
+
+    async def _read_log(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        self.times = []
+        async for line in process.stderr:
+            self.times.append(time.monotonic())
+            self.log.append(line.decode(errors="replace").rstrip())
+
+    def said_s(self, *words: str) -> float | None:
+        """When it last wrote a line with all of these, by the lab's clock."""
+        pairs = zip(reversed(self.log), reversed(self.times), strict=False)
+        return next((at_s for line, at_s in pairs if all(word in line.split() for word in words)), None)
+
+
+class Gateways:
+    """`async with Derived(4, folder) as fleet`: gateways m0, m1, ... whose hosts answer all at once."""
+
+    def __init__(self, count: int, folder: Path) -> None:
+        self.folder = folder
+        self.hosts: list[asyncio.Server] = []
+        self.discovery: Discovery | None = None
+        self.names = [f"m{number}" for number in range(count)]
+        self.relay = Relay()
+        self.gateways: dict[str, Timed] = {}
+
+    # What a derived one says.
+
+    def configured(self, config: dict[str, Any]) -> dict[str, Any]:
+        """A gateway's configuration, with what it needs beyond a cluster and an operators' address."""
+        raise NotImplementedError
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """What a gateway says of itself; {}: it gave no answer."""
+        raise NotImplementedError
+
+    def ready(self, status: dict[str, Any]) -> object:
+        """Whether a gateway with this status has come to its place among all."""
+        raise NotImplementedError
+
+    async def __aenter__(self) -> Self:
+        try:
+            loop = asyncio.get_running_loop()
+            self.hosts = [await loop.create_server(Host, "127.0.0.1", 0) for _ in range(HOSTS)]
+            listed = [endpoint(named(number, server)) for number, server in enumerate(self.hosts)]
+            self.discovery = Discovery(endpoints=listed)
+            await self.discovery.start()
+            places = [await self.relay.add(name) for name in self.names]
+            seeds = [place.advertise for place in places[:SEEDS]]
+            for place in places:
+                config = configuration(place.name, free_port(), self.discovery.address, listed)
+                config |= {
+                    "operator": f"127.0.0.1:{free_port()}",
+                    "cluster": {"name": "lab", "bind": place.bind, "advertise": place.advertise,
+                                "seeds": seeds},
+                }  # fmt: skip
+                state = self.folder / f"state-{place.name}"
+                self.gateways[place.name] = Timed(place.name, self.folder, self.configured(config), state)
+            for at in range(0, len(self.names), AT_ONCE):
+                await asyncio.gather(*map(self.start, self.names[at : at + AT_ONCE]))
+            await self.all(self.ready, START_S)
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def start(self, name: str) -> None:
+        gateway = self.gateways[name]
+        assert gateway.state_dir is not None
+        gateway.state_dir.mkdir(exist_ok=True)
+        for _ in range(STARTS):
+            if await gateway.start() < float("inf"):
+                return
+            await gateway.signal(signal.SIGKILL)
+            gateway.config["listen"] = f"127.0.0.1:{free_port()}"  # the other one may have been taken
+        raise RuntimeError(f"{name} did not start: {gateway.log[-5:]}")
+
+    async def close(self) -> None:
+        await asyncio.gather(*(gateway.signal(signal.SIGKILL) for gateway in self.gateways.values()))
+        await self.relay.close()
+        if self.discovery is not None:
+            self.discovery.close()
+        for server in self.hosts:
+            server.close()
+
+    def operator(self, name: str) -> str:
+        return str(self.gateways[name].config["operator"])
+
+    async def call(self, name: str, target: str, body: bytes | None = None) -> tuple[int, bytes]:
+        """The answer to an operators' call of one gateway; (0, b"") where there is none."""
+        host, _, port = self.operator(name).rpartition(":")
+        kind = "" if body is None else "Content-Type: application/octet-stream\r\n"
+        length = len(body or b"")
+        head = f"{'GET' if body is None else 'POST'} {target} HTTP/1.1\r\nHost: o\r\n{kind}"
+        try:
+            async with asyncio.timeout(20.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                try:
+                    writer.write(f"{head}Content-Length: {length}\r\n\r\n".encode() + (body or b""))
+                    answer = await reader.read()
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError):
+            return 0, b""
+        first, _, found = answer.partition(b"\r\n\r\n")
+        return int(first.split()[1]) if first else 0, found
+
+    async def all(
+        self,
+        holds: Callable[[dict[str, Any]], object],
+        timeout_s: float = 15.0,
+        names: Iterable[str] | None = None,
+    ) -> None:
+        """Once the status of each gateway (or of these) has been such that `holds`."""
+        left = list(self.names if names is None else names)
+        last: dict[str, Any] = {}
+        try:
+            async with asyncio.timeout(timeout_s):
+                while left:
+                    last = await self.status(left[0])
+                    if last and holds(last):
+                        left.pop(0)
+                    else:
+                        await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            raise TimeoutError(f"{left[0]} does not come to it: {last}") from None
--- a/faultlab/transforms/activation.py
+++ b/faultlab/transforms/activation.py
@@ -13,7 +13,8 @@
 from typing import Any
 
 from faultlab.lab import ask
-from faultlab.transforms.published import POLL_S, Published, Timed
+from faultlab.gateways import POLL_S, Timed
+from faultlab.transforms.published import Published
 
 CANARY_S = 0.5
 QUIET_S = 10.0
--- a/faultlab/transforms/engine.py
+++ b/faultlab/transforms/engine.py
@@ -21,9 +21,9 @@
 from cloverkeel.transforms.engine import compile
 from cloverkeel.transforms.protocol import Head
 from cloverkeel.transforms.source import parse
+from faultlab.gateways import Host, named
 from faultlab.lab import Gateway, configuration, free_port
 from faultlab.standins import Discovery, endpoint
-from faultlab.standins import Host as Named
 
 SOURCE = b"""
 transform route-mark owner payments phase request applies class transfer
@@ -38,21 +38,10 @@
 HEADERS = [(b"X-Header-%d" % n, b"value-%d" % n) for n in range(8)] + [
     (b"Host", b"lab"), (b"X-Route", b"North"), (b"X-Debug", b"1"), (b"Cookie", b"a=b"),
 ]  # fmt: skip
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 HOSTS = 8  # so that no gateway takes the load for more than they can bear
 _ids = itertools.count()
 
 
-class Host(asyncio.Protocol):
-    """Answers each bodyless request at once: far cheaper than the gateway, which is what is measured."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
-        self.transport.write(ANSWER * data.count(b"\r\n\r\n"))
-
-
 class Client(asyncio.Protocol):
     """One request after another on one connection, until `ends`; counts answers of 200 and others."""
 
@@ -75,13 +64,6 @@
             self.ask()
 
 
-def named(number: int, server: asyncio.Server) -> Named:
-    """A listening server as the discovery lists it."""
-    host = Named(f"host-{number}")
-    host.server = server
-    return host
-
-
 def cpu_s(pid: int) -> float:
     """CPU seconds of a process so far, to the kernel's tick."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
