Transforms: canaries stop a version whose calls hosts fail more than those without it

A version that ran without a fault but made hosts answer 5xx went active everywhere: the breaker heard of its runs alone. A canary gives a candidate of the request phase three in four of its calls by the hash of name and call id; each call's outcome at the hosts is entered, and where Fisher's exact test says that chance would part them so at most once in 10,000 times, the breaker is reopened and quarantine follows.

The lab's calls have an id each now: one id is one lot.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -119,6 +119,8 @@
     def on_served(self, request: Request, reply: Reply) -> None:
         if self.current is not request:
             return
+        if request.compared is not None:
+            request.compared(False)
         headers = passed_back(request, reply)
         if headers is None:
             self.answer(502, [], b"")
@@ -130,6 +132,8 @@
         transport = self.transport
         if self.current is not request or transport is None or transport.is_closing():
             return
+        if request.compared is not None:
+            request.compared(False)
         headers = passed_back(request, reply)
         if headers is None:
             self.server.gateway.leave(self.current_id)  # nobody reads the rest of it
@@ -185,6 +189,8 @@
 
     def on_failed(self, request: Request, timed_out: bool) -> None:
         if self.current is request:
+            if request.compared is not None:
+                request.compared(True)
             self.answer(504 if timed_out else 502, [], b"")
 
     def fail_rest(self) -> None:
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -34,8 +34,8 @@
     """One request as it was read; `fault` tells what is wrong with it."""
 
     __slots__ = (
-        "answered", "body", "expects", "fault", "headers", "is_old", "keep_alive", "method", "target",
-        "transform", "upload", "whole",
+        "answered", "body", "compared", "expects", "fault", "headers", "is_old", "keep_alive", "method",
+        "target", "transform", "upload", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -51,6 +51,7 @@
         self.upload: Upload | None = None  # the rest of a body too long to be held
         self.fault: RequestError | None = None
         self.transform: Callable[[list[Header]], list[Header] | Refused] | None = None  # of its answer
+        self.compared: Callable[[bool], None] | None = None  # to be told whether hosts failed it
 
 
 class Answers(Protocol):
@@ -131,6 +132,8 @@
         raise RequestError(502, f"transform {changed.name} failed")
     if active.has_response:
         request.transform = partial(active.response, klass, caller, path, call_id=id_)
+    if active.compares:
+        request.compared = partial(active.answered, klass, caller, path, id_)
     return changed
 
 
--- a/cloverkeel/transforms/activation/engine.py
+++ b/cloverkeel/transforms/activation/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from caperdrift.policy.breaker import State
@@ -14,6 +14,9 @@
 if TYPE_CHECKING:
     from cloverkeel.gateway import Gateway
 
+COMPARED = 0.75  # of a canary's calls: the rest goes without the candidate
+NONE: Mapping[str, str] = {}
+
 
 def vetted(source: bytes) -> Compiled:
     """Compiled, with its golden cases true. Raises ValueError with the faults, a line each."""
@@ -49,9 +52,20 @@
         installed.on_trip(lambda _name, _sha256, state: self.tripped(id, state is not State.CLOSED))
         return ""
 
-    def activate(self, versions: dict[str, str]) -> None:
-        """From now on the gateway runs these; a call under way keeps the set that it came under."""
-        chosen = [self.staged[id] for id in versions.values()]
+    def activate(self, versions: Mapping[str, str], before: Mapping[str, str] = NONE) -> None:
+        """From now on the gateway runs these; a call under way keeps the set that it came under. `before`: of
+        each name whose version is a candidate, the one that it may replace ("": none). Of the request phase
+        such a one gets COMPARED of the calls, to be compared with the rest."""
+        chosen = []
+        for name, id in versions.items():
+            installed = self.staged[id]
+            is_compared = name in before and installed.manifest.phase == "request"
+            share = COMPARED if is_compared else 1.0
+            if installed.share != share:
+                installed.take(share)
+            chosen.append(installed)
+            if is_compared and (other := self.staged.get(before[name])) is not None:
+                chosen.append(other)
         self.gateway.transforms = ActiveSet(*self.own, *chosen) if self.own or chosen else None
 
     def forget(self, wanted: set[str]) -> None:
--- a/cloverkeel/transforms/activation/shell.py
+++ b/cloverkeel/transforms/activation/shell.py
@@ -54,6 +54,7 @@
         self.ticker: asyncio.TimerHandle | None = None
         self.view: ViewChanged | None = None
         self.closed = False
+        self.runs: tuple[dict[str, str], dict[str, str]] = {}, {}  # versions, and those before candidates
 
     def start(self) -> None:
         self.ledger.on_expose(self._on_expose)
@@ -114,6 +115,22 @@
             return
         for action in self.core.handle(self.loop.time(), what):
             self._act(action)
+        if self.runs != (self.core.active, self._candidates()):
+            self._run()  # a canary's version is active on all now, or the other way round
+
+    def _candidates(self) -> dict[str, str]:
+        """By name, the version before each candidate that this member runs; "": none."""
+        slots = self.core.epoch.slots
+        return {
+            name: slots[name].active
+            for name, id in self.core.active.items()
+            if name in slots and slots[name].candidate == id
+        }
+
+    def _run(self) -> None:
+        self.runs = dict(self.core.active), self._candidates()
+        self.engine.activate(*self.runs)
+        self.engine.forget(set(self.core.staged))
 
     def _act(self, action: Action) -> None:
         match action:
@@ -122,8 +139,7 @@
             case Stage():
                 self._spawn(self._stage(action))
             case Activate(epoch, versions):
-                self.engine.activate(versions)
-                self.engine.forget(set(self.core.staged))
+                self._run()
                 shown = ",".join(f"{name}:{id}" for name, id in versions.items())
                 event("transforms.activated", epoch=epoch, versions=shown or "-")
             case Note(name, fields):
--- a/cloverkeel/transforms/active.py
+++ b/cloverkeel/transforms/active.py
@@ -18,6 +18,7 @@
 from cloverkeel.fleet import events, invariants
 from cloverkeel.http1 import Header
 from cloverkeel.transforms import guard
+from cloverkeel.transforms.comparing import Comparison
 from cloverkeel.transforms.protocol import Failure, Head, Manifest, Transform
 
 Listener = Callable[[str, str, State], None]
@@ -40,14 +41,19 @@
     """
 
     def __init__(self, transform: Transform, share: float = 1.0, clock: Callable[[], int] = now_us) -> None:
-        if not 0.0 <= share <= 1.0:
-            raise ValueError(f"a share is 0 to 1, not {share}")
-        self.transform, self.manifest, self.share, self.clock = transform, transform.manifest, share, clock
+        self.transform, self.manifest, self.clock = transform, transform.manifest, clock
         self.breaker = Breaker()
         self.counts: Counter[str] = Counter()  # ran, skipped (breaker), and each kind of failure
         self.last_failure = ""
-        self._limit = int(share * WHOLE)
         self._listeners: list[Listener] = []
+        self.take(share)
+
+    def take(self, share: float) -> None:
+        """From now on this part of the calls; those entered so far are compared with none that come."""
+        if not 0.0 <= share <= 1.0:
+            raise ValueError(f"a share is 0 to 1, not {share}")
+        self.share, self._limit = share, int(share * WHOLE)
+        self.comparison = Comparison()
 
     def on_trip(self, listener: Listener) -> None:
         """`listener(name, sha256, state)` each time that the breaker has opened or closed."""
@@ -77,6 +83,15 @@
             self._tell(changed)
         return result
 
+    def answered(self, call_id: str, failed: bool) -> None:
+        """Hosts failed a call, of this version's share or not, or served it."""
+        if self.breaker.state is State.OPEN:
+            return  # none has it now
+        if self.comparison.enter(call_id, self.takes(call_id), failed):
+            self.counts["worse"] += 1
+            self.last_failure = str(self.comparison)
+            self._tell(self.breaker.reopen(self.clock()))
+
     def _tell(self, state: State) -> None:
         why = {"why": self.last_failure} if state is State.OPEN else {}
         name, sha256 = self.manifest.name, self.transform.sha256
@@ -101,7 +116,7 @@
     Raises ValueError where a name has more than one version with all of the calls, or more than one canary.
     """
 
-    __slots__ = ("_request", "_response", "installed")
+    __slots__ = ("_compared", "_request", "_response", "installed")
 
     def __init__(self, *installed: Installed) -> None:
         self.installed = installed
@@ -115,6 +130,7 @@
         names = list(by_name.values())
         self._request = self._of_phase("request", names)
         self._response = self._of_phase("response", names)
+        self._compared = tuple(i for i in installed if i.share < 1.0 and i.manifest.phase == "request")
 
     @staticmethod
     def _of_phase(phase: str, names: list[list[Installed]]) -> tuple[tuple[Installed, ...], ...]:
@@ -124,6 +140,17 @@
     def has_response(self) -> bool:
         return bool(self._response)
 
+    @property
+    def compares(self) -> bool:
+        """Whether `answered` wants to hear of calls."""
+        return bool(self._compared)
+
+    def answered(self, klass: bytes, caller: bytes, path: bytes, call_id: str, failed: bool) -> None:
+        """What hosts made of a call that `request` passed on. Those refused or left say nothing."""
+        for version in self._compared:
+            if version.manifest.applies(klass, caller, path):
+                version.answered(call_id, failed)
+
     def request(
         self, klass: bytes, caller: bytes, path: bytes, headers: list[Header], call_id: str
     ) -> list[Header] | Refused:
--- a/faultlab/transforms/activation.py
+++ b/faultlab/transforms/activation.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import contextlib
+import itertools
 import re
 import statistics
 import time
@@ -20,7 +21,8 @@
 CALLS_S = 10.0  # calls a second to each gateway while a bad version is out
 SOURCE = 'transform mark owner lab phase request reads x-bad writes x-mark set x-mark = "%d"'
 BAD = 'transform mark owner lab phase request reads x-bad writes x-mark when has("x-bad") { fail "%d" }'
-CALL = b"POST /transfer HTTP/1.1\r\nHost: l\r\nX-Call-Id: l\r\nX-Bad: 1\r\nContent-Length: 0\r\n\r\n"
+CALL = b"POST /transfer HTTP/1.1\r\nHost: l\r\nX-Call-Id: l%d\r\nX-Bad: 1\r\nContent-Length: 0\r\n\r\n"
+_ids = itertools.count()
 BYTES = re.compile(rb"^lb_ledger_bytes_out_total (\d+)$", re.MULTILINE)
 
 
@@ -95,7 +97,7 @@
 
     async def one(port: int) -> None:
         while not ended.is_set():
-            statuses[await ask(port, CALL)] += 1
+            statuses[await ask(port, CALL % next(_ids))] += 1
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(ended.wait(), 1 / CALLS_S)
 
--- a/tests/test_transforms_lab.py
+++ b/tests/test_transforms_lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import signal
 import sys
@@ -19,7 +20,7 @@
 SETTINGS = {"canary_s": 0.2, "stage_timeout_s": 3.0, "canary_share": 0.3}
 SOURCE = 'transform mark owner o phase request reads x-bad writes x-mark set x-mark = "%d"'
 FAILING = 'transform mark owner o phase request reads x-bad writes x-mark when has("x-bad") { fail "no" }'
-CALL = b"POST /transfer HTTP/1.1\r\nHost: lab\r\nX-Call-Id: c\r\nX-Bad: 1\r\nContent-Length: 0\r\n\r\n"
+CALL = b"POST /transfer HTTP/1.1\r\nHost: lab\r\nX-Call-Id: c%d\r\nX-Bad: 1\r\nContent-Length: 0\r\n\r\n"
 
 
 @pytest.fixture(scope="module")
@@ -117,11 +118,12 @@
     async def steps(fleet: Published) -> None:
         good = (await fleet.status("m3"))["versions"]["mark"]["active"]["id"]
         bad = await fleet.publish("m2", FAILING.encode())
+        ids = itertools.count()
         ports = [gateway.port for gateway in fleet.gateways.values()]
 
         async def load() -> None:
             while True:
-                await asyncio.gather(*(ask(port, CALL) for port in ports))
+                await asyncio.gather(*(ask(port, CALL % next(ids)) for port in ports))
 
         loading = asyncio.create_task(load())
         await fleet.all(lambda s: active(good)(s) and bad in s["versions"]["mark"]["why"])
