Routes: a change is encoded though its context's keys are pairs

Cause: seen in the first storm of routes: every commit under a context that is not empty raised TypeError ("Only dicts with str keys are supported when order is not None"): changes.py's encoder sorted maps, and Context.runs has (member, incarnation) as its keys. Change: no sorting; nothing compares a change's bytes. Test: a change under three writers comes back as it was.

--- a/cloverkeel/fleet/routes/changes.py
+++ b/cloverkeel/fleet/routes/changes.py
@@ -46,7 +46,7 @@
 
 
 _DECODER: msgspec.msgpack.Decoder[Change] = msgspec.msgpack.Decoder(Change)
-_ENCODER = msgspec.msgpack.Encoder(order="sorted")
+_ENCODER = msgspec.msgpack.Encoder()  # not sorted: a context's keys are no texts
 
 
 def key_of(dot: Dot) -> str:
