--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -30,6 +30,7 @@
     "DRAINING": ServerStatus.DRAINING,
     "DELETED": ServerStatus.GONE,
 }
+NO_LABELS: frozenset[int] = frozenset()
 OnList = Callable[[ListKind, "list[Entry]"], None]
 
 
@@ -59,10 +60,11 @@
             server=stable_id(name, 4),
             status=STATUSES[raw["status"]],
             weight=_weight(raw.get("weight", 1.0)),
-            zone=_number(zone, names.zones),
+            zone=number_of(zone, names.zones),
             group=group if isinstance(group, int) else stable_id(str(group), 4),
-            kind=_number(kind, names.kinds),
+            kind=number_of(kind, names.kinds),
             started_us=int(raw.get("since_ms") or 0) * 1000,
+            labels=_labels(raw["labels"]) if raw.get("labels") else NO_LABELS,
         ),
         raw,
     )
@@ -75,12 +77,29 @@
     return weight
 
 
-def _number(name: object, known: dict[str, int]) -> int:
+def number_of(name: object, known: dict[str, int]) -> int:
     """The place in the settings; a name that is not there gets a number beyond them, the same everywhere."""
     number = known.get(str(name))
     return number if number is not None else len(known) + stable_id(str(name), 4)
 
 
+def group_numbers(name: str) -> tuple[int, ...]:
+    """The numbers that a group of this name may have: lists name groups by whole numbers or by texts."""
+    number = stable_id(name, 4)
+    is_whole = name.isascii() and name.isdigit() and str(int(name)) == name
+    return (int(name), number) if is_whole else (number,)
+
+
+def label_number(name: str) -> int:
+    return stable_id(name, 8)
+
+
+def _labels(value: object) -> frozenset[int]:
+    if not isinstance(value, list) or not all(isinstance(label, str) for label in value):
+        raise ValueError("labels is no list of texts")
+    return frozenset(map(label_number, value))
+
+
 def parse_list(raw: object, names: Names) -> tuple[int, bool, list[Entry]]:
     """A list in discovery's form: its version, whether it is whole, and the entries that can be used."""
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints", []), list):
