Gateway: a request takes its route when it is read, and keeps it and its transforms to the answer

Need: the plan of routes has to reach requests: their number for the module, and the chain of transforms.

Change: `gateway.routes`, None unless configured, is asked once for each request; `Call.route` names the route to the module. A route's chain is a set of transforms made once for each active set and chain; the answer's are of the same.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -110,9 +110,10 @@
                 raise RequestError(405, "GET it", (b"Allow", b"GET, HEAD"))
             self.answer(200 if self.server.is_ready else 503, [], b"")
             return
-        call = read_call(self.server.config, request, path, self, self.server.gateway.transforms)
+        gateway = self.server.gateway
+        call = read_call(self.server.config, request, path, self, gateway.transforms, gateway.routes)
         self.current_id = call.id
-        if not self.server.gateway.arrive(call):
+        if not gateway.arrive(call):
             self.current_id = ""
             raise RequestError(400, "this X-Call-Id is in use")
 
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -9,12 +9,13 @@
 from caperdrift.interface import Effect
 
 from cloverkeel.config import Config, stable_id
-from cloverkeel.gateway import Call
+from cloverkeel.held import Call
 from cloverkeel.hosts import HostConnection
 from cloverkeel.http1 import Header, Reply, end_to_end, header
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
+    from cloverkeel.fleet.routes.serving import Serving
     from cloverkeel.transforms.active import ActiveSet, Refused
 
 NOT_PASSED_ON = frozenset({b"x-budget-ms"})
@@ -67,7 +68,12 @@
 
 
 def read_call(
-    config: Config, request: Request, path: bytes, answers: Answers, active: ActiveSet | None = None
+    config: Config,
+    request: Request,
+    path: bytes,
+    answers: Answers,
+    active: ActiveSet | None = None,
+    routes: Serving | None = None,
 ) -> Call:
     """The request in the gateway's terms; RequestError where it is none that can be passed on."""
     headers = {n.lower(): v for n, v in request.headers}
@@ -92,6 +98,11 @@
         raise RequestError(400, "no X-Call-Id")
     budget_ms = _whole(headers.get(b"x-budget-ms"), "X-Budget-Ms")
     passing = end_to_end(request.headers, NOT_PASSED_ON)
+    route = None
+    if routes is not None:
+        route = routes.find(parts[0], headers.get(b"x-caller", b""), path)
+        if active is not None and route is not None and route.chain is not None:
+            active = active.chained(route.chain)
     if active is not None:
         passing = transformed(request, active, passing, headers, parts[0], path)
     body = b"".join(request.body)
@@ -114,6 +125,7 @@
         on_broken=partial(answers.on_broken, request),
         on_refused=partial(answers.on_refused, request),
         on_failed=partial(answers.on_failed, request),
+        route=route.number if route is not None else 0,
     )
 
 
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -12,8 +12,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 from caperdrift.policy.balancer import Balancer
 from caperdrift.interface import (
@@ -30,15 +29,11 @@
     Log,
     Outcome,
     Probe,
-    Probed,
     Refuse,
-    Reports,
     RequestArrived,
     RequestGone,
     Restore,
     Send,
-    ServerList,
-    ServerStatus,
     SettingsChanged,
     SetTimer,
     StreamStarted,
@@ -50,63 +45,21 @@
 from cloverkeel.config import Config
 from cloverkeel.discovery import Discovery, Entry
 from cloverkeel.fleet.kept import Figures, Snapshot
-from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, HostConnection, Pools, load_of
+from cloverkeel.held import Call, Held
+from cloverkeel.hosts import Attempt, Pools, load_of
 from cloverkeel.http1 import Reply, log
-from cloverkeel.streams import Buffer, Upload
+from cloverkeel.listed import Lists, take_list
+from cloverkeel.probing import probe
+from cloverkeel.streams import Buffer
 from cloverkeel.telemetry import Result, Telemetry
 
 if TYPE_CHECKING:
+    from cloverkeel.fleet.routes.serving import Serving
     from cloverkeel.transforms.active import ActiveSet
 
 NONE: Mapping[str, int] = {}
 
 
-class Lists(Protocol):
-    """Who answers when the module asks for the list: the list service, or members that share it."""
-
-    def watch(self, on: bool) -> None: ...
-
-    def fetch(self) -> None: ...
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A client's request, as the gateway takes it."""
-
-    id: str
-    klass: int
-    patience_us: int
-    key: int | None
-    work_us: int | None
-    is_retry: bool
-    tenant: int
-    head: bytes  # request line and headers to pass on, all but the budget and the end
-    body: bytes  # all of it, or what is held of a long one
-    upload: Upload | None  # the rest of a long one
-    on_served: Callable[[Reply], None]
-    on_begun: Callable[[Reply, HostConnection], None]  # a long answer's head, and where its body comes from
-    on_piece: Callable[[bytes], None]
-    on_ended: Callable[[], None]
-    on_broken: Callable[[], None]  # a long answer will not be whole
-    on_refused: Callable[[int], None]  # with the time after which to come back, in microseconds
-    on_failed: Callable[[bool], None]  # with whether time ran out
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """A request that is owed an answer, or whose attempts are not all over."""
-
-    call: Call
-    deadline_us: int
-    max_attempts: int  # by the settings that it came under
-    attempts: list[Attempt | None] = field(default_factory=list)  # None: never sent
-    out: int = 0
-    closed: bool = False
-    is_open: bool = False  # its body is still coming
-    begun: Attempt | None = None  # whose long answer is passing to the client
-    timed_out: bool = False
-
-
 class Gateway:
     def __init__(self, config: Config, warm: Snapshot | None = None, kept: Figures | None = None) -> None:
         self.loop = asyncio.get_running_loop()
@@ -131,6 +84,7 @@
         self.known = config.known
         self.warm, self.kept = warm, kept  # what the state store had, and what it has done
         self.transforms: ActiveSet | None = None  # replaced whole; a call keeps the one it came under
+        self.routes: Serving | None = None  # of many teams; None: requests have no route
         self.listed: dict[int, dict[str, Any]] = {}  # the hosts of the list as discovery gave them
 
     def snapshot(self) -> Snapshot:
@@ -179,6 +133,8 @@
         self.post(lambda: event)
         self.discovery.names, self.discovery.pushed = config.names, config.settings.list_is_pushed
         self.discovery.move(config.discovery)
+        if self.routes is not None:
+            self.routes.follow()
 
     def close(self) -> None:
         self.closed = True
@@ -227,6 +183,7 @@
             call.is_retry,
             call.tenant,
             held.is_open,
+            call.route,
         )
         self.post(lambda: event)
         return True
@@ -256,24 +213,7 @@
             self.post(lambda: BodyEnded(id_))
 
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
-        self.post(lambda: self.take_list(kind, entries))
-
-    def take_list(self, kind: ListKind, entries: list[Entry]) -> Event:
-        if kind is not ListKind.ERROR and kind is not ListKind.DELTA:
-            named = {entry.listed.server for entry in entries}
-            for id_ in [id_ for id_ in self.pools.hosts if id_ not in named]:
-                self.pools.remove(id_)
-            self.listed.clear()
-        for entry in entries:
-            listed = entry.listed
-            if listed.status is ServerStatus.GONE:
-                self.pools.remove(listed.server)
-                self.listed.pop(listed.server, None)
-            else:
-                self.listed[listed.server] = entry.raw
-                ready = listed.status is ServerStatus.READY
-                self.pools.put(listed.server, entry.name, entry.address, ready, listed.started_us)
-        return ServerList(kind, tuple(entry.listed for entry in entries))
+        self.post(lambda: take_list(self.pools, self.listed, kind, entries))
 
     # Actions out
 
@@ -301,7 +241,7 @@
             case FetchList():
                 self.lists.fetch()
             case Probe():
-                self.probe(action.server)
+                probe(self, action.server)
             case CloseIdle():
                 self.pools.close_idle(action.server)
             case Log():
@@ -393,16 +333,3 @@
             attempt = held.attempts[action.attempt]
             if attempt is not None:
                 self.pools.cancel(attempt)
-
-    def probe(self, id_: int) -> None:
-        host = self.pools.hosts.get(id_)
-        if host is None:
-            return
-
-        def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
-            self.post(lambda: Probed(id_, outcome, attempt.latency_us, load_of(reply)))
-
-        path = b"/health/live" if self.settings.reports is Reports.NONE else b"/stats"
-        address = f"{host.address[0]}:{host.address[1]}".encode()
-        payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
-        self.pools.send(Attempt(host, payload, on_end, is_probe=True), PROBE_TIMEOUT_US)
--- /dev/null
+++ b/cloverkeel/held.py
@@ -0,0 +1,49 @@
+"""A client's request, as the gateway takes and holds it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cloverkeel.hosts import Attempt, HostConnection
+from cloverkeel.http1 import Reply
+from cloverkeel.streams import Upload
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A client's request, as the gateway takes it."""
+
+    id: str
+    klass: int
+    patience_us: int
+    key: int | None
+    work_us: int | None
+    is_retry: bool
+    tenant: int
+    head: bytes  # request line and headers to pass on, all but the budget and the end
+    body: bytes  # all of it, or what is held of a long one
+    upload: Upload | None  # the rest of a long one
+    on_served: Callable[[Reply], None]
+    on_begun: Callable[[Reply, HostConnection], None]  # a long answer's head, and where its body comes from
+    on_piece: Callable[[bytes], None]
+    on_ended: Callable[[], None]
+    on_broken: Callable[[], None]  # a long answer will not be whole
+    on_refused: Callable[[int], None]  # with the time after which to come back, in microseconds
+    on_failed: Callable[[bool], None]  # with whether time ran out
+    route: int = 0  # its number in the plan; 0: none
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request that is owed an answer, or whose attempts are not all over."""
+
+    call: Call
+    deadline_us: int
+    max_attempts: int  # by the settings that it came under
+    attempts: list[Attempt | None] = field(default_factory=list)  # None: never sent
+    out: int = 0
+    closed: bool = False
+    is_open: bool = False  # its body is still coming
+    begun: Attempt | None = None  # whose long answer is passing to the client
+    timed_out: bool = False
--- /dev/null
+++ b/cloverkeel/probing.py
@@ -0,0 +1,28 @@
+"""The module's own questions to hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from caperdrift.interface import Outcome, Probed, Reports
+
+from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, load_of
+from cloverkeel.http1 import Reply
+
+if TYPE_CHECKING:
+    from cloverkeel.gateway import Gateway
+
+
+def probe(gateway: Gateway, id_: int) -> None:
+    """Ask a host how it is; the answer, or that there was none, is an event."""
+    host = gateway.pools.hosts.get(id_)
+    if host is None:
+        return
+
+    def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
+        gateway.post(lambda: Probed(id_, outcome, attempt.latency_us, load_of(reply)))
+
+    path = b"/health/live" if gateway.settings.reports is Reports.NONE else b"/stats"
+    address = f"{host.address[0]}:{host.address[1]}".encode()
+    payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
+    gateway.pools.send(Attempt(host, payload, on_end, is_probe=True), PROBE_TIMEOUT_US)
--- a/cloverkeel/transforms/active.py
+++ b/cloverkeel/transforms/active.py
@@ -23,6 +23,7 @@
 
 Listener = Callable[[str, str, State], None]
 WHOLE = 1 << 64
+CHAINS_MOST = 1_024  # different ones of routes that a set keeps made
 
 
 @dataclass(slots=True, frozen=True)
@@ -111,14 +112,17 @@
 
 
 class ActiveSet:
-    """Immutable. Transforms run in the order of their names, each on what the one before left.
+    """Immutable. Transforms run in the order of their names, each on what the one before left; of a
+    `chain` its names alone, in its order.
 
     Raises ValueError where a name has more than one version with all of the calls, or more than one canary.
     """
 
-    __slots__ = ("_compared", "_request", "_response", "installed")
+    __slots__ = ("_chains", "_compared", "_request", "_response", "installed")
 
-    def __init__(self, *installed: Installed) -> None:
+    def __init__(self, *installed: Installed, chain: tuple[str, ...] | None = None) -> None:
+        if chain is not None:
+            installed = tuple(each for each in installed if each.manifest.name in chain)
         self.installed = installed
         by_name: dict[str, list[Installed]] = {}
         for each in sorted(installed, key=lambda i: (i.manifest.name, i.share)):
@@ -128,10 +132,22 @@
                 raise ValueError(f"{name}: one version, and one canary of a smaller share, at most")
         # A name's two versions are one choice, though they may differ in phase.
         names = list(by_name.values())
+        if chain is not None:
+            names.sort(key=lambda versions: chain.index(versions[0].manifest.name))
+        self._chains: dict[tuple[str, ...], ActiveSet] = {}  # made so far
         self._request = self._of_phase("request", names)
         self._response = self._of_phase("response", names)
         self._compared = tuple(i for i in installed if i.share < 1.0 and i.manifest.phase == "request")
 
+    def chained(self, chain: tuple[str, ...]) -> ActiveSet:
+        """A route's transforms of this set, in the route's order; what is not there is passed over."""
+        made = self._chains.get(chain)
+        if made is None:
+            if len(self._chains) >= CHAINS_MOST:  # of routes that are long gone, most of them
+                self._chains.clear()
+            made = self._chains[chain] = ActiveSet(*self.installed, chain=chain)
+        return made
+
     @staticmethod
     def _of_phase(phase: str, names: list[list[Installed]]) -> tuple[tuple[Installed, ...], ...]:
         return tuple(tuple(v) for v in names if any(i.manifest.phase == phase for i in v))
--- /dev/null
+++ b/tests/test_gateway_routes.py
@@ -0,0 +1,138 @@
+"""Routes through a real gateway: which hosts and transforms a request gets, and that it keeps them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from cloverkeel.config import parse
+from cloverkeel.fleet.routes.serving import Serving
+from cloverkeel.transforms.active import ActiveSet, Installed
+from cloverkeel.transforms.engine import compile
+from cloverkeel.transforms.source import parse as parse_source
+from tests.sockets import (
+    answers,
+    configuration,
+    endpoint,
+    hosts_list,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    until,
+)
+from tests.test_routes_index import route, view
+
+
+def transform(name: str, phase: str = "request") -> Installed:
+    source = f'transform {name} owner o phase {phase} writes x-by add x-by = "{name}"'
+    return Installed(compile(parse_source(source.encode())))
+
+
+def routed(*hosts: Any) -> dict[str, Any]:
+    """Host 0 is of group 0 and so on; the last one has the label `new`."""
+    config = configuration(*hosts)
+    entries = [endpoint(f"s-{n}", host.address, group=n) for n, host in enumerate(hosts)]
+    entries[-1]["labels"] = ["new"]
+    return config | {"known": hosts_list(7, *entries)}
+
+
+@on_loop
+async def test_requests_go_to_the_hosts_of_their_route_and_others_to_all() -> None:
+    async with peer() as old, peer() as new, running(routed(old, new)) as run:
+        serving = run.gateway.routes = Serving(run.gateway)
+        canary = route("canary", classes=["search"], callers=["zeta"], targets=[{"labels": ["new"]}])
+        serving.take(view(canary, route("rest", path="/search", targets=[{"groups": [0]}])))
+        for _ in range(8):
+            assert (await run.ask(request(x_caller="zeta"))).status == 200
+        assert (len(old.seen), len(new.seen)) == (0, 8)
+        for _ in range(8):
+            assert (await run.ask(request())).status == 200
+        assert (len(old.seen), len(new.seen)) == (8, 8)
+        for _ in range(8):
+            assert (await run.ask(request("transfer"))).status == 200  # no route's
+        assert len(old.seen) > 8 and len(new.seen) > 8 and not run.gateway.balancer.routed[0]
+
+
+@on_loop
+async def test_a_limit_refuses_and_a_shorter_deadline_ends_the_wait() -> None:
+    async with peer(lambda exchange: None) as host, running(routed(host)) as run:
+        serving = run.gateway.routes = Serving(run.gateway)
+        serving.take(view(route("r", limit=1, deadline_ms=200)))
+        client = await run.connect()
+        client.send(request())
+        await until(lambda: host.seen)
+        assert int(host.seen[0].message.headers["x-budget-ms"]) <= 200
+        assert (await run.ask(request())).status == 503
+        assert (await client.answer()).status == 503  # a safe class is refused, and its place is free again
+        client.close()
+        host.script = answers(reply())
+        assert (await run.ask(request())).status == 200
+
+
+@on_loop
+async def test_a_chain_runs_in_its_order_and_a_request_keeps_it_to_its_answer() -> None:
+    async with peer(lambda exchange: None) as host, running(routed(host)) as run:
+        names = ("a", "b", "c")
+        active = ActiveSet(*map(transform, names), *(transform(f"{n}-back", "response") for n in names))
+        run.gateway.transforms = active
+        serving = run.gateway.routes = Serving(run.gateway)
+        chain = ["c", "gone", "a", "c-back", "a-back"]
+        first = route("r", classes=["search"], transforms=chain)
+        serving.take(view(first, route("none", classes=["transfer"], transforms=[])))
+        client = await run.connect()
+        client.send(request())
+        other = await run.connect()
+        await until(lambda: host.seen)
+        serving.take(view(touched=None))  # a plan without any: what is under way is not touched
+        run.gateway.transforms = None
+        host.seen[0].answer(reply())
+        answer = await client.answer()
+        assert _values(host.seen[0].message.headers) == "a" and _values(answer.headers) == "a-back"
+        run.gateway.transforms = active
+        serving.take(view(first, route("none", classes=["transfer"], transforms=[])))
+        host.script = answers(reply())
+        assert "x-by" not in (await other.ask(request("transfer"))).headers
+        assert "x-by" not in host.seen[-1].message.headers
+        assert _values((await other.ask(request("hold"))).headers) == "c-back"  # no route: by name
+        client.close()
+        other.close()
+
+
+def _values(headers: dict[str, str]) -> str:
+    return headers["x-by"]  # of several the last
+
+
+def test_a_chain_is_made_once_for_each_set() -> None:
+    active = ActiveSet(transform("a"), transform("b"))
+    made = active.chained(("b", "a"))
+    assert made is active.chained(("b", "a")) and active.chained(()) is not made
+    assert made.request(b"k", b"c", b"/k", [], "i") == [(b"x-by", b"b"), (b"x-by", b"a")]
+    assert active.chained(()).request(b"k", b"c", b"/k", [], "i") == []
+
+
+@on_loop
+async def test_after_a_reconfiguration_routes_go_by_the_new_numbers() -> None:
+    async with peer() as old, peer() as new, running(routed(old, new)) as run:
+        serving = run.gateway.routes = Serving(run.gateway)
+        serving.take(view(route("r", targets=[{"types": ["m9"]}])))
+        assert (await run.ask(request())).status == 503
+        other = routed(old, new)
+        other["settings"]["shapes"] = ["m", "m9"]
+        other["known"]["endpoints"][1]["type"] = "m9"
+        config = replace(parse(other), discovery=run.server.config.discovery)
+        run.gateway.reconfigure(config)
+        run.gateway.discovery.take_known(other["known"])
+        assert (await run.ask(request())).status == 200 and len(new.seen) == 1
+
+
+@pytest.mark.parametrize("routes", [False, True])
+@on_loop
+async def test_without_a_plan_no_request_has_a_route(routes: bool) -> None:
+    async with peer() as host, running(routed(host)) as run:
+        run.gateway.routes = Serving(run.gateway) if routes else None
+        assert (await run.ask(request())).status == 200
+        assert set(run.gateway.balancer.routed) == {0}
