Activation: a voter is a member on one disk; a lost disk cannot decide a number twice

A member whose disk is lost voted on where it might have voted before (deciding.py counted votes by member).

Now the ledger's file has a name, drawn when it is begun and anew where a load drops anything; votes and reports carry it, an epoch names its voters with their disks. A quorum is more than half of the voters on those disks, or all of them by name (the first epoch: all `size` members). A new disk is voted in by the next epoch, after voters_after_s at the latest. What others heard of the lost word is its first.

--- a/cloverkeel/fleet/ledger/shell.py
+++ b/cloverkeel/fleet/ledger/shell.py
@@ -58,6 +58,7 @@
     def __init__(self, membership: Membership, directory: str, settings: Settings) -> None:
         self.membership, self.directory, self.settings = membership, directory, settings
         self.core: Ledger | None = None
+        self.disk = 0  # the name of what it is kept on, once started
         self.writer: Writer | None = None
         self.outbox = Outbox(membership.calls, self._address_of, self._answered)
         self.listeners: list[Callable[[Expose], None]] = []
@@ -76,7 +77,7 @@
             event("ledger.dropped", directory=self.directory, reason=finding)
         # A life of its own for each start: a counter on disk could be set back with the disk.
         incarnation = secrets.randbits(62) + 1
-        name, rng = self.membership.name, random.Random()
+        name, rng, self.disk = self.membership.name, random.Random(), loaded.disk
         self.core = Ledger(name, incarnation, self.settings, rng, loaded.puts, loaded.context)
         self.writer = Writer(store, self._written)
         event("ledger.opened", directory=self.directory, records=len(loaded.puts), incarnation=incarnation)
--- a/cloverkeel/fleet/ledger/store.py
+++ b/cloverkeel/fleet/ledger/store.py
@@ -13,6 +13,7 @@
 import hashlib
 import os
 import queue
+import secrets
 import sqlite3
 import threading
 from collections.abc import Callable
@@ -45,11 +46,13 @@
 
 @dataclasses.dataclass
 class Loaded:
-    """What was on disk and is sound, and one finding for each row that was not."""
+    """What was on disk and is sound, and one finding for each row that was not. `disk`: the name of this
+    file, drawn when it was begun and anew where there are findings: while it stays, nothing is forgotten."""
 
     puts: list[Put]
     context: Context
     findings: list[str]
+    disk: int = 0
 
 
 class Store:
@@ -125,9 +128,13 @@
         for put in loaded.puts:
             loaded.context = loaded.context.merge(put.record.context)
         loaded.context = loaded.context.add(put.record.dot for put in loaded.puts)
-        if loaded.findings:
+        disk = self._meta("disk")
+        loaded.disk = int.from_bytes(disk or b"", "big")
+        if loaded.findings or not loaded.disk:
+            loaded.disk = secrets.randbits(62) + 1
             with transaction(self.connection):
                 self._delete(bad)
+                self._put_meta("disk", loaded.disk.to_bytes(8, "big"))
                 self._put_meta("context", _encode(loaded.context))
         return loaded
 
--- a/cloverkeel/transforms/activation/book.py
+++ b/cloverkeel/transforms/activation/book.py
@@ -21,11 +21,14 @@
 )
 
 
+VoterId = tuple[str, int]  # a member, and the disk that keeps its votes
+
+
 class Book:
     def __init__(self) -> None:
         self.orders: dict[str, Order] = {}  # by id
         self.proposals: dict[str, tuple[Proposal, ...]] = {}  # by member
-        self.votes: dict[str, Vote] = {}
+        self.votes: dict[str, dict[int, Vote]] = {}  # by member: by disk
         self.reports: dict[str, Report] = {}
         self.epoch = Epoch()
         self.kept: dict[tuple[str, str], dict[str, list[Body]]] = {}  # by kind and owner: by key
@@ -56,13 +59,25 @@
         if kind == PROPOSAL:
             self.proposals[owner] = tuple(body for body in every if isinstance(body, Proposal))
         elif kind == VOTE and (votes := [body for body in every if isinstance(body, Vote)]):
-            self.votes[owner] = merge_votes(votes)
+            disks = {vote.disk for vote in votes}
+            self.votes[owner] = {
+                disk: merge_votes([vote for vote in votes if vote.disk == disk]) for disk in disks
+            }
         elif kind == REPORT and (reports := [body for body in every if isinstance(body, Report)]):
             self.reports[owner] = max(reports, key=lambda report: report.number)
         elif kind == EPOCH:
             epochs = [body for body in every if isinstance(body, Epoch)]
             self.epoch = max([self.epoch, *epochs], key=lambda epoch: epoch.number)
 
+    def voted(self, number: int) -> dict[VoterId, Vote]:
+        """The votes on an epoch's number."""
+        return {
+            (member, disk): vote
+            for member, votes in self.votes.items()
+            for disk, vote in votes.items()
+            if vote.epoch == number
+        }
+
     def left_keys(self, kind: str, owner: str, number: int) -> list[str]:
         """Keys of an owner that the record of this number has left behind, if it is shown."""
         keys, current = self.kept.get((kind, owner), {}), key_of(owner, number)
--- a/cloverkeel/transforms/activation/core.py
+++ b/cloverkeel/transforms/activation/core.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from cloverkeel.transforms.activation.book import Book, runs
 from cloverkeel.transforms.activation.deciding import Proposer, Voter
 from cloverkeel.transforms.activation.interface import (
@@ -43,23 +45,25 @@
 
 
 class Activation:
-    """`member`: this gateway's name; `life`: of this process, never used before under the name; `loaded`: all
-    that the ledger shows at the start, together: one key alone may be of an older epoch."""
+    """`member`: this gateway's name; `life`: of this process, never used before under the name; `disk`: the
+    ledger's name for what it is kept on; `loaded`: all that the ledger shows at the start, together: one key
+    alone may be of an older epoch."""
 
     def __init__(
         self,
         member: str,
         life: int,
+        disk: int,
         settings: Settings,
         rng: random.Random,
         loaded: Iterable[Recorded] = (),
     ) -> None:
-        self.me, self.settings = member, settings
+        self.me, self.disk, self.settings = member, disk, settings
         self.book = Book()
         self.live: tuple[str, ...] = (member,)
         self.known: tuple[str, ...] = (member,)
         self.settled = False
-        self.voter = Voter(member)
+        self.voter = Voter(member, disk)
         self.proposer = Proposer(member, life, settings, rng)
         self.staged: dict[str, str] = {}  # versions tried: "" or why not
         self.staging: set[str] = set()
@@ -206,9 +210,9 @@
         shown = self.book.reports.get(self.me)
         last = self.unread[REPORT][1] if REPORT in self.unread else shown
         number = max(shown.number if shown else 0, last.number if isinstance(last, Report) else 0)
-        report = Report(number, self.epoch.number, staged, tuple(sorted(self.open)))
+        report = Report(number, self.epoch.number, staged, tuple(sorted(self.open)), self.disk)
         if report != last:
-            report = Report(number + 1, report.epoch, staged, report.open)
+            report = msgspec.structs.replace(report, number=number + 1)
             self._put(REPORT, key_of(self.me, report.number), report, out)
 
     def _tidy(self, out: list[Action]) -> None:
@@ -219,8 +223,8 @@
         self.tidy_s = self.now_s + TIDY_S
         reports, epoch = self.book.reports, self.book.epoch
         numbers = {PROPOSAL: max((p.epoch for p in self.book.proposals.get(self.me, ())), default=0)}
-        if self.me in self.book.votes:
-            numbers[VOTE] = self.book.votes[self.me].epoch
+        if (vote := self._own_vote()) is not None:
+            numbers[VOTE] = vote.epoch
         if self.me in reports:
             numbers[REPORT] = reports[self.me].number
         for kind, number in numbers.items():
@@ -249,6 +253,9 @@
             elif self.now_s - at_s >= self.settings.resend_s:
                 self._put(kind, key, body, out)
 
+    def _own_vote(self) -> Vote | None:
+        return self.book.votes.get(self.me, {}).get(self.disk)
+
     def _shown(self, body: Body) -> bool:
         """Whether the ledger shows this member's record, or what makes it idle."""
         book = self.book
@@ -259,6 +266,6 @@
                 body != self.proposer.proposal
             )  # fmt: skip
         if isinstance(body, Vote):
-            return book.votes.get(self.me) == body or body != self.voter.vote
+            return self._own_vote() == body or body != self.voter.vote
         shown = book.reports.get(self.me)
         return isinstance(body, Report) and shown is not None and shown.number >= body.number
--- a/cloverkeel/transforms/activation/deciding.py
+++ b/cloverkeel/transforms/activation/deciding.py
@@ -1,38 +1,52 @@
 """Deciding an epoch's number once: single-decree Paxos (Lamport, 1998), with ledger records as messages.
 
 `Voter` is one member's acceptor, `Proposer` its proposer. What a member has said counts for others only once
-they read it, and they read it only after it is on the member's disk.
+they read it, and they read it only after it is on the member's disk. On another disk a member is another
+voter, so that none forgets what it said (docs/activation.md, "The way chosen").
 """
 
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
-from cloverkeel.transforms.activation.book import Book
+import msgspec
+
+from cloverkeel.transforms.activation.book import Book, VoterId
 from cloverkeel.transforms.activation.interface import Settings
 from cloverkeel.transforms.activation.records import Ballot, Epoch, Proposal, Vote, merge_votes
 
 
-def quorum(epoch: Epoch, size: int) -> int:
-    """How many votes decide the epoch after this one."""
-    return (len(epoch.voters) or size) // 2 + 1
+def decides(epoch: Epoch, size: int, voted: Iterable[VoterId]) -> bool:
+    """Whether these (member, disk) are a quorum for the epoch after this one: more than half of its voters on
+    the disks that it names, or all its members on whatever disks. The first: `size` members."""
+    voted = set(voted)
+    members = {member for member, _ in voted}
+    if not epoch.voters:
+        return len(members) >= size
+    if members.issuperset(epoch.voters):
+        return True
+    # An epoch from before disks were named: each voter's word counts, whatever its disk.
+    named = voted.intersection(epoch.named().items()) if epoch.disks else members.intersection(epoch.voters)
+    return 2 * len(named) > len(epoch.voters)
 
 
 def counts(epoch: Epoch, member: str) -> bool:
-    """Whether a member's vote on the epoch after this one counts."""
+    """Whether a member's vote on the epoch after this one can count."""
     return not epoch.voters or member in epoch.voters
 
 
 class Voter:
-    def __init__(self, me: str) -> None:
-        self.me = me
+    def __init__(self, me: str, disk: int) -> None:
+        self.me, self.disk = me, disk
         self.vote: Vote | None = None  # the last word, written or about to be
 
     def consider(self, book: Book) -> Vote | None:
         """The vote to write where the proposals in the book change it. The word given before holds, whether
         or not the ledger shows it already."""
         number = book.epoch.number + 1
-        own = book.votes.get(self.me)
+        kept = book.votes.get(self.me, {})
+        own = kept.get(self.disk)
         if own is not None and (self.vote is None or own.epoch >= self.vote.epoch):
             self.vote = merge_votes([own] if self.vote is None else [own, self.vote])
         vote = self.vote
@@ -42,6 +56,9 @@
             return None
         if vote is not None and vote.epoch < number:
             vote = None
+        if vote is None and (heard := [v for v in kept.values() if v.epoch == number]):
+            # Its word on a disk that is lost, as far as others have heard it, is the first on this one.
+            vote = msgspec.structs.replace(merge_votes(heard), disk=self.disk)
         every = [p for ps in book.proposals.values() for p in ps if p.epoch == number]
         for proposal in sorted(every, key=lambda p: (p.ballot, p.value is not None)):
             vote = self._answer(vote, proposal)
@@ -50,14 +67,14 @@
         self.vote = vote
         return vote
 
-    @staticmethod
-    def _answer(vote: Vote | None, proposal: Proposal) -> Vote:
+    def _answer(self, vote: Vote | None, proposal: Proposal) -> Vote:
+        number, ballot = proposal.epoch, proposal.ballot
         if vote is None:
-            vote = Vote(proposal.epoch, proposal.ballot)
-        if proposal.ballot > vote.promised:
-            vote = Vote(proposal.epoch, proposal.ballot, vote.accepted, vote.value)
-        if proposal.value is not None and proposal.ballot == vote.promised:
-            vote = Vote(proposal.epoch, proposal.ballot, proposal.ballot, proposal.value)
+            vote = Vote(number, ballot, disk=self.disk)
+        if ballot > vote.promised:
+            vote = Vote(number, ballot, vote.accepted, vote.value, self.disk)
+        if proposal.value is not None and ballot == vote.promised:
+            vote = Vote(number, ballot, ballot, proposal.value, self.disk)
         return vote
 
 
@@ -78,27 +95,26 @@
                 self.proposal = None
                 return None
             return self._begin(now_s, book, number)
-        votes = [v for m, v in book.votes.items() if v.epoch == number and counts(book.epoch, m)]
-        if any(vote.promised > mine.ballot for vote in votes) and not self.outbid:
+        votes = {voter: vote for voter, vote in book.voted(number).items() if counts(book.epoch, voter[0])}
+        if any(vote.promised > mine.ballot for vote in votes.values()) and not self.outbid:
             self.outbid = True
             self.until_s = min(self.until_s, now_s + self.settings.outbid_s * self.rng.random())
-        needed = quorum(book.epoch, self.settings.size)
+        size = self.settings.size
         if mine.value is None:
-            promises = [vote for vote in votes if vote.promised == mine.ballot]
-            if len(promises) < needed:
+            promises = {voter: vote for voter, vote in votes.items() if vote.promised == mine.ballot}
+            if not decides(book.epoch, size, promises):
                 return None
-            chosen = free_or_bound(promises) or value
+            chosen = free_or_bound(promises.values()) or value
             if chosen is None:
                 return None  # what was wanted is no more, and nobody is bound
             self.proposal = Proposal(number, mine.ballot, chosen)
             return self.proposal
-        if sum(vote.accepted == mine.ballot for vote in votes) < needed:
-            return None
-        return mine.value
+        accepted = (voter for voter, vote in votes.items() if vote.accepted == mine.ballot)
+        return mine.value if decides(book.epoch, size, accepted) else None
 
     def _begin(self, now_s: float, book: Book, number: int) -> Proposal:
         ballots: list[Ballot] = [p.ballot for ps in book.proposals.values() for p in ps if p.epoch == number]
-        ballots += [vote.promised for vote in book.votes.values() if vote.epoch == number]
+        ballots += [vote.promised for vote in book.voted(number).values()]
         if self.proposal is not None and self.proposal.epoch == number:
             ballots.append(self.proposal.ballot)
         highest = max((ballot[0] for ballot in ballots), default=0)
@@ -108,7 +124,7 @@
         return self.proposal
 
 
-def free_or_bound(promises: list[Vote]) -> Epoch | None:
+def free_or_bound(promises: Iterable[Vote]) -> Epoch | None:
     """The value that a quorum may have accepted, of the highest ballot; None: the proposer is free."""
     bound = [vote for vote in promises if vote.accepted is not None]
     return max(bound, key=lambda vote: vote.accepted or (-1, "", 0)).value if bound else None
--- a/cloverkeel/transforms/activation/planning.py
+++ b/cloverkeel/transforms/activation/planning.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from cloverkeel.transforms.activation.book import Book
+from cloverkeel.transforms.activation.deciding import decides
 from cloverkeel.transforms.activation.interface import Settings
 from cloverkeel.transforms.activation.records import NAMES_MAX, Epoch, Order, Slot
 
@@ -207,10 +208,26 @@
     found = plan(book, live, settings, lasting)
     waits = found.waits
     wanted = voters(current, live, settings.size)
-    stale = bool(current.voters) and wanted != current.voters
+    named, reports = current.named(), book.reports
+    disks = tuple(reports[m].disk if m in live and m in reports else named.get(m, 0) for m in wanted)
+    stale = bool(current.voters) and (wanted, disks) != (current.voters, current.disks)
     if not current.voters and known > settings.size:
         return None, {**waits, "": f"{known} members are known, and size is {settings.size}"}
-    renew = stale and lasting(f"voters {','.join(wanted)}") >= settings.voters_after_s
+    renew = stale and lasting(f"voters {wanted} {disks}") >= settings.voters_after_s
     if found.slots == current.slots and not renew:
         return None, waits
-    return Epoch(current.number + 1, wanted, found.slots), waits
+    here = [m for m in live if not current.voters or m in named]
+    if not decides(current, settings.size, [(m, reports[m].disk) for m in here if m in reports]):
+        waits = {**waits, "": undecided(current, live, settings.size)}
+    return Epoch(current.number + 1, wanted, found.slots, disks), waits
+
+
+def undecided(current: Epoch, live: tuple[str, ...], size: int) -> str:
+    """Why those who are here are no quorum, for people."""
+    if not current.voters:
+        return f"the first epoch takes all {size} members, and {len(live)} are here and have reported"
+    absent = sorted(set(current.voters) - set(live))
+    return (
+        f"half of the {len(current.voters)} voters or more are away or lost their disks: all are needed; "
+        f"away: {', '.join(absent[:5]) or 'none, a report is waited for'}"
+    )
--- a/cloverkeel/transforms/activation/records.py
+++ b/cloverkeel/transforms/activation/records.py
@@ -70,11 +70,17 @@
 
 
 class Epoch(msgspec.Struct, frozen=True, array_like=True):
-    """All that is active, and the `voters` who decide the next one. Number 0: nothing has been decided."""
+    """All that is active, and the `voters` who decide the next one, each on the disk of the same place in
+    `disks` (none: an epoch from before disks were named). Number 0: nothing has been decided."""
 
     number: Number = 0
     voters: Members = ()
     slots: Annotated[dict[Name, Slot], msgspec.Meta(max_length=NAMES_MAX)] = {}
+    disks: Annotated[tuple[Number, ...], msgspec.Meta(max_length=4096)] = ()
+
+    def named(self) -> dict[str, int]:
+        """Each voter's disk; 0: not known."""
+        return dict(zip(self.voters, self.disks or (0,) * len(self.voters), strict=True))
 
     def slot(self, name: str) -> Slot:
         return self.slots.get(name) or Slot()
@@ -89,21 +95,24 @@
 
 
 class Vote(msgspec.Struct, frozen=True, array_like=True):
-    """A member's word on an epoch: no lower ballot than `promised`; `value` accepted at `accepted`."""
+    """A member's word on an epoch: no lower ballot than `promised`; `value` accepted at `accepted`. `disk`:
+    the one that keeps it; on another the member is another voter."""
 
     epoch: Number
     promised: Ballot
     accepted: Ballot | None = None
     value: Epoch | None = None
+    disk: Number = 0
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
-    """What one member runs and holds: its epoch, versions staged ("" or why not), open breakers."""
+    """What one member runs and holds: its epoch, versions staged ("" or why not), open breakers, its disk."""
 
     number: Number
     epoch: Number
     staged: dict[Id, Line] = {}
     open: tuple[Id, ...] = ()
+    disk: Number = 0
 
 
 Body = Order | Proposal | Vote | Report | Epoch
@@ -144,6 +153,9 @@
         (body.accepted is None) != (body.value is None) or _differ(body.epoch, body.value)
     ):
         raise ValueError("the vote accepts no value, or another epoch's")
+    epoch = body if isinstance(body, Epoch) else getattr(body, "value", None)
+    if epoch is not None and epoch.disks and len(epoch.disks) != len(epoch.voters):
+        raise ValueError("the epoch names not one disk for each voter")
     return body
 
 
@@ -152,8 +164,8 @@
 
 
 def merge_votes(votes: list[Vote]) -> Vote:
-    """One member's votes that the ledger kept side by side: the highest ballots of the highest epoch."""
+    """One voter's votes that the ledger kept side by side: the highest ballots of the highest epoch."""
     number = max(vote.epoch for vote in votes)
     votes = [vote for vote in votes if vote.epoch == number]
     best = max(votes, key=lambda vote: vote.accepted or (-1, "", 0))
-    return Vote(number, max(vote.promised for vote in votes), best.accepted, best.value)
+    return Vote(number, max(vote.promised for vote in votes), best.accepted, best.value, best.disk)
--- a/cloverkeel/transforms/activation/shell.py
+++ b/cloverkeel/transforms/activation/shell.py
@@ -48,7 +48,9 @@
         shown = [
             _recorded(kind, key, ledger.read(kind, key)[0]) for kind in KINDS for key in ledger.keys(kind)
         ]
-        self.core = Activation(self.membership.name, life, settings, random.Random(), shown)
+        self.core = Activation(
+            self.membership.name, life, ledger.disk, settings, random.Random(), shown
+        )
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.ticker: asyncio.TimerHandle | None = None
--- a/faultlab/storm/cluster/activation.py
+++ b/faultlab/storm/cluster/activation.py
@@ -71,10 +71,10 @@
         self.unable: dict[str, set[str]] = {}  # version to the members that cannot stage it
         self.published = 0
         self.healed = False  # nothing befalls it any more
-        self.lost_disks = 0
         self.lost_votes: list[tuple[str, Vote]] = []  # what a lost disk held of its member's own word
         self.first_s: dict[int, float] = {}  # by epoch: when it was first run somewhere
         super().__init__(seed, members, tick_s, LedgerSettings(size=members, digest_s=1.0, reap_after_s=6.0))
+        self.first_disks = {name: member.disk.number for name, member in self.members.items()}
 
     def broken(self) -> list[str]:
         return self.truth.violations + self.activation.violations
@@ -92,13 +92,19 @@
                 payloads = tuple(payload for _, payload in records if payload is not None)
                 loaded.append(Recorded(kind, key, payloads))
         settings = self.brain_settings
-        brain = Brain(member, Activation(member.name, life, settings, self.rng, loaded))
+        brain = Brain(member, Activation(member.name, life, member.disk.number, settings, self.rng, loaded))
         self.brains[member.name] = brain
         self.alone_s[member.name] = self.now_s
         self.later(self.rng.random() * self.tick_s, self._brain_ticker(brain))
 
+    def may_lose(self, member: Member) -> bool:
+        """Whether fewer disks than a quorum's are other ones, with this one's, than those that vote."""
+        epochs = self.activation.epochs
+        named = epochs[max(epochs)].named() or self.first_disks
+        others = {m.name for m in self.members.values() if named.get(m.name) != m.disk.number}
+        return len(others | {member.name}) <= len(self.members) // 2
+
     def lose_disk(self, member: Member) -> None:
-        self.lost_disks += 1
         self.lost_votes += self._votes_of(member)
         self.activation.highest.pop(member.name, None)
         super().lose_disk(member)
@@ -167,7 +173,8 @@
             if put.record.kind == VOTE and owner_of(put.record.key) == member.name and put.payload:
                 vote = decode(VOTE, put.record.key, put.payload)
                 assert isinstance(vote, Vote)
-                found.append((member.name, vote))
+                if vote.disk == member.disk.number:
+                    found.append((member.name, vote))
         return found
 
     def _context(self, brain: Brain, kind: str, key: str) -> Context | None:
@@ -269,6 +276,8 @@
             if member.core is None:
                 self.start(member)
         self.run(90.0, self.rested)
+        if self.broken():
+            return
         self.check()
         self.activation.at_the_end([self.brains[m].core for m in self.members], self.bad)
         core = next(iter(self.members.values())).core
--- a/faultlab/storm/cluster/activation_history.py
+++ b/faultlab/storm/cluster/activation_history.py
@@ -32,6 +32,9 @@
     names = [f"t{i}" for i in range(rng.randint(1, 2))]
     cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.2)), rng.choice((0.0, 0.1))
     cluster.run(1.0)
+    if random.Random(f"begun {seed}").random() < 0.75:  # the first epoch takes all
+        cluster.order(cluster.members["m0"], names[0], "publish", Level.QUORUM)
+        cluster.run(30.0, lambda: bool(cluster.activation.epochs[max(cluster.activation.epochs)].number))
 
     def step() -> None:
         for _ in range(rng.choice((1, 1, 3, 10))):
@@ -93,5 +96,5 @@
         case 8:
             member.full = not member.full
         case 9:
-            if cluster.lost_disks < len(members) // 2:  # one fewer than the quorum
+            if cluster.may_lose(member):
                 cluster.lose_disk(member)
--- a/faultlab/storm/cluster/activation_truth.py
+++ b/faultlab/storm/cluster/activation_truth.py
@@ -38,11 +38,14 @@
         if before is None:
             self.violated(f"epoch {epoch.number} without the one before it")
             return
-        electorate = set(before.voters)
-        backing = {m for m, vote in votes() if vote.value == epoch and (not electorate or m in electorate)}
-        if 2 * len(backing) <= (len(electorate) or self.size):
+        electorate = before.named()
+        backing = {(m, v.disk) for m, v in votes() if v.value == epoch}
+        backing = {(m, disk) for m, disk in backing if not electorate or m in electorate}
+        named, every = backing & set(electorate.items()), {member for member, _ in backing}
+        if 2 * len(named) <= len(electorate) and len(every) < (len(electorate) or self.size):
             self.violated(
-                f"epoch {epoch.number} on the word of {len(backing)} of {len(electorate) or self.size}"
+                f"epoch {epoch.number} on the word of {len(named)} voters and {len(every)} members"
+                f" of {len(electorate) or self.size}"
             )
         self._decided(before, epoch)
 
--- a/tests/test_activation_core.py
+++ b/tests/test_activation_core.py
@@ -10,7 +10,7 @@
 from cloverkeel.transforms.activation import records
 from cloverkeel.transforms.activation.book import Book, runs
 from cloverkeel.transforms.activation.core import Activation
-from cloverkeel.transforms.activation.deciding import Proposer, Voter
+from cloverkeel.transforms.activation.deciding import Proposer, Voter, decides
 from cloverkeel.transforms.activation.interface import Note, Put, Recorded, Settings, Stage, Staged, Tick
 from cloverkeel.transforms.activation.planning import canaries
 from cloverkeel.transforms.activation.records import (
@@ -53,32 +53,56 @@
 
 def test_a_value_that_a_quorum_may_have_accepted_binds_every_later_ballot() -> None:
     book, rng = Book(), random.Random(1)
-    first, second = Epoch(1, ("a",)), Epoch(1, ("b",))
-    accepted = Vote(1, (1, "a", 9), (1, "a", 9), first)
+    take(book, EPOCH, EPOCHS, Epoch(1, ("a", "b", "c"), disks=(1, 2, 3)))
+    first, second = Epoch(2, ("a",)), Epoch(2, ("b",))
+    accepted = Vote(2, (1, "a", 9), (1, "a", 9), first, 2)
     take(book, VOTE, "b", accepted)
     proposer = Proposer("c", 5, Settings(3), rng)
     ask = proposer.step(0.0, book, second)
-    assert isinstance(ask, Proposal) and ask == Proposal(1, (2, "c", 5))  # above all that it has heard of
-    take(book, VOTE, "b", Vote(1, ask.ballot, accepted.accepted, first))
+    assert isinstance(ask, Proposal) and ask == Proposal(2, (2, "c", 5))  # above all that it has heard of
+    take(book, VOTE, "b", Vote(2, ask.ballot, accepted.accepted, first, 2))
     assert proposer.step(0.1, book, second) is None  # one of three
-    take(book, VOTE, "c", Vote(1, ask.ballot))
-    assert proposer.step(0.2, book, second) == Proposal(1, ask.ballot, first)
-    for member in ("b", "c"):
-        take(book, VOTE, member, Vote(1, ask.ballot, ask.ballot, first))
+    take(book, VOTE, "c", Vote(2, ask.ballot, disk=4))
+    assert proposer.step(0.1, book, second) is None  # of another disk
+    take(book, VOTE, "c", Vote(2, ask.ballot, disk=3))
+    assert proposer.step(0.2, book, second) == Proposal(2, ask.ballot, first)
+    for member, disk in (("b", 2), ("c", 3)):
+        take(book, VOTE, member, Vote(2, ask.ballot, ask.ballot, first, disk))
     assert proposer.step(0.3, book, second) == first
 
 
+def test_a_quorum_is_most_voters_on_the_disks_named_or_all_by_name() -> None:
+    epoch = Epoch(4, ("a", "b", "c", "d"), disks=(1, 2, 3, 4))
+    for voted, expected in (
+        ({("a", 1), ("b", 2), ("c", 3)}, True),
+        ({("a", 1), ("b", 2), ("c", 9), ("x", 4)}, False),
+        ({("a", 1), ("b", 2), ("c", 9), ("d", 9)}, True),
+        ({("a", 1), ("a", 9), ("b", 2), ("d", 9)}, False),
+    ):
+        assert decides(epoch, 2, voted) is expected
+    assert not decides(Epoch(), 3, {("a", 1), ("b", 2)}) and decides(Epoch(), 2, {("a", 1), ("b", 2)})
+    assert decides(Epoch(1, ("a", "b", "c")), 3, {("a", 1), ("b", 2)})  # from before disks were named
+
+
+def test_a_member_on_a_new_disk_begins_with_what_others_heard_of_its_word() -> None:
+    book, voter = Book(), Voter("m", 9)
+    word = Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)), 8)
+    take(book, VOTE, "m", word)
+    take(book, PROPOSAL, "c", Proposal(1, (1, "c", 1)))
+    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)), 9)
+
+
 def test_a_voter_keeps_its_promise_before_the_ledger_shows_it_and_after_a_restart() -> None:
-    book, voter = Book(), Voter("m")
+    book, voter = Book(), Voter("m", 9)
     take(book, PROPOSAL, "b", Proposal(1, (2, "b", 1)))
     promise = voter.consider(book)
-    assert promise == Vote(1, (2, "b", 1))
+    assert promise == Vote(1, (2, "b", 1), disk=9)
     take(book, PROPOSAL, "a", Proposal(1, (1, "a", 1), Epoch(1)))
     assert voter.consider(book) is None  # a lower ballot
     take(book, VOTE, "m", promise)
-    assert Voter("m").consider(book) is None  # read back from the disk
+    assert Voter("m", 9).consider(book) is None  # read back from the disk
     take(book, PROPOSAL, "b", Proposal(1, (2, "b", 1), Epoch(1, ("b",))))
-    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)))
+    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)), 9)
     take(book, EPOCH, EPOCHS, Epoch(1, ("x", "y")))
     take(book, PROPOSAL, "x", Proposal(2, (1, "x", 1)))
     assert voter.consider(book) is None  # no voter any more
@@ -112,14 +136,14 @@
 def test_what_is_no_record_is_told_and_changes_nothing(payload: bytes) -> None:
     with pytest.raises(ValueError):
         decode(ORDER, "t/1", payload)
-    core = Activation("m", 1, Settings(1), random.Random(1))
+    core = Activation("m", 1, 9, Settings(1), random.Random(1))
     notes = [a for a in core.handle(0.0, Recorded(ORDER, "t/1", (payload,))) if isinstance(a, Note)]
     assert [note.name for note in notes] == ["transforms.malformed"] and not core.book.orders
 
 
 def test_one_gateway_alone_decides_for_itself_and_only_where_it_is_the_whole_fleet() -> None:
     for size, expected in ((1, True), (2, False)):
-        core = Activation("m", 1, Settings(size, canary_s=0.0), random.Random(1))
+        core = Activation("m", 1, 9, Settings(size, canary_s=0.0), random.Random(1))
         ledger: dict[tuple[str, str], Body] = {(ORDER, "t/1"): Order("t", "1", 1, "publish")}
         for n in range(40):
             for (kind, key), body in list(ledger.items()):
@@ -150,6 +174,50 @@
     ), orders
 
 
+def test_the_first_epoch_takes_all_members_as_does_one_after_a_fleet_lost_its_disks() -> None:
+    cluster = settled()
+    for lost in (False, True):
+        if lost:
+            cluster.activation.epochs = {0: Epoch()}  # a new fleet
+            for member in cluster.members.values():
+                cluster.lose_disk(member)
+        else:
+            cluster.stop(cluster.members["m4"])
+        for member in list(cluster.members.values())[:4]:
+            if member.core is None:
+                cluster.start(member)
+        cluster.run(10.0)
+        version = cluster.order(cluster.members["m1"], "t", "publish", Level.QUORUM)
+        cluster.run(10.0)
+        core = cluster.brains["m0"].core
+        assert core.epoch.number == 0
+        assert core.waits[""].startswith("the first epoch takes all 5 members, and 4")
+        cluster.start(cluster.members["m4"])
+        assert rest(cluster)[-1].slots["t"].active == version
+
+
+def test_a_fleet_restarted_whole_goes_on_and_one_replaced_of_five_votes_in_the_epoch_that_names_it() -> None:
+    cluster = settled()
+    cluster.order(cluster.members["m0"], "t", "publish", Level.ALL)
+    number = rest(cluster)[-1].number
+    for member in cluster.members.values():
+        cluster.stop(member)
+        cluster.start(member)
+    two = cluster.order(cluster.members["m0"], "t", "publish", Level.LOCAL)
+    cluster.run(10.0)
+    assert cluster.brains["m3"].core.epoch.slots["t"].active == two
+    old = cluster.members["m2"].disk.number
+    cluster.lose_disk(cluster.members["m2"])
+    cluster.start(cluster.members["m2"])
+    assert cluster.run(20.0, lambda: dict(cluster.brains["m0"].core.epoch.named())["m2"] != old)
+    for name in ("m3", "m4"):
+        cluster.stop(cluster.members[name])
+    three = cluster.order(cluster.members["m0"], "t", "publish", Level.LOCAL)
+    cluster.run(15.0)  # with m2's vote, or not at all
+    epoch = cluster.brains["m0"].core.epoch
+    assert epoch.number > number and epoch.slots["t"].active == three
+
+
 def test_two_publish_one_name_at_once_the_last_in_sequence_is_taken_on_all() -> None:
     cluster = settled()
     ids = [cluster.order(cluster.members[m], "t", "publish", Level.LOCAL) for m in ("m1", "m4")]
--- a/tests/test_ledger_store.py
+++ b/tests/test_ledger_store.py
@@ -81,12 +81,15 @@
     directory: str, damage: str, left: list[int], covered: list[int], finding: str
 ) -> None:
     store = Store(directory)
+    named = store.load().disk
     store.write(batch([put(1, b"x"), put(2, b"y"), put(3, b"z")]))
+    assert store.load().disk == named > 0
     store.close()
     store, counters, context, findings = reopened(directory, damage)
     assert counters == left
     assert context == Context().add(Dot("a", 2**62 - 1, n) for n in covered)
     assert finding in findings[0]
+    assert store.load().disk not in (0, named)  # what it forgot it may have promised by
     store.write(batch([put(2, b"y")]))
     assert store.load().findings == []
 
