--- /dev/null
+++ b/cloverkeel/fleet/duties/interface.py
@@ -0,0 +1,141 @@
+"""What goes into the core and what comes out of it. Times are seconds of a monotonic clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal
+
+Verb = Literal["acquire", "renew", "release"]
+MARGIN = 0.15  # of the time to live: the holder stops that much earlier, by its own clock
+RENEWALS = 4  # in a time to live
+
+
+@dataclass(slots=True, frozen=True)
+class Duty:
+    """A duty that this process may hold. `ttl_s`: how long after its last renewal it may pass to another."""
+
+    name: str
+    ttl_s: float = 10.0
+
+    @property
+    def acts_s(self) -> float:
+        """How long its holder acts after it sent the request that was granted."""
+        return self.ttl_s * (1.0 - MARGIN)
+
+    @property
+    def renew_s(self) -> float:
+        return self.ttl_s / RENEWALS
+
+
+# Answers of a backend
+
+
+@dataclass(slots=True, frozen=True)
+class Granted:
+    """To `acquire`: held from now on under a new token. To `renew`: still held, under the same."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Held:
+    """Another holds it, for `left_s` more unless it renews."""
+
+    holder: str
+    token: int
+    left_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Gone:
+    """To `renew`: no longer this holder's under that token. To `release`: not held under it now."""
+
+
+@dataclass(slots=True, frozen=True)
+class Unreachable:
+    """Nothing is known: the call may or may not have taken effect."""
+
+    reason: str
+
+
+Answer = Granted | Held | Gone | Unreachable
+
+
+# Events
+
+
+@dataclass(slots=True, frozen=True)
+class Named:
+    """The duties of the configuration; those held that are not among them are let go."""
+
+    duties: tuple[Duty, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """The answer to the `Ask` of this number; a late or second one changes nothing."""
+
+    duty: str
+    number: int
+    answer: Answer
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    """The backend saw the duty pass or become free."""
+
+    duty: str
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Due about each 0.02 s."""
+
+
+@dataclass(slots=True, frozen=True)
+class Leave:
+    """The process ends: all is let go, nothing more is asked for."""
+
+
+Event = Named | Answered | Changed | Tick | Leave
+
+
+# Actions
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """Call the backend, and say `Answered` with the same number."""
+
+    duty: Duty
+    verb: Verb
+    number: int
+    token: int = 0  # of the lease to renew or release
+
+
+@dataclass(slots=True, frozen=True)
+class Begin:
+    """This process holds the duty from now on."""
+
+    duty: str
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class End:
+    """It holds it no longer."""
+
+    duty: str
+    token: int
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """Something for the log."""
+
+    name: str
+    fields: tuple[tuple[str, object], ...]
+
+
+Action = Ask | Begin | End | Note
