Duties: an explicit search over the orders of calls, losses and expiries of two processes

Every order of up to 10 moves (time, calls taken or lost, answers told or dropped), clocks at 0.86 to 1.0 of the backend's: two never act at once. A clock at 0.7, slower than the margin covers, is found.

--- /dev/null
+++ b/tests/test_duties_model.py
@@ -0,0 +1,244 @@
+"""The core of duties: an explicit search over small interleavings, and its rules one by one."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from cloverkeel.fleet.duties.core import Duties
+from cloverkeel.fleet.duties.interface import (
+    Action,
+    Answer,
+    Answered,
+    Ask,
+    Begin,
+    Changed,
+    Duty,
+    End,
+    Event,
+    Gone,
+    Granted,
+    Held,
+    Leave,
+    Named,
+    Tick,
+    Unreachable,
+)
+
+DUTY = Duty("d", ttl_s=1.0)
+STEP_S = 0.25
+LOW = random.Random()
+LOW.random = lambda: 0.0  # type: ignore[method-assign]
+LOW.uniform = lambda a, b: a  # type: ignore[method-assign]
+
+
+@dataclass
+class Process:
+    core: Duties
+    rate: float  # of its clock
+    holds: int = 0  # as its Begin and End say
+    asks: list[Ask] = field(default_factory=list)  # on their way to the backend
+    answers: list[Answered] = field(default_factory=list)  # on their way back
+
+
+@dataclass
+class State:
+    """Two processes, and a backend that grants by its own clock alone."""
+
+    processes: list[Process]
+    now_s: float = 100.0
+    holder: str = ""
+    token: int = 0
+    until_s: float = 0.0
+    granted: set[int] = field(default_factory=set)
+
+    def give(self, process: Process, event: Event) -> None:
+        for action in process.core.handle(self.now_s * process.rate, event):
+            match action:
+                case Ask():
+                    process.asks.append(action)
+                case Begin(_, token):
+                    assert process.holds == 0 and token not in self.granted, "a token is granted twice"
+                    self.granted.add(token)
+                    process.holds = token
+                case End(_, token, _):
+                    assert process.holds == token
+                    process.holds = 0
+        self.check()
+
+    def check(self) -> None:
+        acting = [p.core.may_act(self.now_s * p.rate, "d") for p in self.processes]
+        assert sum(token is not None for token in acting) <= 1, "two act at once"
+        for process, token in zip(self.processes, acting, strict=True):
+            assert token is None or token == process.holds
+
+    def backend(self, holder: str, ask: Ask) -> Answer:
+        free = not self.holder or self.now_s >= self.until_s
+        mine = not free and (self.holder, self.token) == (holder, ask.token)
+        if ask.verb == "acquire" and free:
+            self.holder, self.token, self.until_s = holder, self.token + 1, self.now_s + DUTY.ttl_s
+            return Granted(self.token)
+        if ask.verb == "acquire":
+            return Held(self.holder, self.token, self.until_s - self.now_s)
+        if ask.verb == "renew" and mine:
+            self.until_s = self.now_s + DUTY.ttl_s
+            return Granted(self.token)
+        if ask.verb == "release" and mine:
+            self.holder = ""
+        return Gone()
+
+    def key(self) -> object:
+        """Equal for states that go on alike: times by their distance, tokens by how far back they are."""
+        seen: list[object] = [self.holder, max(0.0, self.until_s - self.now_s)]
+        for p in self.processes:
+            now_s = self.now_s * p.rate
+            for lease in p.core.leases.values():
+                seen.append((
+                    self.token - lease.token if lease.token else None,
+                    round(max(0.0, lease.until_s - now_s), 6),
+                    lease.asked and lease.asked.verb, round(now_s - lease.sent_s, 6) if lease.asked else 0,
+                    round(max(0.0, lease.next_s - now_s), 6), lease.wanted,
+                ))  # fmt: skip
+            asked = next(iter(p.core.leases.values())).asked if p.core.leases else None
+            number = asked.number if asked else 0
+            seen.append(tuple((a.verb, self.token - a.token, a.number == number) for a in p.asks))
+            seen.append(tuple((repr(_aged(a.answer, self.token)), a.number == number) for a in p.answers))
+        return tuple(seen)
+
+
+def _aged(answer: Answer, token: int) -> object:
+    match answer:
+        case Granted(its):
+            return "granted", token - its
+        case Held(holder, its, left_s):
+            return holder, token - its, left_s
+    return answer
+
+
+def moves(state: State) -> list[tuple[str, int]]:
+    found = [("time", 0)]
+    for number, process in enumerate(state.processes):
+        if process.asks:
+            found += [("take", number), ("lose", number)]
+        if process.answers:
+            found += [("tell", number), ("drop", number)]
+    return found
+
+
+def copied(state: State) -> State:
+    """A state of its own; what is never changed in place is shared."""
+    processes = []
+    for process in state.processes:
+        core = copy.copy(process.core)
+        core.leases = {name: copy.copy(lease) for name, lease in core.leases.items()}
+        processes.append(replace(process, core=core, asks=[*process.asks], answers=[*process.answers]))
+    return replace(state, processes=processes, granted={*state.granted})
+
+
+def moved(before: State, what: str, number: int) -> State:
+    state = copied(before)
+    process = state.processes[number]
+    match what:
+        case "time":
+            state.now_s += STEP_S
+            state.check()  # before anybody has woken up
+            for each in state.processes:
+                state.give(each, Tick())
+        case "take":
+            ask = process.asks.pop(0)
+            process.answers.append(Answered("d", ask.number, state.backend(process.core.holder, ask)))
+        case "lose":
+            ask = process.asks.pop(0)
+            process.answers.append(Answered("d", ask.number, Unreachable("lost")))
+        case "tell":
+            state.give(process, process.answers.pop(0))
+        case "drop":
+            process.answers.pop(0)
+    return state
+
+
+def search(rates: tuple[float, float], depth: int) -> int:
+    """Every order of up to `depth` moves; returns how many states there were. Raises AssertionError."""
+    first = State([Process(Duties(f"p{n}", LOW), rate) for n, rate in enumerate(rates)])
+    for process in first.processes:
+        first.give(process, Named((DUTY,)))
+    seen, waiting = {first.key()}, deque([(first, 0)])
+    while waiting:
+        state, steps = waiting.popleft()
+        if steps == depth:
+            continue
+        for what, number in moves(state):
+            after = moved(state, what, number)
+            if (key := after.key()) not in seen:
+                seen.add(key)
+                waiting.append((after, steps + 1))
+    return len(seen)
+
+
+@pytest.mark.parametrize("rates", [(1.0, 1.0), (0.9, 1.0), (1.0, 0.86)])
+def test_two_never_act_at_once_whatever_the_order_of_calls_losses_and_expiries(
+    rates: tuple[float, float],
+) -> None:
+    assert search(rates, 10) > 5_000
+
+
+def test_the_search_finds_a_clock_that_is_slower_than_the_margin_covers() -> None:
+    with pytest.raises(AssertionError, match="two act at once"):
+        search((0.7, 1.0), 12)
+
+
+def begun(core: Duties, now_s: float, token: int) -> None:
+    ask = next(a for a in core.handle(now_s, Named((DUTY,))) if isinstance(a, Ask))
+    assert core.handle(now_s, Answered("d", ask.number, Granted(token)))[0] == Begin("d", token)
+
+
+def asked(actions: list[Action]) -> list[tuple[str, int]]:
+    return [(a.verb, a.token) for a in actions if isinstance(a, Ask)]
+
+
+def test_a_process_that_wakes_up_past_its_time_does_not_act_before_it_has_looked() -> None:
+    core = Duties("p", LOW)
+    begun(core, 10.0, 7)
+    assert core.may_act(10.84, "d") == 7
+    assert core.may_act(10.86, "d") is None  # nothing has ticked meanwhile
+    assert End("d", 7, "not renewed in time") in core.handle(12.0, Tick())
+
+
+def test_an_answer_that_comes_too_late_is_given_back() -> None:
+    core = Duties("p", LOW)
+    ask = next(a for a in core.handle(10.0, Named((DUTY,))) if isinstance(a, Ask))
+    actions = core.handle(10.9, Answered("d", ask.number, Granted(3)))
+    assert asked(actions) == [("release", 3)] and core.may_act(10.9, "d") is None
+
+
+def test_a_grant_whose_answer_was_lost_is_let_go_and_asked_for_anew() -> None:
+    core = Duties("p", LOW)
+    ask = next(a for a in core.handle(10.0, Named((DUTY,))) if isinstance(a, Ask))
+    core.handle(10.01, Answered("d", ask.number, Unreachable("reset")))
+    again = next(a for a in core.handle(10.2, Tick()) if isinstance(a, Ask))
+    release = core.handle(10.2, Answered("d", again.number, Held("p", 4, 0.8)))
+    assert asked(release) == [("release", 4)]
+    number = next(a.number for a in release if isinstance(a, Ask))
+    assert asked(core.handle(10.21, Answered("d", number, Gone()))) == [("acquire", 0)]
+
+
+def test_what_is_dropped_from_the_configuration_or_left_at_the_end_is_released() -> None:
+    for event in (Named(()), Leave()):
+        core = Duties("p", LOW)
+        begun(core, 10.0, 7)
+        actions = core.handle(10.1, event)
+        assert isinstance(actions[0], End) and asked(actions) == [("release", 7)]
+        number = next(a.number for a in actions if isinstance(a, Ask))
+        assert core.handle(10.2, Answered("d", number, Gone())) == []
+        assert core.handle(30.0, Tick()) == [] and core.may_act(30.0, "d") is None
+
+
+def test_a_contender_asks_at_once_where_the_duty_is_seen_to_be_free() -> None:
+    core = Duties("p", LOW)
+    ask = next(a for a in core.handle(10.0, Named((DUTY,))) if isinstance(a, Ask))
+    assert core.handle(10.0, Answered("d", ask.number, Held("other", 4, 0.9))) == []
+    assert asked(core.handle(10.01, Changed("d"))) == [("acquire", 0)]
