Duties: the local backend on the state store's file, and the service that holds them

Need: processes of one machine must agree on one holder. One BEGIN IMMEDIATE transaction a call, 200 ms for a lock; times by the boot's monotonic clock; a file seen for the first time (new, copied, another boot) grants nothing for a time to live; tokens grow over a new file. The service calls it on a thread of its own, hands over at the end and guards each action with the token. Tests: replaced and copied files, a long writer, hand-over between two services.

--- a/cloverkeel/fleet/duties/core.py
+++ b/cloverkeel/fleet/duties/core.py
@@ -84,6 +84,18 @@
         self._due(now_s, out)
         return out
 
+    def due_s(self) -> float:
+        """When a `Tick` next has something to do; infinite: never."""
+        times = [float("inf")]
+        for lease in self.leases.values():
+            if lease.token:
+                times.append(lease.until_s)
+            if lease.asked is not None:
+                times.append(lease.sent_s + lease.duty.ttl_s * LOST)
+            elif lease.wanted:
+                times.append(lease.next_s)
+        return min(times)
+
     # What is wanted
 
     def _name(self, now_s: float, duties: tuple[Duty, ...], out: list[Action]) -> None:
--- a/cloverkeel/fleet/duties/interface.py
+++ b/cloverkeel/fleet/duties/interface.py
@@ -89,7 +89,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Tick:
-    """Due about each 0.02 s."""
+    """Due when `Duties.due_s` says."""
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/cloverkeel/fleet/duties/local.py
@@ -0,0 +1,194 @@
+"""The backend of one machine: leases in the state store's SQLite file, which several processes open.
+
+Times are the monotonic clock that all processes of one boot share. A file that is seen for the first time (a
+new one, a copy put in its place, another boot) grants nothing for a time to live: who held a duty by the file
+before may still act.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import sqlite3
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from cloverkeel.fleet.duties.interface import Answer, Ask, Gone, Granted, Held, Unreachable
+from cloverkeel.fleet.state.file import FILE, connect, reader, transaction
+
+BUSY_MS = 200  # for another's transaction to end; then nothing is known
+BOOT = "/proc/sys/kernel/random/boot_id"
+TABLES = (
+    "CREATE TABLE IF NOT EXISTS lease (name TEXT PRIMARY KEY, holder TEXT NOT NULL, token INTEGER NOT NULL, "
+    "until_s REAL NOT NULL)",
+    "CREATE TABLE IF NOT EXISTS lease_file (id INTEGER PRIMARY KEY CHECK (id = 1), seen_as TEXT NOT NULL, "
+    "since_s REAL NOT NULL)",
+)
+Done = TypeVar("Done")
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """A duty as the file has it; `left_s` below 0: it is free."""
+
+    name: str
+    holder: str
+    token: int
+    left_s: float
+
+
+class LocalBackend:
+    """Calls block on the disk and on other processes: they belong on a thread, one at a time."""
+
+    def __init__(
+        self,
+        directory: str,
+        holder: str,
+        clock: Callable[[], float] = time.monotonic,
+        unix: Callable[[], float] = time.time,
+    ) -> None:
+        self.path = os.path.join(directory, FILE)
+        self.holder, self.clock, self.unix = holder, clock, unix
+        with open(BOOT, encoding="ascii") as file:
+            self.boot = file.read().strip()
+        self.connection: sqlite3.Connection | None = None
+        self.seen_as = ""  # device, inode and boot of the file that the connection has open
+        self.version = -1
+        self.transactions = 0
+
+    def ask(self, ask: Ask) -> Answer:
+        """Carry a call out. Raises nothing: what goes wrong is `Unreachable`."""
+        try:
+            return self._changed(lambda c: self._asked(c, ask))
+        except (OSError, sqlite3.Error) as error:
+            return Unreachable(str(error) or type(error).__name__)
+
+    def freed(self, names: set[str]) -> list[str]:
+        """Which of these duties are free now, where the file has changed since the last look; reads alone."""
+        try:
+            connection = self._open()
+            version = connection.execute("PRAGMA data_version").fetchone()[0]
+            if version == self.version:
+                return []
+            rows = _rows(connection, self.clock())
+            self.version = version
+        except (OSError, sqlite3.Error):
+            return []  # the call that follows says why
+        return [row.name for row in rows if row.name in names and row.left_s <= 0]
+
+    def force(self, name: str) -> int:
+        """Let go of a duty whoever holds it, so that the next grant has a higher token than the one given
+        back, which nobody holds. Raises OSError, sqlite3.Error, or KeyError where nobody ever held it."""
+
+        def release(connection: sqlite3.Connection) -> int:
+            token = _of(connection, name)[1]
+            if not token:
+                raise KeyError(name)
+            self._put(connection, name, "", self._next(token), 0.0)
+            return self._next(token)
+
+        return self._changed(release)
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def _asked(self, connection: sqlite3.Connection, ask: Ask) -> Answer:
+        now_s, name, ttl_s = self.clock(), ask.duty.name, ask.duty.ttl_s
+        since_s = self._since_s(connection, now_s)
+        holder, token, until_s = _of(connection, name)
+        held = bool(holder) and now_s < until_s
+        mine = held and holder == self.holder and token == ask.token
+        if ask.verb == "acquire":
+            if held:
+                return Held(holder, token, until_s - now_s)
+            if now_s < since_s + ttl_s:
+                return Held("", token, since_s + ttl_s - now_s)
+            token = self._next(token)
+            self._put(connection, name, self.holder, token, now_s + ttl_s)
+            return Granted(token)
+        if not mine:
+            return Gone()
+        if ask.verb == "release":
+            self._put(connection, name, "", token, 0.0)
+            return Gone()
+        self._put(connection, name, self.holder, token, now_s + ttl_s)
+        return Granted(token)
+
+    def _next(self, token: int) -> int:
+        return max(token + 1, int(self.unix() * 1000))
+
+    @staticmethod
+    def _put(connection: sqlite3.Connection, name: str, holder: str, token: int, until_s: float) -> None:
+        connection.execute(
+            "INSERT OR REPLACE INTO lease (name, holder, token, until_s) VALUES (?, ?, ?, ?)",
+            (name, holder, token, until_s),
+        )
+
+    def _since_s(self, connection: sqlite3.Connection, now_s: float) -> float:
+        """Since when this very file has been in use, on this boot."""
+        row = connection.execute("SELECT seen_as, since_s FROM lease_file").fetchone()
+        if row is not None and row[0] == self.seen_as:
+            return float(row[1])
+        # Leases of another boot or place say nothing of this one: their times are another clock's.
+        connection.execute("UPDATE lease SET holder = '', until_s = 0")
+        connection.execute("INSERT OR REPLACE INTO lease_file VALUES (1, ?, ?)", (self.seen_as, now_s))
+        return now_s
+
+    # The file
+
+    def _changed(self, change: Callable[[sqlite3.Connection], Done]) -> Done:
+        connection = self._open()
+        self.transactions += 1
+        with transaction(connection):
+            if self._identity() != self.seen_as:
+                raise OSError("the state file was replaced meanwhile")
+            return change(connection)
+
+    def _open(self) -> sqlite3.Connection:
+        """The connection to the file that the path names now."""
+        identity = self._identity()
+        if self.connection is not None and identity == self.seen_as:
+            return self.connection
+        self.close()
+        connection = connect(self.path)
+        try:
+            connection.execute(f"PRAGMA busy_timeout = {BUSY_MS}")
+            with transaction(connection):
+                for statement in TABLES:
+                    connection.execute(statement)
+        except BaseException:
+            connection.close()
+            raise
+        self.connection, self.seen_as, self.version = connection, identity, -1
+        return connection
+
+    def _identity(self) -> str:
+        """Raises OSError where there is no file: the state store begins it."""
+        found = os.stat(self.path)
+        return f"{found.st_dev}:{found.st_ino}:{self.boot}"
+
+
+def _of(connection: sqlite3.Connection, name: str) -> tuple[str, int, float]:
+    row = connection.execute("SELECT holder, token, until_s FROM lease WHERE name = ?", (name,)).fetchone()
+    return (str(row[0]), int(row[1]), float(row[2])) if row is not None else ("", 0, 0.0)
+
+
+def _rows(connection: sqlite3.Connection, now_s: float) -> list[Row]:
+    found = connection.execute("SELECT name, holder, token, until_s FROM lease ORDER BY name").fetchall()
+    return [
+        Row(name, holder, token, until_s - now_s if holder else 0.0) for name, holder, token, until_s in found
+    ]
+
+
+def table(directory: str) -> list[Row]:
+    """The duties of a state directory as they stand, read without a write. Raises OSError, sqlite3.Error."""
+    path = os.path.join(directory, FILE)
+    if not os.path.isfile(path):
+        raise FileNotFoundError(2, "no such file", path)
+    with contextlib.closing(reader(path)) as connection:
+        tables = {row[0] for row in connection.execute("SELECT name FROM sqlite_master")}
+        return _rows(connection, time.monotonic()) if "lease" in tables else []
--- /dev/null
+++ b/cloverkeel/fleet/duties/shell.py
@@ -0,0 +1,174 @@
+"""Duties in a process: the core joined to a backend, to the clock and to the log."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Protocol, TypeVar
+
+from cloverkeel.fleet.duties.core import Duties
+from cloverkeel.fleet.duties.interface import (
+    Action,
+    Answer,
+    Answered,
+    Ask,
+    Begin,
+    Changed,
+    Duty,
+    End,
+    Event,
+    Granted,
+    Leave,
+    Named,
+    Note,
+    Tick,
+    Unreachable,
+)
+from cloverkeel.fleet.events import event
+
+LOOK = 0.01  # of the time to live: between looks whether a duty has become free
+LOOK_S = 0.02  # at the least
+Done = TypeVar("Done")
+
+
+class NotHeldError(Exception):
+    """The duty is not this process's now: nothing was done."""
+
+
+class Backend(Protocol):
+    """Called on one thread of its own, one call at a time."""
+
+    def ask(self, ask: Ask) -> Answer: ...
+
+    def freed(self, names: set[str]) -> list[str]: ...
+
+    def close(self) -> None: ...
+
+
+class Service:
+    """`holder`: this process's name, no other's at the same time. `named` says what it may hold; `listen` to
+    be told of a duty's begin (its token) and end (None)."""
+
+    def __init__(self, holder: str, backend: Backend) -> None:
+        self.core = Duties(holder, random.Random())
+        self.backend = backend
+        self.loop = asyncio.get_running_loop()
+        self.thread = ThreadPoolExecutor(1, "duties")
+        self.timer: asyncio.TimerHandle | None = None
+        self.looker: asyncio.TimerHandle | None = None
+        self.listeners: dict[str, list[Callable[[int | None], None]]] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.calls: set[asyncio.Future[None]] = set()
+        self.closed = False
+
+    def named(self, duties: tuple[Duty, ...]) -> None:
+        """These are this process's to hold from now on; others that it holds are let go."""
+        self._give(Named(duties))
+        if self.looker is None and duties:
+            self._look_later()
+
+    def listen(self, duty: str, listener: Callable[[int | None], None]) -> None:
+        """`listener(token)` as this process begins the duty, `listener(None)` as it ends; it raises nothing."""
+        self.listeners.setdefault(duty, []).append(listener)
+
+    def token(self, duty: str) -> int | None:
+        """The token to act under at this moment, or None."""
+        return self.core.may_act(self.loop.time(), duty)
+
+    def act(self, duty: str, action: Callable[[int], Done]) -> Done:
+        """Run `action(token)`, which is to hand its token to what it acts on. Raises NotHeldError."""
+        token = self.token(duty)
+        if token is None:
+            self.counts["not_held"] += 1
+            raise NotHeldError(f"{duty} is not held here")
+        return action(token)
+
+    def table(self) -> list[dict[str, object]]:
+        """This process's duties, as it sees them."""
+        now_s = self.loop.time()
+        return [
+            {"duty": name, "token": self.core.may_act(now_s, name), "ttl_s": lease.duty.ttl_s,
+             "left_s": round(max(0.0, lease.until_s - now_s), 3)}
+            for name, lease in sorted(self.core.leases.items())
+        ]  # fmt: skip
+
+    async def close(self, wait_s: float = 1.0) -> None:
+        """Let go of all that is held, so that the next has it at once; `wait_s` for the backend."""
+        self._give(Leave())
+        if self.calls:
+            await asyncio.wait(set(self.calls), timeout=wait_s)
+        self.closed = True
+        for handle in (self.timer, self.looker):
+            if handle is not None:
+                handle.cancel()
+        self.thread.submit(self.backend.close)
+        self.thread.shutdown(wait=False)
+
+    # Events in, actions out
+
+    def _give(self, what: Event) -> None:
+        if self.closed:
+            return
+        for action in self.core.handle(self.loop.time(), what):
+            self._act(action)
+        if self.timer is not None:
+            self.timer.cancel()
+        due_s = self.core.due_s()
+        if due_s < float("inf"):
+            self.timer = self.loop.call_at(due_s, self._give, Tick())
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Ask():
+                call = self.loop.create_task(self._ask(action))
+                self.calls.add(call)
+                call.add_done_callback(self.calls.discard)
+            case Begin(duty, token):
+                self.counts["begun"] += 1
+                event("duties.begun", duty=duty, token=token, holder=self.core.holder)
+                self._tell(duty, token)
+            case End(duty, token, reason):
+                self.counts["ended"] += 1
+                event("duties.ended", duty=duty, token=token, holder=self.core.holder, reason=reason)
+                self._tell(duty, None)
+            case Note(name, fields):
+                self.counts[name.removeprefix("duties.")] += 1
+                event(name, **dict(fields))
+
+    def _tell(self, duty: str, token: int | None) -> None:
+        for listener in self.listeners.get(duty, ()):
+            listener(token)
+
+    async def _ask(self, ask: Ask) -> None:
+        self.counts["calls"] += 1
+        try:
+            answer = await self.loop.run_in_executor(self.thread, self.backend.ask, ask)
+        except RuntimeError as error:  # the thread has been shut down
+            answer = Unreachable(str(error))
+        if isinstance(answer, Granted) and ask.verb == "renew":
+            self.counts["renewed"] += 1
+        self._give(Answered(ask.duty.name, ask.number, answer))
+
+    # Duties that others let go
+
+    def _look_later(self) -> None:
+        waiting = [
+            lease.duty.ttl_s for lease in self.core.leases.values() if not lease.token and lease.wanted
+        ]
+        wait_s = max(LOOK_S, LOOK * min(waiting)) if waiting else 10 * LOOK_S
+        self.looker = self.loop.call_later(wait_s, lambda: self.loop.create_task(self._look()))
+
+    async def _look(self) -> None:
+        names = {n for n, lease in self.core.leases.items() if not lease.token and lease.asked is None}
+        if names and not self.closed:
+            try:
+                freed = await self.loop.run_in_executor(self.thread, self.backend.freed, names)
+            except RuntimeError:
+                return
+            for name in freed:
+                self._give(Changed(name))
+        if not self.closed:
+            self._look_later()
--- /dev/null
+++ b/tests/test_duties_local.py
@@ -0,0 +1,152 @@
+"""The local backend on real files: grants, expiry, tokens, files replaced, locked, gone; and the service."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sqlite3
+import time
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from cloverkeel.fleet.duties.interface import Answer, Ask, Duty, Gone, Granted, Held, Unreachable, Verb
+from cloverkeel.fleet.duties.local import LocalBackend, table
+from cloverkeel.fleet.duties.shell import NotHeldError, Service
+from cloverkeel.fleet.kept import Figures
+from cloverkeel.fleet.state.file import FILE
+from cloverkeel.fleet.state.store import Store
+from tests.sockets import on_loop
+
+DUTY = Duty("chore", ttl_s=2.0)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def begin(directory: Path) -> None:
+    """A state file as a gateway's store begins it."""
+    lock = Store.take_lock(str(directory))
+    assert lock is not None
+    store, _ = Store.open(str(directory), lock, Figures(), time.time())
+    store.prepare()
+    store.close()
+
+
+def call(backend: LocalBackend, verb: Verb, token: int = 0) -> Answer:
+    return backend.ask(Ask(DUTY, verb, 1, token))
+
+
+def granted(answer: Answer) -> int:
+    assert isinstance(answer, Granted), answer
+    return answer.token
+
+
+def pair(directory: Path, clock: Clock) -> tuple[LocalBackend, LocalBackend]:
+    """Two processes' backends, past the time in which a new file grants nothing."""
+    one, other = LocalBackend(str(directory), "one", clock), LocalBackend(str(directory), "other", clock)
+    assert call(one, "acquire") == Held("", 0, 2.0)
+    clock.now_s += 2.0
+    return one, other
+
+
+def test_one_holds_until_it_lets_go_or_its_time_is_over_and_tokens_grow(tmp_path: Path) -> None:
+    begin(tmp_path)
+    clock = Clock()
+    one, other = pair(tmp_path, clock)
+    first = granted(call(one, "acquire"))
+    assert call(other, "acquire") == Held("one", first, 2.0)
+    clock.now_s += 1.9
+    assert call(one, "renew", first) == Granted(first)
+    clock.now_s += 1.9
+    assert isinstance(call(other, "acquire"), Held)
+    assert call(one, "release", first) == Gone() and other.freed({"chore"}) == ["chore"]
+    second = granted(call(other, "acquire"))
+    clock.now_s += 2.0
+    assert call(other, "renew", second) == Gone()  # over: it is not held, though nobody else has it
+    third = granted(call(one, "acquire"))
+    assert first < second < third
+    assert [(row.name, row.holder, row.token) for row in table(str(tmp_path))] == [("chore", "one", third)]
+    forced = one.force("chore")
+    assert forced > third and call(one, "renew", third) == Gone()
+    assert granted(call(other, "acquire")) > forced
+    with pytest.raises(KeyError):
+        one.force("never-held")
+
+
+@pytest.mark.parametrize("how", ["new", "copy"])
+def test_a_file_that_was_replaced_grants_nothing_for_a_time_to_live(tmp_path: Path, how: str) -> None:
+    begin(tmp_path)
+    clock = Clock()
+    one, other = pair(tmp_path, clock)
+    path = tmp_path / FILE
+    with sqlite3.connect(path) as connection:
+        connection.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    connection.close()
+    old = path.read_bytes()
+    token = granted(call(one, "acquire"))
+    for suffix in ("-wal", "-shm", ""):
+        os.unlink(f"{path}{suffix}")
+    if how == "copy":
+        path.write_bytes(old)
+    else:
+        begin(tmp_path)
+    assert isinstance(call(other, "acquire"), Held)
+    assert call(one, "renew", token) == Gone()
+    clock.now_s += 2.0
+    assert granted(call(other, "acquire")) > token
+
+
+def test_what_cannot_be_asked_is_not_known(tmp_path: Path) -> None:
+    clock = Clock()
+    one = LocalBackend(str(tmp_path), "one", clock)
+    assert isinstance(call(one, "acquire"), Unreachable)  # no file yet
+    with pytest.raises(FileNotFoundError):
+        table(str(tmp_path))
+    begin(tmp_path)
+    one, other = pair(tmp_path, clock)
+    token = granted(call(one, "acquire"))
+    writer = sqlite3.connect(tmp_path / FILE, isolation_level=None)
+    writer.execute("BEGIN IMMEDIATE")
+    locked = call(one, "renew", token)
+    assert isinstance(locked, Unreachable) and "locked" in locked.reason
+    writer.execute("ROLLBACK")
+    writer.close()
+    assert call(one, "renew", token) == Granted(token)
+    one.close()
+    other.close()
+
+
+@on_loop
+async def test_services_hand_over_at_the_end_and_guard_what_they_do(tmp_path: Path) -> None:
+    begin(tmp_path)
+    duty = Duty("chore", ttl_s=0.4)
+    heard: asyncio.Queue[tuple[str, int | None]] = asyncio.Queue()
+
+    def tell(name: str, token: int | None) -> None:
+        heard.put_nowait((name, token))
+
+    services = [Service(name, LocalBackend(str(tmp_path), name)) for name in ("one", "other")]
+    for service in services:
+        service.listen("chore", partial(tell, service.core.holder))
+        service.named((duty,))
+    first, token = await heard.get()
+    assert token is not None
+    holder, waiting = services if first == "one" else reversed(services)
+    assert holder.act("chore", lambda given: given) == token
+    with pytest.raises(NotHeldError, match="chore is not held here"):
+        waiting.act("chore", lambda given: given)
+    await holder.close()
+    assert await heard.get() == (first, None)
+    second, higher = await heard.get()
+    assert second != first and higher is not None and higher > token
+    waiting.named(())
+    assert await heard.get() == (second, None)
+    assert waiting.token("chore") is None
+    await waiting.close()
