Duties: the quorum backend, founding, configuration, command, and the lab of faults between holders

Need: gateways share no disk, so that a lease among them needs a majority. A lease record replicated by pysyncobj (pinned; imported with quorum alone): a contender that saw no renewal for a time to live by its own clock takes the duty from that very renewal. The lab: workers that act on a stand-in resource under each duty, two of them without a look at the clock.

--- /dev/null
+++ b/cloverkeel/fleet/duties/command.py
@@ -0,0 +1,82 @@
+"""`python -m cloverkeel duties [release NAME]`: of a state directory, or of the gateway that is asked."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sqlite3
+import sys
+from typing import Any
+from urllib.parse import urlencode
+
+from cloverkeel.fleet import asking
+from cloverkeel.fleet.membership.command import CommandError
+
+LACKS = "duties"
+
+
+def register(parts: Any) -> None:
+    duties = parts.add_parser("duties", help="who holds which duty, under which token")
+    duties.add_argument("verb", nargs="?", choices=("release",), help="let go of NAME, whoever holds it")
+    duties.add_argument("name", nargs="?", metavar="NAME")
+    duties.add_argument("--state-dir", metavar="DIR", help="a state directory: the local backend's, offline")
+    duties.add_argument("--json", action="store_true", help="one JSON object instead of lines")
+    asking.add_operator(duties, _asked)
+    guarded = duties.get_default("run")
+    duties.set_defaults(run=lambda arguments: _run(arguments, guarded, duties))
+
+
+def _run(arguments: argparse.Namespace, guarded: Any, duties: argparse.ArgumentParser) -> int:
+    """0: done; 1: not, in one line; 2: the call's words are off."""
+    if (arguments.verb is None) != (arguments.name is None):
+        duties.error("release takes the duty's NAME")
+    if arguments.state_dir is None:
+        code: int = guarded(arguments)
+        return code
+    try:
+        return _offline(arguments)
+    except (OSError, sqlite3.Error, ValueError) as error:
+        print(f"cloverkeel: {arguments.state_dir}: {error}", file=sys.stderr)
+        return 1
+
+
+def _offline(arguments: argparse.Namespace) -> int:
+    from cloverkeel.fleet.duties import local
+    from cloverkeel.fleet.duties.part import force
+
+    if arguments.verb is None:
+        rows = [row.shown() for row in local.table(arguments.state_dir)]
+        _print({"duties": rows}, arguments.json)
+        return 0
+    backend = local.LocalBackend(arguments.state_dir, "")
+    try:
+        _released(arguments.name, force(backend, arguments.name), arguments.json)
+    finally:
+        backend.close()
+    return 0
+
+
+def _asked(address: asking.Address, arguments: argparse.Namespace) -> int:
+    if arguments.verb is None:
+        answer = asking.call(address, "/api/duties", lacks=LACKS)
+        if not isinstance(answer.get("duties"), list):
+            raise CommandError("the answer tells of no duties")
+        _print(answer, arguments.json)
+        return 0
+    query = urlencode({"name": arguments.name})
+    answer = asking.call(address, f"/api/duties/release?{query}", b"", lacks=LACKS)
+    _released(arguments.name, int(answer["token"]), arguments.json)
+    return 0
+
+
+def _released(name: str, token: int, as_json: bool) -> None:
+    print(json.dumps({"duty": name, "token": token}) if as_json else f"released: {name}, token {token}")
+
+
+def _print(answer: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(answer))
+        return
+    print(f"{'duty':<24} {'holder':<32} {'token':>15} {'left_s':>8}")
+    for row in answer["duties"]:
+        print(f"{row['duty']:<24} {row['holder'] or '-':<32} {row['token']:>15} {row['left_s']:>8.2f}")
--- a/cloverkeel/fleet/duties/interface.py
+++ b/cloverkeel/fleet/duties/interface.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Literal
+from typing import Any, Literal
 
 Verb = Literal["acquire", "renew", "release"]
 MARGIN = 0.15  # of the time to live: the holder stops that much earlier, by its own clock
@@ -61,6 +61,22 @@
 Answer = Granted | Held | Gone | Unreachable
 
 
+@dataclass(slots=True, frozen=True)
+class Row:
+    """A duty as a backend has it; `left_s` at 0 or below: it is free."""
+
+    name: str
+    holder: str
+    token: int
+    left_s: float
+
+    def shown(self) -> dict[str, Any]:
+        """For operators: who is past its time holds nothing."""
+        holder = self.holder if self.left_s > 0 else ""
+        left_s = round(max(0.0, self.left_s), 3)
+        return {"duty": self.name, "holder": holder, "token": self.token, "left_s": left_s}
+
+
 # Events
 
 
--- a/cloverkeel/fleet/duties/local.py
+++ b/cloverkeel/fleet/duties/local.py
@@ -12,10 +12,10 @@
 import sqlite3
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import replace
 from typing import TypeVar
 
-from cloverkeel.fleet.duties.interface import Answer, Ask, Gone, Granted, Held, Unreachable
+from cloverkeel.fleet.duties.interface import Answer, Ask, Gone, Granted, Held, Row, Unreachable
 from cloverkeel.fleet.state.file import FILE, connect, reader, transaction
 
 BUSY_MS = 200  # for another's transaction to end; then nothing is known
@@ -29,16 +29,6 @@
 Done = TypeVar("Done")
 
 
-@dataclass(slots=True, frozen=True)
-class Row:
-    """A duty as the file has it; `left_s` below 0: it is free."""
-
-    name: str
-    holder: str
-    token: int
-    left_s: float
-
-
 class LocalBackend:
     """Calls block on the disk and on other processes: they belong on a thread, one at a time."""
 
@@ -51,8 +41,6 @@
     ) -> None:
         self.path = os.path.join(directory, FILE)
         self.holder, self.clock, self.unix = holder, clock, unix
-        with open(BOOT, encoding="ascii") as file:
-            self.boot = file.read().strip()
         self.connection: sqlite3.Connection | None = None
         self.seen_as = ""  # device, inode and boot of the file that the connection has open
         self.version = -1
@@ -91,6 +79,10 @@
 
         return self._changed(release)
 
+    def table(self) -> list[Row]:
+        """Raises OSError, sqlite3.Error."""
+        return table(os.path.dirname(self.path))
+
     def close(self) -> None:
         if self.connection is not None:
             self.connection.close()
@@ -168,8 +160,13 @@
 
     def _identity(self) -> str:
         """Raises OSError where there is no file: the state store begins it."""
-        found = os.stat(self.path)
-        return f"{found.st_dev}:{found.st_ino}:{self.boot}"
+        return _named(os.stat(self.path))
+
+
+def _named(found: os.stat_result) -> str:
+    """A file's device and inode, and the boot whose monotonic clock its leases go by."""
+    with open(BOOT, encoding="ascii") as file:
+        return f"{found.st_dev}:{found.st_ino}:{file.read().strip()}"
 
 
 def _of(connection: sqlite3.Connection, name: str) -> tuple[str, int, float]:
@@ -191,4 +188,11 @@
         raise FileNotFoundError(2, "no such file", path)
     with contextlib.closing(reader(path)) as connection:
         tables = {row[0] for row in connection.execute("SELECT name FROM sqlite_master")}
-        return _rows(connection, time.monotonic()) if "lease" in tables else []
+        if "lease" not in tables:
+            return []
+        rows = _rows(connection, time.monotonic())
+        found = os.stat(path)
+        seen_as = connection.execute("SELECT seen_as FROM lease_file").fetchone()
+        if seen_as != (_named(found),):  # of another boot or place: their times are another clock's
+            return [replace(row, holder="", left_s=0.0) for row in rows]
+        return rows
--- /dev/null
+++ b/cloverkeel/fleet/duties/settings.py
@@ -0,0 +1,67 @@
+"""The configuration's `duties` object, checked strictly: an unknown key is refused by its name."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Annotated, Literal
+
+import msgspec
+
+from cloverkeel.config import ConfigError
+from cloverkeel.fleet.duties.interface import Duty
+from cloverkeel.fleet.membership.codec import parse_address
+
+VOTERS = 3  # at the least: two of them are a majority, with one away
+
+
+class NamedDuty(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: Annotated[str, msgspec.Meta(pattern="^[a-z0-9][a-z0-9._-]{0,63}$")]
+    ttl_s: Annotated[float, msgspec.Meta(ge=0.5, le=3600)] = 10.0
+
+
+class DutySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """`voters`: for `quorum`, each voter's name (its gateway's) and the address at which Raft hears it."""
+
+    named: tuple[NamedDuty, ...]
+    backend: Literal["local", "quorum"] = "local"
+    voters: dict[str, str] = {}
+    password: str = ""
+
+    @property
+    def duties(self) -> tuple[Duty, ...]:
+        return tuple(Duty(each.name, each.ttl_s) for each in self.named)
+
+
+def parse_duties(raw: object, gateway: str, trusted: bool | None) -> DutySettings:
+    """`trusted`: the cluster's `trusted_network`, None without a cluster. Raises ConfigError: one line that
+    names the key."""
+    if not isinstance(raw, dict):
+        raise ConfigError("duties is no object: leave the key out for none")
+    try:
+        settings = msgspec.convert(raw, DutySettings)
+    except msgspec.ValidationError as error:
+        raise ConfigError("duties: " + str(error).replace("`$.", "`")) from None
+    names = [each.name for each in settings.named]
+    if len(set(names)) < len(names):
+        raise ConfigError("duties: named: one duty twice")
+    if settings.backend == "local":
+        if settings.voters:
+            raise ConfigError("duties: voters: the local backend has none")
+        return settings
+    if trusted is None:
+        raise ConfigError("duties: backend: quorum needs a cluster in the configuration")
+    if len(settings.voters) < VOTERS or gateway not in settings.voters:
+        raise ConfigError(f"duties: voters: {VOTERS} gateways or more, this one ({gateway}) among them")
+    if len(set(settings.voters.values())) < len(settings.voters):
+        raise ConfigError("duties: voters: one address twice")
+    for name, address in settings.voters.items():
+        try:
+            host, _ = parse_address(address)
+        except ValueError as error:
+            raise ConfigError(f"duties: voters: {name}: {error}") from None
+        if not ipaddress.ip_address(host).is_loopback and not trusted:
+            raise ConfigError(
+                f"duties: voters: {name}: {address} is outside loopback, where whoever reaches it can run "
+                "code: it needs cluster.trusted_network = true"
+            )
+    return settings
--- a/cloverkeel/fleet/duties/shell.py
+++ b/cloverkeel/fleet/duties/shell.py
@@ -41,6 +41,8 @@
 class Backend(Protocol):
     """Called on one thread of its own, one call at a time."""
 
+    transactions: int  # made so far
+
     def ask(self, ask: Ask) -> Answer: ...
 
     def freed(self, names: set[str]) -> list[str]: ...
@@ -71,7 +73,7 @@
             self._look_later()
 
     def listen(self, duty: str, listener: Callable[[int | None], None]) -> None:
-        """`listener(token)` as this process begins the duty, `listener(None)` as it ends; it raises nothing."""
+        """`listener(token)` as this process begins the duty, `listener(None)` at its end; must not raise."""
         self.listeners.setdefault(duty, []).append(listener)
 
     def token(self, duty: str) -> int | None:
@@ -86,6 +88,10 @@
             raise NotHeldError(f"{duty} is not held here")
         return action(token)
 
+    async def run(self, call: Callable[[], Done]) -> Done:
+        """A call of the backend's beside the core's, on its thread. Raises what it raises."""
+        return await self.loop.run_in_executor(self.thread, call)
+
     def table(self) -> list[dict[str, object]]:
         """This process's duties, as it sees them."""
         now_s = self.loop.time()
@@ -146,8 +152,8 @@
         self.counts["calls"] += 1
         try:
             answer = await self.loop.run_in_executor(self.thread, self.backend.ask, ask)
-        except RuntimeError as error:  # the thread has been shut down
-            answer = Unreachable(str(error))
+        except Exception as error:  # guards the duty against a call that would stay out for ever
+            answer = Unreachable(repr(error))
         if isinstance(answer, Granted) and ask.verb == "renew":
             self.counts["renewed"] += 1
         self._give(Answered(ask.duty.name, ask.number, answer))
--- /dev/null
+++ b/faultlab/duties/__init__.py
@@ -0,0 +1,1 @@
+"""python -m faultlab duties: processes race for duties, faults between, a resource that checks tokens."""
--- /dev/null
+++ b/faultlab/duties/site.py
@@ -0,0 +1,146 @@
+"""Workers in one state directory, or one voter each, and what befalls them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import sqlite3
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cloverkeel.fleet.state import FILE, Figures, Store
+
+from faultlab.duties.resource import First, Resource
+from faultlab.lab import ROOT, free_port
+
+
+COUNT_S = 10.0  # for a worker to say its count
+
+
+def begin(directory: Path) -> None:
+    """A state file as a gateway's store begins it."""
+    lock = Store.take_lock(str(directory))
+    assert lock is not None
+    store, _ = Store.open(str(directory), lock, Figures(), time.time())
+    store.prepare()
+    store.close()
+
+
+@dataclass
+class Worker:
+    order: dict[str, Any]
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def name(self) -> str:
+        return str(self.order["name"])
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "faultlab.duties.worker", json.dumps(self.order), cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        assert self.process.stdout is not None
+        await self.process.stdout.readline()  # it takes signals from now on
+
+    def send(self, what: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(what)
+
+    async def transactions(self) -> int:
+        """How many it has made since its start."""
+        self.send(signal.SIGUSR1)
+        assert self.process is not None and self.process.stdout is not None
+        async with asyncio.timeout(COUNT_S):
+            return int(await self.process.stdout.readline())
+
+    async def end(self, what: signal.Signals) -> None:
+        self.send(what)
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Site:
+    """`async with Site(folder, 10, {"chore": 2.0}) as site`: workers w0, w1, ... that race for the duties."""
+
+    def __init__(
+        self, folder: Path, count: int, duties: dict[str, float], backend: str = "local", careless: int = 0
+    ) -> None:
+        self.folder, self.duties, self.backend = folder, duties, backend
+        self.resource = Resource()
+        self.workers: list[Worker] = []
+        addresses = [f"127.0.0.1:{free_port()}" for _ in range(count)] if backend == "quorum" else []
+        for number in range(count):
+            order: dict[str, Any] = {"name": f"w{number}", "duties": duties, "directory": str(folder)}
+            order["careless"] = number < careless
+            if addresses:
+                own = folder / f"w{number}"
+                own.mkdir()
+                others = [address for address in addresses if address != addresses[number]]
+                order |= {"directory": str(own), "bind": addresses[number], "others": others}
+            self.workers.append(Worker(order))
+
+    async def __aenter__(self) -> Site:
+        if self.backend == "local":
+            begin(self.folder)
+        port = await self.resource.start()
+        for worker in self.workers:
+            worker.order["resource"] = port
+        await asyncio.gather(*(worker.start() for worker in self.workers))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.gather(*(worker.end(signal.SIGKILL) for worker in self.workers))
+        self.resource.close()
+
+    async def held(self, duty: str, timeout_s: float = 30.0) -> First:
+        """Who holds a duty, once somebody does. Raises TimeoutError."""
+        found = await self.resource.after(duty, 0, timeout_s)
+        if found is None:
+            raise TimeoutError(f"nobody has held {duty} for {timeout_s:g} s")
+        return found
+
+    def worker(self, holder: str) -> Worker:
+        name = holder.partition("/")[0]
+        return next(worker for worker in self.workers if worker.name == name)
+
+    # Faults of the store
+
+    async def lock_store(self, length_s: float) -> None:
+        """Another program writes for so long."""
+        writer = sqlite3.connect(self.folder / FILE, isolation_level=None, timeout=5.0)
+        try:
+            writer.execute("BEGIN IMMEDIATE")
+            await asyncio.sleep(length_s)  # how long the fault lasts
+            writer.execute("ROLLBACK")
+        finally:
+            writer.close()
+
+    def replace_store(self) -> None:
+        """A copy of the file in its place, as a restore from a backup would put it there."""
+        path = self.folder / FILE
+        copy = path.with_suffix(".copy")
+        with sqlite3.connect(path, timeout=5.0) as source, sqlite3.connect(copy) as target:
+            source.backup(target)
+        source.close()
+        target.close()
+        for suffix in ("-wal", "-shm"):
+            Path(f"{path}{suffix}").unlink(missing_ok=True)
+        os.replace(copy, path)
+
+    def lose_store(self) -> None:
+        """A directory in the place of the file: it can be neither read nor written."""
+        path = self.folder / FILE
+        os.replace(path, path.with_suffix(".lost"))
+        path.mkdir()
+
+    def restore_store(self) -> None:
+        path = self.folder / FILE
+        shutil.rmtree(path)
+        os.replace(path.with_suffix(".lost"), path)
--- /dev/null
+++ b/tests/test_duties_parts.py
@@ -0,0 +1,127 @@
+"""The founding of a quorum, the configuration, the chores and the command of duties."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from cloverkeel.commands import run
+from cloverkeel.config import ConfigError
+from cloverkeel.fleet.duties.chores import compact
+from cloverkeel.fleet.duties.founding import Founding
+from cloverkeel.fleet.duties.interface import Ask, Duty, Granted
+from cloverkeel.fleet.duties.local import LocalBackend
+from cloverkeel.fleet.duties.settings import parse_duties
+from faultlab.duties.site import begin
+
+VOTERS = {"a": "127.0.0.1:7101", "b": "127.0.0.1:7102", "c": "127.0.0.1:7103"}
+
+
+def founders(*with_journal: str) -> dict[str, Founding]:
+    return {
+        name: Founding(name, life, frozenset(VOTERS) - {name}, name in with_journal)
+        for life, name in enumerate(VOTERS, 1)
+    }
+
+
+def ask_all(asker: Founding, others: dict[str, Founding]) -> None:
+    for name in asker.others & others.keys():
+        asker.told(name, *others[name].answer(asker.name, asker.life))
+
+
+def test_voters_without_journals_found_a_log_once_all_have_said_so() -> None:
+    voters = founders()
+    ask_all(voters["a"], {"b": voters["b"]})
+    assert not voters["a"].may_begin  # c may have a log
+    ask_all(voters["a"], voters)
+    assert voters["a"].may_begin
+    ask_all(voters["c"], voters)  # late, of the same founding
+    assert voters["c"].may_begin and not voters["c"].refused
+
+
+def test_a_voter_whose_disk_was_lost_takes_no_part() -> None:
+    voters = founders("a", "b")
+    ask_all(voters["c"], voters)
+    assert not voters["c"].may_begin and "its votes may be lost" in voters["c"].refused
+    assert voters["a"].may_begin  # a journal of its own
+    founded = founders()
+    for each in founded.values():
+        ask_all(each, founded)
+    blank = Founding("c", 99, frozenset({"a", "b"}), False)  # c again, in another life, before the others end
+    ask_all(blank, founded)
+    assert not blank.may_begin and blank.refused
+    with pytest.raises(ValueError, match="x is no voter here"):
+        founded["a"].answer("x", 1)
+
+
+NAMED = {"named": [{"name": "chore", "ttl_s": 2}]}
+
+
+@pytest.mark.parametrize(
+    ("raw", "trusted", "says"),
+    [
+        (None, None, "no object"),
+        ({}, None, "`named`"),
+        (NAMED | {"backing": "local"}, None, "`backing`"),
+        (NAMED | {"backend": "etcd"}, None, "`backend`"),
+        ({"named": [{"name": "Chore"}]}, None, "`named[0].name`"),
+        ({"named": [{"name": "chore", "ttl_s": 0.1}]}, None, "`named[0].ttl_s`"),
+        ({"named": [{"name": "chore"}, {"name": "chore"}]}, None, "one duty twice"),
+        (NAMED | {"voters": VOTERS}, None, "the local backend has none"),
+        (NAMED | {"backend": "quorum", "voters": VOTERS}, None, "needs a cluster"),
+        (NAMED | {"backend": "quorum", "voters": {"a": "127.0.0.1:7101"}}, False, "3 gateways or more"),
+        (
+            NAMED | {"backend": "quorum", "voters": VOTERS | {"a": "127.0.0.1:7102"}},
+            False,
+            "one address twice",
+        ),
+        (NAMED | {"backend": "quorum", "voters": VOTERS | {"b": "here:1"}}, False, "voters: b"),
+        (NAMED | {"backend": "quorum", "voters": VOTERS | {"b": "10.0.0.1:7"}}, False, "trusted_network"),
+    ],
+)
+def test_duties_that_cannot_be_used_are_one_line_that_names_the_key(
+    raw: object, trusted: bool | None, says: str
+) -> None:
+    with pytest.raises(ConfigError) as error:
+        parse_duties(raw, "a", trusted)
+    line = str(error.value)
+    assert line.startswith("duties") and says in line and "\n" not in line
+
+
+def test_all_but_the_newest_files_moved_aside_are_removed(tmp_path: Path) -> None:
+    for moment in (100, 200, 300, 1000):
+        for suffix in ("", "-wal"):
+            (tmp_path / f"cloverkeel.db.corrupt-{moment}{suffix}").touch()
+    (tmp_path / "cloverkeel.db").touch()
+    assert compact(str(tmp_path)) == 2 and compact(str(tmp_path)) == 0
+    left = sorted(path.name for path in tmp_path.iterdir())
+    assert len(left) == 7 and not any("corrupt-100" in name and "1000" not in name for name in left)
+
+
+def test_the_command_shows_and_releases_what_a_directory_holds(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    where = ["--state-dir", str(tmp_path)]
+    assert run(["duties", *where]) == 1
+    assert capsys.readouterr().err.count("\n") == 1
+    begin(tmp_path)
+    duty = Duty("chore", ttl_s=0.0)  # a new file grants nothing for a time to live
+    held = Duty("chore", ttl_s=60.0)
+    backend = LocalBackend(str(tmp_path), "g1/1f")
+    first = backend.ask(Ask(duty, "acquire", 1))
+    assert isinstance(first, Granted)
+    assert run(["duties", *where, "--json"]) == 0
+    assert json.loads(capsys.readouterr().out) == {
+        "duties": [{"duty": "chore", "holder": "", "token": first.token, "left_s": 0.0}]
+    }
+    backend.ask(Ask(held, "renew", 2, first.token))
+    assert run(["duties", "release", "chore", *where]) == 0
+    released = int(capsys.readouterr().out.split()[-1])
+    assert released > first.token
+    assert run(["duties", "release", "other", *where]) == 1
+    assert "nobody has ever held a duty 'other'" in capsys.readouterr().err
+    with pytest.raises(SystemExit):
+        run(["duties", "release"])
+    backend.close()
