Routes: the merge, with owners, registers, conflicts and what is held back

Every gateway needs the same plan and the same conflicts from the same changes. Merge takes changes in any order, works out anew what a change touched alone, in bounded steps, and takes out the newest changes of what is in a blocking conflict. Random histories (100 examples each): any order, repetition and settles left off half-way give the rebuild's view; the plan in service is that of the changes not held back; what may be dropped changes nothing.

--- /dev/null
+++ b/cloverkeel/fleet/routes/order.py
@@ -0,0 +1,93 @@
+"""The order that `before` gives: which routes each comes before, through others too, and its cycles.
+
+Kept under edits: only the closures of what leads to a route that changed are worked out anew.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+SLICE = 100  # routes of one step
+
+
+class Order:
+    """`behind`: name to all routes that it comes before; where there are none, it has no entry."""
+
+    def __init__(self) -> None:
+        self.behind: dict[str, frozenset[str]] = {}
+        self.cycles: dict[str, tuple[str, ...]] = {}  # each route of a cycle to all of its routes
+        self.changed: dict[str, None] = {}  # routes whose `behind` is another since the caller cleared this
+        self._before: dict[str, Sequence[str]] = {}  # of the routes that there are
+        self._into: dict[str, dict[str, None]] = {}  # name to the routes that name it
+        self._dirty: dict[str, None] = {}
+
+    def put(self, name: str, before: Sequence[str] | None) -> None:
+        """None: there is no such route."""
+        old = self._before.get(name)
+        if old == before:
+            return
+        for other in old or ():
+            self._into[other].pop(name, None)
+            if not self._into[other]:
+                del self._into[other]
+        if before is None:
+            del self._before[name]
+        else:
+            self._before[name] = before
+        for other in before or ():
+            self._into.setdefault(other, {})[name] = None
+        if old or before or name in self._into:
+            self._dirty[name] = None
+
+    def settle(self) -> Iterator[None]:
+        """Steps. Left off, it begins again with the next call."""
+        if not self._dirty:
+            return
+        reached = list(self._dirty)
+        affected = dict(self._dirty)
+        for at, name in enumerate(reached):
+            for source in self._into.get(name, ()):
+                if source not in affected:
+                    affected[source] = None
+                    reached.append(source)
+            if at % SLICE == SLICE - 1:
+                yield
+        left = dict(affected)
+        for at, name in enumerate(affected):
+            closure = self._closure(name, left)
+            del left[name]
+            if closure != self.behind.get(name, frozenset()):
+                self.changed[name] = None
+                if closure:
+                    self.behind[name] = closure
+                else:
+                    del self.behind[name]
+            if at % SLICE == SLICE - 1:
+                yield
+        for name in affected:
+            if name in self.behind.get(name, ()):
+                self.cycles[name] = tuple(
+                    sorted(other for other in self.behind[name] if name in self.behind.get(other, ()))
+                )
+            else:
+                self.cycles.pop(name, None)
+        self._dirty.clear()
+
+    def between(self, a: str, b: str) -> bool:
+        """Whether one of them is before the other."""
+        return b in self.behind.get(a, ()) or a in self.behind.get(b, ())
+
+    def _closure(self, name: str, left: dict[str, None]) -> frozenset[str]:
+        """What `name` comes before; the closures of routes in `left` are not known yet."""
+        found: set[str] = set()
+        todo = list(self._before.get(name, ()))
+        while todo:
+            other = todo.pop()
+            if other in found or other not in self._before:
+                continue
+            found.add(other)
+            if other in left:
+                todo += self._before[other]
+            else:
+                found |= self.behind.get(other, frozenset())
+        return frozenset(found)
--- /dev/null
+++ b/cloverkeel/fleet/routes/overlaps.py
@@ -0,0 +1,209 @@
+"""Routes of two teams that match the same requests: found through an index, never pairwise over all.
+
+A route is held under its path for each (class, caller) that it names, and under `ALL` in place of either.
+Those whose path is a prefix of another's are looked up by its prefixes; those below a path through a tree.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import product
+
+from cloverkeel.fleet.routes.interface import RouteView
+from cloverkeel.fleet.routes.order import Order
+
+ANY, ALL, WIDE = "", "\x00all", "\x00wide"  # names are printable and not empty, so that these are none
+WIDE_FROM = 64  # pairs of class and caller: a route with more is held once, and judged at each look-up
+SLICE = 200  # routes looked at in one step
+Key = tuple[str, str, str]
+
+
+@dataclass(slots=True, frozen=True)
+class Match:
+    """Which requests a route matches, and whose it is. Empty sets: any. `paths`: its path's prefixes, with
+    itself last; the first is that of any path."""
+
+    owner: str
+    classes: frozenset[str]
+    callers: frozenset[str]
+    zones: frozenset[str]
+    paths: tuple[str, ...]
+
+    def clashes(self, other: Match) -> bool:
+        """Whether they are of two teams and both match some request, but for what their paths say."""
+        return (
+            self.owner != other.owner
+            and not (self.classes and other.classes and self.classes.isdisjoint(other.classes))
+            and not (self.callers and other.callers and self.callers.isdisjoint(other.callers))
+            and not (self.zones and other.zones and self.zones.isdisjoint(other.zones))
+        )
+
+
+def match_of(view: RouteView) -> Match:
+    values = view.values
+    paths = [""]
+    for segment in values.get("path", "").split("/")[1:]:
+        paths.append(f"{paths[-1]}/{segment}")
+    classes, callers, zones = (frozenset(values.get(name, ())) for name in ("classes", "callers", "zones"))
+    return Match(view.owner, classes, callers, zones, tuple(paths))
+
+
+@dataclass(slots=True)
+class _Node:
+    count: int = 0  # routes here and below
+    names: dict[str, None] = field(default_factory=dict)
+    below: dict[str, _Node] = field(default_factory=dict)  # by path
+
+
+class Overlaps:
+    """`pairs`: each route to those that it overlaps with no order between them."""
+
+    def __init__(self, order: Order) -> None:
+        self.pairs: dict[str, set[str]] = {}
+        self.changed: dict[
+            tuple[str, str], None
+        ] = {}  # pairs that came or went, until the caller clears this
+        self._order = order
+        self._matches: dict[str, Match] = {}
+        self._at: dict[Key, dict[str, None]] = {}
+        self._root = _Node()
+        self._dirty: dict[str, None] = {}
+
+    def put(self, name: str, match: Match | None) -> None:
+        """None: there is no such route."""
+        old = self._matches.get(name)
+        if old == match:
+            return
+        self._dirty[name] = None
+        if old is not None:
+            for key in _keys(old):
+                del self._at[key][name]
+                if not self._at[key]:
+                    del self._at[key]
+            self._walk(old, name, -1)
+            del self._matches[name]
+        if match is not None:
+            for key in _keys(match):
+                self._at.setdefault(key, {})[name] = None
+            self._walk(match, name, 1)
+            self._matches[name] = match
+
+    def again(self, name: str) -> None:
+        """Its order to others may be another."""
+        self._dirty[name] = None
+
+    def settle(self) -> Iterator[None]:
+        """Steps. Left off, it goes on with the next call."""
+        every = len(self._matches)
+        cost = sum(self._below(self._matches[name]) for name in self._dirty if name in self._matches)
+        if cost > 4 * every and len(self._dirty) > 1:
+            yield from self._all()
+            return
+        for name in list(self._dirty):
+            found: set[str] = set()
+            if (match := self._matches.get(name)) is not None:
+                for at, other in enumerate(self._candidates(match)):
+                    if match.clashes(self._matches[other]) and not self._order.between(name, other):
+                        found.add(other)
+                    if at % SLICE == SLICE - 1:
+                        yield
+            self._replace(name, found)
+            del self._dirty[name]
+            yield
+
+    def _all(self) -> Iterator[None]:
+        """All pairs, each found from the longer path; cheaper than a look below each of many short ones."""
+        pairs: dict[str, set[str]] = {}
+        looked = 0
+        for name, match in self._matches.items():
+            for other in self._above(match):
+                if match.clashes(self._matches[other]) and not self._order.between(name, other):
+                    pairs.setdefault(name, set()).add(other)
+                    pairs.setdefault(other, set()).add(name)
+                if (looked := looked + 1) % SLICE == 0:
+                    yield
+            if (looked := looked + 4) % SLICE < 4:
+                yield
+        for at, name in enumerate({**self.pairs, **pairs}):
+            self._replace(name, pairs.get(name, set()))
+            if at % SLICE == SLICE - 1:
+                yield
+        self._dirty.clear()
+
+    def _replace(self, name: str, found: set[str]) -> None:
+        old = self.pairs.get(name, set())
+        for other in sorted(old ^ found):
+            self.changed[(name, other) if name < other else (other, name)] = None
+            theirs = self.pairs.setdefault(other, set())
+            if other in found:
+                theirs.add(name)
+            else:
+                theirs.discard(name)
+            if not theirs:
+                del self.pairs[other]
+        if found:
+            self.pairs[name] = found
+        else:
+            self.pairs.pop(name, None)
+
+    def _candidates(self, match: Match) -> Iterator[str]:
+        yield from self._above(match)
+        node: _Node | None = self._root
+        for path in match.paths[1:]:
+            node = node.below.get(path) if node is not None else None
+        todo = list(node.below.values()) if node is not None else []
+        while todo:
+            node = todo.pop()
+            yield from node.names
+            todo += node.below.values()
+
+    def _above(self, match: Match) -> Iterator[str]:
+        """Those that may match the same class and caller, by a path that is a prefix of this, or this."""
+        pairs = _looked(match)
+        for path in match.paths:
+            for klass, caller in pairs:
+                if (names := self._at.get((klass, caller, path))) is not None:
+                    yield from names
+
+    def _below(self, match: Match) -> int:
+        node = self._root
+        for path in match.paths[1:]:
+            node = node.below[path]
+        return node.count
+
+    def _walk(self, match: Match, name: str, change: int) -> None:
+        nodes = [self._root]
+        for path in match.paths[1:]:
+            nodes.append(nodes[-1].below.setdefault(path, _Node()))
+        for node in nodes:
+            node.count += change
+        if change > 0:
+            nodes[-1].names[name] = None
+            return
+        del nodes[-1].names[name]
+        for node, path in zip(reversed(nodes[:-1]), reversed(match.paths), strict=False):
+            if node.below[path].count:
+                break
+            del node.below[path]
+
+
+def _wide(match: Match) -> bool:
+    return (len(match.classes) or 1) * (len(match.callers) or 1) > WIDE_FROM
+
+
+def _keys(match: Match) -> list[Key]:
+    path = match.paths[-1]
+    if _wide(match):
+        return [(WIDE, WIDE, path), (ALL, ALL, path)]
+    pairs = product((*(match.classes or (ANY,)), ALL), (*(match.callers or (ANY,)), ALL))
+    return [(klass, caller, path) for klass, caller in pairs]
+
+
+def _looked(match: Match) -> list[tuple[str, str]]:
+    if _wide(match):
+        return [(ALL, ALL)]
+    classes = (*match.classes, ANY) if match.classes else (ALL,)
+    callers = (*match.callers, ANY) if match.callers else (ALL,)
+    pairs = list(product(classes, callers))
+    return pairs if pairs == [(ALL, ALL)] else [*pairs, (WIDE, WIDE)]
--- /dev/null
+++ b/cloverkeel/fleet/routes/owners.py
@@ -0,0 +1,144 @@
+"""Which changes of a route count: those of its owner as they had seen it, and those that an owner accepted.
+
+The first change of a route names its owner; where it names none it is its team. Each change is judged by what
+its own context covers, so that the outcome is the same whatever came first. Which deletes have effect is
+judged here too, since a route made anew after a delete may have another owner.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.routes.changes import DELETED
+from cloverkeel.fleet.routes.fields import sound
+from cloverkeel.fleet.routes.registers import Touch, Write, newest
+
+OWNER = "owner"
+
+
+@dataclass(slots=True)
+class Standing:
+    """Of one route, in rising order. `first`: the owner that a change gave by being the first."""
+
+    counted: list[Touch] = field(default_factory=list)
+    pending: list[Touch] = field(default_factory=list)
+    accepts: list[Touch] = field(default_factory=list)  # those by an owner
+    first: dict[Dot, str] = field(default_factory=dict)
+    deletes: list[Touch] = field(default_factory=list)  # in effect
+    disputes: list[tuple[Touch, list[Touch]]] = field(default_factory=list)  # deletes, the writes concurrent
+
+    def gone(self, dot: Dot) -> bool:
+        """Whether a delete took away what this change wrote."""
+        return any(delete.context.covers(dot) for delete in self.deletes)
+
+
+def stand(rising: Sequence[Touch]) -> Standing:
+    """`rising`: all that touch the route, by `registers.order`."""
+    return _Judge(rising).standing
+
+
+def writes_route(touch: Touch) -> bool:
+    """Whether it says more than that the route is to be gone."""
+    return any(name != DELETED or value is not True for name, value in touch.fields.items())
+
+
+class _Judge:
+    def __init__(self, rising: Sequence[Touch]) -> None:
+        self._by_dot = {touch.dot: touch for touch in rising}
+        self._accepted: dict[Dot, list[Touch]] = {}  # by an owner
+        self._self: set[Dot] = set()
+        self._owners: list[Touch] = []
+        self._deletes: list[Touch] = []
+        self._writers: list[Touch] = []
+        self.standing = Standing()
+        for touch in rising:
+            self._judge(touch)
+        held = self.standing
+        for touch in rising:
+            if touch.fields:
+                (held.counted if self._counts(touch, None) else held.pending).append(touch)
+        held.deletes, held.disputes = self._effect(None)
+
+    def _judge(self, touch: Touch) -> None:
+        owners = self._owners_at(touch.context)
+        valid = [dot for dot in touch.accepts if self._may_accept(touch, dot, owners)]
+        if valid:
+            self.standing.accepts.append(touch)
+            for dot in valid:
+                self._accepted.setdefault(dot, []).append(touch)
+        if not touch.fields:
+            return
+        named = _named(touch)
+        if touch.team in owners if owners else named in (None, touch.team):
+            self._self.add(touch.dot)
+            if not owners and named is None and any(name != DELETED for name in touch.fields):
+                named = self.standing.first[touch.dot] = touch.team
+        if named is not None:
+            self._owners.append(touch)
+        if touch.fields.get(DELETED) is True:
+            self._deletes.append(touch)
+        if writes_route(touch):
+            self._writers.append(touch)
+
+    def _may_accept(self, touch: Touch, dot: Dot, owners: set[str]) -> bool:
+        accepted = self._by_dot.get(dot)
+        if accepted is None or not accepted.fields:
+            return False
+        return touch.team in owners if owners else touch.team == _named(accepted)
+
+    def _counts(self, touch: Touch, at: Context | None) -> bool:
+        if touch.dot in self._self:
+            return True
+        accepts = self._accepted.get(touch.dot)
+        return accepts is not None and (at is None or any(at.covers(each.dot) for each in accepts))
+
+    def _standing_at(self, touches: Iterable[Touch], at: Context | None) -> list[Touch]:
+        return [
+            touch for touch in touches if (at is None or at.covers(touch.dot)) and self._counts(touch, at)
+        ]
+
+    def _owners_at(self, at: Context) -> set[str]:
+        """The values of the newest owner writes as who had seen `at` knows them."""
+        writers = self._standing_at(self._owners, at)
+        if writers and self._deletes:
+            deletes, _ = self._effect(at)
+            writers = [
+                each for each in writers if not any(delete.context.covers(each.dot) for delete in deletes)
+            ]
+        if not writers:
+            return set()
+        first = self.standing.first
+        named = [
+            Write(each.dot, each.context, each.team, first.get(each.dot) or _named(each)) for each in writers
+        ]
+        return {write.value for write in newest(named)}
+
+    def _effect(self, at: Context | None) -> tuple[list[Touch], list[tuple[Touch, list[Touch]]]]:
+        """The deletes that count and have effect, and those that have none for the writes beside them."""
+        effect: list[Touch] = []
+        disputes: list[tuple[Touch, list[Touch]]] = []
+        if not self._deletes:
+            return effect, disputes
+        writers = self._standing_at(self._writers, at)
+        for delete in self._standing_at(self._deletes, at):
+            beside = [
+                each
+                for each in writers
+                if each is not delete
+                and not delete.context.covers(each.dot)
+                and not each.context.covers(delete.dot)
+            ]
+            if beside:
+                disputes.append((delete, beside))
+            else:
+                effect.append(delete)
+        return effect, disputes
+
+
+def _named(touch: Touch) -> str | None:
+    """The owner that a change names; a value that is no name does not hand a route over."""
+    if (value := touch.fields.get(OWNER)) is None:
+        return None
+    return None if sound(OWNER, value)[1] else str(value)
--- /dev/null
+++ b/tests/routes_histories.py
@@ -0,0 +1,98 @@
+"""Random histories of teams that commit changes of routes on gateways which hear of each other now and then."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from hypothesis import strategies as st
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.routes.changes import Accept, Change, Edit
+from cloverkeel.fleet.routes.interface import View, World
+from cloverkeel.fleet.routes.merge import Merge
+
+WORLD = World(
+    classes=frozenset({"read", "write"}),
+    types=frozenset({"m1", "m2"}),
+    transforms={"t1": frozenset({"x-a"}), "t2": frozenset({"x-a", "x-b"}), "t3": frozenset({"x-c"})},
+    room={"m2": 10},
+    groups=frozenset({"1"}),
+)
+ROUTES, TEAMS, GATEWAYS = ("a", "b", "c"), ("red", "blue", "green"), 3
+VALUES: dict[str, tuple[Any, ...]] = {
+    "classes": (["read"], ["write", "read"], None, ["gone"]),
+    "path": ("/x", "/x/y", "/z", None, 7),
+    "targets": (
+        [{"types": ["m2"], "share": 60}, {"groups": ["1"], "share": 40.0}],
+        [{"types": ["m2"], "share": 60}, {"groups": ["2"], "share": 60}],
+        [{"types": ["m2"], "labels": ["l"]}],
+    ),
+    "limit": (5, 20),
+    "transforms": (["t1"], ["t1", "t2"], ["t3", "t1"], []),
+    "before": (["a"], ["b", "c"], None),
+    "owner": ("red", "blue", "green", 3),
+    "note": ("one", "two", "two "),
+    "later": ({"b": 1, "a": [2]}, {"a": [2], "b": 1}, 5),
+    "deleted": (True, True, False),
+}
+
+
+@dataclass
+class History:
+    """`changes`, each committed under all that its gateway knew. `known`: by gateway, dots of changes."""
+
+    changes: list[Change] = field(default_factory=list)
+    known: list[dict[Dot, Change]] = field(default_factory=lambda: [{} for _ in range(GATEWAYS)])
+
+    def commit(
+        self, gateway: int, team: str, edits: Iterable[Edit] = (), accepts: Iterable[Accept] = ()
+    ) -> Dot:
+        known = self.known[gateway]
+        context = Context()
+        for change in known.values():
+            context = context.merge(change.context).add((change.dot,))
+        member = f"g{gateway}"
+        dot = Dot(member, 1, 1 + sum(change.dot.member == member for change in self.changes))
+        change = Change(dot=dot, context=context, team=team, edits=tuple(edits), accepts=tuple(accepts))
+        self.changes.append(change)
+        known[dot] = change
+        return dot
+
+    def hear(self, gateway: int, other: int) -> None:
+        self.known[gateway].update(self.known[other])
+
+
+@st.composite
+def histories(draw: st.DrawFn, most: int = 12) -> History:
+    history = History()
+    for _ in range(draw(st.integers(1, most))):
+        gateway = draw(st.integers(0, GATEWAYS - 1))
+        if draw(st.booleans()):
+            history.hear(gateway, draw(st.integers(0, GATEWAYS - 1)))
+        team = draw(st.sampled_from(TEAMS))
+        known = list(history.known[gateway])
+        if known and draw(st.integers(0, 5)) == 0:
+            dot = draw(st.sampled_from(known))
+            history.commit(gateway, team, accepts=[Accept(draw(st.sampled_from(ROUTES)), dot)])
+            continue
+        names = draw(st.lists(st.sampled_from(tuple(VALUES)), min_size=1, max_size=3, unique=True))
+        routes = draw(st.lists(st.sampled_from(ROUTES), min_size=1, max_size=2, unique=True))
+        history.commit(
+            gateway,
+            team,
+            [Edit(route, name, draw(st.sampled_from(VALUES[name]))) for route in routes for name in names],
+        )
+    return history
+
+
+def play(merge: Merge) -> View:
+    for _ in merge.settle():
+        pass
+    return merge.view
+
+
+def plain(view: View) -> View:
+    """All of it that two gateways must have alike."""
+    return replace(view, touched=None)
