--- a/cloverkeel/fleet/routes/index.py
+++ b/cloverkeel/fleet/routes/index.py
@@ -8,6 +8,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from cloverkeel.fleet.routes.interface import RouteView
 
@@ -22,29 +23,23 @@
     name: str
     number: int
     chain: tuple[str, ...] | None
+    zoned: bool = False  # it names zones
 
 
-Entry = tuple[bool, str, Matched]  # those that name a zone first, then by name
-
-
-class _Node:
-    """The routes of one prefix, in order, and the segments that go on from it; None where there are none."""
-
-    __slots__ = ("children", "routes")
-
-    def __init__(self) -> None:
-        self.children: dict[bytes, _Node] | None = None
-        self.routes: list[Entry] | None = None
+# What a prefix leads to: its routes in order, or the segments that go on, with its own routes under HERE. Plain
+# lists and dicts: among 10,000 routes a look-up mostly waits for memory, and these are the least to touch.
+_Node = dict[bytes, Any]
+HERE = b""
 
 
 class Index:
     """`zone` is this gateway's own: routes of other zones are left out. `numbers` has the number of each
-    route by its name, before the route is put. `behind` is the view's: the routes that each comes before."""
+    route by its name, before the route is put."""
 
     def __init__(self, zone: str, numbers: Mapping[str, int]) -> None:
         self.zone, self.numbers = zone, numbers
         self._trees: dict[Pair, _Node] = {}
-        self._placed: dict[str, tuple[tuple[Pair, ...], tuple[bytes, ...], Entry]] = {}
+        self._placed: dict[str, tuple[tuple[Pair, ...], list[bytes], Matched]] = {}
         self._behind: Mapping[str, frozenset[str]] = {}
         self._ahead: dict[str, set[str]] = {}  # the same by those that come after
 
@@ -55,7 +50,7 @@
         return name in self._placed
 
     def order(self, behind: Mapping[str, frozenset[str]]) -> None:
-        """Go by this order from now on."""
+        """Go by this `View.behind` from now on."""
         if behind is self._behind:
             return
         self._behind, self._ahead = behind, {}
@@ -70,70 +65,44 @@
         zones, chain = values.get("zones"), values.get("transforms")
         if zones and self.zone not in zones:
             return
-        matched = Matched(route.name, self.numbers[route.name], None if chain is None else tuple(chain))
-        entry = (not zones, route.name, matched)
-        pairs = tuple(
-            (klass, caller)
-            for klass in _names(values.get("classes"))
-            for caller in _names(values.get("callers"))
-        )
-        segments = tuple(segments_of((values.get("path") or "").encode()))
+        number = self.numbers[route.name]
+        matched = Matched(route.name, number, None if chain is None else tuple(chain), bool(zones))
+        classes, callers = _names(values.get("classes")), _names(values.get("callers"))
+        pairs = tuple((klass, caller) for klass in classes for caller in callers)
+        segments = segments_of((values.get("path") or "").encode())
         for pair in pairs:
-            node = self._trees.setdefault(pair, _Node())
-            for segment in segments:
-                if node.children is None:
-                    node.children = {}
-                node = node.children.setdefault(segment, _Node())
-            if node.routes is None:
-                node.routes = []
-            insort(node.routes, entry)
-        self._placed[route.name] = pairs, segments, entry
+            _put(self._trees.setdefault(pair, {}), segments, matched)
+        self._placed[route.name] = pairs, segments, matched
 
     def remove(self, name: str) -> None:
         """Forget a route; nothing where it is not there."""
-        pairs, segments, entry = self._placed.pop(name, ((), (), None))
+        pairs, segments, matched = self._placed.pop(name, ((), [], None))
         for pair in pairs:
-            way = [self._trees[pair]]
-            for segment in segments:
-                way.append((way[-1].children or {})[segment])
-            routes = way[-1].routes
-            assert routes is not None and entry is not None
-            del routes[bisect_left(routes, entry)]
-            self._prune(pair, segments, way)
-
-    def _prune(self, pair: Pair, segments: tuple[bytes, ...], way: list[_Node]) -> None:
-        """Take out what holds nothing any more, from the leaf up."""
-        for depth in range(len(way) - 1, -1, -1):
-            node = way[depth]
-            node.routes, node.children = node.routes or None, node.children or None
-            if node.routes is not None or node.children is not None:
-                return
-            if depth == 0:
+            assert matched is not None
+            _remove(self._trees[pair], segments, matched)
+            if not self._trees[pair]:
                 del self._trees[pair]
-            else:
-                above = way[depth - 1].children
-                assert above is not None
-                del above[segments[depth - 1]]
 
     def find(self, klass: bytes, caller: bytes, path: bytes) -> Matched | None:
         """The first in order of the routes that match; `path` is without its query."""
         trees, segments = self._trees, None
         for pair in ((klass, caller), (None, caller), (klass, None), (None, None)):
-            node = trees.get(pair)
+            node: Any = trees.get(pair)
             if node is None:
                 continue
             if segments is None:
                 segments = segments_of(path)
-            routes = node.routes
+            routes = node.get(HERE)
             for segment in segments:
-                if node.children is None:
-                    break
-                node = node.children.get(segment)
+                node = node.get(segment)
                 if node is None:
                     break
-                routes = node.routes or routes
+                if type(node) is list:
+                    routes = node
+                    break
+                routes = node.get(HERE, routes)
             if routes is not None:
-                first = routes[0][2]
+                first: Matched = routes[0]
                 return first if first.name not in self._ahead else self._first(klass, caller, segments)
         return None
 
@@ -147,15 +116,56 @@
     def _all(self, klass: bytes, caller: bytes, segments: list[bytes]) -> Iterator[Matched]:
         """All that match, the most specific first."""
         for pair in ((klass, caller), (None, caller), (klass, None), (None, None)):
-            node = self._trees.get(pair)
-            way = []
-            for segment in (*segments, None):
-                if node is None:
+            node: Any = self._trees.get(pair)
+            way: list[list[Matched]] = []
+            for segment in (*segments, HERE):
+                if not isinstance(node, dict):
                     break
-                way.append(node.routes or [])
-                node = (node.children or {}).get(segment) if segment is not None else None
+                way.append(node.get(HERE, []))
+                node = node.get(segment) if segment else None
+            if isinstance(node, list):
+                way.append(node)
             for routes in reversed(way):
-                yield from (entry[2] for entry in routes)
+                yield from routes
+
+
+def _put(node: _Node, segments: list[bytes], matched: Matched) -> None:
+    *above, last = segments or (HERE,)
+    for segment in above:
+        held = node.get(segment)
+        if not isinstance(held, dict):
+            held = node[segment] = {} if held is None else {HERE: held}
+        node = held
+    routes = node.setdefault(last, [])
+    if isinstance(routes, dict):
+        routes = routes.setdefault(HERE, [])
+    insort(routes, matched, key=_rank)
+
+
+def _remove(node: _Node, segments: list[bytes], matched: Matched) -> None:
+    """Take it out, and what holds nothing any more with it."""
+    way = [node]
+    for segment in segments:
+        held = way[-1][segment]
+        if isinstance(held, dict):
+            way.append(held)
+    place = HERE if len(way) > len(segments) else segments[-1]
+    routes = way[-1][place]
+    del routes[bisect_left(routes, _rank(matched), key=_rank)]
+    if not routes:
+        del way[-1][place]
+    for depth in range(len(way) - 1, 0, -1):
+        if not way[depth]:
+            del way[depth - 1][segments[depth - 1]]
+        elif way[depth].keys() == {HERE}:
+            way[depth - 1][segments[depth - 1]] = way[depth][HERE]
+        else:
+            break
+
+
+def _rank(matched: Matched) -> tuple[bool, str]:
+    """A route's place among those of one prefix."""
+    return not matched.zoned, matched.name
 
 
 def segments_of(path: bytes) -> list[bytes]:
