--- a/cloverkeel/fleet/lists/intake.py
+++ b/cloverkeel/fleet/lists/intake.py
@@ -8,7 +8,8 @@
 
 from caperdrift.interface import ListKind
 
-from cloverkeel.discovery import Discovery, Entry, OnList, parse_entry
+from cloverkeel.discovery import Discovery, OnList
+from cloverkeel.entries import Entry, parse_entry
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.lists.order import (
     LARGEST,
--- a/cloverkeel/fleet/routes/index.py
+++ b/cloverkeel/fleet/routes/index.py
@@ -26,8 +26,8 @@
     zoned: bool = False  # it names zones
 
 
-# What a prefix leads to: its routes in order, or the segments that go on, with its own routes under HERE. Plain
-# lists and dicts: among 10,000 routes a look-up mostly waits for memory, and these are the least to touch.
+# What a prefix leads to: its routes in order, or the segments that go on, with its own routes under HERE.
+# Plain lists and dicts: among 10,000 routes a look-up mostly waits for memory, and these are least to touch.
 _Node = dict[bytes, Any]
 HERE = b""
 
--- a/cloverkeel/fleet/routes/serving.py
+++ b/cloverkeel/fleet/routes/serving.py
@@ -9,7 +9,7 @@
 from caperdrift.plan import Hosts, Plan, Route, Target
 
 from cloverkeel.config import Names
-from cloverkeel.discovery import group_numbers, label_number, number_of
+from cloverkeel.entries import group_numbers, label_number, number_of
 from cloverkeel.fleet.routes.fields import PER_CENT, share_of
 from cloverkeel.fleet.routes.index import Index, Matched
 from cloverkeel.fleet.routes.interface import RouteView, View
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -43,7 +43,8 @@
 
 from cloverkeel.clock import now_us
 from cloverkeel.config import Config
-from cloverkeel.discovery import Discovery, Entry
+from cloverkeel.discovery import Discovery
+from cloverkeel.entries import Entry
 from cloverkeel.fleet.kept import Figures, Snapshot
 from cloverkeel.held import Call, Held
 from cloverkeel.hosts import Attempt, Pools, load_of
--- a/cloverkeel/listed.py
+++ b/cloverkeel/listed.py
@@ -6,7 +6,7 @@
 
 from caperdrift.interface import ListKind, ServerList, ServerStatus
 
-from cloverkeel.discovery import Entry
+from cloverkeel.entries import Entry
 from cloverkeel.hosts import Pools
 
 
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -9,7 +9,7 @@
 from caperdrift.interface import ListKind, Outcome
 from cloverkeel.clock import now_us
 from cloverkeel.config import parse
-from cloverkeel.discovery import parse_list
+from cloverkeel.entries import parse_list
 from cloverkeel.hosts import Attempt, HostConnection
 from cloverkeel.http1 import Reply
 from tests.sockets import (
--- a/tests/test_routes_index.py
+++ b/tests/test_routes_index.py
@@ -14,7 +14,7 @@
 from caperdrift.interface import Event
 from caperdrift.plan import Hosts, Plan, Route, Target
 from cloverkeel.config import Names, stable_id
-from cloverkeel.discovery import number_of, parse_entry
+from cloverkeel.entries import number_of, parse_entry
 from cloverkeel.fleet.ledger.dots import Context
 from cloverkeel.fleet.routes.fields import canonical
 from cloverkeel.fleet.routes.index import Index, Matched, segments_of
