Membership: the first process on an inherited socket gives way to its successor

Ruled out: a false suspicion (none was logged) and members of other tests (cluster names of their own did not change it). The old process was itself let take over, for it was started with $LB_ACCEPT_FD, but there had been nobody to take over from. When it heard of its successor before its SIGTERM, `_follows` took the first other process it heard of for its older self, and outranked it; where the old one lives on, both go on until the new one is refused.

Now only a process whose configured port was held (`older_runs`) follows one that its join did not find. The storm lets every second member take over from the start; it found a successor whose join was answered by a member that knew nothing, which is why the rule is not simply dropped.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -40,8 +40,9 @@
 
     `me` is this member's own rumour (alive, its incarnation); `seeds` are addresses to ask at the start and
     while alone; `take_over` says that this process follows an older one of the same name (an upgrade), so
-    that the name held at another address is taken rather than refused. `rng` makes the choices of whom to
-    probe; a seeded one makes a run repeat. Raises nothing: every message is judged on its fields.
+    that the name held at another address is taken rather than refused; `older_runs`, that the older one is
+    known to run, though the join may not find it. `rng` makes the choices of whom to probe; a seeded one
+    makes a run repeat. Raises nothing: every message is judged on its fields.
     """
 
     def __init__(
@@ -51,10 +52,11 @@
         seeds: tuple[str, ...] = (),
         take_over: bool = False,
         rng: random.Random | None = None,
+        older_runs: bool = False,
     ) -> None:
         self.timing = timing
         self.seeds = tuple(s for s in seeds if s != me.address)
-        self.take_over = take_over
+        self.take_over, self.older_runs = take_over, older_runs
         self.rng = rng or random.Random()
         self.roster = Roster(me, timing, self.rng)
         self.cycle = ProbeCycle(self.roster)
@@ -144,8 +146,11 @@
 
     def _follows(self, rumour: Rumour, claims: bool) -> bool:
         """Whether `rumour` is of a process that this one takes over from: it refutes what is said of it until
-        it hears of this one. Bounded, so that two that each follow the other do not go on for ever."""
-        older = claims or not self.older or rumour.address in self.older
+        it hears of this one. Where none was known to run and the join found none (the first process on an
+        inherited socket), who comes later is its own successor. Bounded, so that two that each follow the
+        other do not go on for ever."""
+        unfound = self.older_runs and not self.older
+        older = claims or unfound or rumour.address in self.older
         return self.take_over and older and self.outranked < MOST_OUTRANKED
 
     def receive(self, message: Message, now_s: float) -> list[Action]:
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -65,6 +65,7 @@
         self.calls.serve(NAME, lambda peer, body: name)
         self.gossip = Gossip(Codec(settings.name), self._on_action)
         self.address = ""
+        self.elsewhere = False  # another process holds the configured port
         self.state = "starting"  # joining, alone, member, name_taken, superseded, left
         self.member: Member | None = None
         self.listeners: list[Listener] = []
@@ -81,13 +82,13 @@
         host, port = self.settings.bind_address
         udp, tcp = open_sockets(host, port, self.take_over)
         bound, told = udp.getsockname()[1], self.settings.advertise
-        elsewhere = port not in (0, bound)  # in an upgrade, beside the process before
-        if told and elsewhere:
+        self.elsewhere = port not in (0, bound)  # in an upgrade, beside the process before
+        if told and self.elsewhere:
             told = format_address(parse_address(told)[0], bound)
         self.address = told or format_address(host, bound)
         await self.calls.listen(tcp)
         await self.gossip.open(udp)
-        if elsewhere:  # its view is the fleet's
+        if self.elsewhere:  # its view is the fleet's
             self.seeds = tuple(dict.fromkeys((*self.seeds, self.settings.bind)))
             self._spawn(self._hear_at(host, port))
         self._join()
@@ -108,7 +109,7 @@
         settings = self.settings
         kind = CheckedMember if invariants.ON else Member
         take_over = take_over or self.take_over
-        self.member = kind(me, settings.timing, self.seeds, take_over, self.rng)
+        self.member = kind(me, settings.timing, self.seeds, take_over, self.rng, self.elsewhere)
         self.state = "joining"
         self.gossip.run(self.member)
         if self.member.joining_until_s is None:
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -57,6 +57,14 @@
     assert successor.refused
 
 
+def test_a_process_let_take_over_that_found_no_older_one_gives_way_to_its_own_successor() -> None:
+    """The first process on an inherited socket took its successor for its older self, and outranked it."""
+    first = started(A, ("127.0.0.1:2",), take_over=True)
+    first.receive(Push(B, (B,)), 0.1)
+    first.receive(Ping(1, B, "a", (replace(A, address="127.0.0.1:9", incarnation=6),)), 9.0)
+    assert first.refused and first.me == A
+
+
 def test_a_suspicion_of_a_process_that_claimed_the_name_and_went_is_refuted() -> None:
     """It stood over the living member at the same incarnation, which took it for its successor."""
     member = started()
