--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -110,15 +110,18 @@
                 raise RequestError(405, "GET it", (b"Allow", b"GET, HEAD"))
             self.answer(200 if self.server.is_ready else 503, [], b"")
             return
-        call = read_call(self.server.config, request, path, self, self.server.gateway.transforms)
+        gateway = self.server.gateway
+        call = read_call(self.server.config, request, path, self, gateway.transforms, gateway.routes)
         self.current_id = call.id
-        if not self.server.gateway.arrive(call):
+        if not gateway.arrive(call):
             self.current_id = ""
             raise RequestError(400, "this X-Call-Id is in use")
 
     def on_served(self, request: Request, reply: Reply) -> None:
         if self.current is not request:
             return
+        if request.compared is not None:
+            request.compared(False)
         headers = passed_back(request, reply)
         if headers is None:
             self.answer(502, [], b"")
@@ -130,6 +133,8 @@
         transport = self.transport
         if self.current is not request or transport is None or transport.is_closing():
             return
+        if request.compared is not None:
+            request.compared(False)
         headers = passed_back(request, reply)
         if headers is None:
             self.server.gateway.leave(self.current_id)  # nobody reads the rest of it
@@ -185,6 +190,8 @@
 
     def on_failed(self, request: Request, timed_out: bool) -> None:
         if self.current is request:
+            if request.compared is not None:
+                request.compared(True)
             self.answer(504 if timed_out else 502, [], b"")
 
     def fail_rest(self) -> None:
