Activation: who decided the epoch before decides the next in one phase

The time from a bad version to stopped everywhere is made of epochs, and each cost two phases of a record from every voter. An epoch now names the member and process life that proposed it; they own round 0 of the next number, which needs no promises as no ballot is lower, and propose one value there. Others' round 0 is not answered.

--- a/cloverkeel/transforms/activation/deciding.py
+++ b/cloverkeel/transforms/activation/deciding.py
@@ -36,6 +36,12 @@
     return not epoch.voters or member in epoch.voters
 
 
+def fair(epoch: Epoch, proposal: Proposal) -> bool:
+    """Whether a ballot for the epoch after this one is its proposer's to begin: round 0, which needs no
+    promises as none is lower, is only that of who proposed this one."""
+    return proposal.ballot[0] > 0 or proposal.ballot[1:] == epoch.by
+
+
 class Voter:
     def __init__(self, me: str, disk: int) -> None:
         self.me, self.disk = me, disk
@@ -59,7 +65,7 @@
         if vote is None and (heard := [v for v in kept.values() if v.epoch == number]):
             # Its word on a disk that is lost, as far as others have heard it, is the first on this one.
             vote = msgspec.structs.replace(merge_votes(heard), disk=self.disk)
-        every = [p for ps in book.proposals.values() for p in ps if p.epoch == number]
+        every = [p for ps in book.proposals.values() for p in ps if p.epoch == number and fair(book.epoch, p)]
         for proposal in sorted(every, key=lambda p: (p.ballot, p.value is not None)):
             vote = self._answer(vote, proposal)
         if vote is None or vote == self.vote:
@@ -84,17 +90,20 @@
         self.proposal: Proposal | None = None
         self.until_s = 0.0
         self.outbid = False
+        self.first = 0  # the last number whose round 0 was begun here
 
     def step(self, now_s: float, book: Book, value: Epoch | None) -> Proposal | Epoch | None:
         """What to write next so that `value`, or what a quorum may have accepted before it, becomes the next
         epoch. None: nothing is wanted, or votes are waited for."""
         number = book.epoch.number + 1
+        if value is not None:
+            value = msgspec.structs.replace(value, by=(self.me, self.life))
         mine = self.proposal
         if mine is None or mine.epoch != number or now_s >= self.until_s:
             if value is None:
                 self.proposal = None
                 return None
-            return self._begin(now_s, book, number)
+            return self._begin(now_s, book, value)
         votes = {voter: vote for voter, vote in book.voted(number).items() if counts(book.epoch, voter[0])}
         if any(vote.promised > mine.ballot for vote in votes.values()) and not self.outbid:
             self.outbid = True
@@ -112,15 +121,20 @@
         accepted = (voter for voter, vote in votes.items() if vote.accepted == mine.ballot)
         return mine.value if decides(book.epoch, size, accepted) else None
 
-    def _begin(self, now_s: float, book: Book, number: int) -> Proposal:
+    def _begin(self, now_s: float, book: Book, value: Epoch) -> Proposal:
+        number = value.number
+        self.until_s = now_s + self.settings.retry_s * (1 + self.rng.random())
+        self.outbid = False
+        if book.epoch.by == (self.me, self.life) and self.first != number:
+            self.first = number  # one value there, whatever becomes of it
+            self.proposal = Proposal(number, (0, self.me, self.life), value)
+            return self.proposal
         ballots: list[Ballot] = [p.ballot for ps in book.proposals.values() for p in ps if p.epoch == number]
         ballots += [vote.promised for vote in book.voted(number).values()]
         if self.proposal is not None and self.proposal.epoch == number:
             ballots.append(self.proposal.ballot)
         highest = max((ballot[0] for ballot in ballots), default=0)
         self.proposal = Proposal(number, (highest + 1, self.me, self.life))
-        self.until_s = now_s + self.settings.retry_s * (1 + self.rng.random())
-        self.outbid = False
         return self.proposal
 
 
--- a/cloverkeel/transforms/activation/records.py
+++ b/cloverkeel/transforms/activation/records.py
@@ -71,12 +71,14 @@
 
 class Epoch(msgspec.Struct, frozen=True, array_like=True):
     """All that is active, and the `voters` who decide the next one, each on the disk of the same place in
-    `disks` (none: an epoch from before disks were named). Number 0: nothing has been decided."""
+    `disks` (none: an epoch from before disks were named). `by`: the member and process life that proposed it,
+    which own round 0 of the next number. Number 0: nothing has been decided."""
 
     number: Number = 0
     voters: Members = ()
     slots: Annotated[dict[Name, Slot], msgspec.Meta(max_length=NAMES_MAX)] = {}
     disks: Annotated[tuple[Number, ...], msgspec.Meta(max_length=4096)] = ()
+    by: tuple[Name, Number] | None = None
 
     def named(self) -> dict[str, int]:
         """Each voter's disk; 0: not known."""
--- a/tests/test_activation_core.py
+++ b/tests/test_activation_core.py
@@ -84,6 +84,24 @@
     assert decides(Epoch(1, ("a", "b", "c")), 3, {("a", 1), ("b", 2)})  # from before disks were named
 
 
+def test_who_decided_an_epoch_proposes_the_next_in_one_phase_and_once() -> None:
+    book, rng = Book(), random.Random(1)
+    take(book, EPOCH, EPOCHS, Epoch(1, ("a", "b", "c"), disks=(1, 2, 3), by=("a", 5)))
+    proposer = Proposer("a", 5, Settings(3), rng)
+    wanted = Epoch(2, ("a", "b"), by=("a", 5))
+    asked = proposer.step(0.0, book, Epoch(2, ("a", "b")))
+    assert asked == Proposal(2, (0, "a", 5), wanted)
+    take(book, PROPOSAL, "a", asked)
+    assert Voter("b", 2).consider(book) == Vote(2, (0, "a", 5), (0, "a", 5), wanted, 2)
+    assert proposer.step(0.1, book, None) is None and proposer.step(20.0, book, None) is None
+    assert proposer.step(20.1, book, Epoch(2, ("b",))) == Proposal(2, (1, "a", 5))
+    for ballot in ((0, "a", 6), (0, "b", 5)):  # another life's, another member's
+        take(book, PROPOSAL, "a", *[Proposal(2, ballot, Epoch(2, ("x",)))] * (ballot[1] == "a"))
+        take(book, PROPOSAL, "b", *[Proposal(2, ballot, Epoch(2, ("x",)))] * (ballot[1] == "b"))
+        assert Voter("b", 2).consider(book) is None
+    assert Proposer("a", 6, Settings(3), rng).step(0.0, book, wanted) == Proposal(2, (1, "a", 6))
+
+
 def test_a_member_on_a_new_disk_begins_with_what_others_heard_of_its_word() -> None:
     book, voter = Book(), Voter("m", 9)
     word = Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)), 8)
