Activation: a vote's disk is in its key, so that all votes on one ballot stay one payload

With the disk in the payload each vote was a payload of its own: over 1 KB from 30 voters or so on, fetched in pieces from each, and 3.5 MB a number at 500. Under member/disk-block they are one again, told with the heads or fetched once; decode keeps the last 512 payloads read, and the simulation reads a message to many once.

--- a/cloverkeel/transforms/activation/book.py
+++ b/cloverkeel/transforms/activation/book.py
@@ -15,7 +15,7 @@
     Report,
     Vote,
     decode,
-    key_of,
+    disk_of,
     merge_votes,
     owner_of,
 )
@@ -58,11 +58,8 @@
         every = [body for stands in keys.values() for body in stands]
         if kind == PROPOSAL:
             self.proposals[owner] = tuple(body for body in every if isinstance(body, Proposal))
-        elif kind == VOTE and (votes := [body for body in every if isinstance(body, Vote)]):
-            disks = {vote.disk for vote in votes}
-            self.votes[owner] = {
-                disk: merge_votes([vote for vote in votes if vote.disk == disk]) for disk in disks
-            }
+        elif kind == VOTE and (by_disk := _by_disk(keys)):
+            self.votes[owner] = by_disk
         elif kind == REPORT and (reports := [body for body in every if isinstance(body, Report)]):
             self.reports[owner] = max(reports, key=lambda report: report.number)
         elif kind == EPOCH:
@@ -78,9 +75,9 @@
             if vote.epoch == number
         }
 
-    def left_keys(self, kind: str, owner: str, number: int) -> list[str]:
-        """Keys of an owner that the record of this number has left behind, if it is shown."""
-        keys, current = self.kept.get((kind, owner), {}), key_of(owner, number)
+    def left_keys(self, kind: str, owner: str, current: str) -> list[str]:
+        """Keys of an owner that the one written now has left behind, if it is shown."""
+        keys = self.kept.get((kind, owner), {})
         return [key for key in keys if key != current] if current in keys else []
 
     def open_orders(self, name: str) -> list[Order]:
@@ -111,6 +108,13 @@
         return found
 
 
+def _by_disk(keys: dict[str, list[Body]]) -> dict[int, Vote]:
+    found: dict[int, list[Vote]] = {}
+    for key, bodies in keys.items():
+        found.setdefault(disk_of(key), []).extend(body for body in bodies if isinstance(body, Vote))
+    return {disk: merge_votes(votes) for disk, votes in found.items() if votes}
+
+
 def runs(epoch: Epoch, member: str, staged: frozenset[str]) -> dict[str, str]:
     """The active set of a member that has these versions staged: name to version. A pure function."""
     found = {}
--- a/cloverkeel/transforms/activation/core.py
+++ b/cloverkeel/transforms/activation/core.py
@@ -39,6 +39,7 @@
     Report,
     Vote,
     key_of,
+    vote_key,
 )
 
 TIDY_S = 5.0  # between two looks for orders that are over
@@ -182,7 +183,7 @@
     def _decide(self, out: list[Action]) -> None:
         number = self.book.epoch.number
         if (number or len(self.known) <= self.settings.size) and (vote := self.voter.consider(self.book)):
-            self._put(VOTE, key_of(self.me, vote.epoch), vote, out)
+            self._put(VOTE, vote_key(self.me, self.disk, vote.epoch), vote, out)
         value = None
         if self.live[0] == self.me:
             self.asked.clear()
@@ -222,13 +223,14 @@
             return
         self.tidy_s = self.now_s + TIDY_S
         reports, epoch = self.book.reports, self.book.epoch
-        numbers = {PROPOSAL: max((p.epoch for p in self.book.proposals.get(self.me, ())), default=0)}
+        last = max((p.epoch for p in self.book.proposals.get(self.me, ())), default=0)
+        current = {PROPOSAL: key_of(self.me, last)}
         if (vote := self._own_vote()) is not None:
-            numbers[VOTE] = vote.epoch
+            current[VOTE] = vote_key(self.me, self.disk, vote.epoch)
         if self.me in reports:
-            numbers[REPORT] = reports[self.me].number
-        for kind, number in numbers.items():
-            out += [Drop(kind, key) for key in self.book.left_keys(kind, self.me, number)]
+            current[REPORT] = key_of(self.me, reports[self.me].number)
+        for kind, stands in current.items():
+            out += [Drop(kind, key) for key in self.book.left_keys(kind, self.me, stands)]
         if self.live[0] != self.me:
             return
         if any(m not in reports or reports[m].epoch != epoch.number for m in self.live):
@@ -237,7 +239,7 @@
             slot = epoch.slot(order.name)
             if order.sequence <= slot.last and order.id not in slot.named():
                 out.append(Drop(ORDER, order.key))
-        out += [Drop(EPOCH, key) for key in self.book.left_keys(EPOCH, EPOCHS, epoch.number)]
+        out += [Drop(EPOCH, key) for key in self.book.left_keys(EPOCH, EPOCHS, key_of(EPOCHS, epoch.number))]
 
     # Own records until the ledger shows them.
 
--- a/cloverkeel/transforms/activation/deciding.py
+++ b/cloverkeel/transforms/activation/deciding.py
@@ -64,7 +64,7 @@
             vote = None
         if vote is None and (heard := [v for v in kept.values() if v.epoch == number]):
             # Its word on a disk that is lost, as far as others have heard it, is the first on this one.
-            vote = msgspec.structs.replace(merge_votes(heard), disk=self.disk)
+            vote = merge_votes(heard)
         every = [p for ps in book.proposals.values() for p in ps if p.epoch == number and fair(book.epoch, p)]
         for proposal in sorted(every, key=lambda p: (p.ballot, p.value is not None)):
             vote = self._answer(vote, proposal)
@@ -73,14 +73,15 @@
         self.vote = vote
         return vote
 
-    def _answer(self, vote: Vote | None, proposal: Proposal) -> Vote:
+    @staticmethod
+    def _answer(vote: Vote | None, proposal: Proposal) -> Vote:
         number, ballot = proposal.epoch, proposal.ballot
         if vote is None:
-            vote = Vote(number, ballot, disk=self.disk)
+            vote = Vote(number, ballot)
         if ballot > vote.promised:
-            vote = Vote(number, ballot, vote.accepted, vote.value, self.disk)
+            vote = Vote(number, ballot, vote.accepted, vote.value)
         if proposal.value is not None and ballot == vote.promised:
-            vote = Vote(number, ballot, ballot, proposal.value, self.disk)
+            vote = Vote(number, ballot, ballot, proposal.value)
         return vote
 
 
--- a/cloverkeel/transforms/activation/records.py
+++ b/cloverkeel/transforms/activation/records.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import Annotated, Literal
 
 import msgspec
@@ -97,14 +98,13 @@
 
 
 class Vote(msgspec.Struct, frozen=True, array_like=True):
-    """A member's word on an epoch: no lower ballot than `promised`; `value` accepted at `accepted`. `disk`:
-    the one that keeps it; on another the member is another voter."""
+    """A member's word on an epoch: no lower ballot than `promised`; `value` accepted at `accepted`. The disk
+    that keeps it is in its key: so are all votes on one ballot one payload, and told as one."""
 
     epoch: Number
     promised: Ballot
     accepted: Ballot | None = None
     value: Epoch | None = None
-    disk: Number = 0
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -133,6 +133,16 @@
     return f"{owner}/{number // BLOCK}"
 
 
+def vote_key(member: str, disk: int, number: int) -> str:
+    return f"{member}/{disk}-{number // BLOCK}"
+
+
+def disk_of(key: str) -> int:
+    """The disk in a vote's key; 0: from before disks were named. Raises ValueError."""
+    disk, named, _ = key.rpartition("/")[2].partition("-")
+    return int(disk) if named else 0
+
+
 def owner_of(key: str) -> str:
     return key.rpartition("/")[0]
 
@@ -141,17 +151,23 @@
     return _encoder.encode(body)
 
 
+@functools.lru_cache(maxsize=512)
+def _decoded(kind: str, payload: bytes) -> Body:
+    """All votes on one ballot are one payload, and with many voters long to read."""
+    return _decoders[kind].decode(payload)
+
+
 def decode(kind: str, key: str, payload: bytes) -> Body:
     """Raises ValueError for a payload that is none of its kind, or stands under another's key."""
     try:
-        body: Body = _decoders[kind].decode(payload)
+        body = _decoders[kind].decode(payload) if kind == ORDER else _decoded(kind, payload)
     except (msgspec.DecodeError, RecursionError) as error:
         raise ValueError(str(error)) from None
     if isinstance(body, Order) and body.key != key:
         raise ValueError("the order's name and id are not its key's")
     if isinstance(body, Proposal) and (body.ballot[1] != owner_of(key) or _differ(body.epoch, body.value)):
         raise ValueError("the proposal is another member's, or its value another epoch's")
-    if isinstance(body, Vote) and (
+    if isinstance(body, Vote) and disk_of(key) >= 0 and (
         (body.accepted is None) != (body.value is None) or _differ(body.epoch, body.value)
     ):
         raise ValueError("the vote accepts no value, or another epoch's")
@@ -170,4 +186,4 @@
     number = max(vote.epoch for vote in votes)
     votes = [vote for vote in votes if vote.epoch == number]
     best = max(votes, key=lambda vote: vote.accepted or (-1, "", 0))
-    return Vote(number, max(vote.promised for vote in votes), best.accepted, best.value, best.disk)
+    return Vote(number, max(vote.promised for vote in votes), best.accepted, best.value)
--- a/faultlab/storm/cluster/activation.py
+++ b/faultlab/storm/cluster/activation.py
@@ -14,6 +14,7 @@
 from cloverkeel.fleet.ledger.interface import Delete as LedgerDelete
 from cloverkeel.fleet.ledger.interface import Event as LedgerEvent
 from cloverkeel.fleet.ledger.interface import Settings as LedgerSettings
+from cloverkeel.transforms.activation.book import VoterId
 from cloverkeel.transforms.activation.core import Activation
 from cloverkeel.transforms.activation.interface import (
     Activate,
@@ -37,6 +38,7 @@
     Order,
     Vote,
     decode,
+    disk_of,
     encode,
     owner_of,
 )
@@ -71,7 +73,7 @@
         self.unable: dict[str, set[str]] = {}  # version to the members that cannot stage it
         self.published = 0
         self.healed = False  # nothing befalls it any more
-        self.lost_votes: list[tuple[str, Vote]] = []  # what a lost disk held of its member's own word
+        self.lost_votes: list[tuple[VoterId, Vote]] = []  # what a lost disk held of its member's own word
         self.first_s: dict[int, float] = {}  # by epoch: when it was first run somewhere
         super().__init__(seed, members, tick_s, LedgerSettings(size=members, digest_s=1.0, reap_after_s=6.0))
         self.first_disks = {name: member.disk.number for name, member in self.members.items()}
@@ -162,19 +164,19 @@
             self.first_s.setdefault(epoch.number, self.now_s)
             self.activation.epoch_seen(brain.member.name, epoch, self._votes)
 
-    def _votes(self) -> list[tuple[str, Vote]]:
+    def _votes(self) -> list[tuple[VoterId, Vote]]:
         """Each member's own word, from its own disk and from those that it lost."""
         found = [vote for member in self.members.values() for vote in self._votes_of(member)]
         return found + self.lost_votes
 
-    def _votes_of(self, member: Member) -> list[tuple[str, Vote]]:
+    def _votes_of(self, member: Member) -> list[tuple[VoterId, Vote]]:
         found = []
         for put in member.disk.rows.values():
             if put.record.kind == VOTE and owner_of(put.record.key) == member.name and put.payload:
                 vote = decode(VOTE, put.record.key, put.payload)
                 assert isinstance(vote, Vote)
-                if vote.disk == member.disk.number:
-                    found.append((member.name, vote))
+                if disk_of(put.record.key) == member.disk.number:
+                    found.append(((member.name, member.disk.number), vote))
         return found
 
     def _context(self, brain: Brain, kind: str, key: str) -> Context | None:
--- a/faultlab/storm/cluster/activation_truth.py
+++ b/faultlab/storm/cluster/activation_truth.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable, Iterable
 
+from cloverkeel.transforms.activation.book import VoterId
 from cloverkeel.transforms.activation.core import Activation
 from cloverkeel.transforms.activation.records import Epoch, Vote
 
-Votes = Callable[[], Iterable[tuple[str, Vote]]]
+Votes = Callable[[], Iterable[tuple[VoterId, Vote]]]
 
 
 class ActivationTruth:
@@ -39,7 +40,7 @@
             self.violated(f"epoch {epoch.number} without the one before it")
             return
         electorate = before.named()
-        backing = {(m, v.disk) for m, v in votes() if v.value == epoch}
+        backing = {voter for voter, vote in votes() if vote.value == epoch}
         backing = {(m, disk) for m, disk in backing if not electorate or m in electorate}
         named, every = backing & set(electorate.items()), {member for member, _ in backing}
         if 2 * len(named) <= len(electorate) and len(every) < (len(electorate) or self.size):
--- a/faultlab/storm/cluster/ledger.py
+++ b/faultlab/storm/cluster/ledger.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -35,6 +36,7 @@
 
 from faultlab.storm.cluster.ledger_truth import Name, Seen, Truth
 
+_decoded = functools.lru_cache(maxsize=4096)(decode)  # one message to many is read once: it never changes
 SETTINGS = Settings(digest_s=1.0, reap_after_s=6.0)
 DETECT_S = 1.0  # until a member that is silent counts as gone
 TICK_S = 0.1
@@ -229,7 +231,7 @@
 
     def _arrive(self, member: Member, other: Member, life: int, body: bytes) -> None:
         if other.core is not None and other.life == life and other.side == member.side:
-            self.give(other, Heard(member.name, decode(body)))
+            self.give(other, Heard(member.name, _decoded(body)))
 
     # Load.
 
--- a/tests/test_activation_core.py
+++ b/tests/test_activation_core.py
@@ -33,8 +33,9 @@
 from faultlab.storm.cluster.activation_history import play
 
 
-def take(book: Book, kind: str, key: str, *bodies: Body) -> None:
-    assert book.take(kind, f"{key}/0", tuple(map(encode, bodies))) == []
+def take(book: Book, kind: str, key: str, *bodies: Body, disk: int = 0) -> None:
+    stands = f"{disk}-0" if disk else "0"
+    assert book.take(kind, f"{key}/{stands}", tuple(map(encode, bodies))) == []
 
 
 def settled(members: int = 5) -> ActivationCluster:
@@ -55,19 +56,19 @@
     book, rng = Book(), random.Random(1)
     take(book, EPOCH, EPOCHS, Epoch(1, ("a", "b", "c"), disks=(1, 2, 3)))
     first, second = Epoch(2, ("a",)), Epoch(2, ("b",))
-    accepted = Vote(2, (1, "a", 9), (1, "a", 9), first, 2)
-    take(book, VOTE, "b", accepted)
+    accepted = Vote(2, (1, "a", 9), (1, "a", 9), first)
+    take(book, VOTE, "b", accepted, disk=2)
     proposer = Proposer("c", 5, Settings(3), rng)
     ask = proposer.step(0.0, book, second)
     assert isinstance(ask, Proposal) and ask == Proposal(2, (2, "c", 5))  # above all that it has heard of
-    take(book, VOTE, "b", Vote(2, ask.ballot, accepted.accepted, first, 2))
+    take(book, VOTE, "b", Vote(2, ask.ballot, accepted.accepted, first), disk=2)
     assert proposer.step(0.1, book, second) is None  # one of three
-    take(book, VOTE, "c", Vote(2, ask.ballot, disk=4))
+    take(book, VOTE, "c", Vote(2, ask.ballot), disk=4)
     assert proposer.step(0.1, book, second) is None  # of another disk
-    take(book, VOTE, "c", Vote(2, ask.ballot, disk=3))
+    take(book, VOTE, "c", Vote(2, ask.ballot), disk=3)
     assert proposer.step(0.2, book, second) == Proposal(2, ask.ballot, first)
     for member, disk in (("b", 2), ("c", 3)):
-        take(book, VOTE, member, Vote(2, ask.ballot, ask.ballot, first, disk))
+        take(book, VOTE, member, Vote(2, ask.ballot, ask.ballot, first), disk=disk)
     assert proposer.step(0.3, book, second) == first
 
 
@@ -92,35 +93,34 @@
     asked = proposer.step(0.0, book, Epoch(2, ("a", "b")))
     assert asked == Proposal(2, (0, "a", 5), wanted)
     take(book, PROPOSAL, "a", asked)
-    assert Voter("b", 2).consider(book) == Vote(2, (0, "a", 5), (0, "a", 5), wanted, 2)
+    assert Voter("b", 2).consider(book) == Vote(2, (0, "a", 5), (0, "a", 5), wanted)
     assert proposer.step(0.1, book, None) is None and proposer.step(20.0, book, None) is None
     assert proposer.step(20.1, book, Epoch(2, ("b",))) == Proposal(2, (1, "a", 5))
-    for ballot in ((0, "a", 6), (0, "b", 5)):  # another life's, another member's
-        take(book, PROPOSAL, "a", *[Proposal(2, ballot, Epoch(2, ("x",)))] * (ballot[1] == "a"))
-        take(book, PROPOSAL, "b", *[Proposal(2, ballot, Epoch(2, ("x",)))] * (ballot[1] == "b"))
-        assert Voter("b", 2).consider(book) is None
+    take(book, PROPOSAL, "a", Proposal(2, (0, "a", 6), wanted))  # another life's
+    take(book, PROPOSAL, "b", Proposal(2, (0, "b", 5), wanted))  # another member's
+    assert Voter("b", 2).consider(book) is None
     assert Proposer("a", 6, Settings(3), rng).step(0.0, book, wanted) == Proposal(2, (1, "a", 6))
 
 
 def test_a_member_on_a_new_disk_begins_with_what_others_heard_of_its_word() -> None:
     book, voter = Book(), Voter("m", 9)
-    word = Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)), 8)
-    take(book, VOTE, "m", word)
+    word = Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)))
+    take(book, VOTE, "m", word, disk=8)
     take(book, PROPOSAL, "c", Proposal(1, (1, "c", 1)))
-    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)), 9)
+    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)))
 
 
 def test_a_voter_keeps_its_promise_before_the_ledger_shows_it_and_after_a_restart() -> None:
     book, voter = Book(), Voter("m", 9)
     take(book, PROPOSAL, "b", Proposal(1, (2, "b", 1)))
     promise = voter.consider(book)
-    assert promise == Vote(1, (2, "b", 1), disk=9)
+    assert promise == Vote(1, (2, "b", 1))
     take(book, PROPOSAL, "a", Proposal(1, (1, "a", 1), Epoch(1)))
     assert voter.consider(book) is None  # a lower ballot
-    take(book, VOTE, "m", promise)
+    take(book, VOTE, "m", promise, disk=9)
     assert Voter("m", 9).consider(book) is None  # read back from the disk
     take(book, PROPOSAL, "b", Proposal(1, (2, "b", 1), Epoch(1, ("b",))))
-    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)), 9)
+    assert voter.consider(book) == Vote(1, (2, "b", 1), (2, "b", 1), Epoch(1, ("b",)))
     take(book, EPOCH, EPOCHS, Epoch(1, ("x", "y")))
     take(book, PROPOSAL, "x", Proposal(2, (1, "x", 1)))
     assert voter.consider(book) is None  # no voter any more
