Ledger: a batch grows its context in one copy, and the usual join of runs is short

Activation at 60 simulated members: plan copied the whole context twice for each record of a batch, and each join sorted the runs of both sides.

--- a/cloverkeel/fleet/ledger/dots.py
+++ b/cloverkeel/fleet/ledger/dots.py
@@ -107,13 +107,43 @@
         return Context(runs)
 
 
+class Growing:
+    """A context that takes in many dots and contexts, one after the other, for one copy."""
+
+    def __init__(self, context: Context) -> None:
+        self.before, self.runs = context, dict(context.runs)
+
+    def covers(self, dot: Dot) -> bool:
+        return Context(self.runs).covers(dot)
+
+    def merge(self, other: Context) -> None:
+        for actor, theirs in other.runs.items():
+            self.runs[actor] = _join(self.runs.get(actor, ()), theirs)
+
+    def add(self, dot: Dot) -> None:
+        actor = dot.actor
+        self.runs[actor] = _join(self.runs.get(actor, ()), (dot.counter, dot.counter))
+
+    def done(self) -> Context:
+        """Not to be grown any more."""
+        return self.before if self.runs == self.before.runs else Context(self.runs)
+
+
 def _pairs(runs: Runs) -> Iterator[tuple[int, int]]:
     return zip(runs[::2], runs[1::2], strict=True)
 
 
 def _join(a: Runs, b: Runs) -> Runs:
+    """`a` is as a context keeps it; `b` may be any pairs."""
     if a == b or not b:
         return a
+    if len(b) == 2:  # as nearly always: the next write of a member, or what is covered already
+        if not a:
+            return b
+        if a[0] <= b[0] and b[1] <= a[1]:
+            return a
+        if a[-2] <= b[0]:
+            return (*a, *b) if b[0] > a[-1] + 1 else (*a[:-1], max(a[-1], b[1]))
     joined: list[int] = []
     for first, last in sorted((*_pairs(a), *_pairs(b))):
         if joined and first <= joined[-1] + 1:
--- a/cloverkeel/fleet/ledger/replica.py
+++ b/cloverkeel/fleet/ledger/replica.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Sequence
 
 from cloverkeel.fleet.ledger.digest import Digests
-from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.dots import Context, Dot, Growing
 from cloverkeel.fleet.ledger.limits import Limits, Usage, refusal
 from cloverkeel.fleet.ledger.records import Record, read_context, siblings
 
@@ -81,11 +81,11 @@
     def plan(self, ops: Sequence[Op]) -> Delta:
         keys: dict[Name, tuple[Record, ...]] = {}  # those touched, as they will be
         payloads: dict[Dot, bytes] = {}
-        context, change = self.context, Usage()
+        context, change = Growing(self.context), Usage()
         refused: dict[Dot, str] = {}
         for op in ops:
             if isinstance(op, Join):
-                context = context.merge(op.context)
+                context.merge(op.context)
                 for gone in (self.records[dot] for dot in op.drops if dot in self.records):
                     held = keys.get(gone.name, self.siblings(gone.name))
                     keys[gone.name] = tuple(r for r in held if r.dot != gone.dot)
@@ -103,14 +103,15 @@
                     continue
                 keys[record.name] = siblings((record, *held))
                 payloads[record.dot] = op.payload
-            context = context.merge(record.context).add((record.dot,))
+            context.merge(record.context)
+            context.add(record.dot)
         puts, drops = [], []
         for name, after in keys.items():
             before = self.siblings(name)
             stay = {r.dot for r in after}
             drops += [r for r in before if r.dot not in stay]
             puts += [Put(r, payloads[r.dot]) for r in after if r.dot not in self.records]
-        return Delta(tuple(puts), tuple(drops), context, refused)
+        return Delta(tuple(puts), tuple(drops), context.done(), refused)
 
     def commit(self, delta: Delta) -> set[Name]:
         """Apply what `plan` gave, nothing else having been applied since; returns the keys whose siblings are
