--- a/cloverkeel/fleet/lists/intake.py
+++ b/cloverkeel/fleet/lists/intake.py
@@ -8,7 +8,8 @@
 
 from caperdrift.interface import ListKind
 
-from cloverkeel.discovery import CallError, Discovery, Entry, OnList, parse_entry
+from cloverkeel.discovery import Discovery, OnList
+from cloverkeel.entries import Entry, parse_entry
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.lists.order import (
     LARGEST,
@@ -20,6 +21,7 @@
     from_before,
     judge,
 )
+from cloverkeel.listcall import CallError
 
 
 def _epoch(raw: dict[str, Any]) -> int | None:
--- a/cloverkeel/transforms/activation/records.py
+++ b/cloverkeel/transforms/activation/records.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import Annotated, Literal
 
 import msgspec
@@ -70,11 +71,19 @@
 
 
 class Epoch(msgspec.Struct, frozen=True, array_like=True):
-    """All that is active, and the `voters` who decide the next one. Number 0: nothing has been decided."""
+    """All that is active, and the `voters` who decide the next one, each on the disk of the same place in
+    `disks` (none: an epoch from before disks were named). `by`: the member and process life that proposed it,
+    which own round 0 of the next number. Number 0: nothing has been decided."""
 
     number: Number = 0
     voters: Members = ()
     slots: Annotated[dict[Name, Slot], msgspec.Meta(max_length=NAMES_MAX)] = {}
+    disks: Annotated[tuple[Number, ...], msgspec.Meta(max_length=4096)] = ()
+    by: tuple[Name, Number] | None = None
+
+    def named(self) -> dict[str, int]:
+        """Each voter's disk; 0: not known."""
+        return dict(zip(self.voters, self.disks or (0,) * len(self.voters), strict=True))
 
     def slot(self, name: str) -> Slot:
         return self.slots.get(name) or Slot()
@@ -89,7 +98,8 @@
 
 
 class Vote(msgspec.Struct, frozen=True, array_like=True):
-    """A member's word on an epoch: no lower ballot than `promised`; `value` accepted at `accepted`."""
+    """A member's word on an epoch: no lower ballot than `promised`; `value` accepted at `accepted`. The disk
+    that keeps it is in its key: so are all votes on one ballot one payload, and told as one."""
 
     epoch: Number
     promised: Ballot
@@ -98,12 +108,13 @@
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
-    """What one member runs and holds: its epoch, versions staged ("" or why not), open breakers."""
+    """What one member runs and holds: its epoch, versions staged ("" or why not), open breakers, its disk."""
 
     number: Number
     epoch: Number
     staged: dict[Id, Line] = {}
     open: tuple[Id, ...] = ()
+    disk: Number = 0
 
 
 Body = Order | Proposal | Vote | Report | Epoch
@@ -122,6 +133,16 @@
     return f"{owner}/{number // BLOCK}"
 
 
+def vote_key(member: str, disk: int, number: int) -> str:
+    return f"{member}/{disk}-{number // BLOCK}"
+
+
+def disk_of(key: str) -> int:
+    """The disk in a vote's key; 0: from before disks were named. Raises ValueError."""
+    disk, named, _ = key.rpartition("/")[2].partition("-")
+    return int(disk) if named else 0
+
+
 def owner_of(key: str) -> str:
     return key.rpartition("/")[0]
 
@@ -130,20 +151,29 @@
     return _encoder.encode(body)
 
 
+@functools.lru_cache(maxsize=512)
+def _decoded(kind: str, payload: bytes) -> Body:
+    """All votes on one ballot are one payload, and with many voters long to read."""
+    return _decoders[kind].decode(payload)
+
+
 def decode(kind: str, key: str, payload: bytes) -> Body:
     """Raises ValueError for a payload that is none of its kind, or stands under another's key."""
     try:
-        body: Body = _decoders[kind].decode(payload)
+        body = _decoders[kind].decode(payload) if kind == ORDER else _decoded(kind, payload)
     except (msgspec.DecodeError, RecursionError) as error:
         raise ValueError(str(error)) from None
     if isinstance(body, Order) and body.key != key:
         raise ValueError("the order's name and id are not its key's")
     if isinstance(body, Proposal) and (body.ballot[1] != owner_of(key) or _differ(body.epoch, body.value)):
         raise ValueError("the proposal is another member's, or its value another epoch's")
-    if isinstance(body, Vote) and (
+    if isinstance(body, Vote) and disk_of(key) >= 0 and (
         (body.accepted is None) != (body.value is None) or _differ(body.epoch, body.value)
     ):
         raise ValueError("the vote accepts no value, or another epoch's")
+    epoch = body if isinstance(body, Epoch) else getattr(body, "value", None)
+    if epoch is not None and epoch.disks and len(epoch.disks) != len(epoch.voters):
+        raise ValueError("the epoch names not one disk for each voter")
     return body
 
 
@@ -152,7 +182,7 @@
 
 
 def merge_votes(votes: list[Vote]) -> Vote:
-    """One member's votes that the ledger kept side by side: the highest ballots of the highest epoch."""
+    """One voter's votes that the ledger kept side by side: the highest ballots of the highest epoch."""
     number = max(vote.epoch for vote in votes)
     votes = [vote for vote in votes if vote.epoch == number]
     best = max(votes, key=lambda vote: vote.accepted or (-1, "", 0))
--- a/faultlab/storm/cluster/activation.py
+++ b/faultlab/storm/cluster/activation.py
@@ -14,6 +14,7 @@
 from cloverkeel.fleet.ledger.interface import Delete as LedgerDelete
 from cloverkeel.fleet.ledger.interface import Event as LedgerEvent
 from cloverkeel.fleet.ledger.interface import Settings as LedgerSettings
+from cloverkeel.transforms.activation.book import VoterId
 from cloverkeel.transforms.activation.core import Activation
 from cloverkeel.transforms.activation.interface import (
     Activate,
@@ -37,6 +38,7 @@
     Order,
     Vote,
     decode,
+    disk_of,
     encode,
     owner_of,
 )
@@ -71,10 +73,10 @@
         self.unable: dict[str, set[str]] = {}  # version to the members that cannot stage it
         self.published = 0
         self.healed = False  # nothing befalls it any more
-        self.lost_disks = 0
-        self.lost_votes: list[tuple[str, Vote]] = []  # what a lost disk held of its member's own word
+        self.lost_votes: list[tuple[VoterId, Vote]] = []  # what a lost disk held of its member's own word
         self.first_s: dict[int, float] = {}  # by epoch: when it was first run somewhere
         super().__init__(seed, members, tick_s, LedgerSettings(size=members, digest_s=1.0, reap_after_s=6.0))
+        self.first_disks = {name: member.disk.number for name, member in self.members.items()}
 
     def broken(self) -> list[str]:
         return self.truth.violations + self.activation.violations
@@ -92,13 +94,19 @@
                 payloads = tuple(payload for _, payload in records if payload is not None)
                 loaded.append(Recorded(kind, key, payloads))
         settings = self.brain_settings
-        brain = Brain(member, Activation(member.name, life, settings, self.rng, loaded))
+        brain = Brain(member, Activation(member.name, life, member.disk.number, settings, self.rng, loaded))
         self.brains[member.name] = brain
         self.alone_s[member.name] = self.now_s
         self.later(self.rng.random() * self.tick_s, self._brain_ticker(brain))
 
+    def may_lose(self, member: Member) -> bool:
+        """Whether fewer disks than a quorum's are other ones, with this one's, than those that vote."""
+        epochs = self.activation.epochs
+        named = epochs[max(epochs)].named() or self.first_disks
+        others = {m.name for m in self.members.values() if named.get(m.name) != m.disk.number}
+        return len(others | {member.name}) <= len(self.members) // 2
+
     def lose_disk(self, member: Member) -> None:
-        self.lost_disks += 1
         self.lost_votes += self._votes_of(member)
         self.activation.highest.pop(member.name, None)
         super().lose_disk(member)
@@ -156,18 +164,19 @@
             self.first_s.setdefault(epoch.number, self.now_s)
             self.activation.epoch_seen(brain.member.name, epoch, self._votes)
 
-    def _votes(self) -> list[tuple[str, Vote]]:
+    def _votes(self) -> list[tuple[VoterId, Vote]]:
         """Each member's own word, from its own disk and from those that it lost."""
         found = [vote for member in self.members.values() for vote in self._votes_of(member)]
         return found + self.lost_votes
 
-    def _votes_of(self, member: Member) -> list[tuple[str, Vote]]:
+    def _votes_of(self, member: Member) -> list[tuple[VoterId, Vote]]:
         found = []
         for put in member.disk.rows.values():
             if put.record.kind == VOTE and owner_of(put.record.key) == member.name and put.payload:
                 vote = decode(VOTE, put.record.key, put.payload)
                 assert isinstance(vote, Vote)
-                found.append((member.name, vote))
+                if disk_of(put.record.key) == member.disk.number:
+                    found.append(((member.name, member.disk.number), vote))
         return found
 
     def _context(self, brain: Brain, kind: str, key: str) -> Context | None:
@@ -269,6 +278,8 @@
             if member.core is None:
                 self.start(member)
         self.run(90.0, self.rested)
+        if self.broken():
+            return
         self.check()
         self.activation.at_the_end([self.brains[m].core for m in self.members], self.bad)
         core = next(iter(self.members.values())).core
