--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -103,16 +103,11 @@
             b"/api/ready": lambda: Answer(200 if server.is_ready else 503),
             b"/api/telemetry": figures,
         }
+        posts, asks = {}, {}
         if fleet is not None:
-            calls[b"/api/members"] = fleet.answer
-        posts = {}
-        if fleet is not None and fleet.transforms is not None:
-            calls[b"/api/transforms"] = fleet.transforms.status
-            posts = {
-                b"/api/transforms/publish": fleet.transforms.publish,
-                b"/api/transforms/rollback": fleet.transforms.rollback,
-            }
-        operator = Operator(config.operator, calls, posts) if config.operator else None
+            calls |= fleet.calls()
+            posts, asks = fleet.posts(), fleet.asks()
+        operator = Operator(config.operator, calls, posts, asks) if config.operator else None
         address = config.operator or config.listen
         try:
             if operator is not None:
--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -1,5 +1,5 @@
 """The command line beside the gateway itself: `python -m cloverkeel state check|show DIR`, `members`,
-`transforms check|publish|status|rollback`.
+`transforms check|publish|status|rollback`, `routes apply|show|resolve|accept`.
 
 `python -m cloverkeel` with no arguments is the gateway, as the deploy file starts it.
 """
@@ -15,6 +15,7 @@
 from typing import Any
 
 from cloverkeel.fleet import state
+from cloverkeel.fleet.routes import command as routes
 from cloverkeel.transforms import commands as transforms
 
 
@@ -32,6 +33,7 @@
     members.add_argument("--operator", metavar="HOST:PORT", help="its operators' address (else $LB_OPERATOR)")
     members.add_argument("--json", action="store_true", help="its answer as one JSON object")
     transforms.register(parts)
+    routes.register(parts)
     return top
 
 
@@ -41,7 +43,7 @@
         from cloverkeel.fleet.membership import command
 
         return command.run(arguments.operator, arguments.json)
-    if arguments.part == "transforms":
+    if arguments.part in ("transforms", "routes"):
         code: int = arguments.run(arguments)
         return code
     path = os.path.join(arguments.directory, state.FILE)
--- /dev/null
+++ b/cloverkeel/fleet/routes/part.py
@@ -0,0 +1,195 @@
+"""Routes beside one gateway: the merge over the ledger, and what operators may call of it. docs/routes.md."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from cloverkeel.fleet.answers import JSON, NOT_YET, WAIT_S, level, one, refused
+from cloverkeel.fleet.ledger.dots import Context
+from cloverkeel.fleet.ledger.interface import Acknowledged, Level
+from cloverkeel.fleet.ledger.part import LedgerPart
+from cloverkeel.fleet.ledger.shell import WriteRefused
+from cloverkeel.fleet.routes import files
+from cloverkeel.fleet.routes.changes import Accept, Edit, key_of
+from cloverkeel.fleet.routes.interface import View, World
+from cloverkeel.fleet.routes.merge import Merge
+from cloverkeel.fleet.routes.resolving import How, dot_of, edits_of, stranded
+from cloverkeel.fleet.routes.settings import RoutesSettings
+from cloverkeel.fleet.routes.shell import Routes
+from cloverkeel.fleet.routes.status import notes, pieces, what_became
+from cloverkeel.fleet.routes.world import Worlds
+from cloverkeel.operator import Answer
+
+if TYPE_CHECKING:
+    from cloverkeel.gateway import Gateway
+    from cloverkeel.transforms.activation.parts import TransformParts
+
+FIRST_S = 1.0
+TOML = (b"Content-Type", b"application/toml")
+PIECES = 64  # of an answer, between turns of the loop
+Made = tuple[str, tuple[Edit, ...], tuple[Accept, ...], Context]  # team, edits, acceptances, context
+
+
+class RoutesPart:
+    """`start` after the ledger's part has; `close` before it closes."""
+
+    def __init__(
+        self,
+        settings: RoutesSettings,
+        gateway: Gateway,
+        ledger: LedgerPart,
+        transforms: TransformParts | None,
+        serve: Callable[[View], None],
+    ) -> None:
+        self.gateway, self.ledger, self.serve = gateway, ledger, serve
+        self.worlds = Worlds(gateway, settings.room, transforms)
+        self.routes: Routes | None = None
+        self.beginning: asyncio.Task[None] | None = None
+
+    async def start(self, take_over: bool) -> None:
+        """Takes part once the ledger does: in an upgrade (`take_over`) that is when the process before has
+        ended. Else the first plan is waited for up to FIRST_S, so that the first clients find it."""
+        self.beginning = asyncio.get_running_loop().create_task(self._begin())
+        if not take_over:
+            await asyncio.wait([self.beginning], timeout=FIRST_S)
+
+    async def _begin(self) -> None:
+        ledger = await self.ledger.ready()
+        self.routes = Routes(ledger, self.worlds, lambda: Merge(World()), self.serve)
+        self.routes.start()
+        await self.routes.merged.wait()
+
+    def close(self) -> None:
+        if self.beginning is not None:
+            self.beginning.cancel()
+        if self.routes is not None:
+            self.routes.close()
+
+    def counters(self) -> dict[str, int]:
+        """For telemetry."""
+        counts = self.routes.counts if self.routes is not None else {}
+        return {f"routes_{name}_total": number for name, number in counts.items()}
+
+    def gauges(self) -> dict[str, int]:
+        routes = self.routes
+        if routes is None or routes.view is None:
+            return {}
+        view = routes.view
+        return {
+            "routes": len(view.routes),
+            "routes_conflicts": len(view.conflicts),
+            "routes_waiting": len(view.waiting),
+            "routes_held_back": len(view.held_back),
+            "routes_merge_us": routes.merge_us,
+            "routes_slice_most_us": routes.slice_us,
+        }
+
+    # Operators' calls.
+
+    async def show(self, query: bytes) -> Answer:
+        """The plan as JSON: all of it, of one `team`, or (`form=brief`) without its routes. With `form=toml`
+        a team's file."""
+        if (routes := self.routes) is None or (view := routes.view) is None:
+            return NOT_YET
+        try:
+            team, form = one(query, "team", "*"), one(query, "form", "json")
+            if form not in ("json", "brief", "toml") or (form == "toml" and team == "*"):
+                raise ValueError("form is json, brief, or toml with a team")
+        except ValueError as error:
+            return refused(400, error)
+        if form == "toml":
+            text = await asyncio.to_thread(lambda: files.export(team, view, notes(team, view)))
+            return Answer(200, text.encode(), TOML)
+        made = []
+        parts = pieces(view, routes.held, routes.membership.name, team, form == "brief")
+        for number, piece in enumerate(parts):
+            made.append(piece)
+            if number % PIECES == PIECES - 1:
+                await asyncio.sleep(0)
+        return Answer(200, b"".join(made), JSON)
+
+    async def apply(self, query: bytes, body: bytes) -> Answer:
+        """A team's TOML in the body; `wait` in the query."""
+        if (routes := self.routes) is None:
+            return NOT_YET
+
+        async def make(view: View) -> tuple[Made, files.TeamFile]:
+            file = await asyncio.to_thread(files.parse, body)
+            edits = files.difference(file)
+            if why := stranded(view, edits, self.gateway.listed.values()):
+                raise ValueError(why)
+            base = file.base.context if file.base is not None else Context()
+            return (file.team, edits, (), routes.context_of(base, edits)), file
+
+        return await self._commit(query, make)
+
+    async def resolve(self, query: bytes, body: bytes) -> Answer:
+        """`id`, `team`, `way` (take, value, delete, keep), `take` and `wait` in the query; a value as TOML in
+        the body."""
+
+        async def make(view: View) -> tuple[Made, None]:
+            id, team, take = one(query, "id"), one(query, "team"), one(query, "take", "0")
+            way = one(query, "way")
+            if way not in ("take", "value", "delete", "keep"):
+                raise ValueError("way is take, value, delete or keep")
+            if not take.isascii() or not take.isdigit() or len(take) > 9:
+                raise ValueError("take is the number of a side")
+            found = next((conflict for conflict in view.conflicts if conflict.id == id), None)
+            if found is None:
+                raise ValueError(f"there is no conflict {id:.40}")
+            edits = edits_of(found, How(way, int(take), body.decode("utf-8", "replace")), view)
+            if why := stranded(view, edits, self.gateway.listed.values()):
+                raise ValueError(why)
+            return (team, edits, (), view.context), None
+
+        return await self._commit(query, make)
+
+    async def accept(self, query: bytes, body: bytes) -> Answer:
+        """`change`, `route`, `team` and `wait` in the query."""
+
+        async def make(view: View) -> tuple[Made, None]:
+            dot, route, team = dot_of(one(query, "change")), one(query, "route"), one(query, "team")
+            found = next((each for each in view.waiting if (each.dot, each.route) == (dot, route)), None)
+            if found is None:
+                raise ValueError(f"no edit of {route:.140} by {key_of(dot):.160} waits")
+            if team not in found.owner.split(", "):
+                raise ValueError(f"{route:.140} is {found.owner}'s: {team:.140} cannot accept for it")
+            return (team, (), (Accept(route, dot),), view.context), None
+
+        return await self._commit(query, make)
+
+    async def _commit(self, query: bytes, make: Callable[[View], Any]) -> Answer:
+        """Write what `make` makes of the view. Bad input is answered with 400 and nothing is written."""
+        routes = self.routes
+        if routes is None or (view := routes.view) is None:
+            return NOT_YET
+        try:
+            wait: Level = level(query)
+            (team, edits, accepts, context), file = await make(view)
+            if not edits and not accepts:
+                return _answered({"change": "", "confirmed": True, "held": 0, "reason": "", "edits": 0})
+            change, answer = await routes.commit(team, edits, accepts, context, wait, WAIT_S)
+        except ValueError as error:
+            return refused(400, error)
+        except WriteRefused as error:
+            return refused(503, error)
+        confirmed = isinstance(answer, Acknowledged)
+        said = {
+            "change": key_of(change.dot),
+            "team": team,
+            "edits": len(edits),
+            "confirmed": confirmed,
+            "held": answer.held if isinstance(answer, Acknowledged) else None,
+            "reason": "" if isinstance(answer, Acknowledged) else answer.reason,
+            **what_became(change.dot, routes.view or view),
+        }
+        if file is not None:
+            said["base"] = await asyncio.to_thread(files.based_on, file, change)
+        return _answered(said, 200 if confirmed else 202)
+
+
+def _answered(said: dict[str, Any], status: int = 200) -> Answer:
+    return Answer(status, json.dumps(said).encode(), JSON)
--- /dev/null
+++ b/cloverkeel/fleet/routes/resolving.py
@@ -0,0 +1,119 @@
+"""What a team's word on a conflict writes, and which edits would leave a class without hosts. Pure."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from cloverkeel.fleet.ledger.dots import Dot
+from cloverkeel.fleet.ledger.records import MEMBER_MAX
+from cloverkeel.fleet.routes.changes import DELETED, Edit
+from cloverkeel.fleet.routes.fields import canonical
+from cloverkeel.fleet.routes.files import value_fault
+from cloverkeel.fleet.routes.interface import Conflict, View
+from cloverkeel.fleet.routes.world import labels_of
+
+BEFORE = "before"
+
+
+class How(NamedTuple):
+    """One of `routes resolve`'s ways. `take`: the number, from 1, of a side as `show` lists them."""
+
+    way: str  # take, value, delete or keep
+    take: int = 0
+    value: str = ""  # TOML
+
+
+def dot_of(text: str) -> Dot:
+    """A change's name, as shown: member/incarnation/number, the middle one in hex. Raises ValueError."""
+    try:
+        member, incarnation, counter = text.rsplit("/", 2)
+        dot = Dot(member, int(incarnation, 16), int(counter))
+    except ValueError:
+        raise ValueError(f"{text!r:.80} names no change: member/incarnation/number, as shown") from None
+    if not 0 < len(member) <= MEMBER_MAX or dot.incarnation < 1 or dot.counter < 1:
+        raise ValueError(f"{text!r:.80} names no change")
+    return dot
+
+
+def sides(conflict: Conflict) -> list[str]:
+    """What `take` chooses among, a line each; none where a conflict is resolved otherwise."""
+    if conflict.kind == "overlap":
+        first, second = conflict.routes
+        return [f"{first} before {second}", f"{second} before {first}"]
+    return [] if conflict.kind not in ("field", "delete") else [""] * len(conflict.choices)
+
+
+def edits_of(conflict: Conflict, how: How, view: View) -> tuple[Edit, ...]:
+    """The edits that resolve it, once written under the view's context. Raises ValueError."""
+    route = conflict.routes[0]
+    if how.way == "take":
+        return (_taken(conflict, how.take, view),)
+    if how.way == "value":
+        if conflict.kind not in ("field", "shares", "unknown", "chain", "bad-value") or not conflict.field:
+            raise ValueError(f"a {conflict.kind} conflict has no one value: apply a file that ends it")
+        return (Edit(route, conflict.field, _value(conflict.field, how.value)),)
+    if len(conflict.routes) > 1:
+        raise ValueError(f"{how.way} is for a conflict of one route, not of {len(conflict.routes)}")
+    if how.way == "keep" and conflict.kind != "delete":
+        raise ValueError(f"keep is for a delete conflict, not for a {conflict.kind} conflict")
+    return (Edit(route, DELETED, how.way == "delete"),)
+
+
+def _taken(conflict: Conflict, number: int, view: View) -> Edit:
+    count = len(sides(conflict))
+    if not count:
+        raise ValueError(f"a {conflict.kind} conflict has no sides: give a value, or apply a file")
+    if not 1 <= number <= count:
+        raise ValueError(f"take is 1 to {count} for this conflict")
+    if conflict.kind == "overlap":
+        first, second = conflict.routes if number == 1 else conflict.routes[::-1]
+        known = view.routes.get(first)
+        before = known.values.get(BEFORE, ()) if known is not None else ()
+        return Edit(first, BEFORE, sorted({*before, second}))
+    value = conflict.choices[number - 1].value
+    if conflict.kind == "delete":
+        return Edit(conflict.routes[0], DELETED, isinstance(value, Mapping) and value.get(DELETED) is True)
+    return Edit(conflict.routes[0], conflict.field, value)
+
+
+def _value(field: str, text: str) -> Any:
+    try:
+        value = tomllib.loads(f"value = {text}")["value"]
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError):
+        raise ValueError(f"the value is not TOML: {text!r:.80}") from None
+    if (why := value_fault(value)) is not None:
+        raise ValueError(f"{field}: {why}")
+    return canonical(field, value)
+
+
+def stranded(view: View | None, edits: Iterable[Edit], rows: Iterable[Mapping[str, Any]]) -> str:
+    """Why a route that all requests of a class take would name no listed host after these edits, or "". With
+    no list, nothing is known. `rows`: hosts as discovery gave them."""
+    rows = list(rows)
+    routes: dict[str, dict[str, Any]] = {}
+    for edit in edits:
+        known = view.routes.get(edit.route) if view is not None else None
+        values = routes.setdefault(edit.route, dict(known.values) if known is not None else {})
+        values[edit.field] = edit.value
+    for name, values in routes.items():
+        targets = values.get("targets")
+        narrow = values.get("callers") or (values.get("path") or "/") != "/"
+        if not rows or not targets or narrow or values.get(DELETED) is True:
+            continue
+        rest = sum(target["share"] for target in targets) < 100
+        if not any(rest or any(_names(target, row) for target in targets) for row in rows):
+            classes = ", ".join(values.get("classes") or ()) or "every class"
+            return f"route {name!r:.140}: no listed host is in its targets: {classes} would be without hosts"
+    return ""
+
+
+def _names(target: Mapping[str, Any], row: Mapping[str, Any]) -> bool:
+    has = {
+        "types": {str(row.get("type", ""))},
+        "groups": {str(row.get("group", 0))},
+        "zones": {str(row.get("zone", ""))},
+        "labels": labels_of(row),
+    }
+    return all(not target.get(kind) or not has[kind].isdisjoint(target[kind]) for kind in has)
--- /dev/null
+++ b/cloverkeel/fleet/routes/shell.py
@@ -0,0 +1,271 @@
+"""Routes in a gateway: the merge joined to the ledger, to what serves the plan, and to the log.
+
+The merge runs in slices of SLICE_S between turns of the loop, so that requests go on beside it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import gc
+import time
+import traceback
+from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
+
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.interface import Acknowledged, Expose, Level
+from cloverkeel.fleet.ledger.shell import Answer, Service, Shown, WriteRefused
+from cloverkeel.fleet.membership.roster import PRESENT
+from cloverkeel.fleet.membership.rumours import Status
+from cloverkeel.fleet.routes.changes import KIND, Accept, Change, Edit, decode, encode, key_of
+from cloverkeel.fleet.routes.interface import View, World
+from cloverkeel.fleet.routes.telling import Telling
+from cloverkeel.http1 import log
+
+SLICE_S = 0.001
+LOOK_S = 1.0  # between two looks at the world
+DROP_S = 30.0  # between two looks at what may be dropped, and with no merge meanwhile none
+RETRY_S = 5.0  # after a merge that failed
+DROP_MIN, DROPS = 64, 256  # droppable changes that may stay; dropped at one look
+FREEZE = 1_000  # routes that are new with one plan, from which on they are kept out of garbage collection
+SEEN_S = 2.0  # for a change written here to be merged
+
+
+class Merging(Protocol):
+    """The core (merge.py)."""
+
+    @property
+    def view(self) -> View: ...
+
+    def add(self, change: Change) -> None: ...
+
+    def drop(self, dot: Dot) -> None: ...
+
+    def set_world(self, world: World) -> None: ...
+
+    def settle(self) -> Iterator[None]: ...
+
+    def droppable(self) -> list[Dot]: ...
+
+
+class Worldly(Protocol):
+    async def changed(self) -> World | None: ...
+
+
+class Routes:
+    """`ledger` has started; `take` is handed each new view. `close` before the ledger closes."""
+
+    def __init__(
+        self, ledger: Service, worlds: Worldly, make: Callable[[], Merging], take: Callable[[View], None]
+    ) -> None:
+        self.ledger, self.worlds, self.make, self.serve = ledger, worlds, make, take
+        self.membership = ledger.membership
+        self.loop = asyncio.get_running_loop()
+        self.merge = make()
+        self.view: View | None = None  # in service; None: not merged yet
+        self.number = 0  # of the last change written in this life
+        self.held: dict[str, Change] = {}  # by the merge; by key in the ledger
+        self.touching: collections.defaultdict[str, set[Dot]] = collections.defaultdict(set)  # by route
+        self.shown: collections.deque[tuple[str, Shown]] = collections.deque()
+        self.world: World | None = None  # as last looked at, and as the merge has it
+        self.judged_by: World | None = None
+        self.wanted, self.merged = asyncio.Event(), asyncio.Event()
+        self.telling = Telling(self.membership.name)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.dropped_s, self.dropped_at = self.loop.time(), 0  # the last look at what may go, and its merge
+        self.merge_us = self.slice_us = 0  # of the processor: the last merge, and the longest slice ever
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        self.ledger.on_expose(self._on_expose)
+        self._read_all()
+        self.tasks = [self.loop.create_task(self._merge()), self.loop.create_task(self._look())]
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    def live(self) -> frozenset[str]:
+        """The members that are there, this one included."""
+        names = {name for name, rumour in self.membership.view().items() if rumour.status in PRESENT}
+        return frozenset(names | {self.membership.name})
+
+    # Changes of this gateway's.
+
+    async def commit(
+        self, team: str, edits: tuple[Edit, ...], accepts: tuple[Accept, ...], context: Context,
+        wait: Level, timeout_s: float,
+    ) -> tuple[Change, Answer]:  # fmt: skip
+        """Write one change. Raises ValueError where it is none, WriteRefused where the ledger did not keep
+        it; a number that was refused is not used again."""
+        core = self.ledger.core
+        assert core is not None, "the ledger has started"
+        dot = Dot(self.membership.name, core.incarnation, self.number + 1)
+        change = Change(dot=dot, context=context, team=team, edits=edits, accepts=accepts)
+        payload = encode(change)
+        self.number += 1
+        answer = await self.ledger.write(KIND, key_of(dot), payload, Context(), wait, timeout_s)
+        self.counts["written"] += 1
+        event("routes.committed", change=key_of(dot), team=team, edits=len(edits), accepts=len(accepts),
+              wait=wait.value, outcome=f"held by {answer.held}" if isinstance(answer, Acknowledged)
+              else answer.reason)  # fmt: skip
+        await self._until_seen(dot)
+        return change, answer
+
+    def context_of(self, base: Context, edits: Iterable[Edit]) -> Context:
+        """What a change made from `base` may say that it has seen: all that is here, where that has nothing
+        of its routes that the base lacks. Else it would be beside the others' last changes, and a conflict
+        with them would take those out of service, too."""
+        if self.view is None:
+            return base
+        unseen = (dot for edit in edits for dot in self.touching.get(edit.route, ()) if not base.covers(dot))
+        return base if next(unseen, None) is not None else base.merge(self.view.context)
+
+    async def _until_seen(self, dot: Dot) -> None:
+        """Until the view has taken it in, so that its writer may be told what became of it."""
+        try:
+            async with asyncio.timeout(SEEN_S):
+                while self.view is None or not self.view.context.covers(dot):
+                    self.merged.clear()
+                    await self.merged.wait()
+        except TimeoutError:
+            return
+
+    # Records in.
+
+    def _on_expose(self, shown: Expose) -> None:
+        if shown.kind == KIND:
+            self.shown.append((shown.key, shown.records))
+            self.wanted.set()
+
+    def _read_all(self) -> None:
+        for key in self.ledger.keys(KIND):
+            self.shown.append((key, self.ledger.read(KIND, key)[0]))
+        self.wanted.set()
+
+    def _take_in(self, key: str, records: Shown) -> None:
+        payloads = sorted(payload for _, payload in records if payload is not None)
+        if not payloads:
+            if (gone := self.held.pop(key, None)) is not None:
+                self.merge.drop(gone.dot)
+                for route in _routes(gone):
+                    self.touching[route].discard(gone.dot)
+            return
+        if key in self.held:
+            return  # a change is written once
+        try:
+            change = decode(payloads[0])
+            if key_of(change.dot) != key:
+                raise ValueError("its dot is another key's")
+        except ValueError as error:
+            self.counts["malformed"] += 1
+            event("routes.malformed", change=key, reason=str(error))
+            return
+        self.held[key] = change
+        for route in _routes(change):
+            self.touching[route].add(change.dot)
+        self.merge.add(change)
+
+    # The merge.
+
+    async def _merge(self) -> None:
+        while True:
+            await self.wanted.wait()
+            self.wanted.clear()
+            try:
+                if self.world is not None:
+                    gc.disable()  # a pass over all that a merge makes takes 0.2 s at 10,000 routes
+                    await self._settle()
+            except Exception as error:
+                # One record that the merge cannot take must not end the plan that is in service.
+                log(f"the merge of routes failed\n{traceback.format_exc()}")
+                event("routes.merge_failed", reason=f"{type(error).__name__}: {error}")
+                self.counts["merge_failures"] += 1
+                gc.enable()
+                await asyncio.sleep(RETRY_S)
+                self._anew()
+            finally:
+                gc.enable()
+
+    def _anew(self) -> None:
+        self.merge, self.judged_by = self.make(), None
+        self.held.clear()
+        self.touching.clear()
+        self.shown.clear()
+        self._read_all()
+
+    async def _settle(self) -> None:
+        spent_s, begun_s, slice_s = 0.0, time.perf_counter(), time.thread_time()
+        for _ in self._steps():
+            if time.perf_counter() - begun_s >= SLICE_S:
+                took_s = time.thread_time() - slice_s
+                spent_s, self.slice_us = spent_s + took_s, max(self.slice_us, int(took_s * 1e6))
+                await asyncio.sleep(0)
+                begun_s, slice_s = time.perf_counter(), time.thread_time()
+        self.merge_us = int((spent_s + time.thread_time() - slice_s) * 1e6)
+        self.counts["merges"] += 1
+        self._take(self.merge.view)
+
+    def _steps(self) -> Iterator[None]:
+        if self.world is not None and self.world is not self.judged_by:
+            self.judged_by = self.world
+            self.merge.set_world(self.world)
+            yield
+        while self.shown:
+            self._take_in(*self.shown.popleft())
+            yield
+        yield from self.merge.settle()
+
+    def _take(self, view: View) -> None:
+        before, self.view = self.view, view
+        self.serve(view)
+        if view.touched is None or len(view.touched) >= FREEZE:
+            gc.freeze()  # as after the start: what counts its references away needs no passes
+        if before is None or before.hash != view.hash:
+            event("routes.plan", hash=view.hash, routes=len(view.routes), conflicts=len(view.conflicts),
+                  waiting=len(view.waiting), held_back=len(view.held_back))  # fmt: skip
+        for name, fields in self.telling.take(view.conflicts, self.live()):
+            event(name, **fields)
+        self.merged.set()
+
+    # The world, and what is superseded.
+
+    async def _look(self) -> None:
+        while True:
+            try:
+                if (world := await self.worlds.changed()) is not None:
+                    self.world = world
+                    self.wanted.set()
+                await self._drop()
+            except Exception:
+                log(f"a look at what routes rest on failed\n{traceback.format_exc()}")
+            await asyncio.sleep(LOOK_S)
+
+    async def _drop(self) -> None:
+        """Delete superseded changes, where this is the first live member and none is dead."""
+        merges = self.counts["merges"]
+        if self.loop.time() - self.dropped_s < DROP_S or merges == self.dropped_at:
+            return
+        states = {rumour.status for rumour in self.membership.view().values()}
+        core = self.ledger.core
+        if (
+            core is None or not core.settling.settled or len(self.held) <= DROP_MIN
+            or Status.DEAD in states or min(self.live()) != self.membership.name
+        ):  # fmt: skip
+            return
+        self.dropped_s, self.dropped_at = self.loop.time(), merges
+        dots = self.merge.droppable()
+        for dot in dots[:DROPS] if len(dots) > DROP_MIN else ():
+            key = key_of(dot)
+            try:
+                await self.ledger.delete(KIND, key, self.ledger.read(KIND, key)[1])
+                self.counts["dropped"] += 1
+            except WriteRefused as error:
+                event("routes.not_dropped", change=key, reason=str(error))
+                return
+
+
+def _routes(change: Change) -> set[str]:
+    return {*(edit.route for edit in change.edits), *(each.route for each in change.accepts)}
--- /dev/null
+++ b/cloverkeel/fleet/routes/status.py
@@ -0,0 +1,118 @@
+"""What `routes show` says of a view, as JSON in pieces. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import msgspec
+
+from cloverkeel.fleet.ledger.dots import Dot
+from cloverkeel.fleet.routes.changes import Change, key_of
+from cloverkeel.fleet.routes.files import plain
+from cloverkeel.fleet.routes.interface import Conflict, RouteView, View, Waiting
+from cloverkeel.fleet.routes.resolving import sides
+
+_encode = msgspec.json.Encoder().encode
+
+
+def pieces(
+    view: View, changes: Mapping[str, Change], member: str, team: str, brief: bool
+) -> Iterator[bytes]:
+    """One JSON object: hash, member, count, conflicts, waiting, held back, and the routes unless `brief`.
+    `team`: of whom routes, conflicts and waiting edits are told, "*" of all; `changes`: by their names."""
+
+    def concerns(*teams: str) -> bool:
+        return team == "*" or team in teams
+
+    head = {
+        "hash": view.hash,
+        "member": member,
+        "count": len(view.routes),
+        "held_back": [_held(key_of(dot), changes) for dot in view.held_back],
+        "conflicts": [_conflict(each) for each in view.conflicts if concerns(*each.teams)],
+        "waiting": [_waiting(each) for each in view.waiting if concerns(each.team, *each.owner.split(", "))],
+    }
+    if brief:
+        yield _encode(head)
+        return
+    yield _encode(head)[:-1] + b',"routes":['
+    mark = b""
+    for name in sorted(view.routes):
+        route = view.routes[name]
+        if concerns(route.owner):
+            yield mark + _encode(_route(route))
+            mark = b","
+    yield b"]}"
+
+
+def _held(name: str, changes: Mapping[str, Change]) -> dict[str, Any]:
+    change = changes.get(name)  # None: deleted meanwhile
+    routes = sorted({edit.route for edit in change.edits}) if change is not None else []
+    return {"change": name, "team": change.team if change is not None else "", "routes": routes}
+
+
+def _route(route: RouteView) -> dict[str, Any]:
+    decided = {
+        key: {"change": key_of(by.dot), "team": by.team} for key, by in sorted(route.decided.items())
+    }
+    values, others = plain(route.values), plain(route.others)
+    return {"name": route.name, "owner": route.owner, "values": values, "others": others, "decided": decided}
+
+
+def _conflict(conflict: Conflict) -> dict[str, Any]:
+    return {
+        "id": conflict.id,
+        "kind": conflict.kind,
+        "severity": conflict.severity,
+        "routes": conflict.routes,
+        "field": conflict.field,
+        "teams": conflict.teams,
+        "why": conflict.why,
+        "local": conflict.local,
+        "choices": [
+            {"change": key_of(side.dot), "team": side.team, "value": plain(side.value)}
+            for side in conflict.choices
+        ],
+        "sides": sides(conflict),
+    }
+
+
+def _waiting(waiting: Waiting) -> dict[str, Any]:
+    return {
+        "change": key_of(waiting.dot),
+        "team": waiting.team,
+        "route": waiting.route,
+        "owner": waiting.owner,
+        "fields": plain(waiting.fields),
+    }
+
+
+def what_became(dot: Dot, view: View) -> dict[str, Any]:
+    """Of a change: the plan that took it in, what holds it back, the conflicts it is in, the owners it waits
+    for. `merged` is false where the view does not know it yet."""
+    return {
+        "plan": view.hash,
+        "merged": view.context.covers(dot),
+        "held_back": dot in view.held_back,
+        "conflicts": [
+            _conflict(each) for each in view.conflicts if any(side.dot == dot for side in each.choices)
+        ],
+        "waiting": [_waiting(each) for each in view.waiting if each.dot == dot],
+    }
+
+
+def notes(team: str, view: View) -> list[str]:
+    """Lines for the head of a team's file: what its reader has to know, for an edit of it follows them."""
+    found = [
+        f"conflict {each.id} ({each.kind}, {each.severity}): {each.why}"
+        for each in view.conflicts
+        if team in each.teams
+    ]
+    found += [
+        f"waits for {each.owner}: {each.team} edits {', '.join(sorted(each.fields))} of {each.route} "
+        f"({key_of(each.dot)})"
+        for each in view.waiting
+        if team in (each.team, *each.owner.split(", "))
+    ]
+    return found
--- /dev/null
+++ b/cloverkeel/fleet/routes/telling.py
@@ -0,0 +1,57 @@
+"""Which conflicts this member tells the log of: each is told once, not once a gateway. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Literal, NamedTuple
+
+from cloverkeel.fleet.lists.relays import score
+from cloverkeel.fleet.routes.interface import Conflict
+
+LINES_MAX = 20  # of one merge; the rest is a number
+
+
+class Told(NamedTuple):
+    name: Literal["routes.conflict", "routes.resolved", "routes.untold"]
+    fields: dict[str, object]
+
+
+def teller(id: str, live: Iterable[str]) -> str:
+    """The member that tells of a conflict: rendezvous hashing (Thaler, Ravishankar, 1998) on both names."""
+    return min(live, key=lambda member: (score("routes", id, member), member))
+
+
+class Telling:
+    """What comes and goes between one view and the next. What the first has was told in a life before."""
+
+    def __init__(self, me: str) -> None:
+        self.me = me
+        self.open: dict[str, Conflict] | None = None
+
+    def take(self, conflicts: Iterable[Conflict], live: frozenset[str]) -> Iterator[Told]:
+        now = {conflict.id: conflict for conflict in conflicts}
+        before, self.open = self.open, now
+        if before is None:
+            return
+        came = [now[id] for id in now if id not in before]
+        went = [before[id] for id in before if id not in now]
+        lines = [
+            Told("routes.conflict" if conflict.id in now else "routes.resolved", _fields(conflict))
+            for conflict in (*came, *went)
+            if conflict.local or teller(conflict.id, live | {self.me}) == self.me
+        ]
+        yield from lines[:LINES_MAX]
+        if len(lines) > LINES_MAX:
+            yield Told("routes.untold", {"more": len(lines) - LINES_MAX})
+
+
+def _fields(conflict: Conflict) -> dict[str, object]:
+    return {
+        "id": conflict.id,
+        "kind": conflict.kind,
+        "severity": conflict.severity,
+        "teams": ",".join(conflict.teams) or "-",
+        "routes": ",".join(conflict.routes) or "-",
+        "field": conflict.field or "-",
+        "why": conflict.why,
+    }
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -23,10 +23,11 @@
 from cloverkeel.fleet.membership.service import Membership
 from cloverkeel.fleet.sharers import Sharers
 from cloverkeel.fleet.warm.neighbours import Neighbours
-from cloverkeel.operator import Answer
+from cloverkeel.operator import Answer, Ask, Calls, Post
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.ledger.part import LedgerPart
+    from cloverkeel.fleet.routes.part import RoutesPart
     from cloverkeel.fleet.state import Keeper
     from cloverkeel.gateway import Gateway
     from cloverkeel.transforms.activation.parts import TransformParts
@@ -64,6 +65,13 @@
             from cloverkeel.transforms.activation.parts import TransformParts
 
             self.transforms = TransformParts(published, gateway, self.ledger)
+        self.routes: RoutesPart | None = None
+        if config.routes is not None and self.ledger is not None:
+            from cloverkeel.fleet.routes.part import RoutesPart
+
+            self.routes = RoutesPart(
+                config.routes, gateway, self.ledger, self.transforms, lambda view: None
+            )
 
     async def start(self) -> None:
         """Raises OSError where `cluster.bind` cannot be had."""
@@ -76,6 +84,8 @@
             self.ledger.start(self.membership)
         if self.transforms is not None:
             await self.transforms.start(self.take_over)
+        if self.routes is not None:
+            await self.routes.start(self.take_over)
         gateway = self.gateway
         self.sharers = Sharers(self.membership, gateway)
         if self.cluster.lists:
@@ -138,6 +148,27 @@
         restore = Restore(learned, int((time.monotonic() - begun_s) * 1e6))
         self.gateway.post(lambda: restore)
 
+    def calls(self) -> Calls:
+        """Operators' calls, by path; `posts` and `asks` as well."""
+        calls: Calls = {b"/api/members": self.answer}
+        if self.transforms is not None:
+            calls[b"/api/transforms"] = self.transforms.status
+        return calls
+
+    def posts(self) -> dict[bytes, Post]:
+        posts: dict[bytes, Post] = {}
+        if self.transforms is not None:
+            posts[b"/api/transforms/publish"] = self.transforms.publish
+            posts[b"/api/transforms/rollback"] = self.transforms.rollback
+        if self.routes is not None:
+            posts[b"/api/routes/apply"] = self.routes.apply
+            posts[b"/api/routes/resolve"] = self.routes.resolve
+            posts[b"/api/routes/accept"] = self.routes.accept
+        return posts
+
+    def asks(self) -> dict[bytes, Ask]:
+        return {b"/api/routes": self.routes.show} if self.routes is not None else {}
+
     def answer(self) -> Answer:
         """`GET /api/members`."""
         membership = self.membership
@@ -165,6 +196,8 @@
             counts |= self.sharing.counters()
         if self.ledger is not None:
             counts |= self.ledger.counters()
+        if self.routes is not None:
+            counts |= self.routes.counters()
         return counts
 
     def gauges(self) -> dict[str, int]:
@@ -177,6 +210,8 @@
             figures["warm_neighbours"] = self.neighbours.answers
         if self.transforms is not None:
             figures |= self.transforms.gauges()
+        if self.routes is not None:
+            figures |= self.routes.gauges()
         return figures
 
     def descriptors(self) -> int:
@@ -184,6 +219,8 @@
         return self.membership.descriptors() if self.membership is not None else 0
 
     async def leave(self) -> None:
+        if self.routes is not None:
+            self.routes.close()
         if self.transforms is not None:
             self.transforms.close()
         if self.ledger is not None:
--- a/cloverkeel/operator.py
+++ b/cloverkeel/operator.py
@@ -15,7 +15,7 @@
 MOST = 32  # connections at once; beyond, the oldest gives way
 CALL_LIMIT = HEAD_LIMIT + BODY_LIMIT  # bytes of one call
 POST_LIMIT = 256 * 1024  # bytes of a call's body that is for a `Post`
-POST_S = 20.0  # for a `Post` to be answered
+POST_S = 20.0  # for a `Post` or an `Ask` to be answered
 POST_TYPE = b"application/octet-stream"  # a page in an operator's browser cannot send it unasked
 
 
@@ -29,14 +29,21 @@
 
 
 Calls = dict[bytes, Callable[[], Answer]]  # by path; each is answered to GET and HEAD
+Ask = Callable[[bytes], Awaitable[Answer]]  # of the query; answered to GET and HEAD, too
 Post = Callable[[bytes, bytes], Awaitable[Answer]]  # of the query and the body
 
 
 class Operator:
     """Answers operators' calls. It holds nothing but their connections."""
 
-    def __init__(self, address: Address, calls: Calls, posts: Mapping[bytes, Post] | None = None) -> None:
-        self.address, self.calls, self.posts = address, calls, posts or {}
+    def __init__(
+        self,
+        address: Address,
+        calls: Calls,
+        posts: Mapping[bytes, Post] | None = None,
+        asks: Mapping[bytes, Ask] | None = None,
+    ) -> None:
+        self.address, self.calls, self.posts, self.asks = address, calls, posts or {}, asks or {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: dict[OperatorConnection, None] = {}  # the oldest first
         self.listener: asyncio.Server | None = None
@@ -113,14 +120,17 @@
         method = self.parser.get_method()
         path, _, query = self.target.partition(b"?")
         call, post = self.operator.calls.get(path), self.operator.posts.get(path)
+        ask = self.operator.asks.get(path)
         if post is not None:
             self._post(post, method, query)
-        elif call is None:
+        elif call is None and ask is None:
             self.answer(Answer(404, b"unknown path\n"))
         elif method not in (b"GET", b"HEAD"):
             self.answer(Answer(405, b"GET it\n", (b"Allow", b"GET, HEAD")))
-        else:
+        elif call is not None:
             self.answer(call(), method == b"HEAD")
+        elif ask is not None and not self.answered:
+            self._spawn(ask(query), method == b"HEAD")
 
     def _post(self, post: Post, method: bytes, query: bytes) -> None:
         if self.answered:
@@ -132,20 +142,23 @@
         elif self.size > HEAD_LIMIT + POST_LIMIT or len(body := b"".join(self.body)) > POST_LIMIT:
             self.answer(Answer(413, b"the call is too long\n"))
         else:
-            if self.timer is not None:
-                self.timer.cancel()
-            task = asyncio.get_running_loop().create_task(self._posted(post, query, body))
-            self.operator.tasks.add(task)
-            task.add_done_callback(self.operator.tasks.discard)
+            self._spawn(post(query, body))
 
-    async def _posted(self, post: Post, query: bytes, body: bytes) -> None:
+    def _spawn(self, work: Awaitable[Answer], head_only: bool = False) -> None:
         """It goes on where its caller has gone: what is begun is not left half done."""
+        if self.timer is not None:
+            self.timer.cancel()
+        task = asyncio.get_running_loop().create_task(self._answered(work, head_only))
+        self.operator.tasks.add(task)
+        task.add_done_callback(self.operator.tasks.discard)
+
+    async def _answered(self, work: Awaitable[Answer], head_only: bool) -> None:
         try:
             async with asyncio.timeout(POST_S):
-                answer = await post(query, body)
+                answer = await work
         except TimeoutError:
             answer = Answer(504, b"no answer in time: not known how far it came\n")
-        self.answer(answer)
+        self.answer(answer, head_only)
 
     def answer(self, answer: Answer, head_only: bool = False) -> None:
         """The one answer, and the close; what still comes in is left unread."""
--- /dev/null
+++ b/tests/test_routes_shell.py
@@ -0,0 +1,268 @@
+"""Routes joined to real ledgers: one plan and one set of conflicts everywhere, told to the log once."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverkeel.config import parse
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.ledger.interface import Acknowledged, Level
+from cloverkeel.fleet.ledger.shell import Service
+from cloverkeel.fleet.routes import shell as routes_shell
+from cloverkeel.fleet.routes.changes import DELETED, KIND, Change, Edit, encode, key_of
+from cloverkeel.fleet.routes.interface import Choice, Conflict, RouteView, View, World
+from cloverkeel.fleet.routes.merge import Merge
+from cloverkeel.fleet.routes.resolving import How, dot_of, edits_of, stranded
+from cloverkeel.fleet.routes.shell import Routes
+from cloverkeel.fleet.routes.telling import LINES_MAX, Telling, teller
+from cloverkeel.fleet.routes.world import world_of
+from tests.sockets import configuration, on_loop, until
+from tests.test_ledger_shell import fleet
+
+
+class Fixed:
+    """A world that is told once."""
+
+    def __init__(self, world: World) -> None:
+        self.world: World | None = world
+
+    async def changed(self) -> World | None:
+        world, self.world = self.world, None
+        return world
+
+
+@asynccontextmanager
+async def merging(tmp_path: Path) -> AsyncIterator[tuple[list[Routes], list[Service]]]:
+    async with fleet(tmp_path) as services:
+        made = [begun(service) for service in services]
+        try:
+            await until(lambda: all(each.view is not None for each in made))
+            yield made, services
+        finally:
+            for each in made:
+                each.close()
+
+
+def begun(service: Service, world: World = World()) -> Routes:  # noqa: B008
+    served: list[View] = []
+    made = Routes(service, Fixed(world), lambda: Merge(World()), served.append)
+    made.start()
+    return made
+
+
+async def write(routes: Routes, team: str, context: Context, *edits: Edit) -> Change:
+    change, answer = await routes.commit(team, edits, (), context, Level.ALL, 5.0)
+    assert isinstance(answer, Acknowledged)
+    return change
+
+
+def at(routes: Routes) -> View:
+    assert routes.view is not None
+    return routes.view
+
+
+async def agreed(all_: list[Routes], *dots: Dot) -> View:
+    """The view, once all have taken in these changes and have the same plan and conflicts."""
+    await until(lambda: all(at(each).context.covers(dot) for each in all_ for dot in dots))
+    (same,) = {(at(each).hash, tuple(c.id for c in at(each).conflicts)) for each in all_}
+    assert same
+    return at(all_[0])
+
+
+def new(route: str, team: str, **fields: Any) -> tuple[Edit, ...]:
+    return tuple(Edit(route, name, value) for name, value in sorted({"owner": team, **fields}.items()))
+
+
+@on_loop
+async def test_a_conflict_is_the_same_everywhere_told_once_and_gone_once_resolved(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(logging.getLogger("cloverkeel.fleet"), "propagate", True)
+    caplog.set_level(logging.INFO, "cloverkeel.fleet")
+    async with merging(tmp_path) as (all_, services):
+        first, second, third = all_
+        made = await write(first, "pay", Context(), *new("r", "pay", limit=1))
+        assert (made.dot.member, made.dot.counter) == ("m0", 1)
+        seen = (await agreed(all_, made.dot)).context
+        one = await write(first, "pay", seen, Edit("r", "limit", 2))
+        two = await write(second, "pay", seen, Edit("r", "limit", 3), Edit("r", "note", "more"))
+        view = await agreed(all_, one.dot, two.dot)
+        assert dict(view.routes["r"].values) == {"limit": 1, "note": "more", "owner": "pay"}
+        (conflict,) = view.conflicts
+        edits = edits_of(conflict, How("take", 2), view)
+        assert edits == (Edit("r", "limit", conflict.choices[1].value),)
+        last = await write(third, "pay", view.context, *edits)
+        assert (await agreed(all_, last.dot)).conflicts == ()
+
+        told = [(r.getMessage(), vars(r)["fields"].get("id")) for r in caplog.records]
+        assert [each for each in told if each[1]] == [
+            ("routes.conflict", conflict.id), ("routes.resolved", conflict.id),
+        ]  # fmt: skip
+        await services[0].write(KIND, "m9/1/1", b"\xc1", Context(), Level.ALL)
+        await services[0].write(KIND, "m9/1/2", encode(last), Context(), Level.ALL)
+        await until(lambda: all(each.counts["malformed"] == 2 for each in all_))
+        again = begun(services[1])  # from what its disk holds
+        await until(lambda: again.view is not None)
+        assert (at(again).hash, at(again).context) == (at(second).hash, at(second).context)
+        again.close()
+
+
+@on_loop
+async def test_a_change_is_beside_another_s_only_where_that_touched_its_routes(tmp_path: Path) -> None:
+    async with merging(tmp_path) as (all_, _):
+        first = all_[0]
+        made = await write(first, "pay", Context(), *new("r", "pay", limit=1))
+        fresh = new("other", "cards", limit=1)
+        assert first.context_of(Context(), fresh).covers(made.dot)
+        assert first.context_of(Context(), new("r", "cards")) == Context()
+        later = await write(first, "cards", first.context_of(Context(), fresh), *fresh)
+        seen = Context().add((made.dot,))
+        assert first.context_of(seen, (Edit("r", DELETED, True),)).covers(later.dot)
+
+
+@on_loop
+async def test_a_merge_that_fails_is_begun_anew_and_the_plan_stays(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(routes_shell, "RETRY_S", 0.01)
+    async with merging(tmp_path) as (all_, _):
+        first = all_[0]
+        made = await write(first, "pay", Context(), *new("r", "pay", limit=1))
+        before = at(first)
+
+        def fails() -> Iterator[None]:
+            yield
+            raise RuntimeError("not to be")
+
+        monkeypatch.setattr(first.merge, "settle", fails)
+        change, _ = await first.commit("pay", (Edit("r", "limit", 2),), (), before.context, Level.LOCAL, 5.0)
+        await until(lambda: first.counts["merge_failures"] and at(first).context.covers(change.dot))
+        assert at(first).routes["r"].values["limit"] == 2 and before.context.covers(made.dot)
+
+
+@on_loop
+async def test_what_is_superseded_twice_is_dropped_by_the_first_member_and_the_plan_stays(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(routes_shell, "DROP_S", 0.0)
+    monkeypatch.setattr(routes_shell, "LOOK_S", 0.01)
+    monkeypatch.setattr(routes_shell, "DROP_MIN", 2)
+    async with merging(tmp_path) as (all_, services):
+        first, second, _ = all_
+        made = await write(first, "pay", Context(), *new("r", "pay", limit=1))
+        for limit in range(2, 9):
+            made = await write(second, "pay", at(second).context, Edit("r", "limit", limit))
+        await until(lambda: first.counts["dropped"])
+        await until(lambda: all(len(each.held) <= 5 for each in all_))
+        view = await agreed(all_, made.dot)
+        assert view.routes["r"].values["limit"] == 8 and not second.counts["dropped"]
+        again = begun(services[2])
+        await until(lambda: again.view is not None)
+        assert at(again).hash == view.hash
+        again.close()
+
+
+SIDES = (Choice(Dot("a", 1, 1), "pay", 5), Choice(Dot("b", 1, 1), "pay", 7))
+
+
+def conflict(kind: Any, *routes: str, field: str = "limit", sides: tuple[Choice, ...] = SIDES) -> Conflict:
+    return Conflict("c0", kind, "held", routes, field, ("pay",), sides, "why")
+
+
+def plan(**routes: dict[str, Any]) -> View:
+    made = {name: RouteView(name, "pay", values, {}) for name, values in routes.items()}
+    return View("0" * 32, made, {}, (), (), (), Context())
+
+
+@pytest.mark.parametrize(
+    ("found", "how", "edits"),
+    [
+        (conflict("field", "r"), How("take", 2), [Edit("r", "limit", 7)]),
+        (conflict("field", "r"), How("value", value="9"), [Edit("r", "limit", 9)]),
+        (conflict("delete", "r", field=DELETED), How("keep"), [Edit("r", DELETED, False)]),
+        (conflict("delete", "r", field=DELETED), How("delete"), [Edit("r", DELETED, True)]),
+        (conflict("overlap", "a", "b", field=""), How("take", 1), [Edit("a", "before", ["b", "c"])]),
+        (conflict("overlap", "a", "b", field=""), How("take", 2), [Edit("b", "before", ["a"])]),
+        (conflict("unknown", "r", field="zones"), How("value", value='["x"]'), [Edit("r", "zones", ["x"])]),
+        (conflict("field", "r"), How("take", 3), "take is 1 to 2"),
+        (conflict("field", "r"), How("value", value="]"), "not TOML"),
+        (conflict("field", "r"), How("value", value="0"), "a whole number from 1"),
+        (conflict("field", "r"), How("keep"), "keep is for a delete conflict"),
+        (conflict("overlap", "a", "b", field=""), How("delete"), "delete is for a conflict of one route"),
+        (conflict("room", "a", "b", field="limit:m"), How("value", value="1"), "has no one value"),
+        (conflict("cycle", "a", "b", field="before"), How("take", 1), "has no sides"),
+    ],
+)  # fmt: skip
+def test_a_word_on_a_conflict_is_an_edit_or_a_line(found: Conflict, how: How, edits: Any) -> None:
+    view = plan(a={"before": ["c"]}, b={})
+    if isinstance(edits, str):
+        with pytest.raises(ValueError, match=edits):
+            edits_of(found, how, view)
+    else:
+        assert edits_of(found, how, view) == tuple(edits)
+
+
+def test_a_change_s_name_is_read_as_it_is_shown() -> None:
+    dot = Dot("a/b", 0xFEED, 12)
+    assert dot_of(key_of(dot)) == dot
+    for text in ("", "a", "a/1", "a/x/y/z", "/1/1", "a/0/1", "a/1/0", "a/1/-1"):
+        with pytest.raises(ValueError, match="names no change"):
+            dot_of(text)
+
+
+def test_a_file_that_leaves_a_class_without_hosts_is_told_from_one_that_does_not() -> None:
+    rows = [{"type": "m", "group": 1}, {"type": "m", "group": 2, "labels": ["new"]}]
+
+    def why(view: View | None = None, **values: Any) -> str:
+        return stranded(view, [Edit("r", name, value) for name, value in values.items()], rows)
+
+    nowhere = [{"groups": ["9"], "share": 100}]
+    assert "transfer would be without hosts" in why(classes=["transfer"], targets=nowhere)
+    assert "every class" in why(plan(r={"targets": nowhere}), limit=3)
+    assert not stranded(None, [Edit("r", "targets", nowhere)], [])  # no list: nothing is known
+    for fine in (
+        {"targets": nowhere, "path": "/x"}, {"targets": nowhere, "callers": ["acme"]},
+        {"targets": [{"groups": ["9"], "share": 5}]}, {"targets": [{"labels": ["new"], "share": 100}]},
+        {"limit": 3}, {"targets": nowhere, DELETED: True},
+    ):  # fmt: skip
+        assert not why(**fine)
+
+
+def test_who_tells_and_how_much() -> None:
+    ids = [f"{n:016x}" for n in range(300)]
+    live = frozenset({"a", "b", "c"})
+    tellers = [teller(id, live) for id in ids]
+    assert {name: tellers.count(name) for name in live}.keys() == live and min(map(tellers.count, live)) > 50
+    assert all(teller(id, live - {"c"}) == told for id, told in zip(ids, tellers, strict=True) if told != "c")
+    many = [Conflict(id, "field", "held", ("r",), "f", ("t",), (), "w") for id in ids]
+    telling = Telling("a")
+    assert not list(telling.take(many[:1], live))  # the first view: told in a life before
+    lines = list(telling.take(many, live))
+    assert len(lines) == LINES_MAX + 1 and lines[-1].name == "routes.untold"
+    own = Conflict("x", "absent", "warning", ("r",), "f", ("t",), (), "w", local=True)
+    assert {line.name for line in telling.take([*many, own], live)} == {"routes.conflict"}
+
+
+def test_the_world_is_of_the_settings_the_list_and_what_is_published() -> None:
+    raw = configuration()
+    config = parse(raw)
+    rows: list[dict[str, Any]] = [{"group": 3, "labels": ["new", "big"]}, {"group": "x"}, {}]
+    world = world_of(config.names, {"m": 9}, rows, {"t": frozenset({"x-a"})})
+    assert world == World(
+        classes=frozenset({"search", "hold", "transfer"}),
+        callers=frozenset({"acme", "zeta"}),
+        zones=frozenset({"a", "b"}),
+        types=frozenset({"m"}),
+        transforms={"t": frozenset({"x-a"})},
+        room={"m": 9},
+        groups=frozenset({"3", "x", "0"}),
+        labels=frozenset({"new", "big"}),
+    )
+    nothing = world_of(config.names, {}, [], None)
+    assert [nothing.groups, nothing.labels, nothing.transforms] == [None, None, None]
