--- a/cloverkeel/fleet/routes/command.py
+++ b/cloverkeel/fleet/routes/command.py
@@ -141,8 +141,9 @@
     if not {"hash", "member", "count", "routes", "conflicts", "waiting", "held_back"} <= answer.keys():
         raise CommandError("the answer is no plan of routes")
     found = [
-        f"plan {answer['hash']} as {answer['member']} has it: {answer['count']} routes, "
-        f"{len(answer['conflicts'])} conflicts, {len(answer['waiting'])} edits wait"
+        f"plan {answer['hash']} as {answer['member']} has it: routes {answer['count']}, "
+        f"conflicts {len(answer['conflicts'])}, edits that wait {len(answer['waiting'])}, "
+        f"changes held back {len(answer['held_back'])}"
     ]
     for each in answer["conflicts"]:
         found += conflict_lines(each)
--- a/cloverkeel/fleet/routes/part.py
+++ b/cloverkeel/fleet/routes/part.py
@@ -156,7 +156,7 @@
             if found is None:
                 raise ValueError(f"no edit of {route:.140} by {key_of(dot):.160} waits")
             if team not in found.owner.split(", "):
-                raise ValueError(f"{route:.140} is {found.owner}'s: {team:.140} cannot accept for it")
+                raise ValueError(f"{route:.140} is owned by {found.owner}: {team:.140} cannot accept for it")
             return (team, (), (Accept(route, dot),), view.context), None
 
         return await self._commit(query, make)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -22,8 +22,11 @@
             await asyncio.Event().wait()
         return Answer(200, query + b" %d" % len(body))
 
+    async def tell(query: bytes) -> Answer:
+        return await take(query, b"")
+
     calls = {b"/api/ready": lambda: Answer(status, b"so\n")}
-    made = Operator(("127.0.0.1", 0), calls, {b"/api/take": take})
+    made = Operator(("127.0.0.1", 0), calls, {b"/api/take": take}, {b"/api/tell": tell})
     await made.start()
     assert made.listener is not None
     try:
@@ -93,6 +96,19 @@
         assert (await call(port, READY.replace(b"ready", b"take"))).status == 405
 
 
+@on_loop
+async def test_a_call_that_sees_its_query_is_got_alone() -> None:
+    async with operators() as (_, port):
+        got = READY.replace(b"ready", b"tell?x=y")
+        assert (await call(port, got)).body == b"x=y 0"
+        head = Client(*await asyncio.open_connection("127.0.0.1", port))
+        head.send(got.replace(b"GET", b"HEAD"))
+        answer = await head.reader.read()
+        assert b" 200 " in answer and answer.endswith(b"\r\n\r\n")
+        head.close()
+        assert (await call(port, got.replace(b"GET", b"DELETE"))).status == 405
+
+
 @on_loop
 async def test_a_body_s_call_that_is_never_done_ends_with_504(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(front, "POST_S", 0.05)
--- a/tests/test_routes_process.py
+++ b/tests/test_routes_process.py
@@ -87,7 +87,7 @@
             assert route["values"]["path"] == "/eu" and route["decided"]["path"]["team"] == "pay"
             client = await connect(clients[1])
             for _ in range(20):
-                call = request("search").replace(b" / ", b" /eu/x ", 1)
+                call = request("search").replace(b"GET /search/", b"GET /eu/", 1)
                 assert (await client.ask(call)).status == 200
             client.close()
             assert (len(old.seen), len(canary.seen)) == (0, 20)
