--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -68,10 +68,10 @@
         self.routes: RoutesPart | None = None
         if config.routes is not None and self.ledger is not None:
             from cloverkeel.fleet.routes.part import RoutesPart
+            from cloverkeel.fleet.routes.serving import Serving
 
-            self.routes = RoutesPart(
-                config.routes, gateway, self.ledger, self.transforms, lambda view: None
-            )
+            serving = gateway.routes = Serving(gateway)
+            self.routes = RoutesPart(config.routes, gateway, self.ledger, self.transforms, serving.take)
 
     async def start(self) -> None:
         """Raises OSError where `cluster.bind` cannot be had."""
