--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -1,5 +1,5 @@
 """The command line beside the gateway itself: `python -m cloverkeel state check|show DIR`, `members`,
-`transforms check|publish|status|rollback`, `duties [release NAME]`.
+`transforms check|publish|status|rollback`, `routes apply|show|resolve|accept`, `duties [release NAME]`.
 
 `python -m cloverkeel` with no arguments is the gateway, as the deploy file starts it.
 """
@@ -16,6 +16,7 @@
 
 from cloverkeel.fleet import state
 from cloverkeel.fleet.duties import command as duties
+from cloverkeel.fleet.routes import command as routes
 from cloverkeel.transforms import commands as transforms
 
 
@@ -34,6 +35,7 @@
     members.add_argument("--json", action="store_true", help="its answer as one JSON object")
     transforms.register(parts)
     duties.register(parts)
+    routes.register(parts)
     return top
 
 
@@ -43,7 +45,7 @@
         from cloverkeel.fleet.membership import command
 
         return command.run(arguments.operator, arguments.json)
-    if arguments.part in ("transforms", "duties"):
+    if arguments.part in ("transforms", "routes", "duties"):
         code: int = arguments.run(arguments)
         return code
     path = os.path.join(arguments.directory, state.FILE)
