Duties: in the gateway, over an upgrade, a SIGHUP and a quorum; GET /api/duties and release

Need: the part had no place in a process. Real processes: an upgrade hands the duty over at SIGTERM under a higher token, three gateways found a log and one that is killed is followed by another; one line for each bad key.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from cloverkeel.fleet.duties.part import DutiesPart
     from cloverkeel.fleet.start import FleetParts
     from cloverkeel.fleet.state import Keeper
     from cloverkeel.gateway import Gateway
@@ -95,9 +96,21 @@
             fleet = FleetParts(config, config.cluster, gateway, keeper, inherited is not None)
             server.others = fleet.descriptors
 
+        duties: DutiesPart | None = None
+        if config.duties is not None:
+            from cloverkeel.fleet.duties.part import DutiesPart
+
+            duties = DutiesPart(config.duties, config.name, config.state.directory)
+            server.on_reload = duties.reconfigured
+
         def figures() -> Answer:
-            more = (fleet.counters(), fleet.gauges()) if fleet is not None else ()
-            return Answer(200, gateway.figures(*more), (b"Content-Type", CONTENT_TYPE))
+            counters: dict[str, int] = {}
+            gauges: dict[str, int] = {}
+            for part in (fleet, duties):
+                if part is not None:
+                    counters |= part.counters()
+                    gauges |= part.gauges()
+            return Answer(200, gateway.figures(counters, gauges), (b"Content-Type", CONTENT_TYPE))
 
         calls = {
             b"/api/ready": lambda: Answer(200 if server.is_ready else 503),
@@ -107,6 +120,9 @@
         if fleet is not None:
             calls |= fleet.calls()
             posts, asks = fleet.posts(), fleet.asks()
+        if duties is not None:
+            calls[b"/api/duties"] = duties.status
+            posts[b"/api/duties/release"] = duties.release
         operator = Operator(config.operator, calls, posts, asks) if config.operator else None
         address = config.operator or config.listen
         try:
@@ -115,6 +131,8 @@
             if fleet is not None:
                 address = fleet.cluster.bind_address
                 await fleet.start()
+            if duties is not None:
+                duties.start(fleet.membership if fleet is not None else None)
             address = config.listen
             await server.start()
         except OSError as error:
@@ -128,8 +146,7 @@
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
-        if fleet is not None:
-            leaving = loop.create_task(fleet.leave())
+        leaving = [loop.create_task(part.leave()) for part in (duties, fleet) if part is not None]
         if keeper is not None:
             keeper.offer(gateway.snapshot())  # for a new process that starts beside this one
         final_write_s = FINAL_WRITE_S
@@ -144,8 +161,8 @@
         if keeper is not None:
             keeper.close(gateway.snapshot(), final_write_s)
         gateway.close()
+        await asyncio.gather(*leaving)
         if fleet is not None:
-            await leaving
             fleet.close()
         if operator is not None:
             operator.close()
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.cluster import ClusterSettings
+    from cloverkeel.fleet.duties.settings import DutySettings
     from cloverkeel.fleet.routes.settings import RoutesSettings
     from cloverkeel.transforms.settings import TransformSettings
 
@@ -66,6 +67,7 @@
     cluster: ClusterSettings | None = None  # None: this gateway is no member of any
     transforms: TransformSettings | None = None  # None: it changes no headers of its own accord
     routes: RoutesSettings | None = None  # None: what teams route is nothing to it
+    duties: DutySettings | None = None  # None: it holds none
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -152,6 +154,7 @@
     return replace(
         new, settings=settings, names=names, listen=old.listen, operator=old.operator, seed=old.seed,
         cluster=old.cluster, transforms=old.transforms, routes=old.routes,
+        duties=old.duties.renamed(new.duties) if old.duties is not None else None,
     )  # fmt: skip
 
 
@@ -235,6 +238,7 @@
             cluster=_cluster(raw),
             transforms=_transforms(raw),
             routes=_routes(raw),
+            duties=_duties(raw),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
@@ -274,6 +278,16 @@
     return parse_transforms(raw["transforms"])
 
 
+def _duties(raw: dict[str, Any]) -> DutySettings | None:
+    if "duties" not in raw:
+        return None
+    from cloverkeel.fleet.duties.settings import parse_duties  # nor one that holds none
+
+    cluster = _cluster(raw)
+    trusted = cluster.trusted_network if cluster is not None else None
+    return parse_duties(raw["duties"], str(raw.get("name", "")), trusted)
+
+
 def _routes(raw: dict[str, Any]) -> RoutesSettings | None:
     if "routes" not in raw:
         return None
--- a/cloverkeel/fleet/duties/part.py
+++ b/cloverkeel/fleet/duties/part.py
@@ -20,6 +20,7 @@
 from cloverkeel.operator import Answer
 
 if TYPE_CHECKING:
+    from cloverkeel.config import Config
     from cloverkeel.fleet.duties.local import LocalBackend
     from cloverkeel.fleet.duties.quorum import QuorumBackend
     from cloverkeel.fleet.membership.service import Membership
@@ -31,7 +32,7 @@
 
 
 class DutiesPart:
-    """`start` after the store and membership; `close` at the signal to end."""
+    """`start` after the store and membership; `leave` at the signal to end."""
 
     def __init__(self, settings: DutySettings, name: str, directory: str) -> None:
         events.setup()
@@ -53,9 +54,9 @@
         assert membership is not None, "settings.parse_duties sees to it"
         self.beginning = asyncio.get_running_loop().create_task(self._found(membership))
 
-    def reconfigured(self, settings: DutySettings | None) -> None:
+    def reconfigured(self, config: Config) -> None:
         """After a SIGHUP: which duties are named may change, the backend may not."""
-        self.wanted = settings.duties if settings is not None else ()
+        self.wanted = config.duties.duties if config.duties is not None else ()
         if self.service is not None:
             self.service.named(self.wanted)
 
@@ -98,7 +99,8 @@
         events.event("duties.voter", voter=self.name, founded=not has_journal)
         self._begin(backend)
 
-    async def close(self) -> None:
+    async def leave(self) -> None:
+        """Let go of all duties; the next process has them at once."""
         if self.beginning is not None:
             self.beginning.cancel()
         for chore in self.chores:
--- a/cloverkeel/fleet/duties/settings.py
+++ b/cloverkeel/fleet/duties/settings.py
@@ -27,6 +27,10 @@
     voters: dict[str, str] = {}
     password: str = ""
 
+    def renamed(self, new: DutySettings | None) -> DutySettings:
+        """After a SIGHUP: other duties may be named, the backend is that of the start."""
+        return msgspec.structs.replace(self, named=new.named if new is not None else ())
+
     @property
     def duties(self) -> tuple[Duty, ...]:
         return tuple(Duty(each.name, each.ttl_s) for each in self.named)
--- a/cloverkeel/fleet/needs.py
+++ b/cloverkeel/fleet/needs.py
@@ -1,4 +1,4 @@
-"""What parts that keep records in the shared ledger need of the configuration."""
+"""What parts that keep state need of the configuration."""
 
 from __future__ import annotations
 
@@ -24,6 +24,8 @@
     lacking = "a cluster" if config.cluster is None else "" if config.state.directory else "a state_dir"
     for key in sizes if lacking else ():
         return f"{key}: it needs {lacking} in the configuration"
+    if config.duties is not None and not config.state.directory:
+        return "duties: it needs a state_dir in the configuration"
     if len(set(sizes.values())) > 1:
         shown = " and ".join(f"{key}.size is {size}" for key, size in sizes.items())
         return f"{shown}: they have to be equal"
