--- a/tests/test_duties_local.py
+++ b/tests/test_duties_local.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import sqlite3
-import time
 from functools import partial
 from pathlib import Path
 
@@ -14,9 +13,8 @@
 from cloverkeel.fleet.duties.interface import Answer, Ask, Duty, Gone, Granted, Held, Unreachable, Verb
 from cloverkeel.fleet.duties.local import LocalBackend, table
 from cloverkeel.fleet.duties.shell import NotHeldError, Service
-from cloverkeel.fleet.kept import Figures
 from cloverkeel.fleet.state.file import FILE
-from cloverkeel.fleet.state.store import Store
+from faultlab.duties.site import begin
 from tests.sockets import on_loop
 
 DUTY = Duty("chore", ttl_s=2.0)
@@ -30,15 +28,6 @@
         return self.now_s
 
 
-def begin(directory: Path) -> None:
-    """A state file as a gateway's store begins it."""
-    lock = Store.take_lock(str(directory))
-    assert lock is not None
-    store, _ = Store.open(str(directory), lock, Figures(), time.time())
-    store.prepare()
-    store.close()
-
-
 def call(backend: LocalBackend, verb: Verb, token: int = 0) -> Answer:
     return backend.ask(Ask(DUTY, verb, 1, token))
 
