Rollouts: the conductor's core, the analysis, and the part of a gateway that serves a stage's share

The share goes into the module's Plan as the default route 0 and as a division of each route's targets, so that the module is unchanged. Core and analysis are pure; hypothesis over orders, conductors that follow one another, a ledger that refuses: no stage is skipped, an abort ends at no share.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -95,13 +95,17 @@
 
             fleet = FleetParts(config, config.cluster, gateway, keeper, inherited is not None)
             server.others = fleet.descriptors
+            if fleet.rollout is not None:
+                server.reloaded.append(fleet.rollout.follow)
 
         duties: DutiesPart | None = None
         if config.duties is not None:
             from cloverkeel.fleet.duties.part import DutiesPart
 
             duties = DutiesPart(config.duties, config.name, config.state.directory)
-            server.on_reload = duties.reconfigured
+            server.reloaded.append(duties.reconfigured)
+            if fleet is not None:
+                fleet.conduct_by(duties)
 
         def figures() -> Answer:
             counters: dict[str, int] = {}
--- a/cloverkeel/commands.py
+++ b/cloverkeel/commands.py
@@ -16,6 +16,7 @@
 
 from cloverkeel.fleet import state
 from cloverkeel.fleet.duties import command as duties
+from cloverkeel.fleet.rollout import command as rollout
 from cloverkeel.fleet.routes import command as routes
 from cloverkeel.transforms import commands as transforms
 
@@ -35,6 +36,7 @@
     members.add_argument("--json", action="store_true", help="its answer as one JSON object")
     transforms.register(parts)
     duties.register(parts)
+    rollout.register(parts)
     routes.register(parts)
     return top
 
@@ -45,7 +47,7 @@
         from cloverkeel.fleet.membership import command
 
         return command.run(arguments.operator, arguments.json)
-    if arguments.part in ("transforms", "routes", "duties"):
+    if arguments.part in ("transforms", "routes", "duties", "rollout"):
         code: int = arguments.run(arguments)
         return code
     path = os.path.join(arguments.directory, state.FILE)
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from cloverkeel.fleet.cluster import ClusterSettings
     from cloverkeel.fleet.duties.settings import DutySettings
+    from cloverkeel.fleet.rollout.settings import RolloutSettings
     from cloverkeel.fleet.routes.settings import RoutesSettings
     from cloverkeel.transforms.settings import TransformSettings
 
@@ -68,6 +69,7 @@
     transforms: TransformSettings | None = None  # None: it changes no headers of its own accord
     routes: RoutesSettings | None = None  # None: what teams route is nothing to it
     duties: DutySettings | None = None  # None: it holds none
+    rollout: RolloutSettings | None = None  # None: hosts have their share at once
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -154,7 +156,7 @@
     return replace(
         new, settings=settings, names=names, listen=old.listen, operator=old.operator, seed=old.seed,
         cluster=old.cluster, transforms=old.transforms, routes=old.routes,
-        duties=old.duties.renamed(new.duties) if old.duties is not None else None,
+        duties=old.duties.renamed(new.duties) if old.duties is not None else None, rollout=old.rollout,
     )  # fmt: skip
 
 
@@ -239,6 +241,7 @@
             transforms=_transforms(raw),
             routes=_routes(raw),
             duties=_duties(raw),
+            rollout=_rollout(raw),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
@@ -288,6 +291,14 @@
     return parse_duties(raw["duties"], str(raw.get("name", "")), trusted)
 
 
+def _rollout(raw: dict[str, Any]) -> RolloutSettings | None:
+    if "rollout" not in raw:
+        return None
+    from cloverkeel.fleet.rollout.settings import parse_rollout  # nor one that takes no part in rollouts
+
+    return parse_rollout(raw["rollout"])
+
+
 def _routes(raw: dict[str, Any]) -> RoutesSettings | None:
     if "routes" not in raw:
         return None
--- a/cloverkeel/fleet/duties/part.py
+++ b/cloverkeel/fleet/duties/part.py
@@ -7,6 +7,7 @@
 import os
 import secrets
 import sqlite3
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from cloverkeel.fleet import events
@@ -44,6 +45,7 @@
         self.backend: LocalBackend | QuorumBackend | None = None
         self.beginning: asyncio.Task[None] | None = None
         self.chores: list[Chore] = []
+        self.listeners: list[tuple[str, Callable[[int | None], None]]] = []  # until the service is there
 
     def start(self, membership: Membership | None) -> None:
         if self.settings.backend == "local":
@@ -54,6 +56,13 @@
         assert membership is not None, "settings.parse_duties sees to it"
         self.beginning = asyncio.get_running_loop().create_task(self._found(membership))
 
+    def listen(self, duty: str, listener: Callable[[int | None], None]) -> None:
+        """See `Service.listen`; also before there is one."""
+        if self.service is not None:
+            self.service.listen(duty, listener)
+        else:
+            self.listeners.append((duty, listener))
+
     def reconfigured(self, config: Config) -> None:
         """After a SIGHUP: which duties are named may change, the backend may not."""
         self.wanted = config.duties.duties if config.duties is not None else ()
@@ -64,6 +73,8 @@
         self.backend = backend
         self.service = Service(self.holder, backend)
         self.chores = [Chore(duty, self.service, self.directory, CHORES[duty]) for duty in CHORES]
+        for duty, listener in self.listeners:
+            self.service.listen(duty, listener)
         self.service.named(self.wanted)
 
     async def _found(self, membership: Membership) -> None:
--- a/cloverkeel/fleet/needs.py
+++ b/cloverkeel/fleet/needs.py
@@ -15,6 +15,8 @@
         sizes["transforms.fleet"] = config.transforms.fleet.size
     if config.routes is not None:
         sizes["routes"] = config.routes.size
+    if config.rollout is not None:
+        sizes["rollout"] = config.rollout.size
     return sizes
 
 
--- /dev/null
+++ b/cloverkeel/fleet/rollout/analysis.py
@@ -0,0 +1,107 @@
+"""Whether a new set of hosts is worse than the base: pure, over counts of one window."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Literal
+
+from cloverkeel.fleet.rollout.records import Rules
+
+BUCKETS = 96  # of good answers' latency: four to each doubling, from 1 ms
+CHANCE_Z = 2.326  # one-sided, 1 %
+PERCENTILE = 0.95
+
+
+def bucket_of(latency_us: int) -> int:
+    return min(BUCKETS - 1, max(0, int(4 * math.log2(max(1, latency_us) / 1000) + 1)))
+
+
+def bucket_ms(bucket: int) -> float:
+    """The longest latency in a bucket."""
+    return float(2 ** (bucket / 4))
+
+
+@dataclass(slots=True)
+class Counts:
+    """Attempts at one set of hosts: all that ended, failed, turned away; and good answers by latency."""
+
+    ended: int = 0
+    failed: int = 0
+    refused: int = 0
+    latency: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+
+    def plus(self, other: Counts, sign: int = 1) -> Counts:
+        latency = [mine + sign * theirs for mine, theirs in zip(self.latency, other.latency, strict=True)]
+        return Counts(
+            self.ended + sign * other.ended,
+            self.failed + sign * other.failed,
+            self.refused + sign * other.refused,
+            latency,
+        )
+
+    def flat(self) -> list[int]:
+        """For a message; see `counts_of`."""
+        return [self.ended, self.failed, self.refused, *self.latency]
+
+    def p95_ms(self) -> float:
+        """Of good answers, by bucket; 0 without any."""
+        wanted, seen = PERCENTILE * sum(self.latency), 0
+        for bucket, number in enumerate(self.latency):
+            seen += number
+            if number and seen >= wanted:
+                return bucket_ms(bucket)
+        return 0.0
+
+
+def counts_of(flat: Sequence[int]) -> Counts:
+    """Raises ValueError for what `flat` did not make."""
+    if len(flat) != BUCKETS + 3 or not all(isinstance(n, int) and n >= 0 for n in flat):
+        raise ValueError("no counts")
+    return Counts(flat[0], flat[1], flat[2], list(flat[3:]))
+
+
+def total(counts: Iterable[Counts]) -> Counts:
+    found = Counts()
+    for each in counts:
+        found = found.plus(each)
+    return found
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """`why`: the figures that decided it, in one line."""
+
+    outcome: Literal["pass", "fail", "thin"]
+    why: str
+
+
+def judge(new: Counts, base: Counts, rules: Rules, alone: bool = False) -> Verdict:
+    """`alone`: the new set gets all, so that there may be no base; it is then judged by itself."""
+    shown = (
+        f"new {new.failed} failed and {new.refused} refused of {new.ended}, p95 {new.p95_ms():.0f} ms; "
+        f"base {base.failed} and {base.refused} of {base.ended}, p95 {base.p95_ms():.0f} ms"
+    )
+    if new.ended < rules.least:
+        return Verdict("thin", shown)
+    for what, bad, its in (("failed", new.failed, base.failed), ("refused", new.refused, base.refused)):
+        if base.ended and _worse(bad, new.ended, its, base.ended, rules.failed_points):
+            return Verdict("fail", f"more {what}: {shown}")
+    if base.ended < rules.least:
+        if not alone:
+            return Verdict("thin", shown)
+        bad = (new.failed + new.refused) / new.ended > rules.failed_points
+        return Verdict("fail" if bad else "pass", f"no base: {shown}")
+    enough = min(sum(new.latency), sum(base.latency)) >= rules.least
+    if enough and new.p95_ms() > rules.latency_ratio * base.p95_ms():
+        return Verdict("fail", f"slower: {shown}")
+    return Verdict("pass", shown)
+
+
+def _worse(bad: int, of: int, its: int, its_of: int, points: float) -> bool:
+    """Whether a share is above another by more than `points` and by more than chance."""
+    mine, theirs = bad / of, its / its_of
+    pooled = (bad + its) / (of + its_of)
+    spread = math.sqrt(pooled * (1 - pooled) * (1 / of + 1 / its_of))
+    return mine - theirs > points and (mine - theirs) > CHANCE_Z * spread
--- /dev/null
+++ b/cloverkeel/fleet/rollout/conducting.py
@@ -0,0 +1,132 @@
+"""The conductor in the gateway that holds the duty: the core joined to members' answers and to the ledger."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cloverkeel.fleet.duties.shell import NotHeldError
+from cloverkeel.fleet.duties.shell import Service as Duties
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.ledger.interface import Acknowledged, Level
+from cloverkeel.fleet.ledger.shell import Answer, WriteRefused
+from cloverkeel.fleet.membership.calls import CallFailed
+from cloverkeel.fleet.rollout.analysis import counts_of
+from cloverkeel.fleet.rollout.core import (
+    Conductor,
+    Event,
+    Live,
+    Note,
+    Ordered,
+    Reported,
+    Tick,
+    Write,
+    WriteFailed,
+    Written,
+)
+from cloverkeel.fleet.rollout.records import PROGRESS, PROGRESS_KEY, Order, Progress, encode
+from cloverkeel.fleet.rollout.settings import DUTY
+
+if TYPE_CHECKING:
+    from cloverkeel.fleet.membership.service import Membership
+    from cloverkeel.fleet.rollout.part import RolloutPart
+
+TICK_S = 0.1
+ASK_S = 0.5  # between two questions to a member
+WRITE_S = 5.0  # for a step to be held by a quorum
+
+
+class Conducting:
+    """From the duty's begin to its end, under its `token`."""
+
+    def __init__(self, token: int, part: RolloutPart, duties: Duties, membership: Membership) -> None:
+        self.token, self.part, self.duties, self.membership = token, part, duties, membership
+        self.core = Conductor(token, part.progress)
+        self.loop = asyncio.get_running_loop()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.asked: set[str] = set()  # members that have not answered yet
+        self.ticker = self.loop.call_soon(self._tick)
+        self.asker = self.loop.call_soon(self._ask_all)
+        self.closed = False
+
+    def ordered(self, orders: tuple[Order, ...]) -> None:
+        self._give(Ordered(orders))
+
+    def verdict(self) -> dict[str, str]:
+        return {"outcome": self.core.verdict.outcome, "why": self.core.verdict.why}
+
+    def close(self) -> None:
+        self.closed = True
+        self.ticker.cancel()
+        self.asker.cancel()
+        for task in self.tasks:
+            task.cancel()
+
+    def _give(self, what: Event) -> None:
+        if self.closed:
+            return
+        for action in self.core.handle(self.loop.time(), what):
+            match action:
+                case Write(progress):
+                    self._spawn(self._write(progress))
+                case Note(name, fields):
+                    event(name, **dict(fields))
+
+    def _spawn(self, work: asyncio._CoroutineLike[None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _tick(self) -> None:
+        self.ticker = self.loop.call_later(TICK_S, self._tick)
+        self._give(Tick())
+
+    async def _write(self, progress: Progress) -> None:
+        try:
+            answer = await self.duties.act(DUTY, lambda token: self._begin_write(token, progress))
+        except (NotHeldError, WriteRefused) as error:
+            self._give(WriteFailed(progress.place, str(error)))
+            return
+        if isinstance(answer, Acknowledged):
+            self._give(Written(progress.place))
+        else:  # kept, and it may yet count: the next try stands above it
+            self._give(WriteFailed(progress.place, answer.reason))
+
+    def _begin_write(self, token: int, progress: Progress) -> asyncio.Task[Answer]:
+        """Under the duty's token, over what the ledger shows now: nothing newer may be there, or this process
+        has been outrun. Raises NotHeldError."""
+        if token != progress.token or self.part.progress.place >= progress.place:
+            raise NotHeldError("another conductor's step is newer")
+        ledger = self.part.ledger
+        assert ledger is not None
+        _, context = ledger.read(PROGRESS, PROGRESS_KEY)
+        write = ledger.write(PROGRESS, PROGRESS_KEY, encode(progress), context, Level.QUORUM, WRITE_S)
+        return self.loop.create_task(write)
+
+    # Members
+
+    def _ask_all(self) -> None:
+        self.asker = self.loop.call_later(ASK_S, self._ask_all)
+        live = {rumour.name: rumour.address for rumour in self.membership.live()}
+        self._give(Live(tuple(sorted(live))))
+        for member, address in live.items():
+            if member not in self.asked:
+                self.asked.add(member)
+                self._spawn(self._ask(member, address))
+
+    async def _ask(self, member: str, address: str) -> None:
+        from cloverkeel.fleet.rollout.part import KIND
+
+        try:
+            if member == self.membership.name:
+                answer = self.part.report()
+            else:
+                answer = await self.membership.calls.call(address, KIND, None, ASK_S * 2)
+            life, place, new, base = answer
+            token, step = place
+            reported = Reported(member, int(life), (int(token), int(step)), counts_of(new), counts_of(base))
+        except (CallFailed, TypeError, ValueError):
+            return  # it is asked again
+        finally:
+            self.asked.discard(member)
+        self._give(reported)
--- /dev/null
+++ b/cloverkeel/fleet/rollout/part.py
@@ -0,0 +1,237 @@
+"""Rollouts beside one gateway: it serves the share that the progress says, tells its counts, and conducts
+while its process holds the duty."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from caperdrift.plan import Hosts, Target
+
+from cloverkeel.fleet.answers import JSON, NOT_YET, WAIT_S, level, one, refused
+from cloverkeel.fleet.events import event
+from cloverkeel.fleet.ledger.interface import Acknowledged, Expose
+from cloverkeel.fleet.ledger.shell import Service, WriteRefused
+from cloverkeel.fleet.rollout.conducting import Conducting
+from cloverkeel.fleet.rollout.counting import Counting
+from cloverkeel.fleet.rollout.records import (
+    ORDER,
+    PROGRESS,
+    PROGRESS_KEY,
+    Order,
+    Progress,
+    Selector,
+    Spec,
+    decode,
+    encode,
+    newest,
+)
+from cloverkeel.fleet.rollout.settings import DUTY
+from cloverkeel.fleet.routes.serving import Serving, compile_hosts
+from cloverkeel.operator import Answer
+
+if TYPE_CHECKING:
+    from cloverkeel.config import Config
+    from cloverkeel.fleet.duties.part import DutiesPart
+    from cloverkeel.fleet.ledger.part import LedgerPart
+    from cloverkeel.fleet.membership.service import Membership
+    from cloverkeel.gateway import Gateway
+
+KIND = "rollout.counts"
+TAKEN_S = 8.0  # for the conductor to say what becomes of an order
+VERBS = ("start", "pause", "resume", "abort", "undo")
+
+
+class RolloutPart:
+    """`start` after membership, `conduct_by` once the duties are there; `close` before the ledger closes."""
+
+    def __init__(self, gateway: Gateway, ledger: LedgerPart, serving: Serving) -> None:
+        self.gateway, self.part, self.serving = gateway, ledger, serving
+        self.counting = Counting(gateway)
+        self.ledger: Service | None = None
+        self.progress = Progress()
+        self.changed = asyncio.Event()  # set at each new progress, for who waits
+        self.conducting: Conducting | None = None
+        self.duties: DutiesPart | None = None
+        self.membership: Membership | None = None
+        self.beginning: asyncio.Task[None] | None = None
+
+    def start(self, membership: Membership) -> None:
+        self.membership = membership
+        self.beginning = asyncio.get_running_loop().create_task(self._begin(membership))
+
+    def conduct_by(self, duties: DutiesPart) -> None:
+        self.duties = duties
+        duties.listen(DUTY, self._duty_changed)
+
+    async def _begin(self, membership: Membership) -> None:
+        self.ledger = await self.part.ready()
+        self.ledger.on_expose(self._exposed)
+        membership.calls.serve(KIND, lambda _member, _body: self.report())
+        self._read()
+        self._duty_changed(self._token())
+
+    def _token(self) -> int | None:
+        service = self.duties.service if self.duties is not None else None
+        return service.token(DUTY) if service is not None else None
+
+    # What this gateway serves
+
+    def _exposed(self, exposed: Expose) -> None:
+        if exposed.kind == PROGRESS:
+            self._read()
+        elif exposed.kind == ORDER and self.conducting is not None:
+            self.conducting.ordered(self.orders())
+
+    def _read(self) -> None:
+        assert self.ledger is not None
+        records, _ = self.ledger.read(PROGRESS, PROGRESS_KEY)
+        found = newest(tuple(payload for _, payload in records if payload is not None))
+        if found is None or found.place <= self.progress.place:
+            return
+        before, self.progress = self.progress, found
+        over = self.over()
+        if over != self.serving.over:
+            self.serving.divide(over)
+        self.counting.compare(self.sets() if found.spec is not None else None)
+        if (found.state, found.stage) != (before.state, before.stage):
+            event("rollout.serves", state=found.state, stage=found.stage, share=found.share, step=found.step)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def follow(self, _config: Config) -> None:
+        """After a SIGHUP: names may have other numbers."""
+        if self.progress.spec is not None:
+            self.serving.divide(self.over())
+            self.counting.compare(self.sets())
+
+    def sets(self) -> tuple[Hosts, Hosts]:
+        """The new set's hosts and the base's, as the module knows them."""
+        spec, base = self.progress.spec, self.progress.base
+        assert spec is not None
+        new = self._hosts(spec.hosts)
+        old = self._hosts(base) if base is not None else Hosts()
+        return new, Hosts(old.kinds, old.groups, old.zones, old.labels, (*old.none_of, new))
+
+    def _hosts(self, selector: Selector) -> Hosts:
+        return compile_hosts(selector.target(), self.gateway.names)
+
+    def over(self) -> tuple[Target, ...]:
+        """How all requests are divided; empty: no rollout has ever been."""
+        if self.progress.spec is None:
+            return ()
+        new, base = self.sets()
+        share = self.progress.share / 100
+        return tuple(t for t in (Target(new, share), Target(base, 1 - share)) if t.share > 0)
+
+    def report(self) -> list[Any]:
+        """For the conductor: life, place of the progress served, counts of the new set and of the base."""
+        new, base = self.counting.counts
+        return [self.counting.life, self.progress.place, new.flat(), base.flat()]
+
+    # Conducting
+
+    def _duty_changed(self, token: int | None) -> None:
+        if self.conducting is not None:
+            self.conducting.close()
+            self.conducting = None
+        if token is None or self.ledger is None or self.membership is None or self.duties is None:
+            return
+        service = self.duties.service
+        assert service is not None
+        self.conducting = Conducting(token, self, service, self.membership)
+        self.conducting.ordered(self.orders())
+
+    def orders(self) -> tuple[Order, ...]:
+        assert self.ledger is not None
+        found = []
+        for key in self.ledger.keys(ORDER):
+            records, _ = self.ledger.read(ORDER, key)
+            for _, payload in records:
+                try:
+                    found += [decode(payload, Order)] if payload is not None else []
+                except ValueError as error:
+                    event("rollout.malformed", key=key, reason=str(error))
+        return tuple(found)
+
+    def close(self) -> None:
+        if self.beginning is not None:
+            self.beginning.cancel()
+        if self.conducting is not None:
+            self.conducting.close()
+
+    def gauges(self) -> dict[str, int]:
+        return {
+            "rollout_conducts": int(self.conducting is not None),
+            "rollout_stage": self.progress.stage,
+            "rollout_share_percent": round(self.progress.share),
+        }
+
+    # Operators' calls
+
+    def status(self) -> Answer:
+        if self.ledger is None:
+            return NOT_YET
+        progress = self.progress
+        new, base = self.counting.counts
+        body = {
+            "state": progress.state, "stage": progress.stage, "share": progress.share, "why": progress.why,
+            "token": progress.token, "step": progress.step,
+            "spec": msgspec.to_builtins(progress.spec), "base": msgspec.to_builtins(progress.base),
+            "outcomes": dict(progress.outcomes), "conducts_here": self.conducting is not None,
+            "here": {"new": new.flat()[:3], "base": base.flat()[:3]},
+        }  # fmt: skip
+        if self.conducting is not None:
+            body["verdict"] = self.conducting.verdict()
+        return Answer(200, json.dumps(body).encode(), JSON)
+
+    async def order(self, query: bytes, body: bytes) -> Answer:
+        """`verb`, `name` and `wait` in the query; the spec of a start, as JSON, in the body."""
+        if self.ledger is None:
+            return NOT_YET
+        try:
+            verb, wait = one(query, "verb"), level(query)
+            if verb not in VERBS:
+                raise ValueError(f"verb is one of {', '.join(VERBS)}, not {verb[:20]!r}")
+            spec = _spec(body) if verb == "start" else None
+            name = spec.name if spec is not None else one(query, "name")
+            number = max([self.progress.seen[0], *(order.number for order in self.orders())]) + 1
+            order = Order(secrets.token_hex(16), number, verb, name, spec)  # type: ignore[arg-type]
+            payload = encode(order)
+            _, context = self.ledger.read(ORDER, order.id)
+            answer = await self.ledger.write(ORDER, order.id, payload, context, wait, WAIT_S)
+        except ValueError as error:
+            return refused(400, error)
+        except WriteRefused as error:
+            return refused(503, error)
+        if not isinstance(answer, Acknowledged):
+            return Answer(
+                202, json.dumps({"id": order.id, "outcome": "", "reason": answer.reason}).encode(), JSON
+            )
+        outcome = await self._outcome(order.id)
+        reason = "" if outcome else "no conductor has taken it yet: it is kept"
+        status = 200 if outcome == "taken" else 409 if outcome else 202
+        return Answer(
+            status, json.dumps({"id": order.id, "outcome": outcome, "reason": reason}).encode(), JSON
+        )
+
+    async def _outcome(self, id: str) -> str:
+        try:
+            async with asyncio.timeout(TAKEN_S):
+                while id not in (outcomes := dict(self.progress.outcomes)):
+                    await self.changed.wait()
+        except TimeoutError:
+            return ""
+        return outcomes[id]
+
+
+def _spec(body: bytes) -> Spec:
+    """Raises ValueError."""
+    try:
+        return msgspec.json.decode(body, type=Spec)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ValueError(f"the rollout: {error}") from None
--- /dev/null
+++ b/cloverkeel/fleet/rollout/settings.py
@@ -0,0 +1,27 @@
+"""The configuration's `rollout` object."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from cloverkeel.config import ConfigError
+
+DUTY = "rollout-conductor"
+
+
+class RolloutSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`size`: gateways that the fleet is made of, for the ledger's quorum."""
+
+    size: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+
+
+def parse_rollout(raw: object) -> RolloutSettings:
+    """Raises ConfigError: one line that names the key."""
+    if not isinstance(raw, dict):
+        raise ConfigError("rollout is no object: leave the key out for none")
+    try:
+        return msgspec.convert(raw, RolloutSettings)
+    except msgspec.ValidationError as error:
+        raise ConfigError("rollout: " + str(error).replace("`$.", "`")) from None
--- a/cloverkeel/fleet/routes/serving.py
+++ b/cloverkeel/fleet/routes/serving.py
@@ -9,6 +9,7 @@
 from caperdrift.plan import Hosts, Plan, Route, Target
 
 from cloverkeel.config import Names
+from cloverkeel.fleet.routes.dividing import divided
 from cloverkeel.entries import group_numbers, label_number, number_of
 from cloverkeel.fleet.routes.fields import PER_CENT, share_of
 from cloverkeel.fleet.routes.index import Index, Matched
@@ -20,6 +21,7 @@
 WHOLE = 100 * PER_CENT
 AT_ONCE = 32  # routes that are compiled in one turn: a millisecond's work; more are built aside, in slices
 SLICE_S = 0.001
+NO_ROUTE = 0  # the number that requests without a route name
 
 
 def compile_hosts(target: dict[str, Any], names: Names) -> Hosts:
@@ -60,6 +62,7 @@
         self.next: View | None = None  # to be in service once what is being built is
         self.touched: frozenset[str] | None = frozenset()  # by views since the one that is being built
         self.building: Iterator[None] | None = None
+        self.over: tuple[Target, ...] = ()  # what divides all requests, whatever their route
         self._configure()
         self.index = Index(self.zone, self.numbers)
 
@@ -93,6 +96,14 @@
         elif newest is not None:
             self.next, self.touched = newest, None
 
+    def divide(self, over: tuple[Target, ...]) -> None:
+        """Split the requests of each route, and those of none, over these; empty: no longer."""
+        self.over = over
+        if self.next is not None or self.view is not None or self.building is not None:
+            self.follow()
+        else:
+            self._post({})
+
     # A few routes: in place
 
     def _apply(self, view: View, touched: frozenset[str]) -> None:
@@ -113,12 +124,19 @@
             self.numbers[route.name] = self.last_number
         index.put(route)
         if route.name in index:
-            plan[self.numbers[route.name]] = compile_route(route, self.names)
+            plan[self.numbers[route.name]] = divided(compile_route(route, self.names), self.over)
         else:
             plan.pop(self.numbers[route.name], None)  # of other zones
 
     def _serve(self, view: View, index: Index, plan: dict[int, Route]) -> None:
-        self.view, self.index, self.plan = view, index, plan
+        self.view, self.index = view, index
+        self._post(plan)
+
+    def _post(self, plan: dict[int, Route]) -> None:
+        plan.pop(NO_ROUTE, None)
+        if self.over:
+            plan[NO_ROUTE] = Route(self.over)
+        self.plan = plan
         event = Plan(plan)
         self.gateway.post(lambda: event)
 
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -27,6 +27,8 @@
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.ledger.part import LedgerPart
+    from cloverkeel.fleet.duties.part import DutiesPart
+    from cloverkeel.fleet.rollout.part import RolloutPart
     from cloverkeel.fleet.routes.part import RoutesPart
     from cloverkeel.fleet.state import Keeper
     from cloverkeel.gateway import Gateway
@@ -72,6 +74,17 @@
 
             serving = gateway.routes = Serving(gateway)
             self.routes = RoutesPart(config.routes, gateway, self.ledger, self.transforms, serving.take)
+        self.rollout: RolloutPart | None = None
+        if config.rollout is not None and self.ledger is not None:
+            from cloverkeel.fleet.rollout.part import RolloutPart
+            from cloverkeel.fleet.routes.serving import Serving
+
+            self.rollout = RolloutPart(gateway, self.ledger, gateway.routes or Serving(gateway))
+
+    def conduct_by(self, duties: DutiesPart) -> None:
+        """The duties under which this gateway may conduct a rollout."""
+        if self.rollout is not None:
+            self.rollout.conduct_by(duties)
 
     async def start(self) -> None:
         """Raises OSError where `cluster.bind` cannot be had."""
@@ -86,6 +99,8 @@
             await self.transforms.start(self.take_over)
         if self.routes is not None:
             await self.routes.start(self.take_over)
+        if self.rollout is not None:
+            self.rollout.start(self.membership)
         gateway = self.gateway
         self.sharers = Sharers(self.membership, gateway)
         if self.cluster.lists:
@@ -153,6 +168,8 @@
         calls: Calls = {b"/api/members": self.answer}
         if self.transforms is not None:
             calls[b"/api/transforms"] = self.transforms.status
+        if self.rollout is not None:
+            calls[b"/api/rollout"] = self.rollout.status
         return calls
 
     def posts(self) -> dict[bytes, Post]:
@@ -160,6 +177,8 @@
         if self.transforms is not None:
             posts[b"/api/transforms/publish"] = self.transforms.publish
             posts[b"/api/transforms/rollback"] = self.transforms.rollback
+        if self.rollout is not None:
+            posts[b"/api/rollout/order"] = self.rollout.order
         if self.routes is not None:
             posts[b"/api/routes/apply"] = self.routes.apply
             posts[b"/api/routes/resolve"] = self.routes.resolve
@@ -212,6 +231,8 @@
             figures |= self.transforms.gauges()
         if self.routes is not None:
             figures |= self.routes.gauges()
+        if self.rollout is not None:
+            figures |= self.rollout.gauges()
         return figures
 
     def descriptors(self) -> int:
@@ -219,6 +240,8 @@
         return self.membership.descriptors() if self.membership is not None else 0
 
     async def leave(self) -> None:
+        if self.rollout is not None:
+            self.rollout.close()
         if self.routes is not None:
             self.routes.close()
         if self.transforms is not None:
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -36,7 +36,7 @@
         self.inherited = inherited  # others accept from it too
         self.accepting = False
         self.others: Callable[[], int] = int  # descriptors of the process's other parts
-        self.on_reload: Callable[[Config], None] = lambda config: None
+        self.reloaded: list[Callable[[Config], None]] = []  # who else goes by a new configuration
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
         asyncio.get_running_loop().call_later(REPORT_S, self.report)
         gateway.pools.room = self.make_room
@@ -127,7 +127,8 @@
             log("cluster stays as it was at the start: for another, upgrade or start again")
         self.config = follow(self.config, config)
         self.gateway.reconfigure(self.config)
-        self.on_reload(self.config)
+        for listener in self.reloaded:
+            listener(self.config)
         telemetry.loads += 1
         host, port = self.config.discovery
         log(f"reconfigured: {len(self.config.names.classes)} classes; discovery is at {host}:{port}")
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -86,6 +86,7 @@
         self.warm, self.kept = warm, kept  # what the state store had, and what it has done
         self.transforms: ActiveSet | None = None  # replaced whole; a call keeps the one it came under
         self.routes: Serving | None = None  # of many teams; None: requests have no route
+        self.on_attempt: Callable[[int, Outcome, int], None] | None = None  # server, how it ended, latency_us
         self.listed: dict[int, dict[str, Any]] = {}  # the hosts of the list as discovery gave them
 
     def snapshot(self) -> Snapshot:
@@ -324,6 +325,8 @@
             held.call.on_served(reply)
         elif held.closed and held.out == 0:
             self.held.pop(id_, None)
+        if self.on_attempt is not None:
+            self.on_attempt(attempt.host.id, outcome, attempt.latency_us)
         return AttemptEnded(
             id_, number, attempt.host.id, outcome, attempt.latency_us, held.closed, load_of(reply)
         )
--- /dev/null
+++ b/tests/test_rollout_core.py
@@ -0,0 +1,264 @@
+"""The conductor's core and the analysis: stages, verdicts, orders, conductors that follow one another."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cloverkeel.fleet.rollout.analysis import Counts, bucket_of, counts_of, judge
+from cloverkeel.fleet.rollout.core import (
+    Conductor,
+    Live,
+    Ordered,
+    Reported,
+    Tick,
+    Write,
+    WriteFailed,
+    Written,
+)
+from cloverkeel.fleet.rollout.records import Order, Progress, Rules, Selector, Spec, Verb, encode, newest
+
+SPEC = Spec("new", Selector(groups=("9",)), (5, 50, 100), bake_s=2.0, rules=Rules(least=20))
+MEMBERS = ("a", "b")
+
+
+def counts(ended: int, failed: int = 0, latency_ms: int = 20) -> Counts:
+    found = Counts(ended, failed)
+    found.latency[bucket_of(latency_ms * 1000)] = ended - failed
+    return found
+
+
+@dataclasses.dataclass
+class Fleet:
+    """Members that serve what is written at once and count by rates a second; a ledger that holds it all."""
+
+    new_rate: float = 40
+    base_rate: float = 60
+    new_fails: float = 0.0
+    new_ms: int = 20
+    now_s: float = 100.0
+    token: int = 1
+    orders: list[Order] = dataclasses.field(default_factory=list)
+    held: list[Progress] = dataclasses.field(default_factory=list)
+    ended: dict[str, tuple[float, float]] = dataclasses.field(default_factory=dict)
+    full: bool = False
+
+    def __post_init__(self) -> None:
+        self.conductor = Conductor(self.token, None)
+        self.give(Live(MEMBERS))
+
+    @property
+    def progress(self) -> Progress:
+        return newest(tuple(encode(progress) for progress in self.held)) or Progress()
+
+    def seen(self) -> tuple[str, int]:
+        return self.progress.state, self.progress.stage
+
+    def give(self, event: object) -> None:
+        for action in self.conductor.handle(self.now_s, event):  # type: ignore[arg-type]
+            if not isinstance(action, Write):
+                continue
+            if self.full:
+                self.give(WriteFailed(action.progress.place, "disk full"))
+                continue
+            assert action.progress.place > self.progress.place
+            self.held.append(action.progress)
+            self.give(Written(action.progress.place))
+
+    def order(self, verb: Verb, name: str = "new", spec: Spec | None = None) -> Order:
+        order = Order(f"{len(self.orders):032x}", len(self.orders) + 1, verb, name, spec)
+        self.orders.append(order)
+        self.give(Ordered(tuple(self.orders)))
+        return order
+
+    def next_conductor(self) -> None:
+        self.token += 1
+        self.conductor = Conductor(self.token, self.progress)
+        self.give(Live(MEMBERS))
+        self.give(Ordered(tuple(self.orders)))
+
+    def run(self, length_s: float) -> None:
+        until_s = self.now_s + length_s
+        while self.now_s < until_s:
+            self.now_s += 0.5
+            share = self.progress.share / 100
+            for member in MEMBERS:
+                new, base = self.ended.get(member, (0.0, 0.0))
+                new += 0.5 * self.new_rate * (share > 0)
+                base += 0.5 * self.base_rate * (share < 1)
+                self.ended[member] = new, base
+                failed = int(new * self.new_fails)
+                place = self.progress.place
+                self.give(
+                    Reported(member, 1, place, counts(int(new), failed, self.new_ms), counts(int(base)))
+                )
+            self.give(Tick())
+
+
+def started(**rates: float) -> Fleet:
+    fleet = Fleet(**rates)  # type: ignore[arg-type]
+    fleet.order("start", spec=SPEC)
+    return fleet
+
+
+def test_a_good_set_takes_every_stage_in_order_and_is_done() -> None:
+    fleet = started()
+    shares = []
+    for _ in range(30):
+        fleet.run(0.5)
+        shares.append(fleet.progress.share)
+    assert fleet.progress.state == "done" and list(dict.fromkeys(shares)) == [5, 50, 100]
+    fleet.order("undo")
+    fleet.run(1)
+    assert (fleet.progress.state, fleet.progress.share) == ("rolled-back", 0)
+
+
+@pytest.mark.parametrize(("what", "why"), [({"new_fails": 0.3}, "more failed"), ({"new_ms": 90}, "slower")])
+def test_a_bad_set_is_stopped_in_the_first_stage(what: dict[str, float], why: str) -> None:
+    fleet = started(**what)
+    fleet.run(4)
+    assert fleet.progress.state == "rolled-back" and fleet.progress.share == 0
+    assert why in fleet.progress.why and max(p.share for p in fleet.held) == 5
+
+
+def test_a_thin_sample_neither_promotes_nor_aborts_and_is_paused_in_the_end() -> None:
+    fleet = started(new_rate=0.2, new_fails=1.0)
+    fleet.run(15)
+    assert fleet.seen() == ("baking", 0)
+    fleet.run(10)
+    assert fleet.seen() == ("paused", 0) and "thin" in fleet.progress.why
+    fleet.order("resume")
+    assert fleet.seen() == ("baking", 0)
+
+
+def test_orders_are_taken_in_turn_and_each_is_told_what_became_of_it() -> None:
+    fleet = started()
+    other = fleet.order("start", "other", named(SPEC, "other"))
+    outcomes = dict(fleet.progress.outcomes)
+    assert (
+        outcomes[fleet.orders[0].id] == "taken" and outcomes[other.id] == "refused: new is under way (baking)"
+    )
+    fleet.order("pause")
+    fleet.run(20)
+    assert (fleet.progress.state, fleet.progress.share) == ("paused", 5)
+    refused = fleet.order("undo")
+    assert "there is nothing to undo" in dict(fleet.progress.outcomes)[refused.id]
+    wrong = fleet.order("abort", "other")
+    assert "other is not the rollout at hand" in dict(fleet.progress.outcomes)[wrong.id]
+    fleet.order("abort")
+    fleet.run(1)
+    assert fleet.progress.state == "rolled-back"
+
+
+def named(spec: Spec, name: str) -> Spec:
+    return Spec(name, spec.hosts, spec.steps, spec.bake_s, spec.rules)
+
+
+def test_the_next_conductor_goes_on_and_what_the_one_before_still_writes_changes_nothing() -> None:
+    fleet = started()
+    fleet.run(3)
+    before = fleet.progress
+    stale = Conductor(fleet.token, before)
+    fleet.next_conductor()
+    assert fleet.progress.token == 2 and fleet.progress.step == before.step + 1
+    assert (fleet.progress.state, fleet.progress.stage) == (before.state, before.stage)
+    late = [
+        a for a in stale.handle(fleet.now_s, Ordered((*fleet.orders, Order("f" * 32, 99, "abort", "new"))))
+    ]
+    fleet.held += [a.progress for a in late if isinstance(a, Write)]
+    assert fleet.progress.token == 2 and fleet.seen()[0] == "baking"
+    fleet.run(15)
+    assert fleet.seen()[0] == "done"
+
+
+def test_a_step_that_the_ledger_does_not_take_is_tried_again_and_no_stage_is_skipped() -> None:
+    fleet = started()
+    fleet.full = True
+    fleet.run(10)
+    assert (fleet.progress.state, fleet.progress.stage) == ("baking", 0)
+    fleet.full = False
+    fleet.run(2)
+    assert fleet.progress.stage == 1
+
+
+def test_a_gateway_that_restarts_within_a_window_adds_only_what_it_has_counted_since() -> None:
+    fleet = started(new_rate=0)
+    fleet.run(1)
+    place = fleet.progress.place
+    fleet.give(Reported("a", 2, place, counts(5), counts(5)))  # another life
+    fleet.give(Reported("b", 1, place, counts(4_000, 4_000), counts(10)))
+    fleet.give(Tick())
+    assert fleet.progress.state == "rolling-back"  # b's failures are of this window
+    fresh = started(new_rate=0)
+    fresh.give(Reported("a", 9, (0, 0), counts(4_000, 4_000), counts(0)))  # counted before it served the step
+    fresh.run(1)
+    assert fresh.progress.state == "baking"
+
+
+def test_chance_alone_aborts_seldom_and_a_set_that_fails_twice_as_much_is_found() -> None:
+    rng = random.Random(5)
+
+    def drawn(of: int, share: float) -> Counts:
+        return counts(of, sum(rng.random() < share for _ in range(of)))
+
+    same = sum(judge(drawn(200, 0.05), drawn(2_000, 0.05), Rules()).outcome == "fail" for _ in range(300))
+    worse = sum(judge(drawn(400, 0.15), drawn(2_000, 0.05), Rules()).outcome == "fail" for _ in range(100))
+    assert same <= 12 and worse == 100
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        {"steps": (50.0, 5.0, 100.0)}, {"steps": (5.0, 50.0)}, {"steps": (0.0, 100.0)}, {"hosts": {}},
+        {"bake_s": 0.0}, {"name": "New"}, {"rules": {"least": 0}}, {"more": 1},
+    ],
+)  # fmt: skip
+def test_a_rollout_that_cannot_be_is_refused(spec: dict[str, object]) -> None:
+    import json
+
+    from cloverkeel.fleet.rollout.part import _spec
+
+    whole = {"name": "new", "hosts": {"groups": ["9"]}, "steps": [5, 100], "bake_s": 1} | spec
+    with pytest.raises(ValueError, match="the rollout: "):
+        _spec(json.dumps(whole).encode())
+    with pytest.raises(ValueError, match="no counts"):
+        counts_of([1, 2, 3])
+
+
+MOVES = st.sampled_from(
+    ["run", "pause", "resume", "abort", "undo", "start", "next", "full", "worse", "better"]
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(MOVES, max_size=14))
+def test_whatever_happens_no_stage_is_skipped_and_an_abort_ends_at_no_share(moves: list[str]) -> None:
+    fleet = started()
+    for move in moves:
+        match move:
+            case "run":
+                fleet.run(3)
+            case "pause" | "resume" | "abort" | "undo":
+                fleet.order(move)
+            case "start":
+                fleet.order("start", spec=SPEC)
+            case "next":
+                fleet.next_conductor()
+            case "full":
+                fleet.full = not fleet.full
+            case _:
+                fleet.new_fails = 0.5 if move == "worse" else 0.0
+    fleet.full = False
+    fleet.run(40)
+    for before, after in zip(fleet.held, fleet.held[1:], strict=False):
+        assert after.share in (0, 100, *SPEC.steps) and after.place > before.place
+        if after.share > before.share:
+            started_anew = before.share == 0 and after.stage == 0
+            assert started_anew or (before.state == "baking" and after.stage == before.stage + 1)
+        if before.state in ("rolling-back", "rolled-back"):
+            assert after.state in ("rolling-back", "rolled-back") or after.why == "started"
+    assert fleet.progress.state in ("rolled-back", "done", "paused")
