Rollouts: the lab of good and bad sets at real gateways; an order that comes late has its turn

Seen in the lab: of two starts at once one was never told what became of it, as its place was below that of the one taken. An order is open until the progress tells its outcome, which is kept while the ledger holds the order; then it is dropped. Seen too: 21 failed of 21 and then nothing for 30 s, since breakers opened; a certain difference now stops a set from ten attempts on.

--- a/cloverkeel/fleet/rollout/analysis.py
+++ b/cloverkeel/fleet/rollout/analysis.py
@@ -10,7 +10,10 @@
 from cloverkeel.fleet.rollout.records import Rules
 
 BUCKETS = 96  # of good answers' latency: four to each doubling, from 1 ms
-CHANCE_Z = 2.326  # one-sided, 1 %
+CHANCE = 0.01  # of a difference as great where the sets are alike: one-sided
+# Where breakers open on a set that fails, the attempts that would make up a sample never come: fewer will do
+# where the difference is certain.
+FEWEST, CERTAIN = 10, 1e-5
 PERCENTILE = 0.95
 
 
@@ -83,25 +86,45 @@
         f"new {new.failed} failed and {new.refused} refused of {new.ended}, p95 {new.p95_ms():.0f} ms; "
         f"base {base.failed} and {base.refused} of {base.ended}, p95 {base.p95_ms():.0f} ms"
     )
-    if new.ended < rules.least:
+    if new.ended < min(FEWEST, rules.least):
         return Verdict("thin", shown)
+    chance = CHANCE if new.ended >= rules.least else CERTAIN
     for what, bad, its in (("failed", new.failed, base.failed), ("refused", new.refused, base.refused)):
-        if base.ended and _worse(bad, new.ended, its, base.ended, rules.failed_points):
+        if base.ended and _worse(bad, new.ended, its, base.ended, rules.failed_points, chance):
             return Verdict("fail", f"more {what}: {shown}")
+    if new.ended < rules.least:
+        return Verdict("thin", shown)
     if base.ended < rules.least:
         if not alone:
             return Verdict("thin", shown)
         bad = (new.failed + new.refused) / new.ended > rules.failed_points
         return Verdict("fail" if bad else "pass", f"no base: {shown}")
     enough = min(sum(new.latency), sum(base.latency)) >= rules.least
-    if enough and new.p95_ms() > rules.latency_ratio * base.p95_ms():
+    limit_ms = max(rules.latency_ratio * base.p95_ms(), base.p95_ms() + rules.latency_ms)
+    if enough and new.p95_ms() > limit_ms:
         return Verdict("fail", f"slower: {shown}")
     return Verdict("pass", shown)
 
 
-def _worse(bad: int, of: int, its: int, its_of: int, points: float) -> bool:
-    """Whether a share is above another by more than `points` and by more than chance."""
-    mine, theirs = bad / of, its / its_of
-    pooled = (bad + its) / (of + its_of)
-    spread = math.sqrt(pooled * (1 - pooled) * (1 / of + 1 / its_of))
-    return mine - theirs > points and (mine - theirs) > CHANCE_Z * spread
+def _worse(bad: int, of: int, its: int, its_of: int, points: float, chance: float) -> bool:
+    """Whether a share is above another by more than `points`, and more than chance would have it."""
+    return bad / of - its / its_of > points and tail(bad, of, its, its_of) < chance
+
+
+def tail(bad: int, of: int, its: int, its_of: int) -> float:
+    """Fisher's exact test, one-sided: how probable it is that of all that failed so many or more fell to the
+    one, were both alike."""
+
+    def chosen(among: int, number: int) -> float:
+        return math.lgamma(among + 1) - math.lgamma(number + 1) - math.lgamma(among - number + 1)
+
+    all_bad, whole = bad + its, chosen(of + its_of, bad + its)
+    found = 0.0
+    for number in range(bad, min(of, all_bad) + 1):
+        if all_bad - number > its_of:
+            continue
+        term = math.exp(chosen(of, number) + chosen(its_of, all_bad - number) - whole)
+        found += term
+        if term < found * 1e-9:
+            break
+    return found
--- a/cloverkeel/fleet/rollout/command.py
+++ b/cloverkeel/fleet/rollout/command.py
@@ -66,7 +66,7 @@
     if answer["outcome"] == "taken":
         print(f"{verb}: {name}")
         return 0
-    print(f"cloverkeel: {verb} {name}: {answer['reason']}", file=sys.stderr)
+    print(f"cloverkeel: {verb} {name}: {answer['outcome'] or answer['reason']}", file=sys.stderr)
     return 1
 
 
--- a/cloverkeel/fleet/rollout/conducting.py
+++ b/cloverkeel/fleet/rollout/conducting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from cloverkeel.fleet.duties.shell import NotHeldError
@@ -14,6 +15,7 @@
 from cloverkeel.fleet.rollout.analysis import counts_of
 from cloverkeel.fleet.rollout.core import (
     Conductor,
+    Drop,
     Event,
     Live,
     Note,
@@ -24,7 +26,7 @@
     WriteFailed,
     Written,
 )
-from cloverkeel.fleet.rollout.records import PROGRESS, PROGRESS_KEY, Order, Progress, encode
+from cloverkeel.fleet.rollout.records import ORDER, PROGRESS, PROGRESS_KEY, Order, Progress, encode
 from cloverkeel.fleet.rollout.settings import DUTY
 
 if TYPE_CHECKING:
@@ -69,6 +71,8 @@
             match action:
                 case Write(progress):
                     self._spawn(self._write(progress))
+                case Drop(id):
+                    self._spawn(self._drop(id))
                 case Note(name, fields):
                     event(name, **dict(fields))
 
@@ -103,6 +107,13 @@
         write = ledger.write(PROGRESS, PROGRESS_KEY, encode(progress), context, Level.QUORUM, WRITE_S)
         return self.loop.create_task(write)
 
+    async def _drop(self, id: str) -> None:
+        ledger = self.part.ledger
+        assert ledger is not None
+        _, context = ledger.read(ORDER, id)
+        with contextlib.suppress(WriteRefused):  # it stays, told as it is: the next conductor drops it
+            await ledger.delete(ORDER, id, context)
+
     # Members
 
     def _ask_all(self) -> None:
--- a/cloverkeel/fleet/rollout/core.py
+++ b/cloverkeel/fleet/rollout/core.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from cloverkeel.fleet.rollout.analysis import Counts, Verdict, judge, total
-from cloverkeel.fleet.rollout.records import OUTCOMES_MAX, Order, Progress, State
+from cloverkeel.fleet.rollout.records import OUTCOMES, Order, Progress, State
 
 THIN = 10.0  # times the bake that a sample may stay thin
 SILENT_S = 5.0  # a member that has not answered for so long is waited for no longer
@@ -75,7 +75,14 @@
     fields: tuple[tuple[str, object], ...]
 
 
-Action = Write | Note
+@dataclass(slots=True, frozen=True)
+class Drop:
+    """This order is over: let the ledger forget it."""
+
+    id: str
+
+
+Action = Write | Drop | Note
 
 
 @dataclass(slots=True)
@@ -100,6 +107,7 @@
         self.writing: Progress | None = None
         self.again_s = 0.0  # when a write that failed is made again
         self.orders: dict[str, Order] = {}
+        self.dropped: set[str] = set()
         self.live: tuple[str, ...] = ()
         self.members: dict[str, Member] = {}
         self.window_s: float | None = None  # when the stage's window began: all that answer serve the step
@@ -112,6 +120,7 @@
         match event:
             case Ordered(orders):
                 self.orders = {order.id: order for order in orders}
+                self.dropped &= self.orders.keys()
             case Live(members):
                 self.live = members
                 self.members = {name: m for name, m in self.members.items() if name in members}
@@ -164,9 +173,13 @@
             out.append(Note("rollout.taken_over", (("token", self.token), ("state", self.progress.state))))
             self._write(out)
             return
-        order = min(
-            (o for o in self.orders.values() if o.place > self.progress.seen), key=_place, default=None
-        )
+        told = {id for id, _ in self.progress.outcomes}
+        for id in sorted(self.orders.keys() & told - self.dropped):
+            self.dropped.add(id)
+            out.append(Drop(id))
+        # One that was written beside those taken may come late, with a lower place: it has its turn too.
+        open_orders = [order for id, order in self.orders.items() if id not in told]
+        order = min(open_orders, key=_place, default=None)
         if order is not None:
             self._take(order, out)
         elif self.progress.state == "rolling-back" and self._all_serve(now_s):
@@ -226,8 +239,11 @@
         else:
             refused = f"{name} is {now.state}: there is nothing to {order.verb}"
         outcome = f"refused: {refused}" if refused else "taken"
-        outcomes = (*now.outcomes, (order.id, outcome))[-OUTCOMES_MAX:]
-        self._write(out, seen=order.place, outcomes=outcomes, **fields)
+        # While the ledger holds an order its outcome is kept, or it would be taken a second time.
+        held = [each for each in now.outcomes if each[0] in self.orders]
+        gone = [each for each in now.outcomes if each[0] not in self.orders][-OUTCOMES:]
+        outcomes = (*gone, *held, (order.id, outcome))
+        self._write(out, seen=max(now.seen, order.number), outcomes=outcomes, **fields)
 
     def _write(self, out: list[Action], **fields: object) -> None:
         step = self.progress.step + 1
--- a/cloverkeel/fleet/rollout/part.py
+++ b/cloverkeel/fleet/rollout/part.py
@@ -199,7 +199,7 @@
                 raise ValueError(f"verb is one of {', '.join(VERBS)}, not {verb[:20]!r}")
             spec = _spec(body) if verb == "start" else None
             name = spec.name if spec is not None else one(query, "name")
-            number = max([self.progress.seen[0], *(order.number for order in self.orders())]) + 1
+            number = max([self.progress.seen, *(order.number for order in self.orders())]) + 1
             order = Order(secrets.token_hex(16), number, verb, name, spec)  # type: ignore[arg-type]
             payload = encode(order)
             _, context = self.ledger.read(ORDER, order.id)
@@ -214,10 +214,8 @@
             )
         outcome = await self._outcome(order.id)
         reason = "" if outcome else "no conductor has taken it yet: it is kept"
-        status = 200 if outcome == "taken" else 409 if outcome else 202
-        return Answer(
-            status, json.dumps({"id": order.id, "outcome": outcome, "reason": reason}).encode(), JSON
-        )
+        told = {"id": order.id, "outcome": outcome, "reason": reason}
+        return Answer(200 if outcome else 202, json.dumps(told).encode(), JSON)
 
     async def _outcome(self, id: str) -> str:
         try:
--- a/cloverkeel/fleet/rollout/records.py
+++ b/cloverkeel/fleet/rollout/records.py
@@ -8,7 +8,7 @@
 
 ORDER, PROGRESS = "rollout.order", "rollout.progress"
 PROGRESS_KEY = "servers"
-OUTCOMES_MAX = 32  # orders whose outcome the progress still tells
+OUTCOMES = 32  # orders that are gone whose outcome the progress still tells
 Name = Annotated[str, msgspec.Meta(pattern="^[a-z0-9][a-z0-9._-]{0,63}$")]
 Text = Annotated[str, msgspec.Meta(max_length=500)]
 Part = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
@@ -35,6 +35,7 @@
     least: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 50  # attempts on each side
     failed_points: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.02  # failed share above the base's
     latency_ratio: Annotated[float, msgspec.Meta(ge=1, le=100)] = 1.5  # of the 95th percentiles
+    latency_ms: Annotated[float, msgspec.Meta(ge=0, le=60_000)] = 10.0  # and longer by this much
 
 
 class Spec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -70,7 +71,8 @@
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True):
     """What the conductor has decided. `base`: the set before, where a rollout has replaced it; `seen`: the
-    place of the last order that was taken, `outcomes`: what became of the last orders, by id."""
+    highest number of an order that was taken, `outcomes`: what became of each order that the ledger still
+    holds, and of the last ones before."""
 
     token: int = 0
     step: int = 0
@@ -79,7 +81,7 @@
     spec: Spec | None = None
     base: Selector | None = None
     why: Text = ""
-    seen: tuple[int, str] = (0, "")
+    seen: int = 0
     outcomes: tuple[tuple[str, Text], ...] = ()
 
     @property
--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -12,9 +12,10 @@
 from faultlab import membership, recovery, transforms
 from faultlab.coldstart import command as coldstart
 from faultlab.duties import command as duties
+from faultlab.rollout import command as rollout
 from faultlab.storm import command as storm
 
-EXPERIMENTS = (coldstart, duties, recovery, membership, storm, transforms)
+EXPERIMENTS = (rollout, coldstart, duties, recovery, membership, storm, transforms)
 
 
 def main(argv: list[str]) -> int:
--- a/faultlab/duties/site.py
+++ b/faultlab/duties/site.py
@@ -75,6 +75,7 @@
         self.folder, self.duties, self.backend = folder, duties, backend
         self.resource = Resource()
         self.workers: list[Worker] = []
+        self.stood_in_write = False  # whom the last fault stopped
         addresses = [f"127.0.0.1:{free_port()}" for _ in range(count)] if backend == "quorum" else []
         for number in range(count):
             order: dict[str, Any] = {"name": f"w{number}", "duties": duties, "directory": str(folder)}
@@ -112,6 +113,20 @@
 
     # Faults of the store
 
+    def is_locked(self) -> bool:
+        """Whether somebody holds the file's write lock now."""
+        if self.backend != "local":
+            return False
+        writer = sqlite3.connect(self.folder / FILE, isolation_level=None, timeout=0.2)
+        try:
+            writer.execute("BEGIN IMMEDIATE")
+            writer.execute("ROLLBACK")
+        except sqlite3.OperationalError:
+            return True
+        finally:
+            writer.close()
+        return False
+
     async def lock_store(self, length_s: float) -> None:
         """Another program writes for so long."""
         writer = sqlite3.connect(self.folder / FILE, isolation_level=None, timeout=5.0)
--- /dev/null
+++ b/faultlab/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""python -m faultlab rollout: a new set of hosts, good or bad, takes its share at real gateways."""
--- /dev/null
+++ b/faultlab/rollout/command.py
@@ -0,0 +1,153 @@
+"""python -m faultlab rollout: good and bad sets of hosts at a fleet of real gateways; conductors that fail.
+
+In one run: a good set through all stages with the share that reached it in each, a set that fails and one
+that is slow until they are rolled back, a conductor killed and one stopped past its lease within a stage, two
+starts at once, an abort and an undo.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from faultlab.report import Parts, positive, report
+from faultlab.rollout.site import TTL_S, Rolling
+
+STEPS = [5, 25, 50, 100]
+COUNT = 100_000  # requests at each gateway at most
+SETTLED_S = 1.0  # after a step, before what reaches the hosts is counted for it
+
+
+def register(parts: Parts) -> None:
+    """Add `rollout` and its arguments to the lab's commands."""
+    lab = parts.add_parser("rollout", help="new sets of hosts, good and bad, by stages at real gateways")
+    lab.add_argument("--gateways", type=positive, default=3)
+    lab.add_argument("--rate", type=positive, default=100, help="requests a second at each gateway")
+    lab.add_argument("--bake-s", type=float, default=8.0)
+    lab.add_argument("--rounds", type=positive, default=3, help="bad sets of each kind")
+    lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
+    lab.set_defaults(run=command)
+
+
+def command(arguments: argparse.Namespace) -> int:
+    """0 where each rollout came to its end and each request was answered, else 1."""
+    figures = asyncio.run(experiment(arguments))
+    report(figures, arguments.json)
+    return 1 if figures["unanswered"] or figures["wrong_ends"] else 0
+
+
+async def experiment(arguments: argparse.Namespace) -> dict[str, Any]:
+    wrong: list[str] = []
+    with tempfile.TemporaryDirectory(prefix="rollout-") as folder:
+        async with Rolling(arguments.gateways, Path(folder)) as fleet:
+            await fleet.conductor()
+            fleet.send(arguments.rate, COUNT)
+            figures: dict[str, Any] = {"gateways": arguments.gateways, "stages": await good(fleet, arguments)}
+            stopped: dict[str, list[float]] = {"failing": [], "slow": []}
+            for _ in range(arguments.rounds):
+                for kind, after_s in stopped.items():
+                    after_s.append(await bad(fleet, kind, arguments.bake_s, wrong))
+            for kind, after_s in stopped.items():
+                ranked = sorted(after_s)
+                median = ranked[len(ranked) // 2]
+                figures[f"{kind}_to_no_share_s"] = {"p50": round(median, 2), "most": round(ranked[-1], 2)}
+            unanswered = fleet.tally.statuses.get(0, 0)
+            figures["conductor_killed_next_s"] = await lost(fleet, signal.SIGKILL, arguments.bake_s, wrong)
+            figures["conductor_stopped_next_s"] = await lost(fleet, signal.SIGSTOP, arguments.bake_s, wrong)
+            figures["two_starts"] = await two_starts(fleet, wrong)
+            tally = await fleet.quiet()
+    figures |= {"requests": tally.sent, "answers": {str(k): v for k, v in sorted(tally.statuses.items())}}
+    # A gateway that is killed resets what it holds: those requests are the kill's, not the rollout's.
+    figures |= {"unanswered": unanswered, "wrong_ends": len(wrong)}
+    return figures | {"wrong": "; ".join(wrong)}
+
+
+async def good(fleet: Rolling, arguments: argparse.Namespace) -> dict[str, str]:
+    """The share that reached the new set in each stage, and of how many."""
+    shares = {}
+    before = fleet.tally.statuses.get(0, 0)
+    assert await fleet.order("start", steps=STEPS, bake_s=arguments.bake_s) == "taken"
+    stage, begun, last = -1, fleet.got(), time.monotonic()
+    while True:
+        found = await fleet.status(fleet.names[0])
+        at = len(STEPS) if found["state"] == "done" else found["stage"]
+        if at != stage:
+            stage, begun, last = at, fleet.got(), time.monotonic()
+        if found["state"] in ("done", "rolled-back"):
+            break
+        if time.monotonic() - last < SETTLED_S:
+            begun = fleet.got()
+        old, new = (now - then for now, then in zip(fleet.got(), begun, strict=True))
+        if old + new:
+            shares[f"{STEPS[stage]} %"] = f"{100 * new / (old + new):.2f} % of {old + new}"
+        await asyncio.sleep(0.05)
+    assert found["state"] == "done", found["why"]
+    shares["unanswered"] = str(fleet.tally.statuses.get(0, 0) - before)
+    assert await fleet.order("undo") == "taken"
+    await fleet.until("rolled-back")
+    return shares
+
+
+async def bad(fleet: Rolling, kind: str, bake_s: float, wrong: list[str]) -> float:
+    """Seconds from the start of a bad set's first stage to no share of it, at every gateway."""
+    for host in fleet.new:
+        host.status, host.delay_s = (500, 0.0) if kind == "failing" else (200, 0.15)
+    try:
+        if await fleet.order("start", steps=STEPS, bake_s=bake_s) != "taken":
+            wrong.append(f"{kind}: not taken")
+            return 0.0
+        begun_s = time.monotonic()
+        found = await fleet.until("rolled-back", "done", "paused")
+        if found["state"] != "rolled-back" or found["stage"] != 0:
+            wrong.append(f"{kind}: {found['state']} in stage {found['stage']}: {found['why']}")
+        return time.monotonic() - begun_s
+    finally:
+        for host in fleet.new:
+            host.status, host.delay_s = 200, 0.0
+
+
+async def lost(fleet: Rolling, how: signal.Signals, bake_s: float, wrong: list[str]) -> float:
+    """Seconds from a conductor's loss within a stage to the next one; the rollout has to end well."""
+    conductor = await fleet.conductor()
+    other = next(name for name in fleet.names if name != conductor)
+    if await fleet.order("start", at=other, steps=[5, 100], bake_s=bake_s / 2) != "taken":
+        wrong.append(f"{how.name}: not taken")
+    await fleet.until("baking", at=other)
+    begun_s = time.monotonic()
+    await fleet.gateways[conductor].signal(how)
+    await fleet.conductor(but=conductor)
+    took_s = time.monotonic() - begun_s
+    if how is signal.SIGSTOP:
+        await asyncio.sleep(TTL_S)  # how long it stays past its lease
+        await fleet.gateways[conductor].signal(signal.SIGCONT)
+    found = await fleet.until("done", "rolled-back", "paused", at=other)
+    if found["state"] != "done":
+        wrong.append(f"{how.name}: {found['state']}: {found['why']}")
+    if how is signal.SIGKILL:
+        await fleet.start(conductor)
+    if await fleet.order("undo", at=other) != "taken":
+        wrong.append(f"{how.name}: no undo")
+    await fleet.until("rolled-back", at=other)
+    return round(took_s, 2)
+
+
+async def two_starts(fleet: Rolling, wrong: list[str]) -> str:
+    """Two operators start at two gateways at once: one is taken, the other told why; then an abort."""
+    outcomes = await asyncio.gather(
+        *(
+            fleet.order("start", f"set-{at}", at, steps=[5, 100], bake_s=60.0)
+            for at in (fleet.names[0], fleet.names[-1])
+        )
+    )
+    if sorted(outcome.partition(":")[0] for outcome in outcomes) != ["refused", "taken"]:
+        wrong.append(f"two starts: {outcomes}")
+    taken = fleet.names[0] if outcomes[0] == "taken" else fleet.names[-1]
+    if await fleet.order("abort", f"set-{taken}") != "taken":
+        wrong.append("no abort")
+    await fleet.until("rolled-back")
+    return next((o for o in outcomes if o != "taken"), "")
