Routes: the new process of an upgrade serves by the plan of the old one's file until it has the ledger

Cause, seen in the test that now holds: the ledger is the old process's until that has drained, and the new one took requests by no plan meanwhile: of 20 requests of a route that names one group, 10 went to the other. `peek` reads the records of a file that another process holds, without a write; they are merged before the first request is taken.

--- a/cloverkeel/fleet/ledger/store.py
+++ b/cloverkeel/fleet/ledger/store.py
@@ -24,7 +24,7 @@
 from cloverkeel.fleet.ledger.interface import Persist, Persisted, PersistFailed
 from cloverkeel.fleet.ledger.records import Record, digest, fault
 from cloverkeel.fleet.ledger.replica import Put
-from cloverkeel.fleet.state.file import FILE, connect, transaction
+from cloverkeel.fleet.state.file import FILE, connect, reader, transaction
 
 SCHEMA = b"1"
 TABLES = (
@@ -225,6 +225,25 @@
             self.store.close()
 
 
+def peek(directory: str, kind: str) -> list[tuple[str, bytes]]:
+    """Key and payload of each sound record of a kind, of a file that another process holds; nothing is
+    written. A file that cannot be read gives none: its owner is the one to judge it."""
+    try:
+        with contextlib.closing(reader(os.path.join(directory, FILE))) as connection:
+            rows = connection.execute(
+                "SELECT member, incarnation, counter, head, r.sha256, p.payload FROM ledger_record r"
+                " JOIN ledger_payload p ON r.payload = p.sha256"
+            ).fetchall()
+    except sqlite3.Error:
+        return []
+    found = []
+    for *named, head, checksum, payload in rows:
+        record = _record(named, head, checksum)
+        if record is not None and record.kind == kind and digest(payload) == record.sha256:
+            found.append((record.key, payload))
+    return found
+
+
 def _checksum(value: bytes) -> str:
     return hashlib.sha256(value).hexdigest()
 
--- a/cloverkeel/fleet/routes/part.py
+++ b/cloverkeel/fleet/routes/part.py
@@ -12,13 +12,14 @@
 from cloverkeel.fleet.ledger.interface import Acknowledged, Level
 from cloverkeel.fleet.ledger.part import LedgerPart
 from cloverkeel.fleet.ledger.shell import WriteRefused
+from cloverkeel.fleet.ledger.store import peek
 from cloverkeel.fleet.routes import files
-from cloverkeel.fleet.routes.changes import Accept, Edit, key_of
+from cloverkeel.fleet.routes.changes import KIND, Accept, Edit, key_of
 from cloverkeel.fleet.routes.interface import View, World
 from cloverkeel.fleet.routes.merge import Merge
 from cloverkeel.fleet.routes.resolving import How, dot_of, edits_of, stranded
 from cloverkeel.fleet.routes.settings import RoutesSettings
-from cloverkeel.fleet.routes.shell import Routes
+from cloverkeel.fleet.routes.shell import Routes, before, in_slices
 from cloverkeel.fleet.routes.status import notes, pieces, what_became
 from cloverkeel.fleet.routes.world import Worlds
 from cloverkeel.operator import Answer
@@ -44,17 +45,29 @@
         transforms: TransformParts | None,
         serve: Callable[[View], None],
     ) -> None:
-        self.gateway, self.ledger, self.serve = gateway, ledger, serve
+        self.settings, self.gateway, self.ledger, self.serve = settings, gateway, ledger, serve
         self.worlds = Worlds(gateway, settings.room, transforms)
         self.routes: Routes | None = None
         self.beginning: asyncio.Task[None] | None = None
+        self.first: asyncio.Task[None] | None = None  # of the tasks, that which has the first plan
 
     async def start(self, take_over: bool) -> None:
-        """Takes part once the ledger does: in an upgrade (`take_over`) that is when the process before has
-        ended. Else the first plan is waited for up to FIRST_S, so that the first clients find it."""
-        self.beginning = asyncio.get_running_loop().create_task(self._begin())
-        if not take_over:
-            await asyncio.wait([self.beginning], timeout=FIRST_S)
+        """Takes part once the ledger does. The first plan is waited for up to FIRST_S, so that the first
+        clients find it: in an upgrade (`take_over`), where the process before holds the ledger until it ends,
+        the plan of what its file has now."""
+        loop = asyncio.get_running_loop()
+        self.beginning = loop.create_task(self._begin())
+        self.first = loop.create_task(self._before()) if take_over else self.beginning
+        await asyncio.wait([self.first], timeout=FIRST_S)
+
+    async def _before(self) -> None:
+        held = await asyncio.to_thread(peek, self.ledger.keeper.directory, KIND)
+        # What is published is in the ledger, too: nothing is judged by it meanwhile.
+        world = await Worlds(self.gateway, self.settings.room).changed()
+        merge = Merge(world or World())
+        await in_slices(before(merge, held))
+        if self.routes is None or self.routes.view is None:
+            self.serve(merge.view)
 
     async def _begin(self) -> None:
         ledger = await self.ledger.ready()
@@ -63,8 +76,9 @@
         await self.routes.merged.wait()
 
     def close(self) -> None:
-        if self.beginning is not None:
-            self.beginning.cancel()
+        for task in (self.beginning, self.first):
+            if task is not None:
+                task.cancel()
         if self.routes is not None:
             self.routes.close()
 
--- a/cloverkeel/fleet/routes/shell.py
+++ b/cloverkeel/fleet/routes/shell.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import gc
 import time
 import traceback
@@ -156,9 +157,7 @@
         if key in self.held:
             return  # a change is written once
         try:
-            change = decode(payloads[0])
-            if key_of(change.dot) != key:
-                raise ValueError("its dot is another key's")
+            change = read(key, payloads[0])
         except ValueError as error:
             self.counts["malformed"] += 1
             event("routes.malformed", change=key, reason=str(error))
@@ -197,14 +196,8 @@
         self._read_all()
 
     async def _settle(self) -> None:
-        spent_s, begun_s, slice_s = 0.0, time.perf_counter(), time.thread_time()
-        for _ in self._steps():
-            if time.perf_counter() - begun_s >= SLICE_S:
-                took_s = time.thread_time() - slice_s
-                spent_s, self.slice_us = spent_s + took_s, max(self.slice_us, int(took_s * 1e6))
-                await asyncio.sleep(0)
-                begun_s, slice_s = time.perf_counter(), time.thread_time()
-        self.merge_us = int((spent_s + time.thread_time() - slice_s) * 1e6)
+        spent_us, most_us = await in_slices(self._steps())
+        self.merge_us, self.slice_us = spent_us, max(self.slice_us, most_us)
         self.counts["merges"] += 1
         self._take(self.merge.view)
 
@@ -267,5 +260,36 @@
                 return
 
 
+async def in_slices(steps: Iterator[None]) -> tuple[int, int]:
+    """Play `steps` to their end, with a turn of the loop after each SLICE_S: the processor's microseconds,
+    all together and of the longest slice."""
+    spent_s, most_s, begun_s, slice_s = 0.0, 0.0, time.perf_counter(), time.thread_time()
+    for _ in steps:
+        if time.perf_counter() - begun_s >= SLICE_S:
+            took_s = time.thread_time() - slice_s
+            spent_s, most_s = spent_s + took_s, max(most_s, took_s)
+            await asyncio.sleep(0)
+            begun_s, slice_s = time.perf_counter(), time.thread_time()
+    took_s = time.thread_time() - slice_s
+    return int((spent_s + took_s) * 1e6), int(max(most_s, took_s) * 1e6)
+
+
+def read(key: str, payload: bytes) -> Change:
+    """The change under a key of the ledger. Raises ValueError."""
+    change = decode(payload)
+    if key_of(change.dot) != key:
+        raise ValueError("its dot is another key's")
+    return change
+
+
+def before(merge: Merging, held: Iterable[tuple[str, bytes]]) -> Iterator[None]:
+    """Steps by which `merge` has the view of what another process's ledger holds, key and payload."""
+    for key, payload in held:
+        with contextlib.suppress(ValueError):  # the ledger's own process tells of it
+            merge.add(read(key, payload))
+        yield
+    yield from merge.settle()
+
+
 def _routes(change: Change) -> set[str]:
     return {*(edit.route for edit in change.edits), *(each.route for each in change.accepts)}
--- a/tests/test_routes_process.py
+++ b/tests/test_routes_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -13,8 +14,26 @@
 import pytest
 
 from cloverkeel.config import ConfigError, load
-from tests.sockets import configuration, endpoint, hosts_list, on_loop, peer, request
-from tests.test_gateway_process import ROOT, connect, free_port, program
+from tests.sockets import (
+    Exchange,
+    configuration,
+    endpoint,
+    hosts_list,
+    on_loop,
+    peer,
+    reply,
+    request,
+    until,
+)
+from tests.test_gateway_process import (
+    OPERATORS_READY,
+    ROOT,
+    ask,
+    connect,
+    free_port,
+    listening,
+    program,
+)
 from tests.test_membership_process import table_with
 
 PATH = "/search/7f3a9c21e0b4d655"  # of tests' requests
@@ -165,3 +184,42 @@
     with pytest.raises(ConfigError) as found:
         load({"LB_CONFIG": str(file)})
     assert str(found.value).startswith(line) and "\n" not in str(found.value)
+
+
+@on_loop
+async def test_the_new_process_of_an_upgrade_routes_by_the_old_one_s_plan_while_that_drains(
+    tmp_path: Path,
+) -> None:
+    """The ledger is the old process's until it ends: without its plan the new one sent requests anywhere."""
+
+    def script(exchange: Exchange) -> None:
+        if exchange.message.first.startswith("GET"):
+            exchange.answer(reply())
+
+    operators = free_port(), free_port()
+    async with peer(script) as old, peer(script) as canary:
+        config = configuration() | {"routes": {"size": 1}, "state_dir": str(tmp_path / "state")}
+        hosts = endpoint("s-0", old.address, group=1), endpoint("s-1", canary.address, group=3)
+        config |= {"known": hosts_list(7, *hosts), "cluster": {"name": "blue", "bind": "127.0.0.1:0"}}
+        with listening() as held:
+            async with program(tmp_path, config, operators[0], held) as (process, port):
+                await shown(operators[0], count=0)
+                file = tmp_path / "pay.toml"
+                file.write_text(NEW)
+                assert (await routes("apply", str(file), operator=operators[0]))[0] == 0
+                hangs = await connect(port)
+                hangs.send(request("transfer"))
+                await until(lambda: old.seen or canary.seen)
+                old.seen.clear()
+                canary.seen.clear()
+                async with program(tmp_path, config, operators[1], held):
+                    process.send_signal(signal.SIGTERM)  # it waits for the answer that does not come
+                    while await ask(operators[0], OPERATORS_READY) == 200:
+                        await asyncio.sleep(0.01)
+                    for _ in range(20):
+                        client = await connect(port)
+                        assert (await client.ask(request("search"))).status == 200
+                        client.close()
+                    assert process.returncode is None
+                    assert (len(old.seen), len(canary.seen)) == (0, 20)
+                    hangs.close()
