Lists by peers: a fleet that comes up for seconds calls the service as one that is seen at once

Ruled out: `list.get` that finds nobody, calls that failed, the draw's seed.

While somebody has come into the view within 2 s: a member that is fed takes no role on and gives none up, unless it follows a higher ranked watch; one that is not fed waits longer, the less it sees of the settings' gateways; the draw is as wide as for all of these. A member without a list asks members again, one that is alone the seeds, before it calls. A fed relay's first call waits for news. A feed nearer to the service stays, and a watch does not end for a way that may lead through its own member. `draws.py`, `feed.py`, `limits.py` came out of `follow.py`.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any, Protocol
 
 from caperdrift.interface import ListedServer, ListKind, ServerStatus
@@ -173,8 +174,9 @@
         if self.pushed:
             self.watch(True)
 
-    def watch(self, on: bool) -> None:
-        """Begin to watch, or stop; a watch that is on goes on as it is."""
+    def watch(self, on: bool, waits: bool = False) -> None:
+        """Begin to watch, or stop; a watch that is on goes on as it is. Its first call is for what is there
+        already, so that a silent service shows at once; with `waits` it waits for news, as the later ones."""
         if self.closed:
             return
         self.watched = on
@@ -184,7 +186,7 @@
                 self.watching.cancel()
                 self.watching = None
         elif on and self.watching is None:
-            self.watching = asyncio.get_running_loop().create_task(self._guard(self._watch))
+            self.watching = asyncio.get_running_loop().create_task(self._guard(partial(self._watch, waits)))
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
@@ -268,10 +270,9 @@
             if call is not None:
                 call.close()
 
-    async def _watch(self) -> None:
+    async def _watch(self, waits: bool) -> None:
         call, self.spare = self.spare, None
-        # The first call is for what is there already: a silent service shows at once.
-        wait_s = 0.0 if call is None else self._hold_s()
+        wait_s = self._hold_s() if (waits or call is not None) and self.index is not None else 0.0
         try:
             while True:
                 try:
--- a/cloverkeel/fleet/lists/actions.py
+++ b/cloverkeel/fleet/lists/actions.py
@@ -32,9 +32,11 @@
 
 
 class Watch(NamedTuple):
-    """Begin the watch of one's own, or end it."""
+    """Begin the watch of one's own, or end it. `is_fed`: news comes by feeds meanwhile, so the first call may
+    wait for news as the later ones do."""
 
     on: bool
+    is_fed: bool = False
 
 
 class Depth(NamedTuple):
--- /dev/null
+++ b/cloverkeel/fleet/lists/feed.py
@@ -0,0 +1,42 @@
+"""What a member holds of a feed that it follows."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from cloverkeel.fleet.lists.limits import DEPTH
+from cloverkeel.fleet.lists.order import ListVersion
+from cloverkeel.fleet.lists.relays import Peer
+
+BEHIND_S = 1.0  # one that is behind for so long is told of the newer list
+
+
+@dataclass(slots=True)
+class Feed:
+    peer: Peer
+    depth: int | None = None  # of the member followed
+    heard: bool = False  # it has said something
+    lost_s: float = 0.0  # when it last had a depth, or was opened
+    version: ListVersion | None = None  # of the newest list that it told
+    behind_since_s: float | None = None
+
+    @property
+    def way(self) -> int:
+        """How far round it leads to the list service; over DEPTH for no way."""
+        return DEPTH + 1 if self.depth is None else self.depth
+
+
+def behind(feeds: Iterable[Feed], now_s: float, held: ListVersion | None) -> list[Peer]:
+    """Who is to be told of the newer list `held` now: those behind for BEHIND_S, once in each."""
+    told: list[Peer] = []
+    for feed in feeds:
+        is_behind = held is not None and feed.heard and (feed.version is None or feed.version < held)
+        if not is_behind:
+            feed.behind_since_s = None
+        elif feed.behind_since_s is None:
+            feed.behind_since_s = now_s
+        elif now_s >= feed.behind_since_s + BEHIND_S:
+            feed.behind_since_s = now_s
+            told.append(feed.peer)
+    return told
--- a/cloverkeel/fleet/lists/follow.py
+++ b/cloverkeel/fleet/lists/follow.py
@@ -32,46 +32,27 @@
     Unsubscribe,
     Watch,
 )
+from cloverkeel.fleet.lists.draws import FollowSettings, Growth, moment_s, width_s
+from cloverkeel.fleet.lists.feed import Feed, behind
+from cloverkeel.fleet.lists.limits import DEPTH, FEEDS, FULL_NAMES
 from cloverkeel.fleet.lists.order import ListVersion
-from cloverkeel.fleet.lists.relays import Peer, choose, preferred
+from cloverkeel.fleet.lists.relays import Peer, choose, outranked, preferred
 
-FEEDS = 2  # what a member follows at once, and what it asks at once
-DEPTH = 3  # of the tree: a member this deep has no followers
 SETTLE_S = 0.5  # a relay acts once its view of the relays has stood so long, half as long again by chance
+UNSEEN_S = 1.5  # and so much longer at most while it sees but a part of a fleet that comes up
+SEED_S = 3.0  # one that is alone and had a seed's answer has joined by then
 GRACE_S = 1.0  # nobody draws before the relays have stood so long: they need time to act
 BLIND_S = 5.0  # a relay whose calls have failed for so long tells its followers
 LOST_S = 2.0  # one that is no relay and has no way itself is left after this
-BACK_S = 1.0  # a fallback watch ends once a way by feeds has stood so long
+BACK_S = 1.0  # a fallback watch ends once a way by feeds has stood so long ...
+CIRCLE_S = 4.0  # ... and one of no relay's own watch so long: it may lead through this member itself
 ASK_S = 0.5  # a start waits so long for what it asked members
 AWAY_S = 2.0  # a member whose feed ended is not tried before this
 FULL_S = 20.0  # nor one that is full, up to half as long again by chance
 BAD_S = 10.0  # nor one that sent what is no list
-BEHIND_S = 1.0  # one that is behind for so long is told of the newer list
 HINTS = 16  # members to try that full ones named
-FULL_NAMES = 4  # named by a full one
-BLIND_WIDTH = 4.0  # the draw is so much wider while a relay speaks
 RETRY_S, RETRY_MOST_S = 0.4, 2.0  # between a relay's failed calls: doubled from the one up to the other
-ALONE_S = 5.0  # one that has found no member yet spreads its first call over so long at most
-LEAST_DRAW_S = 0.2  # a feed that ended has its successor by then
-
-
-@dataclass(slots=True, frozen=True)
-class FollowSettings:
-    cluster: str
-    relays: int = 3
-    list_calls_per_s: float = 20.0  # of the whole fleet, where all have to fall back
-    gateways: int = 1  # of the whole fleet, as the settings count them
-    own_watch: bool = False  # lists are pushed at no cost: each keeps its own watch, peers help at the start
-
-
-@dataclass(slots=True)
-class Feed:
-    peer: Peer
-    depth: int | None = None  # of the member followed
-    heard: bool = False  # it has said something
-    lost_s: float = 0.0  # when it last had a depth, or was opened
-    version: ListVersion | None = None  # of the newest list that it told
-    behind_since_s: float | None = None
+LIST_GAP_S, LIST_GAP_MOST_S = 0.5, 2.0  # between two members asked while there is no list: doubled likewise
 
 
 @dataclass(slots=True)
@@ -89,12 +70,17 @@
     away: dict[str, float] = field(default_factory=dict)  # until when a member is not tried
     hints: list[str] = field(default_factory=list)
     asking: dict[str, float] = field(default_factory=dict)  # since when
+    ask_gap_s: float = LIST_GAP_S
+    ask_due_s: float = 0.0  # while there is no list: when the next member is asked for one
+    answered_s: float = -SEED_S  # when a member that was asked last answered
+    growth: Growth = field(default_factory=Growth)
     watching: bool = False
     service_up: bool = False  # the own watch has answered, and not failed since
     heard_service_s: float = 0.0  # when it was last up, or first tried
     failures: int = 0
     call_due_s: float | None = None  # drawn: when to call
     drawn_s: float = 0.0
+    drawn_wide: bool = False  # for a view that grew then
     fed_since_s: float | None = None  # since when there is a way by feeds
     depth: int | None = None  # as the followers were told
 
@@ -106,16 +92,21 @@
         actions: list[Action] = []
         for name in [name for name in self.feeds if name not in self.peers]:
             actions += self._drop(name)
+        self.growth.see(now_s, len(self.peers))
         relays = choose(self.settings.cluster, self.peers.values(), self.settings.relays)
         if set(relays) != set(self.relays) or (joined and self.joined_s is None):
             self.changed_s = now_s
             self.settled_s = now_s + SETTLE_S * self.rng.uniform(1.0, 1.5)
+            if self.growth.goes_on(now_s):  # of the unseen, some rank higher
+                unseen = max(0.0, 1.0 - len(self.peers) / self.settings.gateways)
+                self.settled_s += UNSEEN_S * unseen * self.rng.random()
             if not self.failures:
                 self.call_due_s = None  # drawn for another fleet
         self.relays = relays
         if joined and self.joined_s is None:
             self.joined_s = now_s
             actions += self._ask_at_start(now_s)
+            self.ask_due_s = now_s if self.is_alone else now_s + ASK_S + self.ask_gap_s
         return actions + self._settle(now_s)
 
     def opened(self, now_s: float, name: str, depth: int | None) -> list[Action]:
@@ -154,9 +145,11 @@
         self.asking.pop(name, None)
         return self._drop(name) + self._settle(now_s)
 
-    def asked(self, now_s: float, name: str) -> list[Action]:
+    def asked(self, now_s: float, name: str, answered: bool = True) -> list[Action]:
         """What this member was asked for has come, or will not come."""
         self.asking.pop(name, None)
+        if answered:
+            self.answered_s = now_s
         return self._settle(now_s)
 
     def gap(self, now_s: float, name: str) -> list[Action]:
@@ -164,15 +157,14 @@
         peer = self.peers.get(name)
         if peer is None or name in self.asking or len(self.asking) >= FEEDS or self._is_away(now_s, name):
             return []
-        self.asking[name] = now_s
-        return [Ask(peer)]
+        return self._ask(now_s, [peer])
 
     def service_answered(self, now_s: float) -> list[Action]:
         """The service has answered the own call; one that failed already, perhaps, for it came late."""
         self.heard_service_s = now_s
         actions: list[Action] = []
-        if self.failures and not self.watching:
-            self.failures, self.call_due_s = 0, now_s  # it is slow, not gone: the next watch begins at once
+        if self.failures and not self.watching:  # it is slow, not gone: the next watch begins at once
+            self.failures, self.drawn_wide, self.call_due_s = 0, False, now_s
             actions = self._settle(now_s)
         self.service_up, self.failures = self.watching, 0
         return actions + self._settle(now_s)
@@ -185,7 +177,8 @@
         self.failures += 1
         longest_s = min(RETRY_S * 2**self.failures, RETRY_MOST_S)
         if not self.is_relay:
-            longest_s = max(longest_s, self._draw_s() * 2 ** min(self.failures, 4))
+            width = width_s(self.settings, len(self.peers), False, self.feeds.values())
+            longest_s = max(longest_s, width * 2 ** min(self.failures, 4))
         self.drawn_s, self.call_due_s = now_s, now_s + longest_s * self.rng.uniform(0.5, 1.0)
         return self._settle(now_s)
 
@@ -195,7 +188,10 @@
             del self.away[name]
         for name in [name for name, since_s in self.asking.items() if since_s + ASK_S <= now_s]:
             del self.asking[name]
-        return self._behind(now_s, held) + self._settle(now_s)
+        actions: list[Action] = [Have(peer) for peer in behind(self.feeds.values(), now_s, held)]
+        if held is None or self.is_alone:
+            actions += self._ask_again(now_s)
+        return actions + self._settle(now_s)
 
     # What follows from it
 
@@ -206,34 +202,42 @@
 
     @property
     def is_alone(self) -> bool:
-        """Whether no other has been found of several: after a power loss most of a fleet is so for a moment,
-        and each of them a relay would call the service for itself."""
+        """Whether no other has been found of several: after a power loss most are so for a moment, and each
+        of them a relay would call the service for itself."""
         return len(self.peers) == 1 and self.settings.gateways > 1
 
     def _is_away(self, now_s: float, name: str) -> bool:
         return self.away.get(name, 0.0) > now_s
 
-    def _draw_s(self) -> float:
-        """How long the fleet's calls are spread. A relay that speaks and has no way itself tells that the
-        service fails for all rather than that the relays are gone: less often then."""
-        if self.is_alone:
-            return max(LEAST_DRAW_S, min(ALONE_S, self.settings.gateways / self.settings.list_calls_per_s))
-        draw_s = max(LEAST_DRAW_S, len(self.peers) / self.settings.list_calls_per_s)
-        return draw_s * (BLIND_WIDTH if any(feed.heard for feed in self.feeds.values()) else 1.0)
-
-    def _relay_peers(self) -> list[Peer]:
-        return [self.peers[name] for name in self.relays]
+    def _preferred(self) -> list[Peer]:
+        return preferred(self.settings.cluster, self.me, [self.peers[name] for name in self.relays])
 
     def _drop(self, name: str) -> list[Action]:
         return [Unsubscribe(name)] if self.feeds.pop(name, None) is not None else []
 
     def _ask_at_start(self, now_s: float) -> list[Action]:
         """Two members: the relay that this one follows first, and another by chance."""
-        first = preferred(self.settings.cluster, self.me, self._relay_peers())[: FEEDS - 1]
+        first = self._preferred()[: FEEDS - 1]
         rest = [peer for peer in self.peers.values() if peer != self.me and peer not in first]
         chosen = [*first, *self.rng.sample(rest, min(len(rest), FEEDS - len(first)))]
-        self.asking |= {peer.name: now_s for peer in chosen}
-        return [Ask(peer) for peer in chosen]
+        return self._ask(now_s, chosen)
+
+    def _ask_again(self, now_s: float) -> list[Action]:
+        """Without a list: one more member, by chance, for those asked at the start had none then. Alone: a
+        seed, which may have come up since the join, and spares the service this member's call."""
+        if self.joined_s is None or self.settings.own_watch or now_s < self.ask_due_s or self.asking:
+            return []
+        self.ask_due_s = now_s + self.ask_gap_s
+        self.ask_gap_s = min(2 * self.ask_gap_s, LIST_GAP_MOST_S)
+        seeds, others = self.settings.seeds, self._others(now_s)
+        if self.is_alone and seeds:
+            address = self.rng.choice(seeds)
+            return self._ask(now_s, [Peer(address, "", address)])
+        return self.gap(now_s, self.rng.choice(others)) if others else []
+
+    def _ask(self, now_s: float, peers: list[Peer]) -> list[Action]:
+        self.asking |= {peer.name: now_s for peer in peers}
+        return [Ask(peer) for peer in peers]
 
     def _settle(self, now_s: float) -> list[Action]:
         """Bring role, feeds and watch to what the state asks for."""
@@ -257,16 +261,19 @@
         should = self.me.name in self.relays and not self.is_alone
         if should == self.is_relay or now_s < self.settled_s:
             return []
+        if self.is_fed and self.growth.goes_on(now_s):  # the next to come may rank higher
+            watching = [name for name, feed in self.feeds.items() if feed.depth == 0]
+            if should or not outranked(self.settings.cluster, self.me.name, watching):
+                return []  # those that relay now go on
         self.is_relay = should
         self.heard_service_s = now_s  # it is not blind before it has tried
         return [Relay(should)]
 
     def _follow(self, now_s: float) -> list[Action]:
         """Two feeds: to relays by preference, else to members that full ones named. A feed to another gives
-        way to a relay only while the second one stands."""
+        way to a relay only while the second one stands, and leads no further round to the service."""
         actions: list[Action] = []
-        relays = preferred(self.settings.cluster, self.me, self._relay_peers())
-        wanted = [peer.name for peer in relays if not self._is_away(now_s, peer.name)][:FEEDS]
+        wanted = [peer.name for peer in self._preferred() if not self._is_away(now_s, peer.name)][:FEEDS]
         for name, feed in list(self.feeds.items()):
             is_lost = feed.heard and feed.depth is None and now_s >= feed.lost_s + LOST_S
             is_deep = feed.depth is not None and feed.depth >= DEPTH
@@ -275,16 +282,25 @@
                 self.away[name] = now_s + AWAY_S
         for name in wanted:
             if name not in self.feeds and len(self.feeds) >= FEEDS:
-                spare = next((other for other in self.feeds if other not in wanted), None)
-                others = [feed for other, feed in self.feeds.items() if other != spare]
-                if spare is not None and all(feed.depth is not None for feed in others):
+                unwanted = [other for other in self.feeds if other not in wanted]
+                spare = max(unwanted, key=lambda other: self.feeds[other].way, default=None)
+                ways = [feed.way for other, feed in self.feeds.items() if other != spare]
+                if spare is not None and max(ways) <= min(self.feeds[spare].way, DEPTH):
                     actions += self._drop(spare)
             actions += self._subscribe(now_s, name)
         for name in self.hints:
             if name in self.peers and not self._is_away(now_s, name):
                 actions += self._subscribe(now_s, name)
+        if self.hints and len(self.feeds) < FEEDS:  # full ones, and too deep ones behind them: another branch
+            others = self._others(now_s)
+            actions += self._subscribe(now_s, self.rng.choice(others)) if others else []
         return actions
 
+    def _others(self, now_s: float) -> list[str]:
+        """Who may be asked or followed, beside those that are followed."""
+        known = (name for name in self.peers if name != self.me.name and name not in self.feeds)
+        return [name for name in known if not self._is_away(now_s, name)]
+
     def _subscribe(self, now_s: float, name: str) -> list[Action]:
         if name in self.feeds or len(self.feeds) >= FEEDS or name == self.me.name:
             return []
@@ -295,7 +311,8 @@
         """The own watch: a relay's always; another's where nothing it follows has a way to the service."""
         if not self.is_relay and self.fed_since_s is not None:
             self.call_due_s = None
-            if not self.watching or now_s < self.fed_since_s + BACK_S:
+            is_near = min(feed.way for feed in self.feeds.values()) == 0
+            if not self.watching or now_s < self.fed_since_s + (BACK_S if is_near else CIRCLE_S):
                 return []
             self.watching = self.service_up = False
             self.failures = 0
@@ -306,11 +323,16 @@
             if self.asking or (self.failures and self.call_due_s is not None and now_s < self.call_due_s):
                 return []  # it asks members first
             self.watching, self.call_due_s = True, None
-            return [Watch(True)]
-        if self.call_due_s is None:
-            self.drawn_s = now_s
+            return [Watch(True, self.is_fed)]
+        if self.is_alone and now_s < self.answered_s + SEED_S:
+            self.call_due_s = None
+            return []
+        grows = self.growth.goes_on(now_s) and not self.is_alone
+        if self.call_due_s is None or (self.drawn_wide and not grows and not self.failures):
+            self.drawn_s, self.drawn_wide = now_s, grows
             from_s = now_s if self.is_alone else max(now_s, self.changed_s + GRACE_S)
-            self.call_due_s = from_s + self._draw_s() * self.rng.random()
+            feeds = self.feeds.values()
+            self.call_due_s = from_s + moment_s(self.settings, len(self.peers), grows, feeds, self.rng)
         if now_s < self.call_due_s:
             return []
         self.watching, self.call_due_s = True, None
@@ -323,26 +345,3 @@
         if depths:
             return min(depths) + 1 if min(depths) < DEPTH else None
         return None
-
-    def _behind(self, now_s: float, held: ListVersion | None) -> list[Action]:
-        actions: list[Action] = []
-        for feed in self.feeds.values():
-            is_behind = held is not None and feed.heard and (feed.version is None or feed.version < held)
-            if not is_behind:
-                feed.behind_since_s = None
-            elif feed.behind_since_s is None:
-                feed.behind_since_s = now_s
-            elif now_s >= feed.behind_since_s + BEHIND_S:
-                feed.behind_since_s = now_s
-                actions.append(Have(feed.peer))
-        return actions
-
-
-def admits(followers: int, limit: int, depth: int | None, is_relay: bool) -> bool:
-    """Whether a member takes one more follower: below its limit, and no deeper than the tree may be."""
-    return followers < limit and (is_relay or depth is None or depth < DEPTH)
-
-
-def feeds_limit(sockets: int) -> int:
-    """How many followers a member with so many descriptors takes."""
-    return max(16, sockets // 8)
--- a/cloverkeel/fleet/lists/followers.py
+++ b/cloverkeel/fleet/lists/followers.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from cloverkeel.fleet.lists.follow import FULL_NAMES, Follower, admits
+from cloverkeel.fleet.lists.follow import Follower
+from cloverkeel.fleet.lists.limits import FULL_NAMES, admits
 from cloverkeel.fleet.lists.order import Body, HeldList, ListVersion, as_raw, encode
 
 ON_FEED = 2_000  # entries of a whole list that still go over a feed; a longer one is asked for
--- a/cloverkeel/fleet/lists/relays.py
+++ b/cloverkeel/fleet/lists/relays.py
@@ -46,6 +46,12 @@
     return tuple(peer.name for peer in ranked if peer.name in chosen)
 
 
+def outranked(cluster: str, me: str, others: Iterable[str]) -> bool:
+    """Whether one of `others` ranks higher than `me`: of two that both may go, one stays."""
+    mine = score(cluster, me), me
+    return any((score(cluster, other), other) < mine for other in others)
+
+
 def preferred(cluster: str, me: Peer, relays: Iterable[Peer]) -> list[Peer]:
     """The relays in the order in which `me` follows them: its own zone first, then spread by hash."""
     others = [peer for peer in relays if peer.name != me.name]
--- a/cloverkeel/fleet/lists/sharing.py
+++ b/cloverkeel/fleet/lists/sharing.py
@@ -18,9 +18,11 @@
 from cloverkeel.fleet.cluster import ClusterSettings
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.lists import actions
-from cloverkeel.fleet.lists.follow import ASK_S, BAD_S, Follower, FollowSettings, feeds_limit
+from cloverkeel.fleet.lists.draws import FollowSettings
+from cloverkeel.fleet.lists.follow import ASK_S, BAD_S, Follower
 from cloverkeel.fleet.lists.followers import Followers, news, version_or_none
 from cloverkeel.fleet.lists.intake import Intake
+from cloverkeel.fleet.lists.limits import feeds_limit
 from cloverkeel.fleet.lists.links import FEED, Links, is_no_frame
 from cloverkeel.fleet.lists.order import Body, Taken, as_version, decode, encode
 from cloverkeel.fleet.lists.relays import Peer
@@ -61,8 +63,9 @@
         self.intake = Intake(discovery, on_list, self._on_news, self._on_service)
         self.held = self.intake.held
         me = Peer(membership.name, membership.zone, membership.address)
+        seeds = tuple(seed for seed in settings.seeds if seed != me.address)
         wanted = FollowSettings(
-            settings.name, settings.relays, settings.list_calls_per_s, gateways, discovery.pushed
+            settings.name, settings.relays, settings.list_calls_per_s, gateways, seeds, discovery.pushed
         )
         self.core = Follower(me, wanted, self.rng)
         self.followers = Followers(self.held, self.core, feeds_limit(sockets), self.rng)
@@ -244,8 +247,8 @@
                     self._spawn(self._ask(peer))
                 case actions.Have(peer):
                     self._spawn(self._have(peer))
-                case actions.Watch(on):
-                    self.discovery.watch(on)
+                case actions.Watch(on, is_fed):
+                    self.discovery.watch(on, is_fed)
                 case actions.Depth(depth):
                     self.followers.tell({"depth": depth})
                 case actions.Relay(on):
@@ -262,18 +265,20 @@
         self._do(self.core.ended(self.loop.time(), name))
 
     async def _ask(self, peer: Peer) -> None:
+        answered = False
         try:
             raw = await self.calls.call(peer.address, GET, version_or_none(self.held.version), ASK_S)
             if not isinstance(raw, dict):
                 raise ValueError(f"no answer to {GET}: {raw!r:.40}")
             if raw.get("list") is not None:
                 self._take(peer.name, raw["list"])
+            answered = True
         except CallFailed as error:  # it has gone, or is too slow: others are asked, or the service
             if is_no_frame(str(error)):
                 self._refuse(peer.name, str(error))
         except ValueError as error:
             self._refuse(peer.name, str(error))
-        self._do(self.core.asked(self.loop.time(), peer.name))
+        self._do(self.core.asked(self.loop.time(), peer.name, answered))
         if not self.core.asking:
             self.asked.set()
 
--- a/faultlab/storm/cluster/lists.py
+++ b/faultlab/storm/cluster/lists.py
@@ -10,7 +10,9 @@
 
 from cloverkeel.fleet.invariants import check
 from cloverkeel.fleet.lists.actions import Action, Ask, Depth, Have, Subscribe, Unsubscribe, Watch
-from cloverkeel.fleet.lists.follow import ASK_S, FEEDS, FULL_NAMES, Follower, FollowSettings, admits
+from cloverkeel.fleet.lists.draws import FollowSettings
+from cloverkeel.fleet.lists.follow import ASK_S, Follower
+from cloverkeel.fleet.lists.limits import FEEDS, FULL_NAMES, admits
 from cloverkeel.fleet.lists.order import Body, HeldList, ListVersion, Taken, from_before, judge
 from cloverkeel.fleet.lists.relays import Peer
 from cloverkeel.fleet.membership.roster import PRESENT
@@ -142,7 +144,7 @@
                     clock.at(clock.now_s + HOP_S, self.ask, sharer, peer)
                 case Have(peer):
                     clock.at(clock.now_s + HOP_S, self.have, sharer, peer)
-                case Watch(on):
+                case Watch(on, _):
                     sharer.watch += 1
                     if on:
                         self.call(sharer, sharer.watch)
