--- a/cloverkeel/fleet/lists/draws.py
+++ b/cloverkeel/fleet/lists/draws.py
@@ -45,9 +45,9 @@
     """How long the calls of the whole fleet are spread, of which this member sees `live`.
 
     A view that grows is a part of the fleet: its few members would spend the budget of all. One that is alone
-    most often came up before its seeds, and finds them soon: half of the budget is enough. A relay that speaks
-    over one of `feeds` and has no way itself tells that the service fails for all rather than that the relays
-    are gone: less often then.
+    most often came up before its seeds, and finds them soon: half of the budget is enough. A relay that
+    speaks over one of `feeds` and has no way itself tells that the service fails for all rather than that
+    the relays are gone: less often then.
     """
     if live == 1 and settings.gateways > 1:
         return max(LEAST_DRAW_S, min(ALONE_S, 2 * settings.gateways / settings.list_calls_per_s))
