--- a/cloverkeel/fleet/routes/command.py
+++ b/cloverkeel/fleet/routes/command.py
@@ -51,7 +51,9 @@
     source = read_file(path)
     answer = call(address, f"/api/routes/apply?wait={arguments.wait}", source, lacks=LACKS)
     if not answer["change"]:
-        print("nothing differs from the plan that the file was made from")
+        behind = answer["behind"]
+        more = f"; by now the plan has otherwise: {', '.join(behind[:5])}" if behind else ""
+        print(f"nothing differs from the plan that the file was made from{more}")
         return 0
     code = _said(answer, arguments.wait)
     try:
--- a/cloverkeel/fleet/routes/files.py
+++ b/cloverkeel/fleet/routes/files.py
@@ -218,6 +218,20 @@
     return isinstance(a, bool) == isinstance(b, bool) and a == b
 
 
+def behind(file: TeamFile, view: View) -> list[str]:
+    """The file's routes that are others by now in the plan in service, or in none."""
+    now = exported(file.team, view).routes
+
+    def forms(fields: Fields) -> Fields:
+        return {key: _form(key, value) for key, value in fields.items()}
+
+    return [
+        name
+        for name in sorted(file.routes)
+        if name not in now or not same(forms(now[name]), forms(_with_owner(file, name)))
+    ]
+
+
 # Export.
 
 
--- a/cloverkeel/fleet/routes/part.py
+++ b/cloverkeel/fleet/routes/part.py
@@ -17,7 +17,7 @@
 from cloverkeel.fleet.routes.changes import KIND, Accept, Edit, key_of
 from cloverkeel.fleet.routes.interface import View, World
 from cloverkeel.fleet.routes.merge import Merge
-from cloverkeel.fleet.routes.resolving import How, dot_of, edits_of, stranded
+from cloverkeel.fleet.routes.resolving import How, dot_of, edits_of, faults
 from cloverkeel.fleet.routes.settings import RoutesSettings
 from cloverkeel.fleet.routes.shell import Routes, before, in_slices
 from cloverkeel.fleet.routes.status import notes, pieces, what_became
@@ -133,8 +133,7 @@
         async def make(view: View) -> tuple[Made, files.TeamFile]:
             file = await asyncio.to_thread(files.parse, body)
             edits = files.difference(file)
-            if why := stranded(view, edits, self.gateway.listed.values()):
-                raise ValueError(why)
+            self._check(view, edits)
             base = file.base.context if file.base is not None else Context()
             return (file.team, edits, (), routes.context_of(base, edits)), file
 
@@ -155,8 +154,7 @@
             if found is None:
                 raise ValueError(f"there is no conflict {id:.40}")
             edits = edits_of(found, How(way, int(take), body.decode("utf-8", "replace")), view)
-            if why := stranded(view, edits, self.gateway.listed.values()):
-                raise ValueError(why)
+            self._check(view, edits)
             return (team, edits, (), view.context), None
 
         return await self._commit(query, make)
@@ -175,6 +173,12 @@
 
         return await self._commit(query, make)
 
+    def _check(self, view: View, edits: tuple[Edit, ...]) -> None:
+        """Raises ValueError."""
+        world = self.routes.world if self.routes is not None else None
+        if found := faults(view, edits, self.gateway.listed.values(), world or World()):
+            raise ValueError("\n".join(found[: files.FAULTS_MAX]))
+
     async def _commit(self, query: bytes, make: Callable[[View], Any]) -> Answer:
         """Write what `make` makes of the view. Bad input is answered with 400 and nothing is written."""
         routes = self.routes
@@ -184,7 +188,8 @@
             wait: Level = level(query)
             (team, edits, accepts, context), file = await make(view)
             if not edits and not accepts:
-                return _answered({"change": "", "confirmed": True, "held": 0, "reason": "", "edits": 0})
+                behind = files.behind(file, view) if file is not None else []
+                return _answered({"change": "", "confirmed": True, "edits": 0, "behind": behind})
             change, answer = await routes.commit(team, edits, accepts, context, wait, WAIT_S)
         except ValueError as error:
             return refused(400, error)
--- a/cloverkeel/fleet/routes/resolving.py
+++ b/cloverkeel/fleet/routes/resolving.py
@@ -1,4 +1,4 @@
-"""What a team's word on a conflict writes, and which edits would leave a class without hosts. Pure."""
+"""What a team's word on a conflict writes, and which edits are refused before they are written. Pure."""
 
 from __future__ import annotations
 
@@ -9,9 +9,10 @@
 from cloverkeel.fleet.ledger.dots import Dot
 from cloverkeel.fleet.ledger.records import MEMBER_MAX
 from cloverkeel.fleet.routes.changes import DELETED, Edit
-from cloverkeel.fleet.routes.fields import canonical
+from cloverkeel.fleet.routes.conflicts import of_route
+from cloverkeel.fleet.routes.fields import canonical, sound
 from cloverkeel.fleet.routes.files import value_fault
-from cloverkeel.fleet.routes.interface import Conflict, View
+from cloverkeel.fleet.routes.interface import Conflict, RouteView, View, World
 from cloverkeel.fleet.routes.world import labels_of
 
 BEFORE = "before"
@@ -88,15 +89,36 @@
     return canonical(field, value)
 
 
-def stranded(view: View | None, edits: Iterable[Edit], rows: Iterable[Mapping[str, Any]]) -> str:
-    """Why a route that all requests of a class take would name no listed host after these edits, or "". With
-    no list, nothing is known. `rows`: hosts as discovery gave them."""
-    rows = list(rows)
+def faults(view: View, edits: Iterable[Edit], rows: Iterable[Mapping[str, Any]], world: World) -> list[str]:
+    """What is wrong with these edits whatever others write, a line each: values that would block their route
+    by themselves, and a route that leaves a class without hosts. `rows`: hosts as discovery gave them."""
+    edits = list(edits)
+    written = {(edit.route, edit.field) for edit in edits}
+    found = []
+    routes = _after(view, edits)
+    for name, values in routes.items():
+        kept = {field: value for field, value in values.items() if value is not None}
+        made = RouteView(name, str(values.get("owner", "")), kept, {})
+        for conflict in () if values.get(DELETED) is True else of_route(made, world):
+            if conflict.severity == "blocking" and (name, conflict.field) in written:
+                found.append(f"route {conflict.why}")
+    return found + _stranded(routes, list(rows))
+
+
+def _after(view: View, edits: Iterable[Edit]) -> dict[str, dict[str, Any]]:
+    """The values of the routes that are edited, as the plan in service would have them."""
     routes: dict[str, dict[str, Any]] = {}
     for edit in edits:
-        known = view.routes.get(edit.route) if view is not None else None
+        known = view.routes.get(edit.route)
         values = routes.setdefault(edit.route, dict(known.values) if known is not None else {})
-        values[edit.field] = edit.value
+        value, why = sound(edit.field, edit.value)
+        values[edit.field] = None if why else value
+    return routes
+
+
+def _stranded(routes: Mapping[str, Mapping[str, Any]], rows: list[Mapping[str, Any]]) -> list[str]:
+    """Routes that all requests of a class take and that name no listed host; none with no list."""
+    found = []
     for name, values in routes.items():
         targets = values.get("targets")
         narrow = values.get("callers") or (values.get("path") or "/") != "/"
@@ -105,8 +127,8 @@
         rest = sum(target["share"] for target in targets) < 100
         if not any(rest or any(_names(target, row) for target in targets) for row in rows):
             classes = ", ".join(values.get("classes") or ()) or "every class"
-            return f"route {name!r:.140}: no listed host is in its targets: {classes} would be without hosts"
-    return ""
+            found.append(f"route {name}: no listed host is in its targets: {classes} would be without hosts")
+    return found
 
 
 def _names(target: Mapping[str, Any], row: Mapping[str, Any]) -> bool:
--- a/tests/test_routes_process.py
+++ b/tests/test_routes_process.py
@@ -118,6 +118,7 @@
             file.write_text(file.read_text().replace(f'"{PATH}"', '"/fr"'))  # made from the plan before
             code, out, _ = await routes("apply", str(file), operator=one)
             assert code == 0 and "--take 1" in out
+            assert "otherwise: eu" in (await routes("apply", str(file), operator=one))[1]
             both = [await shown(port, conflicts=1) for port in (one, other)]
             (conflict,) = both[0]["conflicts"]
             assert conflict == both[1]["conflicts"][0] and conflict["teams"] == ["pay"]
@@ -134,7 +135,8 @@
     'team = "pay"\n[route.a]\ntargets = [{group = ["3"]}]': "route 'a': 'targets': a target has types,",
     'team = "pay"\n[route.a]\nlimit = "7"': "route 'a': 'limit': a whole number from 1",
     'team = "pay"\n[route.a': "not TOML: Expected ']' at the end of a table declaration",
-    'team = "pay"\n[route.a]\ntargets = [{groups = ["9"]}]': "route 'a': no listed host is in its targets",
+    'team = "pay"\n[route.a]\ntargets = [{groups = ["9"]}]': "route a: no listed host is in its targets",
+    'team = "pay"\n[route.a]\nclasses = ["x"]': "route a: classes that the settings do not have: x",
 }
 
 
--- a/tests/test_routes_shell.py
+++ b/tests/test_routes_shell.py
@@ -18,7 +18,7 @@
 from cloverkeel.fleet.routes.changes import DELETED, KIND, Change, Edit, encode, key_of
 from cloverkeel.fleet.routes.interface import Choice, Conflict, RouteView, View, World
 from cloverkeel.fleet.routes.merge import Merge
-from cloverkeel.fleet.routes.resolving import How, dot_of, edits_of, stranded
+from cloverkeel.fleet.routes.resolving import How, dot_of, edits_of, faults
 from cloverkeel.fleet.routes.shell import Routes
 from cloverkeel.fleet.routes.telling import LINES_MAX, Telling, teller
 from cloverkeel.fleet.routes.world import world_of
@@ -168,6 +168,7 @@
         again.close()
 
 
+WORLD = World(classes=frozenset({"transfer"}))
 SIDES = (Choice(Dot("a", 1, 1), "pay", 5), Choice(Dot("b", 1, 1), "pay", 7))
 
 
@@ -219,13 +220,19 @@
 def test_a_file_that_leaves_a_class_without_hosts_is_told_from_one_that_does_not() -> None:
     rows = [{"type": "m", "group": 1}, {"type": "m", "group": 2, "labels": ["new"]}]
 
-    def why(view: View | None = None, **values: Any) -> str:
-        return stranded(view, [Edit("r", name, value) for name, value in values.items()], rows)
+    def why(view: View = plan(), **values: Any) -> str:  # noqa: B008
+        return "; ".join(
+            faults(view, [Edit("r", name, value) for name, value in values.items()], rows, WORLD)
+        )
 
     nowhere = [{"groups": ["9"], "share": 100}]
     assert "transfer would be without hosts" in why(classes=["transfer"], targets=nowhere)
     assert "every class" in why(plan(r={"targets": nowhere}), limit=3)
-    assert not stranded(None, [Edit("r", "targets", nowhere)], [])  # no list: nothing is known
+    assert not faults(plan(), [Edit("r", "targets", nowhere)], [], WORLD)  # no list: nothing is known
+    assert "classes that the settings do not have: other" in why(classes=["other"])
+    assert "110 %" in why(targets=[{"groups": ["1"], "share": 40}, {"groups": ["2"], "share": 70}])
+    assert not why(plan(r={"classes": ["other"]}), limit=3)  # it stood there before
+    assert not why(classes=["other"], deleted=True)
     for fine in (
         {"targets": nowhere, "path": "/x"}, {"targets": nowhere, "callers": ["acme"]},
         {"targets": [{"groups": ["9"], "share": 5}]}, {"targets": [{"labels": ["new"], "share": 100}]},
