--- /dev/null
+++ b/caperdrift/checks/cold.py
@@ -0,0 +1,45 @@
+"""Cold servers: what they are sent, against this proxy's part of their fall budget."""
+
+from __future__ import annotations
+
+from caperdrift.checks.account import ROUNDING, Account, Spent
+from caperdrift.policy.cold import FALL_MARGIN, cold_cost_us
+from caperdrift.policy.servers import Server
+
+
+class Cold(Account):
+    def half_us(self, now_us: int, server: Server) -> float | None:
+        """Half of this proxy's part of the work that a cold server may be sent in a window; None if warm."""
+        settings, balancer = self.balancer.settings, self.balancer
+        age_us = now_us - server.entry.started_us
+        if not server.entry.started_us or age_us >= settings.warm_after_us or not settings.warm_after_us:
+            return None
+        warmed = max(0, age_us) / settings.warm_after_us
+        share = settings.start_capacity + (1.0 - settings.start_capacity) * warmed
+        if share >= 1.0:
+            return None
+        users = max(1.0, settings.proxies * min(1.0, balancer.reach / max(1, len(balancer.ranked))))
+        return FALL_MARGIN * settings.fall_multiple * settings.fall_us / users * share / 2
+
+    def watch_parts(self, now_us: int) -> None:
+        """Keep the most that each cold server's part was: the balancer may have paid off by that."""
+        for server, spent in tuple(self.spent.items()):
+            half_us = self.half_us(now_us, server)
+            if half_us is None:
+                del self.spent[server]
+            else:
+                spent.half_us = max(spent.half_us, half_us)
+
+    def check_cold(self, now_us: int, server: Server, name: str) -> None:
+        half_us = self.half_us(now_us, server)
+        if half_us is None:
+            return
+        spent = self.spent.setdefault(server, Spent(0.0, now_us, half_us))
+        most_us = max(spent.half_us, half_us)
+        paid_us = most_us * (now_us - spent.at_us) / self.balancer.settings.fall_us
+        cost_us = cold_cost_us(self.balancer, self.balancer.requests[name])
+        level_us = max(0.0, spent.level_us - paid_us) + cost_us
+        bound_us = max(most_us, cost_us) * (1.0 + ROUNDING)
+        number = server.entry.server
+        self.demand(level_us <= bound_us, f"cold server {number} sent {level_us:.0f} us, of {bound_us:.0f}")
+        self.spent[server] = Spent(level_us, now_us, half_us)
--- a/faultlab/storm/module.py
+++ b/faultlab/storm/module.py
@@ -8,7 +8,8 @@
 
 from caperdrift import Balancer, Learned
 from caperdrift.checks import watch
-from faultlab.storm.events import World, draw_settings
+from faultlab.storm.world.draws import draw_settings
+from faultlab.storm.world.world import World
 
 EPISODE = 12_000  # events at most before a world and its balancer give way to the next
 
--- /dev/null
+++ b/faultlab/storm/world/world.py
@@ -0,0 +1,138 @@
+"""The whole world: events out, actions in."""
+
+from __future__ import annotations
+
+import math
+from heapq import heappop
+from random import Random
+
+from caperdrift.interface import (
+    Action,
+    AttemptEnded,
+    BodyEnded,
+    BodyPassing,
+    Cancel,
+    Event,
+    Fail,
+    FetchList,
+    Learned,
+    ListKind,
+    Outcome,
+    PeerMessage,
+    Probed,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Restore,
+    Send,
+    SetTimer,
+    Settings,
+    SettingsChanged,
+    StreamStarted,
+    TimerFired,
+    WatchList,
+)
+from faultlab.storm.world.base import SECOND_US, MOOD_US, MEMBERSHIP_US
+from faultlab.storm.world.clients import Clients
+from faultlab.storm.world.draws import retuned
+from faultlab.storm.world.fleet import Fleet
+
+
+class World(Clients, Fleet):
+    """Everything round one balancer. `learned` is what a process before it left behind, taken up at once.
+
+    `World.next` gives the next event, `World.take` hears what the balancer did about it: what happens later
+    depends on both, and on the generator that the world was given.
+    """
+
+    def __init__(self, rng: Random, settings: Settings, learned: Learned | None = None) -> None:
+        super().__init__(rng, settings)
+        for _ in range(self.usual):
+            self.add_host(0)
+        first = ListKind.FULL if settings.list_is_pushed else ListKind.DISK
+        self.plan(0, lambda: self.listing(first))
+        if learned is not None:
+            self.plan(1, lambda: Restore(learned, rng.choice((-5, 0, 800_000, 60_000_000))))
+        self.plan(10, self.arrive)
+        self.plan(self.later(MEMBERSHIP_US), self.fleet_changes)
+        self.plan(self.later(MOOD_US / 6), self.mood_changes)
+        self.plan(self.later(3 * SECOND_US), self.weather_changes)
+        self.plan(self.later(4 * SECOND_US), self.settings_change)
+        self.plan(self.later(SECOND_US / 4), self.oddity)
+
+    # What the lab calls
+
+    def next(self) -> tuple[int, Event]:
+        """The time of the next event, and the event."""
+        while True:
+            due_us, _, happen = heappop(self.queue)
+            self.now_us = max(self.now_us, due_us)
+            event = happen()
+            if event is not None:
+                return self.now_us, event
+
+    def take(self, actions: list[Action]) -> None:
+        """Hear what the balancer did about the last event."""
+        for action in actions:
+            match action:
+                case Send():
+                    self.send(action)
+                case Refuse() | Fail():
+                    self.answered(action)
+                case Cancel():
+                    self.cancel(action)
+                case SetTimer():
+                    token = action.token
+                    wait_us = action.due_us - self.now_us + self.rng.choice((0, 1_000))
+                    self.plan(wait_us, lambda token=token: TimerFired(token))  # type: ignore[misc]
+                case WatchList():
+                    self.watched = action.on
+                    kind = self.rng.choices((ListKind.FULL, ListKind.DELTA, ListKind.ERROR), (6, 2, 2))[0]
+                    self.plan(self.later(50_000), lambda kind=kind: self.listing(kind))  # type: ignore[misc]
+                case FetchList():
+                    self.plan(self.later(50_000), lambda: self.listing(ListKind.FULL))
+
+    # Besides hosts and clients
+
+    def settings_change(self) -> Event | None:
+        self.plan(self.later(4 * SECOND_US), self.settings_change)
+        self.settings = retuned(self.rng, self.settings)
+        return SettingsChanged(self.settings)
+
+    def oddity(self) -> Event | None:
+        """What should not come, or means nothing: names held twice or unknown, late timers, other tenants."""
+        rng = self.rng
+        self.plan(self.later(SECOND_US / 4), self.oddity)
+        name = rng.choice(tuple(self.asked)) if self.asked else "never"
+        some = self.asked[name].event if self.asked else RequestArrived("never", 0, 1)
+        turn = rng.randrange(9)
+        if turn == 0 and self.asked:
+            return some
+        if turn == 1:
+            self.names += 1
+            klass = rng.choice((-1, len(self.settings.classes), 99))
+            return RequestArrived(f"r{self.names}", klass, 100_000)
+        if turn == 2:
+            told = [
+                (n, k) for n, asked in self.asked.items() for k, shot in enumerate(asked.shots) if shot.ended
+            ]
+            name, number = rng.choice((*told, (name, -1), (name, 9)))
+            return AttemptEnded(name, number, 1, rng.choice(tuple(Outcome)), 5_000)
+        if turn == 3:
+            return TimerFired(rng.choice((0, 10**9)))
+        if turn == 4:
+            return rng.choice((RequestGone("never"), BodyEnded("never"), StreamStarted(name, 9)))
+        if turn == 5:
+            return rng.choice((Probed(1, Outcome.OK, 900), PeerMessage(0, b"x"), BodyPassing("never", 0)))
+        if turn == 6:
+            return self.strange_learned()
+        if turn == 7:
+            self.now_us += rng.randint(0, SECOND_US)  # a process that was held up
+        return None
+
+    def strange_learned(self) -> Event:
+        """A Restore in the middle of service, of figures out of every bound."""
+        rng = self.rng
+        figures = (0.0, -1.0, 1e9, math.inf, 5_000.0, 40_000.0)
+        latencies = [tuple(rng.choice(figures) for _ in range(rng.randint(0, 7))) for _ in range(2)]
+        return Restore(Learned((), *latencies), rng.randint(-5, SECOND_US))
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from caperdrift.checks import InvariantBroken, watch
+from caperdrift.checks import watch
+from caperdrift.checks.account import InvariantBroken
 from caperdrift.interface import (
     Action,
     AttemptEnded,
