Routes: ten thousand conflicts at once hold up neither the log nor an answer

A merge that brings 10,000 conflicts had each ranked over all members before the first line, and `show` made them in one piece. A member now looks at as many as it tells 20 of, and the answer is made one conflict at a time, as it was for routes.

--- a/cloverkeel/fleet/routes/status.py
+++ b/cloverkeel/fleet/routes/status.py
@@ -16,34 +16,27 @@
 _encode = msgspec.json.Encoder().encode
 
 
-def pieces(
-    view: View, changes: Mapping[str, Change], member: str, team: str, brief: bool
-) -> Iterator[bytes]:
+def pieces(view: View, changes: Mapping[str, Change], member: str, team: str, brief: bool) -> Iterator[bytes]:
     """One JSON object: hash, member, count, conflicts, waiting, held back, and the routes unless `brief`.
     `team`: of whom routes, conflicts and waiting edits are told, "*" of all; `changes`: by their names."""
 
     def concerns(*teams: str) -> bool:
         return team == "*" or team in teams
 
-    head = {
-        "hash": view.hash,
-        "member": member,
-        "count": len(view.routes),
-        "held_back": [_held(key_of(dot), changes) for dot in view.held_back],
-        "conflicts": [_conflict(each) for each in view.conflicts if concerns(*each.teams)],
-        "waiting": [_waiting(each) for each in view.waiting if concerns(each.team, *each.owner.split(", "))],
+    lists: dict[str, Iterator[dict[str, Any]]] = {
+        "held_back": (_held(key_of(dot), changes) for dot in view.held_back),
+        "conflicts": (_conflict(each) for each in view.conflicts if concerns(*each.teams)),
+        "waiting": (_waiting(each) for each in view.waiting if concerns(each.team, *each.owner.split(", "))),
     }
-    if brief:
-        yield _encode(head)
-        return
-    yield _encode(head)[:-1] + b',"routes":['
-    mark = b""
-    for name in sorted(view.routes):
-        route = view.routes[name]
-        if concerns(route.owner):
-            yield mark + _encode(_route(route))
-            mark = b","
-    yield b"]}"
+    if not brief:
+        lists["routes"] = (_route(route) for _, route in sorted(view.routes.items()) if concerns(route.owner))
+    yield _encode({"hash": view.hash, "member": member, "count": len(view.routes)})[:-1]
+    for name, values in lists.items():
+        yield f',"{name}":['.encode()
+        for number, value in enumerate(values):
+            yield (b"," if number else b"") + _encode(value)
+        yield b"]"
+    yield b"}"
 
 
 def _held(name: str, changes: Mapping[str, Change]) -> dict[str, Any]:
@@ -53,9 +46,7 @@
 
 
 def _route(route: RouteView) -> dict[str, Any]:
-    decided = {
-        key: {"change": key_of(by.dot), "team": by.team} for key, by in sorted(route.decided.items())
-    }
+    decided = {key: {"change": key_of(by.dot), "team": by.team} for key, by in sorted(route.decided.items())}
     values, others = plain(route.values), plain(route.others)
     return {"name": route.name, "owner": route.owner, "values": values, "others": others, "decided": decided}
 
--- a/cloverkeel/fleet/routes/telling.py
+++ b/cloverkeel/fleet/routes/telling.py
@@ -8,7 +8,7 @@
 from cloverkeel.fleet.lists.relays import score
 from cloverkeel.fleet.routes.interface import Conflict
 
-LINES_MAX = 20  # of one merge; the rest is a number
+LINES_MAX = 20  # of one merge; of the rest the number is told
 
 
 class Told(NamedTuple):
@@ -35,14 +35,14 @@
             return
         came = [now[id] for id in now if id not in before]
         went = [before[id] for id in before if id not in now]
-        lines = [
-            Told("routes.conflict" if conflict.id in now else "routes.resolved", _fields(conflict))
-            for conflict in (*came, *went)
-            if conflict.local or teller(conflict.id, live | {self.me}) == self.me
-        ]
-        yield from lines[:LINES_MAX]
-        if len(lines) > LINES_MAX:
-            yield Told("routes.untold", {"more": len(lines) - LINES_MAX})
+        live, told = live | {self.me}, 0
+        for looked, conflict in enumerate((*came, *went)):
+            if told == LINES_MAX:
+                yield Told("routes.untold", {"not_looked_at": len(came) + len(went) - looked})
+                return
+            if conflict.local or teller(conflict.id, live) == self.me:
+                told += 1
+                yield Told("routes.conflict" if conflict.id in now else "routes.resolved", _fields(conflict))
 
 
 def _fields(conflict: Conflict) -> dict[str, object]:
