Upgrade: the new process runs the active set from its first call, read from the file of the one before

Until the old process had let the state store go, the new one had no ledger and so no published transform: in the lab 159 of 233 calls during an upgrade came to hosts without the active version.

--- /dev/null
+++ b/cloverkeel/fleet/ledger/reader.py
@@ -0,0 +1,62 @@
+"""The ledger of a file that another process holds, as it stands there: nothing is written or moved."""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+
+from cloverkeel.fleet.ledger.records import digest
+from cloverkeel.fleet.ledger.replica import Put
+from cloverkeel.fleet.ledger.store import SCHEMA, StoreError, checksum, record_of
+from cloverkeel.fleet.state.file import FILE, reader
+
+
+class Reader:
+    """For one thread at a time. Raises StoreError where there is no file or SQLite cannot open it."""
+
+    def __init__(self, directory: str) -> None:
+        self.path = os.path.join(directory, FILE)
+        self.version = -1  # of the file, as `puts` last read it
+        try:
+            self.connection = reader(self.path)
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+
+    def puts(self, kinds: frozenset[str]) -> list[Put] | None:
+        """The sound live records of these kinds; None: the file has not changed since the last call. A file
+        without a ledger of this schema has none. Raises StoreError."""
+        try:
+            version = int(self.connection.execute("PRAGMA data_version").fetchone()[0])
+            if version == self.version:
+                return None
+            self.connection.execute("BEGIN")  # one state of the file for all that is read
+            try:
+                found = self._puts(kinds)
+            finally:
+                self.connection.execute("ROLLBACK")
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+        self.version = version
+        return found
+
+    def _puts(self, kinds: frozenset[str]) -> list[Put]:
+        tables = {row[0] for row in self.connection.execute("SELECT name FROM sqlite_master")}
+        if not {"ledger_record", "ledger_payload", "ledger_meta"} <= tables:
+            return []
+        meta = "SELECT value, sha256 FROM ledger_meta WHERE key = 'schema'"
+        if self.connection.execute(meta).fetchone() != (SCHEMA, checksum(SCHEMA)):
+            return []
+        rows = self.connection.execute("SELECT member, incarnation, counter, head, sha256 FROM ledger_record")
+        found = []
+        for *named, head, sha256 in rows.fetchall():
+            record = record_of(named, head, sha256)
+            if record is None or record.deleted or record.kind not in kinds:
+                continue
+            select = "SELECT payload FROM ledger_payload WHERE sha256 = ?"
+            row = self.connection.execute(select, (record.sha256,)).fetchone()
+            if row is not None and digest(row[0]) == record.sha256:
+                found.append(Put(record, row[0]))
+        return found
+
+    def close(self) -> None:
+        self.connection.close()
--- a/cloverkeel/fleet/ledger/store.py
+++ b/cloverkeel/fleet/ledger/store.py
@@ -101,7 +101,7 @@
         sound_heads = True
         rows = self.connection.execute("SELECT member, incarnation, counter, head, sha256 FROM ledger_record")
         for *named, head, checksum in rows.fetchall():
-            record = _record(named, head, checksum)
+            record = record_of(named, head, checksum)
             if record is None:
                 sound_heads = False
                 loaded.findings.append(f"record {':'.join(map(str, named))}: checksum does not match")
@@ -140,7 +140,7 @@
                 dot = record.dot
                 self.connection.execute(
                     "INSERT OR REPLACE INTO ledger_record VALUES (?, ?, ?, ?, ?, ?)",
-                    (dot.member, dot.incarnation, dot.counter, record.sha256, head, _checksum(head)),
+                    (dot.member, dot.incarnation, dot.counter, record.sha256, head, checksum(head)),
                 )
                 if not record.deleted:
                     self.connection.execute(
@@ -179,13 +179,13 @@
         row = self.connection.execute(
             "SELECT value, sha256 FROM ledger_meta WHERE key = ?", (key,)
         ).fetchone()
-        if row is None or not isinstance(row[0], bytes) or _checksum(row[0]) != row[1]:
+        if row is None or not isinstance(row[0], bytes) or checksum(row[0]) != row[1]:
             return None
         return row[0]
 
     def _put_meta(self, key: str, value: bytes) -> None:
         self.connection.execute(
-            "INSERT OR REPLACE INTO ledger_meta VALUES (?, ?, ?)", (key, value, _checksum(value))
+            "INSERT OR REPLACE INTO ledger_meta VALUES (?, ?, ?)", (key, value, checksum(value))
         )
 
 
@@ -218,13 +218,13 @@
             self.store.close()
 
 
-def _checksum(value: bytes) -> str:
+def checksum(value: bytes) -> str:
     return hashlib.sha256(value).hexdigest()
 
 
-def _record(named: list[object], head: object, checksum: object) -> Record | None:
+def record_of(named: list[object], head: object, sha256: object) -> Record | None:
     """The record of a row, or None where the row is not sound."""
-    if not isinstance(head, bytes) or _checksum(head) != checksum:
+    if not isinstance(head, bytes) or checksum(head) != sha256:
         return None
     try:
         record: Record = msgspec.msgpack.decode(head, type=Record)
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -75,7 +75,7 @@
         if self.ledger is not None:
             self.ledger.start(self.membership)
         if self.transforms is not None:
-            await self.transforms.start(self.take_over)
+            await self.transforms.start(self.membership.name)
         gateway = self.gateway
         self.sharers = Sharers(self.membership, gateway)
         if self.cluster.lists:
--- a/cloverkeel/fleet/state/file.py
+++ b/cloverkeel/fleet/state/file.py
@@ -92,7 +92,10 @@
 
 def reader(path: str) -> sqlite3.Connection:
     """A connection that only reads: it sets no journal mode and cannot write. Raises sqlite3.Error."""
-    return sqlite3.connect(f"file:{path}?mode=ro", uri=True, timeout=BUSY_MS / 1000)
+    uri = f"file:{path}?mode=ro"
+    return sqlite3.connect(
+        uri, uri=True, timeout=BUSY_MS / 1000, isolation_level=None, check_same_thread=False
+    )
 
 
 def read_only(directory: str) -> list[Snapshot]:
--- a/cloverkeel/transforms/activation/engine.py
+++ b/cloverkeel/transforms/activation/engine.py
@@ -7,6 +7,7 @@
 
 from caperdrift.policy.breaker import State
 
+from cloverkeel.transforms.activation.records import Epoch
 from cloverkeel.transforms.active import ActiveSet, Installed
 from cloverkeel.transforms.engine import Compiled, compile, failed_cases
 from cloverkeel.transforms.source import SourceError, parse
@@ -29,6 +30,12 @@
     return compiled
 
 
+def candidates(epoch: Epoch, active: Mapping[str, str]) -> dict[str, str]:
+    """By name, the version before each candidate among those that a member runs; "": none."""
+    slots = {name: epoch.slot(name) for name in active}
+    return {name: slots[name].active for name, id in active.items() if slots[name].candidate == id}
+
+
 class Engine:
     """What is staged here. `own`: what the gateway's configuration names, which runs come what may."""
 
--- a/cloverkeel/transforms/activation/parts.py
+++ b/cloverkeel/transforms/activation/parts.py
@@ -14,6 +14,7 @@
 from cloverkeel.operator import Answer
 from cloverkeel.transforms.activation.configuration import FleetSettings
 from cloverkeel.transforms.activation.engine import Engine
+from cloverkeel.transforms.activation.following import Following
 from cloverkeel.transforms.activation.records import Order
 from cloverkeel.transforms.activation.shell import Activator
 
@@ -29,25 +30,39 @@
 
     def __init__(self, settings: FleetSettings, gateway: Gateway, ledger: LedgerPart) -> None:
         self.settings, self.ledger = settings, ledger
+        self.following: Following | None = None
+        self.follows: asyncio.Task[None] | None = None
         self.engine = Engine(gateway, lambda _id, _is_open: None)
         self.activator: Activator | None = None
         self.beginning: asyncio.Task[None] | None = None
 
-    async def start(self, take_over: bool) -> None:
-        """Takes part once the ledger does: in an upgrade (`take_over`) that is when the process before has
-        ended. Else it is waited for up to FIRST_S, so that the first clients find the last active set."""
-        self.beginning = asyncio.get_running_loop().create_task(self._begin())
-        if not take_over:
-            await asyncio.wait([self.beginning], timeout=FIRST_S)
+    async def start(self, member: str) -> None:
+        """Takes part once the ledger does. In an upgrade that is when the process before has ended, and until
+        then what the file shows is run. Either is waited for up to FIRST_S, so that the first clients find
+        the last active set."""
+        loop = asyncio.get_running_loop()
+        keeper = self.ledger.keeper
+        waits = []
+        if keeper.store is None:  # another process holds it
+            self.following = Following(keeper.directory, member, self.engine)
+            self.follows = loop.create_task(self.following.run())
+            waits.append(loop.create_task(self.following.looked.wait()))
+        self.beginning = loop.create_task(self._begin())
+        await asyncio.wait([self.beginning, *waits], timeout=FIRST_S, return_when=asyncio.FIRST_COMPLETED)
 
     async def _begin(self) -> None:
         ledger = await self.ledger.ready()
+        if self.following is not None and self.follows is not None:
+            self.following.over.set()
+            await self.follows
         self.activator = Activator(ledger, self.settings.settings, self.engine)
         self.activator.start()
         while self.activator.core.staging:
             await asyncio.sleep(STAGING_S)
 
     def close(self) -> None:
+        if self.follows is not None:
+            self.follows.cancel()
         if self.beginning is not None:
             self.beginning.cancel()
         if self.activator is not None:
--- a/cloverkeel/transforms/activation/shell.py
+++ b/cloverkeel/transforms/activation/shell.py
@@ -8,13 +8,15 @@
 from collections.abc import Coroutine
 from typing import Any, Literal
 
+from caperdrift.policy.breaker import State
+
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.ledger.interface import Acknowledged, Expose, Level
 from cloverkeel.fleet.ledger.shell import Answer, Service, Shown, WriteRefused
 from cloverkeel.fleet.membership.roster import PRESENT
 from cloverkeel.fleet.membership.rumours import Status
 from cloverkeel.transforms.activation.core import Activation
-from cloverkeel.transforms.activation.engine import Engine, vetted
+from cloverkeel.transforms.activation.engine import Engine, candidates, vetted
 from cloverkeel.transforms.activation.interface import (
     Action,
     Activate,
@@ -49,6 +51,8 @@
             _recorded(kind, key, ledger.read(kind, key)[0]) for kind in KINDS for key in ledger.keys(kind)
         ]
         self.core = Activation(self.membership.name, life, settings, random.Random(), shown)
+        # What the process followed before it took the file over runs on, without a gap.
+        self.core.staged |= dict.fromkeys(engine.staged, "")
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.ticker: asyncio.TimerHandle | None = None
@@ -59,6 +63,9 @@
     def start(self) -> None:
         self.ledger.on_expose(self._on_expose)
         self.membership.on_change(lambda _rumour, _before: self._look())
+        for id, installed in self.engine.staged.items():
+            if installed.breaker.state is not State.CLOSED:
+                self.give(Tripped(id, True))
         self._tick()
 
     def close(self) -> None:
@@ -115,20 +122,14 @@
             return
         for action in self.core.handle(self.loop.time(), what):
             self._act(action)
-        if self.runs != (self.core.active, self._candidates()):
+        if self.runs != self._wanted():
             self._run()  # a canary's version is active on all now, or the other way round
 
-    def _candidates(self) -> dict[str, str]:
-        """By name, the version before each candidate that this member runs; "": none."""
-        slots = self.core.epoch.slots
-        return {
-            name: slots[name].active
-            for name, id in self.core.active.items()
-            if name in slots and slots[name].candidate == id
-        }
+    def _wanted(self) -> tuple[dict[str, str], dict[str, str]]:
+        return dict(self.core.active), candidates(self.core.epoch, self.core.active)
 
     def _run(self) -> None:
-        self.runs = dict(self.core.active), self._candidates()
+        self.runs = self._wanted()
         self.engine.activate(*self.runs)
         self.engine.forget(set(self.core.staged))
 
--- a/tests/test_ledger_store.py
+++ b/tests/test_ledger_store.py
@@ -12,6 +12,7 @@
 
 from cloverkeel.fleet.ledger.dots import Context, Dot
 from cloverkeel.fleet.ledger.interface import Persist, Persisted, PersistFailed
+from cloverkeel.fleet.ledger.reader import Reader
 from cloverkeel.fleet.ledger.records import Record, digest
 from cloverkeel.fleet.ledger.replica import Put
 from cloverkeel.fleet.ledger.store import Store, StoreError, Writer
@@ -114,3 +115,22 @@
     assert told.get(timeout=10) == Persisted(1)
     writer.close(10)
     assert reopened(directory)[1] == [3]
+
+
+def test_a_reader_sees_what_the_owner_has_written_and_nothing_unsound(directory: str, tmp_path: Path) -> None:
+    kinds = frozenset({"k"})
+    reader = Reader(directory)
+    assert reader.puts(kinds) == []  # no ledger yet
+    store = Store(directory)
+    store.write(batch([put(1, b"x"), put(2, b"y"), put(3, None)]))
+    assert reader.puts(frozenset({"other"})) == []
+    store.write(batch([put(4, b"z")], 1))
+    assert reader.puts(kinds) == [put(2, b"y"), put(4, b"z")]
+    assert reader.puts(kinds) is None  # not read again
+    store.connection.execute("UPDATE ledger_payload SET payload = X'00' WHERE payload = X'79'")
+    store.connection.execute("UPDATE ledger_record SET head = X'00' WHERE counter = 3")
+    assert reader.puts(kinds) == [put(4, b"z")]
+    reader.close()
+    store.close()
+    with pytest.raises(StoreError, match="unable to open"):
+        Reader(str(tmp_path / "none"))
