--- a/cloverkeel/transforms/activation/status.py
+++ b/cloverkeel/transforms/activation/status.py
@@ -48,6 +48,7 @@
         "canaries": list(slot.canaries),
         "before": _version(book.orders.get(slot.before), slot.before),
         "behind": list(slot.behind),
+        "last": list(slot.last),
         "open_orders": [_version(order, order.id) for order in orders],
         "staged_at": sum(
             report.staged.get(orders[-1].id if orders else runs) == ""
--- a/faultlab/relay/__init__.py
+++ b/faultlab/relay/__init__.py
@@ -13,7 +13,7 @@
 import itertools
 import socket
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from ipaddress import IPv4Address
 
@@ -71,6 +71,8 @@
         self.counts: Counter[str] = Counter()  # sent, lost, passed, strangers; streams, bytes
         self.sent: Counter[str] = Counter()  # datagrams by the member that sent them
         self.changed = asyncio.Event()  # replaced at each change of the rules
+        # What becomes of a stream's next piece, from one member to another; None: it passes as it is.
+        self.mangle: Callable[[str, str, bytes], bytes] | None = None
 
     async def add(self, name: str) -> Place:
         """A place for member `name`, with a host and ports of its own. Raises ValueError for a name known."""
--- a/faultlab/relay/streams.py
+++ b/faultlab/relay/streams.py
@@ -66,6 +66,8 @@
                 if writer.can_write_eof():
                     writer.write_eof()
                 return
+            if relay.mangle is not None:
+                data = relay.mangle(source, target, data)
             writer.write(data)
             await writer.drain()
             relay.counts["bytes"] += len(data)
--- a/faultlab/transforms/__init__.py
+++ b/faultlab/transforms/__init__.py
@@ -1,4 +1,5 @@
-"""`python -m faultlab transforms --part PART`: what header transforms cost. Each part's module has `run`."""
+"""`python -m faultlab transforms --part PART`: what header transforms cost; `--faults NAME,...`: what they
+stand. Each part's module has `run`. Exit code 1: an invariant is broken, or an acknowledged order lost."""
 
 from __future__ import annotations
 
@@ -8,7 +9,7 @@
 from pathlib import Path
 
 from faultlab.report import Parts, positive, report
-from faultlab.transforms import activation, engine
+from faultlab.transforms import activation, engine, faults
 
 PARTS = {"activation": activation.run, "engine": engine.run}
 
@@ -30,12 +31,20 @@
     lab.add_argument(
         "--before", type=Path, metavar="DIR", help="a checkout from before the feature, as a variant"
     )
+    lab.add_argument(
+        "--faults", metavar="NAME,...", type=faults.named,
+        help=f"hard cases in place of a part: {', '.join(faults.FAULTS)}, or all",
+    )
     lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
     lab.set_defaults(run=command)
 
 
 def command(arguments: argparse.Namespace) -> int:
     with tempfile.TemporaryDirectory(prefix="faultlab-") as folder:
+        if arguments.faults:
+            found = asyncio.run(faults.run(arguments, Path(folder)))
+            report(found, arguments.json)
+            return 1 if found["broken"] or found["acknowledged_lost"] else 0
         figures = PARTS[arguments.part](arguments, Path(folder))
         report(asyncio.run(figures), arguments.json)
     return 0
--- /dev/null
+++ b/faultlab/transforms/faults/disks.py
@@ -0,0 +1,120 @@
+"""What a disk does: bytes flipped or torn off under a gateway that is down, a directory that takes nothing,
+a file from a week ago."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import shutil
+from pathlib import Path
+
+from cloverkeel.fleet.state.file import FILE
+from faultlab.transforms.faults.field import Field
+from faultlab.transforms.faults.network import PAD, candidate_or_active
+from faultlab.transforms.published import POLL_S
+
+REAP_S = 3.0  # of the fleet that `old` is played on: who is away longer is a newcomer
+AWAY_S = 2 * REAP_S
+
+
+def _files(field: Field, name: str) -> list[Path]:
+    state = field.fleet.gateways[name].state_dir
+    assert state is not None
+    return [file for file in (state / FILE, state / f"{FILE}-wal") if file.exists()]
+
+
+async def disk(field: Field) -> None:
+    """A payload's byte flipped in the file, and the file torn, while the gateway is down: it serves again and
+    has from the others what it lost."""
+    names = field.fleet.names
+    for hurt, victim in ((_flip, names[-1]), (_tear, names[-2])):
+        await field.publish(names[0], field.source(pad=PAD))
+        await field.rest()
+        await field.kill(victim)
+        if not hurt(_files(field, victim)):
+            field.broken.append(f"{victim} has no file to hurt: the case shows nothing")
+        field.count(f"disk {hurt.__name__.strip('_')}")
+        field.highest.pop(victim)  # what its disk had may be gone
+        await field.rest([name for name in names if name != victim])
+        await field.fleet.start(victim)
+        await field.rest()
+
+
+def _flip(files: list[Path]) -> bool:
+    """In each copy of a payload that is found."""
+    found = False
+    for file in files:
+        data = bytearray(file.read_bytes())
+        at = data.find(b"~" * 64)
+        while at >= 0:
+            found, data[at + 7] = True, ord("!")
+            at = data.find(b"~" * 64, at + 64 * 1024)
+        file.write_bytes(data)
+    return found
+
+
+def _tear(files: list[Path]) -> bool:
+    """The last third of each file is gone."""
+    for file in files:
+        with file.open("r+b") as opened:
+            opened.truncate(file.stat().st_size * 2 // 3)
+    return bool(files)
+
+
+async def full(field: Field) -> None:
+    """A minority's directories take nothing: what is published there is refused, the others go on, and all
+    agree once there is room."""
+    names = field.fleet.names
+    few = names[-max(1, len(names) // 4) :]
+    most = [name for name in names if name not in few]
+    for name in few:
+        field.count("disk full")
+        _limit(field, name, 0)
+    try:
+        if await field.publish(few[0], field.source()):
+            field.broken.append(f"{few[0]} acknowledged what its disk did not take")
+        id = await field.publish(most[0], field.source())
+        async with asyncio.timeout(30.0):
+            while not candidate_or_active(await field.fleet.status(most[0]), id):
+                await asyncio.sleep(POLL_S)
+    finally:
+        for name in few:
+            _limit(field, name, resource.RLIM_INFINITY)
+    await field.rest()
+
+
+def _limit(field: Field, name: str, size: int) -> None:
+    """As a full disk: no file of the process can be written beyond this many bytes (EFBIG)."""
+    process = field.fleet.gateways[name].process
+    assert process is not None
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+
+async def old(field: Field) -> None:
+    """A gateway away for longer than `reap_after_s` comes back with the file that it had then: it brings
+    nothing back of what was deleted meanwhile, and ends on the fleet's set."""
+    fleet, victim = field.fleet, field.fleet.names[-1]
+    others = fleet.names[:-1]
+    state = fleet.gateways[victim].state_dir
+    assert state is not None
+    await field.publish(others[0], field.source())
+    gone = await field.publish(others[0], field.source("gone"), name="gone")
+    await field.rest()
+    await field.kill(victim)
+    kept = state.with_name("kept")
+    shutil.copytree(state, kept)
+    field.count("old ledger")
+    for _ in range(3):
+        await field.publish(others[1], field.source())
+        await field.rest(others)
+    await field.rollback(others[0], "gone")
+    field.barred.add(gone)
+    await field.rest(others)
+    await asyncio.sleep(AWAY_S)  # the time that it is away
+    shutil.rmtree(state)
+    kept.rename(state)
+    field.highest.pop(victim)
+    await fleet.start(victim)
+    status = await field.rest()
+    if status["versions"].get("gone", {}).get("active"):
+        field.broken.append("what was rolled back is active again")
--- /dev/null
+++ b/faultlab/transforms/faults/versions.py
@@ -0,0 +1,80 @@
+"""Versions that do harm: stopped by their breakers, or refused before they are kept; no call is lost."""
+
+from __future__ import annotations
+
+import asyncio
+
+from faultlab.transforms.faults.field import Field
+from faultlab.transforms.faults.hosts import calls
+
+DOUBLING = "steps 10000 " + 'def f0(s) = "" ' + " ".join(
+    f"def f{n}(s) = f{n - 1}(s) + f{n - 1}(s)" for n in range(1, 20)
+)  # fmt: skip
+GROWING = "steps 10000 " + 'def g0(s) = s + s + "0123456789abcdef" ' + " ".join(
+    f"def g{n}(s) = g{n - 1}(g{n - 1}(s))" for n in range(1, 12)
+)  # fmt: skip
+# Stopped by their breakers. The rate of 5xx is the hosts' answer to a head that is sound in itself.
+HARMFUL = {
+    "loops": ("", DOUBLING + ' set x-mark = f19("")'),
+    "raises": ("", 'fail "no"'),
+    "eats memory": ("", GROWING + ' set x-mark = g11("x")'),
+    "answers 5xx": ("sick", 'set x-sick = "1"'),
+}
+# Refused at the gateway that they are published at.
+REFUSED = {
+    "injects CR LF": 'set x-mark = "a\r\nx-evil: 1"',
+    "strips what it may not": "remove cookie",
+    "strips framing": "writes content-length remove content-length",
+}
+CANARY_S = 3.0  # for hosts to tell both kinds of calls apart, their own breakers opening meanwhile
+MEMORY_KB = 64 * 1024  # that a gateway may gain meanwhile
+
+
+async def harmful(field: Field) -> None:
+    """Under calls to all: each is out of service on all soon, the version before runs, no call is lost."""
+    fleet = field.fleet
+    good = await field.publish(fleet.names[0], field.source())
+    await field.rest()
+    ports = [gateway.port for gateway in fleet.gateways.values()]
+    before_kb = _memory_kb(field)
+    for number, (kind, (sick, body)) in enumerate(HARMFUL.items()):
+        field.count(f"version {kind}")
+        async with calls(ports) as statuses:
+            id = await field.publish(fleet.names[number % len(fleet.names)], field.source(body=body))
+            field.barred.add(id)
+            async with asyncio.timeout(30.0):
+                while True:
+                    status = (await field.look(fleet.names[:1])).get(fleet.names[0])
+                    if status and f"quarantined: {id}" in status["versions"]["mark"]["why"]:
+                        break
+                    await asyncio.sleep(0.05)
+        status = await field.rest()
+        if (status["versions"]["mark"]["active"] or {}).get("id") != good:
+            field.broken.append(f"{kind}: {good} is not active again")
+        allowed = {200, 502, 503} if sick else {200}
+        if unlike := {code: n for code, n in statuses.items() if code not in allowed}:
+            field.broken.append(f"{kind}: calls ended as {unlike} beside {statuses[200]} of 200")
+        field.count("calls harmed", statuses[502])
+    gained = max(now - was for now, was in zip(_memory_kb(field), before_kb, strict=True))
+    if gained > MEMORY_KB:
+        field.broken.append(f"a gateway gained {gained} KB")
+
+
+def _memory_kb(field: Field) -> list[int]:
+    found = []
+    for gateway in field.fleet.gateways.values():
+        assert gateway.process is not None
+        with open(f"/proc/{gateway.process.pid}/status") as file:
+            found.append(next(int(line.split()[1]) for line in file if line.startswith("VmRSS")))
+    return found
+
+
+async def refused(field: Field) -> None:
+    """What the compiler must not let pass is kept by nobody."""
+    for kind, body in REFUSED.items():
+        field.count(f"version {kind}")
+        if await field.publish(field.fleet.names[0], field.source(body=body)):
+            field.broken.append(f"{kind}: was taken")
+    status = await field.rest()
+    if any(entry["open_orders"] for entry in status["transforms"]):
+        field.broken.append("what was refused is in the ledger")
--- a/faultlab/transforms/published.py
+++ b/faultlab/transforms/published.py
@@ -45,10 +45,18 @@
 
 class Published:
     """`async with Published(4, folder, {...}) as fleet`: gateways m0, m1, ... that may all decide. `settings`
-    go into every gateway's `transforms.fleet`. Its hosts answer all at once."""
+    go into every gateway's `transforms.fleet`, `cluster` into its `cluster`; a host's connections are made by
+    `host`."""
 
-    def __init__(self, count: int, folder: Path, settings: dict[str, Any]) -> None:
-        self.folder = folder
+    def __init__(
+        self,
+        count: int,
+        folder: Path,
+        settings: dict[str, Any],
+        host: Callable[[], asyncio.Protocol] = Host,
+        cluster: dict[str, Any] | None = None,
+    ) -> None:
+        self.folder, self.host, self.cluster = folder, host, cluster or {}
         self.hosts: list[asyncio.Server] = []
         self.discovery: Discovery | None = None
         self.settings = {"size": count} | settings
@@ -59,7 +67,7 @@
     async def __aenter__(self) -> Published:
         try:
             loop = asyncio.get_running_loop()
-            self.hosts = [await loop.create_server(Host, "127.0.0.1", 0) for _ in range(HOSTS)]
+            self.hosts = [await loop.create_server(self.host, "127.0.0.1", 0) for _ in range(HOSTS)]
             listed = [endpoint(named(number, server)) for number, server in enumerate(self.hosts)]
             self.discovery = Discovery(endpoints=listed)
             await self.discovery.start()
@@ -70,7 +78,7 @@
                 config |= {
                     "operator": f"127.0.0.1:{free_port()}",
                     "cluster": {"name": "lab", "bind": place.bind, "advertise": place.advertise,
-                                "seeds": seeds},
+                                "seeds": seeds} | self.cluster,
                     "transforms": {"fleet": self.settings},
                 }  # fmt: skip
                 state = self.folder / f"state-{place.name}"
