--- a/faultlab/transforms/faults/disks.py
+++ b/faultlab/transforms/faults/disks.py
@@ -11,7 +11,7 @@
 from cloverkeel.fleet.state.file import FILE
 from faultlab.transforms.faults.field import Field
 from faultlab.transforms.faults.network import PAD, candidate_or_active
-from faultlab.transforms.published import POLL_S
+from faultlab.gateways import POLL_S
 
 REAP_S = 3.0  # of the fleet that `old` is played on: who is away longer is a newcomer
 AWAY_S = 2 * REAP_S
--- a/faultlab/transforms/faults/field.py
+++ b/faultlab/transforms/faults/field.py
@@ -14,7 +14,8 @@
 
 from faultlab.relay import Rule
 from faultlab.transforms.faults.hosts import Heads
-from faultlab.transforms.published import POLL_S, Published
+from faultlab.gateways import POLL_S
+from faultlab.transforms.published import Published
 
 SETTINGS = {"canary_s": 0.2, "stage_timeout_s": 3.0, "canary_share": 0.3}
 REST_S = 60.0  # for all to come to rest once the faults are over
--- a/faultlab/transforms/faults/network.py
+++ b/faultlab/transforms/faults/network.py
@@ -8,7 +8,7 @@
 
 from faultlab.relay import Rule
 from faultlab.transforms.faults.field import CLEAN, Field
-from faultlab.transforms.published import POLL_S
+from faultlab.gateways import POLL_S
 
 LOSSY = Rule(drop=0.05, duplicate=0.02, reorder=0.1, delay_s=(0.0, 0.01))
 ROUNDS = 3
--- a/faultlab/transforms/faults/upgrade.py
+++ b/faultlab/transforms/faults/upgrade.py
@@ -9,7 +9,7 @@
 from faultlab.lab import free_port
 from faultlab.transforms.faults.field import Field
 from faultlab.transforms.faults.hosts import calls
-from faultlab.transforms.published import Timed
+from faultlab.gateways import Timed
 
 
 async def upgrade(field: Field) -> None:
