--- a/faultlab/transforms/faults/__init__.py
+++ b/faultlab/transforms/faults/__init__.py
@@ -60,7 +60,7 @@
         settings, cluster = OWN.get(first, ({}, {}))
         made = Published(arguments.gateways, place, SETTINGS | settings, heads.protocol, cluster)
         async with made as fleet:
-            field = Field(fleet, heads, rng)
+            field = await Field(fleet, heads, rng).begin()
             for name in together:
                 left.remove(name)
                 began = time.monotonic()
