Membership: a process that followed another in an upgrade yields to its own successor

Each process on an inherited socket is started to take its name over. Only who is heard of before another member is met is an older self now, whatever is held of it just then.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -120,9 +120,10 @@
         claims = self.joining_until_s is not None or not (self.met or source == self.me.name)
         # Who is suspected there at no higher incarnation is no successor, but a claim that went.
         went = not claims and rumour.status is Status.SUSPECT and rumour.incarnation <= self.me.incarnation
+        if claims and rumour.address != self.me.address:
+            self.older.add(rumour.address)  # whatever is held of it just now
         if rumour.address != self.me.address and rumour.status in PRESENT and not went:
             if self._follows(rumour, claims):  # our older self, in an upgrade: outrank it
-                self.older.add(rumour.address)
                 if not claims and rumour.order < self.me.order:
                     return []
                 self.outranked += 1
@@ -144,8 +145,10 @@
 
     def _follows(self, rumour: Rumour, claims: bool) -> bool:
         """Whether `rumour` is of a process that this one takes over from: it refutes what is said of it until
-        it hears of this one. Bounded, so that two that each follow the other do not go on for ever."""
-        older = claims or not self.older or rumour.address in self.older
+        it hears of this one. Who was not heard of before another member was met is no older self, but a
+        successor: that one follows this one too, and of two that outrank each other either may win. Bounded,
+        for the same reason."""
+        older = claims or rumour.address in self.older
         return self.take_over and older and self.outranked < MOST_OUTRANKED
 
     def receive(self, message: Message, now_s: float) -> list[Action]:
--- a/faultlab/transforms/faults/upgrade.py
+++ b/faultlab/transforms/faults/upgrade.py
@@ -27,7 +27,7 @@
         old.config["listen"] = f"127.0.0.1:{listener.getsockname()[1]}"
         await fleet.start(name)
         await field.rest()
-        place = await fleet.relay.add(f"{name}+")  # the old process has its port until it ends
+        place = await fleet.relay.add(f"{name}+{len(fleet.relay.places)}")  # the old process has its port until it ends
         cluster = old.config["cluster"] | {"bind": place.bind, "advertise": place.advertise}
         config = old.config | {"cluster": cluster, "operator": f"127.0.0.1:{free_port()}"}
         new = Timed(name, fleet.folder, config, old.state_dir, old.listener)
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -57,6 +57,17 @@
     assert successor.refused
 
 
+def test_a_process_that_followed_another_yields_to_its_own_successor() -> None:
+    """Both were started to take the name over, as each process on an inherited socket is: they outranked one
+    another, and where the new one gave up first its member was gone with the old one."""
+    old = started(seeds=("127.0.0.1:2",), take_over=True)
+    old.receive(Push(B, (B,)), 0.1)
+    new = started(replace(A, address="127.0.0.1:9", incarnation=6), ("127.0.0.1:2",), take_over=True)
+    new.receive(Push(B, (B, A)), 1.0)
+    old.receive(Ping(1, B, "a", (new.me,)), 1.1)
+    assert old.refused and not new.refused and new.me.incarnation == 6
+
+
 def test_a_suspicion_of_a_process_that_claimed_the_name_and_went_is_refuted() -> None:
     """It stood over the living member at the same incarnation, which took it for its successor."""
     member = started()
