--- a/cloverkeel/fleet/ledger/reader.py
+++ b/cloverkeel/fleet/ledger/reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import sqlite3
 
@@ -60,3 +61,13 @@
 
     def close(self) -> None:
         self.connection.close()
+
+
+def peek(directory: str, kind: str) -> list[tuple[str, bytes]]:
+    """Key and payload of each sound record of a kind, as the file has them now. A file that cannot be read
+    gives none: its owner is the one to judge it."""
+    try:
+        with contextlib.closing(Reader(directory)) as reading:
+            return [(put.record.key, put.payload) for put in reading.puts(frozenset({kind})) or ()]
+    except StoreError:
+        return []
--- /dev/null
+++ b/cloverkeel/fleet/routes/index.py
@@ -0,0 +1,177 @@
+"""Which route a request takes: one prefix tree of whole path segments for each class and caller, or any.
+
+The cost of a look-up follows the path's depth, not the number of routes. docs/routes.md, "Order".
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from cloverkeel.fleet.routes.interface import RouteView
+
+Pair = tuple[bytes | None, bytes | None]  # class and caller; None: any
+
+
+@dataclass(slots=True, frozen=True)
+class Matched:
+    """The route that a request takes: its number in the module's plan, and the transforms in the order in
+    which they run. `chain` None: as if there were no route."""
+
+    name: str
+    number: int
+    chain: tuple[str, ...] | None
+    zoned: bool = False  # it names zones
+
+
+# What a prefix leads to: its routes in order, or the segments that go on, with its own routes under HERE.
+# Plain lists and dicts: among 10,000 routes a look-up mostly waits for memory, and these are least to touch.
+_Node = dict[bytes, Any]
+HERE = b""
+
+
+class Index:
+    """`zone` is this gateway's own: routes of other zones are left out. `numbers` has the number of each
+    route by its name, before the route is put."""
+
+    def __init__(self, zone: str, numbers: Mapping[str, int]) -> None:
+        self.zone, self.numbers = zone, numbers
+        self._trees: dict[Pair, _Node] = {}
+        self._placed: dict[str, tuple[tuple[Pair, ...], list[bytes], Matched]] = {}
+        self._behind: Mapping[str, frozenset[str]] = {}
+        self._ahead: dict[str, set[str]] = {}  # the same by those that come after
+
+    def __len__(self) -> int:
+        return len(self._placed)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._placed
+
+    def order(self, behind: Mapping[str, frozenset[str]]) -> None:
+        """Go by this `View.behind` from now on."""
+        if behind is self._behind:
+            return
+        self._behind, self._ahead = behind, {}
+        for name, others in behind.items():
+            for other in others:
+                self._ahead.setdefault(other, set()).add(name)
+
+    def put(self, route: RouteView) -> None:
+        """Take up a route, in place of the one of its name."""
+        self.remove(route.name)
+        values = route.values
+        zones, chain = values.get("zones"), values.get("transforms")
+        if zones and self.zone not in zones:
+            return
+        number = self.numbers[route.name]
+        matched = Matched(route.name, number, None if chain is None else tuple(chain), bool(zones))
+        classes, callers = _names(values.get("classes")), _names(values.get("callers"))
+        pairs = tuple((klass, caller) for klass in classes for caller in callers)
+        segments = segments_of((values.get("path") or "").encode())
+        for pair in pairs:
+            _put(self._trees.setdefault(pair, {}), segments, matched)
+        self._placed[route.name] = pairs, segments, matched
+
+    def remove(self, name: str) -> None:
+        """Forget a route; nothing where it is not there."""
+        pairs, segments, matched = self._placed.pop(name, ((), [], None))
+        for pair in pairs:
+            assert matched is not None
+            _remove(self._trees[pair], segments, matched)
+            if not self._trees[pair]:
+                del self._trees[pair]
+
+    def find(self, klass: bytes, caller: bytes, path: bytes) -> Matched | None:
+        """The first in order of the routes that match; `path` is without its query."""
+        trees, segments = self._trees, None
+        for pair in ((klass, caller), (None, caller), (klass, None), (None, None)):
+            node: Any = trees.get(pair)
+            if node is None:
+                continue
+            if segments is None:
+                segments = segments_of(path)
+            routes = node.get(HERE)
+            for segment in segments:
+                node = node.get(segment)
+                if node is None:
+                    break
+                if type(node) is list:
+                    routes = node
+                    break
+                routes = node.get(HERE, routes)
+            if routes is not None:
+                first: Matched = routes[0]
+                return first if first.name not in self._ahead else self._first(klass, caller, segments)
+        return None
+
+    def _first(self, klass: bytes, caller: bytes, segments: list[bytes]) -> Matched:
+        """The most specific of those that match and that no other of them comes before."""
+        found = list(self._all(klass, caller, segments))
+        names = {matched.name for matched in found}
+        free = (matched for matched in found if names.isdisjoint(self._ahead.get(matched.name, ())))
+        return next(free, found[0])  # none is free in a cycle alone, and a plan with one is not in service
+
+    def _all(self, klass: bytes, caller: bytes, segments: list[bytes]) -> Iterator[Matched]:
+        """All that match, the most specific first."""
+        for pair in ((klass, caller), (None, caller), (klass, None), (None, None)):
+            node: Any = self._trees.get(pair)
+            way: list[list[Matched]] = []
+            for segment in (*segments, HERE):
+                if not isinstance(node, dict):
+                    break
+                way.append(node.get(HERE, []))
+                node = node.get(segment) if segment else None
+            if isinstance(node, list):
+                way.append(node)
+            for routes in reversed(way):
+                yield from routes
+
+
+def _put(node: _Node, segments: list[bytes], matched: Matched) -> None:
+    *above, last = segments or (HERE,)
+    for segment in above:
+        held = node.get(segment)
+        if not isinstance(held, dict):
+            held = node[segment] = {} if held is None else {HERE: held}
+        node = held
+    routes = node.setdefault(last, [])
+    if isinstance(routes, dict):
+        routes = routes.setdefault(HERE, [])
+    insort(routes, matched, key=_rank)
+
+
+def _remove(node: _Node, segments: list[bytes], matched: Matched) -> None:
+    """Take it out, and what holds nothing any more with it."""
+    way = [node]
+    for segment in segments:
+        held = way[-1][segment]
+        if isinstance(held, dict):
+            way.append(held)
+    place = HERE if len(way) > len(segments) else segments[-1]
+    routes = way[-1][place]
+    del routes[bisect_left(routes, _rank(matched), key=_rank)]
+    if not routes:
+        del way[-1][place]
+    for depth in range(len(way) - 1, 0, -1):
+        if not way[depth]:
+            del way[depth - 1][segments[depth - 1]]
+        elif way[depth].keys() == {HERE}:
+            way[depth - 1][segments[depth - 1]] = way[depth][HERE]
+        else:
+            break
+
+
+def _rank(matched: Matched) -> tuple[bool, str]:
+    """A route's place among those of one prefix."""
+    return not matched.zoned, matched.name
+
+
+def segments_of(path: bytes) -> list[bytes]:
+    """Without empty ones: as the class of a request is read from its path."""
+    return [segment for segment in path.split(b"/") if segment]
+
+
+def _names(names: list[str] | None) -> list[bytes | None]:
+    return [name.encode() for name in names] if names else [None]
