--- a/cloverkeel/fleet/ledger/store.py
+++ b/cloverkeel/fleet/ledger/store.py
@@ -24,7 +24,7 @@
 from cloverkeel.fleet.ledger.interface import Persist, Persisted, PersistFailed
 from cloverkeel.fleet.ledger.records import Record, digest, fault
 from cloverkeel.fleet.ledger.replica import Put
-from cloverkeel.fleet.state.file import FILE, connect, reader, transaction
+from cloverkeel.fleet.state.file import FILE, connect, transaction
 
 SCHEMA = b"1"
 TABLES = (
@@ -104,7 +104,7 @@
         sound_heads = True
         rows = self.connection.execute("SELECT member, incarnation, counter, head, sha256 FROM ledger_record")
         for *named, head, checksum in rows.fetchall():
-            record = _record(named, head, checksum)
+            record = record_of(named, head, checksum)
             if record is None:
                 sound_heads = False
                 loaded.findings.append(f"record {':'.join(map(str, named))}: checksum does not match")
@@ -147,7 +147,7 @@
                 dot = record.dot
                 self.connection.execute(
                     "INSERT OR REPLACE INTO ledger_record VALUES (?, ?, ?, ?, ?, ?)",
-                    (dot.member, dot.incarnation, dot.counter, record.sha256, head, _checksum(head)),
+                    (dot.member, dot.incarnation, dot.counter, record.sha256, head, checksum(head)),
                 )
                 if not record.deleted:
                     self.connection.execute(
@@ -186,13 +186,13 @@
         row = self.connection.execute(
             "SELECT value, sha256 FROM ledger_meta WHERE key = ?", (key,)
         ).fetchone()
-        if row is None or not isinstance(row[0], bytes) or _checksum(row[0]) != row[1]:
+        if row is None or not isinstance(row[0], bytes) or checksum(row[0]) != row[1]:
             return None
         return row[0]
 
     def _put_meta(self, key: str, value: bytes) -> None:
         self.connection.execute(
-            "INSERT OR REPLACE INTO ledger_meta VALUES (?, ?, ?)", (key, value, _checksum(value))
+            "INSERT OR REPLACE INTO ledger_meta VALUES (?, ?, ?)", (key, value, checksum(value))
         )
 
 
@@ -225,32 +225,13 @@
             self.store.close()
 
 
-def peek(directory: str, kind: str) -> list[tuple[str, bytes]]:
-    """Key and payload of each sound record of a kind, of a file that another process holds; nothing is
-    written. A file that cannot be read gives none: its owner is the one to judge it."""
-    try:
-        with contextlib.closing(reader(os.path.join(directory, FILE))) as connection:
-            rows = connection.execute(
-                "SELECT member, incarnation, counter, head, r.sha256, p.payload FROM ledger_record r"
-                " JOIN ledger_payload p ON r.payload = p.sha256"
-            ).fetchall()
-    except sqlite3.Error:
-        return []
-    found = []
-    for *named, head, checksum, payload in rows:
-        record = _record(named, head, checksum)
-        if record is not None and record.kind == kind and digest(payload) == record.sha256:
-            found.append((record.key, payload))
-    return found
-
-
-def _checksum(value: bytes) -> str:
+def checksum(value: bytes) -> str:
     return hashlib.sha256(value).hexdigest()
 
 
-def _record(named: list[object], head: object, checksum: object) -> Record | None:
+def record_of(named: list[object], head: object, sha256: object) -> Record | None:
     """The record of a row, or None where the row is not sound."""
-    if not isinstance(head, bytes) or _checksum(head) != checksum:
+    if not isinstance(head, bytes) or checksum(head) != sha256:
         return None
     try:
         record: Record = msgspec.msgpack.decode(head, type=Record)
--- a/cloverkeel/fleet/routes/part.py
+++ b/cloverkeel/fleet/routes/part.py
@@ -12,7 +12,7 @@
 from cloverkeel.fleet.ledger.interface import Acknowledged, Level
 from cloverkeel.fleet.ledger.part import LedgerPart
 from cloverkeel.fleet.ledger.shell import WriteRefused
-from cloverkeel.fleet.ledger.store import peek
+from cloverkeel.fleet.ledger.reader import peek
 from cloverkeel.fleet.routes import files
 from cloverkeel.fleet.routes.changes import KIND, Accept, Edit, key_of
 from cloverkeel.fleet.routes.interface import View, World
