--- a/faultlab/transforms/faults/__init__.py
+++ b/faultlab/transforms/faults/__init__.py
@@ -26,7 +26,7 @@
     "harmful": versions.harmful, "refused": versions.refused, "upgrade": upgrade.upgrade,
     "old": disks.old, "mixed": functools.partial(mixed, rounds=1),
 }  # fmt: skip
-NOT_FAULTS = {"calls harmed"}  # counted beside them
+NOT_FAULTS = {"calls harmed", "calls refused or late"}  # counted beside them
 # Cases with a fleet of their own: settings of `transforms.fleet` and of `cluster`.
 OWN: dict[str, tuple[dict[str, Any], dict[str, Any]]] = {
     "harmful": ({"canary_s": versions.CANARY_S}, {}),
@@ -76,6 +76,7 @@
         "gateways": arguments.gateways, "seed": arguments.seed,
         "faults": sum(faults.values()), "injected": faults,
         "orders": dict(answers), "calls_harmed": injected["calls harmed"],
+        "calls_refused_or_late": injected["calls refused or late"],
         "acknowledged": answers["acknowledged"], "acknowledged_lost": len(lost), "lost": lost,
         "broken": len(broken), "reasons": broken, "seconds": took,
     }  # fmt: skip
--- a/faultlab/transforms/faults/kills.py
+++ b/faultlab/transforms/faults/kills.py
@@ -18,15 +18,18 @@
 
 
 async def publisher(field: Field) -> None:
-    """The publisher, in turn the member that proposes, killed before and after each acknowledgement; the
-    others go on without it."""
+    """The publisher, in turn the member that proposes, killed before and after each acknowledgement: back at
+    once after the former; the others go on without it after the latter."""
     fleet = field.fleet
     publishers = [fleet.names[0], fleet.names[-1]]
     for number, delay_s in enumerate(BEFORE_S):
         at = publishers[number % 2]
         call = asyncio.create_task(field.publish(at, field.source()))
         await asyncio.sleep(delay_s)  # the moment of the fault
-        await _killed(field, at, call)
+        await field.kill(at)
+        await call
+        await field.fleet.start(at)
+        await field.rest()
     for number, step in enumerate(STEPS):
         at = publishers[number % 2]
         call = asyncio.create_task(field.publish(at, field.source()))
--- a/faultlab/transforms/faults/upgrade.py
+++ b/faultlab/transforms/faults/upgrade.py
@@ -11,6 +11,8 @@
 from faultlab.transforms.faults.hosts import calls
 from faultlab.gateways import Timed
 
+CALLS_S = 50.0  # calls a second
+
 
 async def upgrade(field: Field) -> None:
     """A gateway is upgraded while a version is on its way: clients have the active set's mark throughout, and
@@ -34,7 +36,7 @@
         new = Timed(name, fleet.folder, config, old.state_dir, old.listener)
         field.count("upgraded")
         field.heads.marks.clear()
-        async with calls([old.port]) as statuses:
+        async with calls([old.port], CALLS_S) as statuses:
             if await new.start() == float("inf"):
                 raise RuntimeError(f"{name} did not start anew: {new.log[-5:]}")
             fleet.gateways[name] = new
