--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -83,7 +83,7 @@
         if self.ledger is not None:
             self.ledger.start(self.membership)
         if self.transforms is not None:
-            await self.transforms.start(self.take_over)
+            await self.transforms.start(self.membership.name)
         if self.routes is not None:
             await self.routes.start(self.take_over)
         gateway = self.gateway
--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -64,10 +64,11 @@
 
 
 class Gateways:
-    """`async with Derived(4, folder) as fleet`: gateways m0, m1, ... whose hosts answer all at once."""
+    """`async with Derived(4, folder) as fleet`: gateways m0, m1, ... whose hosts answer all at once. `host`
+    makes a host's side of a connection."""
 
-    def __init__(self, count: int, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, count: int, folder: Path, host: Callable[[], asyncio.Protocol] = Host) -> None:
+        self.folder, self.host = folder, host
         self.hosts: list[asyncio.Server] = []
         self.discovery: Discovery | None = None
         self.names = [f"m{number}" for number in range(count)]
@@ -91,7 +92,7 @@
     async def __aenter__(self) -> Self:
         try:
             loop = asyncio.get_running_loop()
-            self.hosts = [await loop.create_server(Host, "127.0.0.1", 0) for _ in range(HOSTS)]
+            self.hosts = [await loop.create_server(self.host, "127.0.0.1", 0) for _ in range(HOSTS)]
             listed = [endpoint(named(number, server)) for number, server in enumerate(self.hosts)]
             self.discovery = Discovery(endpoints=listed)
             await self.discovery.start()
