Routes: what a held-back change had settled is told, and no edit is nowhere

Cause, each found by the storm of routes or the core's property tests, and now a test by hand: - conflicts and waiting edits were taken from the whole before changes were held back (merge.py). Where the change held back had resolved a dispute or accepted an edit, the plan in service lacked both and nothing said why. Conflicts are now those of all rounds, waiting edits those of the plan in service. - a foreign delete that is accepted after the owner edited on took the owner register with it: the later edits stood with no owner, in no plan and no conflict (owners.py). The teams of the edits left own the route. - a crowded route that went to another owner gave two causes one id, and the second removal raised KeyError (whole.py).

--- a/cloverkeel/fleet/routes/merge.py
+++ b/cloverkeel/fleet/routes/merge.py
@@ -62,12 +62,15 @@
         yield from self._take_in()
         yield from self._put_out(())
         yield from whole.settle()
-        found, waiting = whole.found.every(), tuple(self._waiting())
+        found = {each.id: each for each in whole.found.every()}
         yield
         while whole.found.blocking:
             yield from self._step_back()
             yield from whole.settle()
-        yield from self._show(found, waiting)
+            found |= {each.id: each for each in whole.found.every()}  # what the older plan disputes, too
+            yield
+        conflicts = tuple(found[id] for id in sorted(found))
+        yield from self._show(conflicts, tuple(self._waiting()))
 
     def droppable(self) -> list[Dot]:
         """Changes that may be deleted from the ledger; without them the view is the same."""
--- a/cloverkeel/fleet/routes/owners.py
+++ b/cloverkeel/fleet/routes/owners.py
@@ -44,6 +44,10 @@
     return any(name != DELETED or value is not True for name, value in touch.fields.items())
 
 
+def writes_fields(touch: Touch) -> bool:
+    return any(name != DELETED for name in touch.fields)
+
+
 class _Judge:
     def __init__(self, rising: Sequence[Touch]) -> None:
         self._by_dot = {touch.dot: touch for touch in rising}
@@ -104,9 +108,10 @@
         writers = self._standing_at(self._owners, at)
         if writers and self._deletes:
             deletes, _ = self._effect(at)
-            writers = [
-                each for each in writers if not any(delete.context.covers(each.dot) for delete in deletes)
-            ]
+            writers = _left(writers, deletes)
+            if not writers:  # those who wrote after a delete that was to be accepted yet
+                left = _left(self._standing_at(self._writers, at), deletes)
+                return {touch.team for touch in left if writes_fields(touch)}
         if not writers:
             return set()
         first = self.standing.first
@@ -137,6 +142,10 @@
         return effect, disputes
 
 
+def _left(touches: Iterable[Touch], deletes: Sequence[Touch]) -> list[Touch]:
+    return [touch for touch in touches if not any(delete.context.covers(touch.dot) for delete in deletes)]
+
+
 def _named(touch: Touch) -> str | None:
     """The owner that a change names; a value that is no name does not hand a route over."""
     if (value := touch.fields.get(OWNER)) is None:
--- a/cloverkeel/fleet/routes/resolved.py
+++ b/cloverkeel/fleet/routes/resolved.py
@@ -10,7 +10,7 @@
 from cloverkeel.fleet.routes.changes import DELETED
 from cloverkeel.fleet.routes.fields import FIELDS, route_hash, sound
 from cloverkeel.fleet.routes.interface import Choice, Conflict, Decided, RouteView, Waiting, World
-from cloverkeel.fleet.routes.owners import OWNER, Standing, stand
+from cloverkeel.fleet.routes.owners import OWNER, Standing, stand, writes_fields
 from cloverkeel.fleet.routes.registers import Touch, Write, agree, agreed, newest
 
 
@@ -75,6 +75,12 @@
                 registers.setdefault(field, []).append(Write(touch.dot, touch.context, touch.team, value))
         if not gone and (owner := held.first.get(touch.dot)) is not None:
             registers.setdefault(OWNER, []).append(Write(touch.dot, touch.context, touch.team, owner))
+    if OWNER not in registers:  # it went with a delete that was accepted after these were written
+        for touch in held.counted:
+            if writes_fields(touch) and not held.gone(touch.dot):
+                registers.setdefault(OWNER, []).append(
+                    Write(touch.dot, touch.context, touch.team, touch.team)
+                )
     return registers
 
 
--- a/cloverkeel/fleet/routes/whole.py
+++ b/cloverkeel/fleet/routes/whole.py
@@ -142,6 +142,8 @@
             if at % LOOKED == LOOKED - 1:
                 yield
         self._settle_cycles()
+        for crowd in self._crowded:  # all first: a route that went to another owner has one id with both
+            self.found.put(("room", "", *crowd))
         for crowd in self._crowded:
             self._room(*crowd)
         self._crowded.clear()
--- /dev/null
+++ b/faultlab/routes/baseline.py
@@ -0,0 +1,145 @@
+"""The same concurrent edits, merged and written as whole files where the last writer wins, side by side.
+
+One trial: from one agreed plan each team commits once, without having seen the others. An edit is merged with
+no person where it is in the plan then; else a person has to resolve it, accept it, or mend what it blocks. In
+the baseline each team writes the whole file as it read it, with its edits; the greatest clock wins.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.routes.changes import DELETED, Change, Edit
+from cloverkeel.fleet.routes.interface import View, World
+from cloverkeel.fleet.routes.merge import merged
+
+from faultlab.routes import draw
+
+OWN = 4  # routes of each team in the agreed plan
+FRESH = 100  # paths that nobody uses yet, to draw from beside those in use
+BAD = 0.02
+
+
+def run(teams: int, trials: int, seed: int) -> dict[str, Any]:
+    """Shares of all edits, over so many trials."""
+    rng = random.Random(f"baseline {seed}")
+    names = names_of(teams)
+    world = World(
+        frozenset(names.classes), frozenset(names.callers), frozenset(names.zones), frozenset(names.types),
+        {"mark": frozenset({"x-mark"}), "mark-two": frozenset({"x-mark"}), "trim": frozenset({"x-trim"})},
+        {}, frozenset(names.groups), frozenset(names.labels),
+    )  # fmt: skip
+    fates: Counter[str] = Counter()
+    lost = edits = unnoticed = 0
+    for _ in range(trials):
+        base = agreed(names)
+        view = merged([base], world)
+        commits = drawn(rng, names, view)
+        changes = [
+            Change(dot=Dot(f"m{n}", 1, 1), context=view.context, team=team, edits=its)
+            for n, (team, its, _) in enumerate(commits)
+        ]
+        after = merged([base, *changes], world)
+        for change in changes:
+            for edit in change.edits:
+                fates[fate(change, edit, after)] += 1
+        clocks = [rng.uniform(-300.0, 300.0) for _ in commits]
+        files = [written(view, its) for _, its, _ in commits]
+        winner = files[clocks.index(max(clocks))]
+        for _, its, _ in commits:
+            gone = sum(not has(winner, edit) for edit in its)
+            edits, lost, unnoticed = edits + len(its), lost + gone, unnoticed + bool(gone)
+    return {
+        "teams": teams, "trials": trials, "concurrent_edits": edits,
+        "merged_with_no_person": round(fates["merged"] / edits, 4),
+        "for_a_person": {name: round(n / edits, 4) for name, n in sorted(fates.items()) if name != "merged"},
+        "edits_lost": fates["lost"],
+        "last_writer_wins": {"edits_lost": lost, "share_lost": round(lost / edits, 4),
+                             "commits_with_a_loss": unnoticed, "told": 0},
+    }  # fmt: skip
+
+
+def names_of(teams: int) -> draw.Names:
+    known = tuple(f"r{number}" for number in range(teams * OWN))
+    return draw.Names(
+        teams=tuple(f"team-{number}" for number in range(teams)),
+        routes=(*known, *(f"new{number}" for number in range(teams))),
+        paths=(*(f"/used/{name}" for name in known), *(f"/fresh/{number}" for number in range(FRESH))),
+        bad=BAD,
+    )
+
+
+def agreed(names: draw.Names) -> Change:
+    """The plan that all have read: OWN routes of each team, none of which meet. One change, each team's
+    routes named as its own by their first writer."""
+    edits: list[Edit] = []
+    for number in range(len(names.teams) * OWN):
+        name = names.routes[number]
+        edits += [
+            Edit(name, "owner", names.teams[number // OWN]), Edit(name, "path", f"/used/{name}"),
+            Edit(name, "targets", [{"groups": ["0"], "share": 10}]), Edit(name, "attempts", 2),
+        ]  # fmt: skip
+    return Change(dot=Dot("base", 1, 1), context=Context(), team=names.teams[0], edits=tuple(edits))
+
+
+def drawn(rng: random.Random, names: draw.Names, view: View) -> list[draw.Commit]:
+    """One commit of each team."""
+    found: dict[str, draw.Commit] = {}
+    while len(found) < len(names.teams):
+        commit = draw.commit(rng, names, view)
+        if commit[1]:
+            found.setdefault(commit[0], commit)
+    return list(found.values())
+
+
+def fate(change: Change, edit: Edit, view: View) -> str:
+    """What became of an edit: merged, or what a person is asked for; `lost` if it is nowhere."""
+    for conflict in view.conflicts:
+        sides = {choice.dot for choice in conflict.choices}
+        if change.dot in sides and edit.route in conflict.routes:
+            if conflict.kind == "field" and conflict.field == edit.field:
+                return "field conflict"
+            if conflict.kind == "delete":
+                return "delete conflict"
+    if any(w.dot == change.dot and w.route == edit.route for w in view.waiting):
+        return "waits for the owner"
+    if change.dot in view.held_back:
+        return "held back by a plan conflict"
+    return "merged" if in_plan(view, edit) else "lost"
+
+
+def in_plan(view: View, edit: Edit) -> bool:
+    route = view.routes.get(edit.route)
+    if edit.field == DELETED:
+        return (route is None) == (edit.value is True)
+    if route is None:
+        return False
+    if edit.field == "owner":
+        return route.owner == edit.value
+    found = route.values.get(edit.field, route.others.get(edit.field))
+    return bool(edit.field in route.decided or found == edit.value or edit.value in (None, []))
+
+
+File = dict[str, dict[str, Any]]
+
+
+def written(view: View, edits: tuple[Edit, ...]) -> File:
+    """The whole file as a team writes it."""
+    found: File = {
+        name: {**route.values, **route.others, "owner": route.owner} for name, route in view.routes.items()
+    }
+    for edit in edits:
+        if edit.field == DELETED:
+            found.pop(edit.route, None)
+        else:
+            found.setdefault(edit.route, {})[edit.field] = edit.value
+    return found
+
+
+def has(file: File, edit: Edit) -> bool:
+    if edit.field == DELETED:
+        return edit.route not in file
+    return file.get(edit.route, {}).get(edit.field) == edit.value
--- /dev/null
+++ b/faultlab/routes/costs.py
@@ -0,0 +1,116 @@
+"""What the merge, the index and a plan of many routes cost one process: CPU times and memory, nothing else
+on the way."""
+
+from __future__ import annotations
+
+import gc
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Iterator
+from typing import Any
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.routes.changes import Change, Edit
+from cloverkeel.fleet.routes.interface import World
+from cloverkeel.fleet.routes.merge import Merge, merged
+
+PER_CHANGE = 100  # routes of one file
+TEAMS = 10
+
+
+def world() -> World:
+    return World(frozenset({"search", "transfer"}), None, frozenset({"a"}), frozenset({"m"}), {}, {})
+
+
+def changes(routes: int) -> list[Change]:
+    """`routes` routes of TEAMS teams, PER_CHANGE in each change; none of two teams meet."""
+    made = []
+    for number, first in enumerate(range(0, routes, PER_CHANGE)):
+        team = f"team-{number % TEAMS}"
+        edits: list[Edit] = []
+        for route in range(first, min(first + PER_CHANGE, routes)):
+            name = f"route-{route}"
+            edits += [
+                Edit(name, "owner", team), Edit(name, "path", path(route)), Edit(name, "classes", ["transfer"]),
+                Edit(name, "targets", [{"groups": [str(route % 4)], "share": 5}]), Edit(name, "attempts", 2),
+                Edit(name, "note", f"route {route} of {team}"),
+            ]  # fmt: skip
+        context = Context().add(change.dot for change in made if change.team == team)
+        made.append(Change(dot=Dot("base", 1, number + 1), context=context, team=team, edits=tuple(edits)))
+    return made
+
+
+def path(route: int) -> str:
+    return f"/team-{route // PER_CHANGE % TEAMS}/service-{route // 50}/call-{route}"
+
+
+def steps_ms(merge: Merge) -> list[float]:
+    """The CPU of each step of a settling."""
+    found, settling = [], iter(merge.settle())
+    while True:
+        began = time.perf_counter()
+        ended = next(settling, settling) is settling
+        found.append(1e3 * (time.perf_counter() - began))
+        if ended:
+            return found
+
+
+def run(routes: int, rounds: int, seed: int) -> dict[str, Any]:
+    """Milliseconds and MB. `one_edit`: its `add` and all steps of its settling (goal 20 ms); `rebuild`: the
+    merge from nothing (goal 1 s); `longest_step`: of either kind (1 ms wanted)."""
+    rng = random.Random(f"costs {seed}")
+    all_changes = changes(routes)
+    gc.collect()
+    tracemalloc.start()
+    merge = Merge(world())
+    for change in all_changes:
+        merge.add(change)
+    steps_ms(merge)
+    held_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    rebuilds = []
+    for _ in range(max(1, min(3, rounds))):
+        began = time.perf_counter()
+        view = merged(all_changes, world())
+        rebuilds.append(1e3 * (time.perf_counter() - began))
+    sliced = Merge(world())
+    for change in all_changes:
+        sliced.add(change)
+    build_steps = steps_ms(sliced)
+    if view.hash != merge.view.hash or len(view.routes) != routes:
+        raise RuntimeError(f"the rebuild has {len(view.routes)} routes and another plan")
+    totals, longest = [], []
+    for number, edits in enumerate(one_edits(rng, routes, 10 * rounds)):
+        team = merge.view.routes[edits[0].route].owner
+        change = Change(dot=Dot("m1", 1, number + 1), context=merge.view.context, team=team, edits=edits)
+        began = time.perf_counter()
+        merge.add(change)
+        added_ms = 1e3 * (time.perf_counter() - began)
+        steps = steps_ms(merge)
+        totals.append(added_ms + sum(steps))
+        longest.append(max(added_ms, *steps))
+    return {
+        "routes": routes, "held_mb": round(held_mb, 1),
+        "one_edit_ms": spread(totals) | {"goal": 20}, "one_edit_longest_step_ms": spread(longest),
+        "rebuild_ms": spread(rebuilds) | {"goal": 1000},
+        "rebuild_steps": len(build_steps), "rebuild_longest_step_ms": round(max(build_steps), 3),
+    }  # fmt: skip
+
+
+def one_edits(rng: random.Random, routes: int, count: int) -> Iterator[tuple[Edit, ...]]:
+    for number in range(count):
+        route = rng.randrange(routes)
+        field, value = rng.choice((("note", f"again {number}"), ("attempts", 1 + number % 3),
+                                   ("path", f"{path(route)}/{number}"), ("limit", 10 + number)))  # fmt: skip
+        yield (Edit(f"route-{route}", field, value),)
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    ranked = sorted(values)
+    return {
+        "p50": round(statistics.median(ranked), 3),
+        "p99": round(ranked[min(len(ranked) - 1, int(0.99 * len(ranked)))], 3),
+        "most": round(ranked[-1], 3),
+    }
--- /dev/null
+++ b/faultlab/routes/draw.py
@@ -0,0 +1,156 @@
+"""Random edits of teams, for the storm, for the fleet of real gateways and for the baseline beside them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from cloverkeel.fleet.routes.changes import DELETED, Accept, Edit
+from cloverkeel.fleet.routes.interface import RouteView, View
+
+Commit = tuple[str, tuple[Edit, ...], tuple[Accept, ...]]  # of a team
+PATHS = ("/a", "/a/b", "/a/b/c", "/a/d", "/e", "/e/f", "/g", "/h")
+
+
+@dataclass(slots=True, frozen=True)
+class Names:
+    """What edits are drawn from: the settings' names, the teams, and the names of routes."""
+
+    teams: tuple[str, ...] = ("red", "green", "blue", "grey")
+    routes: tuple[str, ...] = tuple(f"r{number}" for number in range(6))
+    classes: tuple[str, ...] = ("search", "transfer")
+    callers: tuple[str, ...] = ("desk", "web")
+    zones: tuple[str, ...] = ("a", "b")
+    types: tuple[str, ...] = ("m", "s")
+    groups: tuple[str, ...] = ("0", "1", "2")
+    labels: tuple[str, ...] = ("new", "old")
+    transforms: tuple[str, ...] = ("mark", "mark-two", "trim")  # the first two write one header
+    paths: tuple[str, ...] = PATHS
+    bad: float = 0.1  # share of values that block the plan
+
+
+FIELDS = ("classes", "callers", "zones", "path", "targets", "attempts", "deadline_ms", "limit", "transforms",
+          "before", "note", "later")  # fmt: skip
+
+
+def value(rng: random.Random, names: Names, field: str) -> Any:
+    """A value that `field` may have; in a share of cases one that blocks. `later`: no version knows it."""
+    if field in ("classes", "callers", "zones"):
+        pool: tuple[str, ...] = getattr(names, field)
+        if rng.random() < names.bad / 2:
+            return ["nobody-knows"]
+        return sorted(rng.sample(pool, rng.randint(1, len(pool))))
+    if field == "path":
+        return rng.choice(names.paths)
+    if field == "targets":
+        return targets(rng, names)
+    if field in ("attempts", "deadline_ms", "limit"):
+        if rng.random() < names.bad / 2:
+            return rng.choice((0, -1, "x", 1.5))
+        return rng.choice((1, 2)) if field == "attempts" else rng.randint(1, 90)
+    if field == "transforms":
+        count = rng.choice((0, 1, 1, 2)) if rng.random() < 2 * names.bad else rng.randint(0, 1)
+        return rng.sample(names.transforms, min(count, len(names.transforms)))
+    if field == "before":
+        return sorted(rng.sample(names.routes, min(len(names.routes), rng.choice((1, 1, 2)))))
+    return f"{field} {rng.randrange(4)}"
+
+
+def targets(rng: random.Random, names: Names) -> list[dict[str, Any]]:
+    found: list[dict[str, Any]] = []
+    for _ in range(rng.randint(1, 2)):
+        kind = rng.choice(("groups", "types", "labels"))
+        share = rng.choice((10, 30, 50))
+        found.append({kind: [rng.choice(getattr(names, kind))], "share": share})
+    if rng.random() < names.bad:
+        found.append({"groups": [rng.choice(names.groups)], "share": 95})
+    return found
+
+
+def route(rng: random.Random, names: Names, name: str, team: str) -> tuple[Edit, ...]:
+    """A new route, or what is to be one anew."""
+    edits = [Edit(name, "owner", team), Edit(name, "path", value(rng, names, "path"))]
+    for field in rng.sample(("classes", "callers", "targets", "limit", "transforms", "note"), 2):
+        edits.append(Edit(name, field, value(rng, names, field)))
+    return tuple(edits)
+
+
+def commit(rng: random.Random, names: Names, view: View) -> Commit:
+    """What some team commits having read `view`: mostly of its own routes."""
+    draw = rng.random()
+    if draw < 0.15 and (resolved := resolution(rng, names, view)) is not None:
+        return resolved
+    if draw < 0.25 and view.waiting:
+        waiting = rng.choice(view.waiting)
+        return waiting.owner or rng.choice(names.teams), (), (Accept(waiting.route, waiting.dot),)
+    name = rng.choice(names.routes)
+    held = view.routes.get(name)
+    if held is None:
+        team = rng.choice(names.teams)
+        return team, route(rng, names, name, team), ()
+    team = held.owner if rng.random() < 0.8 else rng.choice(names.teams)
+    if draw < 0.4:
+        return team, (Edit(name, DELETED, True),), ()
+    if draw < 0.45:
+        return team, (Edit(name, "owner", rng.choice(names.teams)),), ()
+    edits = changes(rng, names, held, rng.randint(1, 3))
+    if rng.random() < 0.2:  # of two routes at once
+        other = rng.choice(names.routes)
+        if other != name:
+            edits += route(rng, names, other, team) if other not in view.routes else (
+                Edit(other, "note", f"{rng.randrange(9)}"),)  # fmt: skip
+    return team, edits, ()
+
+
+def changes(rng: random.Random, names: Names, held: RouteView, count: int) -> tuple[Edit, ...]:
+    """`count` fields of a route get other values; an absent one (None) among them at times."""
+    edits = []
+    for field in rng.sample(FIELDS, count):
+        gone = field in held.values and field not in ("path",) and rng.random() < 0.1
+        edits.append(Edit(held.name, field, None if gone else value(rng, names, field)))
+    return tuple(edits)
+
+
+def resolution(rng: random.Random, names: Names, view: View) -> Commit | None:
+    """An answer to a conflict of a field, of a delete, or of an overlap."""
+    open_ones = [c for c in view.conflicts if c.kind in ("field", "delete", "overlap")]
+    if not open_ones:
+        return None
+    conflict = rng.choice(open_ones)
+    name = conflict.routes[0]
+    owner = view.routes[name].owner if name in view.routes else rng.choice(names.teams)
+    if conflict.kind == "delete":
+        return owner, (Edit(name, DELETED, rng.random() < 0.5),), ()
+    if conflict.kind == "overlap":
+        return owner, (Edit(name, "before", [conflict.routes[-1]]),), ()
+    wanted = rng.choice(conflict.choices).value if conflict.choices else value(rng, names, conflict.field)
+    return owner, (Edit(name, conflict.field, wanted),), ()
+
+
+def as_toml(team: str, base: str, routes: Mapping[str, Mapping[str, Any]]) -> str:
+    """A team's file."""
+    lines = [f"team = {_text(team)}"] + ([f"base = {_text(base)}"] if base else [])
+    for name, fields in routes.items():
+        lines += ["", f"[route.{_text(name)}]"]
+        lines += [f"{field} = {_shown(each)}" for field, each in fields.items()]
+    return "\n".join(lines) + "\n"
+
+
+def _text(text: str) -> str:
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return f'"{escaped}"'
+
+
+def _shown(each: object) -> str:
+    match each:
+        case bool():
+            return "true" if each else "false"
+        case str():
+            return _text(each)
+        case Mapping():
+            return "{" + ", ".join(f"{key} = {_shown(inner)}" for key, inner in each.items()) + "}"
+        case Sequence():
+            return "[" + ", ".join(map(_shown, each)) + "]"
+    return str(each)
--- /dev/null
+++ b/faultlab/routes/simulated.py
@@ -0,0 +1,57 @@
+"""From an acknowledged edit to its plan at all members, over real ledger cores on simulated time and network."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from cloverkeel.fleet.ledger.interface import Action, Level
+
+from faultlab.routes.costs import spread
+from faultlab.routes.draw import Names, commit
+from faultlab.storm.cluster.ledger import Member
+from faultlab.storm.cluster.routes import RoutesCluster
+
+TICK_S = 0.2
+START_S = 10.0
+LIMIT_S = 30.0
+
+
+class Watched(RoutesCluster):
+    """Without faults; notes when each write was acknowledged."""
+
+    acknowledged_s: float | None = None
+
+    def _act(self, member: Member, action: Action) -> None:
+        count = self.acknowledged
+        super()._act(member, action)
+        if self.acknowledged > count:
+            self.acknowledged_s = self.now_s
+
+
+def run(members: int, rounds: int, seed: int) -> dict[str, Any]:
+    """Simulated seconds: 0.5 to 30 ms a message, 1 to 20 ms a disk's write. Acknowledged by a quorum."""
+    rng = random.Random(f"simulated {seed}")
+    cluster = Watched(seed, members, TICK_S)
+    names = Names(routes=tuple(f"r{number}" for number in range(40)), bad=0.02)
+    cluster.run(START_S)
+    if not cluster.run(LIMIT_S, cluster.at_rest):
+        raise RuntimeError("the members do not come to rest before the first edit")
+    took = []
+    for _ in range(rounds):
+        member = rng.choice(cluster.up())
+        read = cluster.readers[member.name].read
+        assert read is not None
+        cluster.acknowledged_s = None
+        cluster.commit(member, read, commit(rng, names, read.view), Level.QUORUM)
+        dot, began_s = max(cluster.routes.changes, key=list(cluster.routes.changes).index), cluster.now_s
+        while any(dot not in r.held or r.stale or r.settling for r in cluster.readers.values()):
+            if cluster.now_s - began_s > LIMIT_S or cluster.broken():
+                raise RuntimeError(f"no end after {LIMIT_S} s: {cluster.broken()}")
+            cluster.run(0.005)
+        all_s = cluster.now_s
+        while cluster.acknowledged_s is None and cluster.now_s - began_s < LIMIT_S:
+            cluster.run(0.005)
+        assert cluster.acknowledged_s is not None
+        took.append(max(0.0, all_s - cluster.acknowledged_s))
+    return {"members": members, "edits": rounds, "acknowledged_to_all_s": spread(took) | {"goal": 2.0}}
--- /dev/null
+++ b/faultlab/storm/cluster/routes_history.py
@@ -0,0 +1,134 @@
+"""Random histories of routes: teams that commit under fresh, old and exported plans at members that fail.
+
+Edits of fields, deletes, routes made anew, resolutions, acceptances, new owners, overlapping prefixes, orders
+between routes, values that block; drops, doubles, delays, partitions, crashes between any two events, disks
+that refuse, are lost or set back, members away for long, transforms that some hear of later. Then all is
+healed, and all must agree.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from cloverkeel.fleet.ledger.interface import Level
+from cloverkeel.fleet.routes.interface import World
+from cloverkeel.fleet.routes.merge import Merge
+
+from faultlab.routes.draw import Names, commit
+from faultlab.storm.cluster.ledger import TICK_S, Disk
+from faultlab.storm.cluster.played import Played, perform
+from faultlab.storm.cluster.routes import KEPT, RoutesCluster
+
+LARGE, LARGE_STEPS, LARGE_TICK_S = 500, 6, 0.5  # members, and what keeps a history of so many short
+
+
+def draw(seed: int) -> Played:
+    """The history of a seed: one in 100 is of LARGE members."""
+    if random.Random(f"size {seed}").random() < 1 / 100:
+        return play(seed, LARGE, LARGE_STEPS, LARGE_TICK_S)
+    return play(seed)
+
+
+def play(
+    seed: int,
+    members: int | None = None,
+    steps: int = 14,
+    tick_s: float = TICK_S,
+    make: Callable[[World], Merge] = Merge,
+) -> Played:
+    """One random history of 5 to 20 members (or so many), mostly of the fewer."""
+    rng = random.Random(seed)
+    cluster = RoutesCluster(seed, members or rng.choice((5, 5, 6, 7, 8, 10, 12, 20)), tick_s, make)
+    names = Names(
+        teams=Names().teams[: rng.randint(2, 4)],
+        routes=Names().routes[: rng.randint(1, 6)],
+        bad=rng.choice((0.0, 0.05, 0.2)),
+    )
+    copies: dict[str, Disk] = {}
+    cluster.drop, cluster.double = rng.choice((0.0, 0.05, 0.3)), rng.choice((0.0, 0.1))
+    cluster.run(0.5)
+
+    def step() -> None:
+        cluster.run(rng.choice((0.005, 0.02, 0.1, 0.5, 1.5)))
+        cluster.check()
+        if cluster.up() and rng.random() < 0.6:
+            _commits(cluster, rng, names)
+        else:
+            _fault(cluster, rng, copies)
+
+    return perform(cluster, steps, step)
+
+
+def _commits(cluster: RoutesCluster, rng: random.Random, names: Names) -> None:
+    """One to four teams at once, at members of their own."""
+    for _ in range(rng.choice((1, 1, 2, 4))):
+        up = cluster.up()
+        if not up:
+            return
+        member = rng.choice(up)
+        read = cluster.readers[member.name].read
+        if read is None:
+            continue
+        if rng.random() < 0.2 and cluster.exports:
+            read = rng.choice(cluster.exports)  # exported here or elsewhere, now or long ago
+        elif rng.random() < 0.3:
+            cluster.exports = [*cluster.exports[1 - KEPT :], read]
+        cluster.commit(member, read, commit(rng, names, read.view), rng.choice(tuple(Level)))
+        if rng.random() < 0.1:
+            _killed(cluster, rng, member.name)
+
+
+def _killed(cluster: RoutesCluster, rng: random.Random, name: str) -> None:
+    """At any moment after the commit: before its disk, its quorum, or after."""
+    member, life = cluster.members[name], cluster.members[name].life
+
+    def kill() -> None:
+        if member.life == life and not cluster.healed:
+            cluster.stop(member)
+
+    cluster.later(rng.choice((0.0, 0.02, 0.2)) * rng.random(), kill)
+
+
+def _fault(cluster: RoutesCluster, rng: random.Random, copies: dict[str, Disk]) -> None:
+    members = list(cluster.members.values())
+    member = rng.choice(members)
+    match rng.randrange(13):
+        case 0:
+            cluster.stop(member)
+        case 1 | 2:
+            for other in members:
+                if other.core is None and rng.random() < 0.7:
+                    cluster.start(other)
+        case 3:
+            for other in members:
+                other.side = rng.randrange(2)
+        case 4 | 5:
+            for other in members:
+                other.side = 0
+        case 6:
+            member.full = not member.full
+        case 7:
+            member.false = rng.choice((0.0, 0.5, 1.0))
+        case 8:
+            copies[member.name] = cluster.copy_disk(member)
+        case 9:
+            if rng.random() < 0.3:
+                cluster.lose_disk(member)
+            elif member.name in copies:
+                cluster.set_back(member, copies.pop(member.name))
+        case 10:
+            member.side = 2
+            cluster.run(rng.choice((2.0, 9.0)))  # away, perhaps past `reap_after_s`
+            member.side = 0
+        case 11:
+            cluster.world = min(2, cluster.world + 1)  # a transform more, which some hear of later
+            for other in members:
+                cluster.later(rng.choice((0.0, 0.5, 3.0)) * rng.random(), _hears(cluster, other.name))
+        case 12:
+            for other in cluster.up():
+                cluster.drop_old(other)
+
+
+def _hears(cluster: RoutesCluster, name: str) -> Callable[[], None]:
+    return lambda: cluster.set_world(cluster.readers[name])
--- /dev/null
+++ b/tests/test_routes_found.py
@@ -0,0 +1,77 @@
+"""What the storm of routes found: the cases as it came to them, by hand."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from cloverkeel.fleet.ledger.dots import Context, Dot
+from cloverkeel.fleet.routes.changes import DELETED, Accept, Change, Edit
+from cloverkeel.fleet.routes.interface import World
+from cloverkeel.fleet.routes.merge import Merge, merged
+
+OVER = [{"groups": ["0"], "share": 60}, {"groups": ["1"], "share": 60}]
+
+
+def change(number: int, team: str, seen: tuple[Change, ...] = (), *accepts: Change, **fields: Any) -> Change:
+    """Of route r alone."""
+    context = Context()
+    for each in seen:
+        context = context.merge(each.context).add((each.dot,))
+    return Change(
+        dot=Dot(f"m{number}", 1, 1), context=context, team=team,
+        edits=tuple(Edit("r", field, value) for field, value in fields.items()),
+        accepts=tuple(Accept("r", each.dot) for each in accepts),
+    )  # fmt: skip
+
+
+def test_a_dispute_whose_resolution_is_held_back_is_told() -> None:
+    red, blue = change(1, "red", owner="red", note="a"), change(2, "blue", owner="blue", path="/b")
+    both = change(3, "red", (red, blue), owner="red", targets=OVER)
+    view = merged([red, blue, both], World())
+    assert view.held_back == (both.dot,) and "r" not in view.routes
+    assert {(c.kind, c.field) for c in view.conflicts} == {("shares", "targets"), ("field", "owner")}
+
+
+def test_an_edit_whose_acceptance_is_held_back_waits() -> None:
+    red = change(1, "red", owner="red", path="/a")
+    blue = change(2, "blue", (red,), note="from blue")
+    accept = change(3, "red", (red, blue), blue, targets=OVER)
+    view = merged([red, blue, accept], World())
+    assert view.held_back == (accept.dot,) and "note" not in view.routes["r"].values
+    assert [(w.dot, dict(w.fields)) for w in view.waiting] == [(blue.dot, {"note": "from blue"})]
+
+
+def test_edits_between_a_delete_and_its_acceptance_make_the_route_anew_as_their_team_s() -> None:
+    red = change(1, "red", owner="red", path="/a")
+    gone = change(2, "blue", (red,), **{DELETED: True})
+    edit = change(3, "red", (red, gone), note="after")
+    accept = change(4, "red", (red, gone, edit), gone)
+    after = change(5, "red", (red, gone, edit, accept), limit=3)
+    view = merged([red, gone, edit, accept, after], World())
+    assert view.routes["r"].owner == "red" and not view.waiting and not view.conflicts
+    assert dict(view.routes["r"].values) == {"owner": "red", "note": "after", "limit": 3}
+
+
+def test_a_crowded_route_that_goes_to_another_owner_keeps_its_conflict() -> None:
+    world, targets = World(room={"m": 1}), [{"types": ["m"], "share": 100}]
+    merge = Merge(world)
+    made = change(1, "red", owner="red", path="/r", limit=5, targets=targets)
+    other = replaced(change(2, "blue", owner="blue", path="/q", limit=5, targets=targets), "q")
+    moved, gone = (
+        change(3, "red", (made,), owner="blue"),
+        replaced(change(4, "blue", (other,), limit=None), "q"),
+    )
+    for together in ((made, other), (gone, moved)):
+        for each in together:
+            merge.add(each)
+        for _ in merge.settle():
+            pass
+    (crowded,) = merge.view.conflicts
+    assert crowded.kind == "room" and crowded == merged([made, other, moved, gone], world).conflicts[0]
+
+
+def replaced(change: Change, route: str) -> Change:
+    edits = tuple(Edit(route, edit.field, edit.value) for edit in change.edits)
+    return msgspec.structs.replace(change, edits=edits)
