--- a/faultlab/routes/baseline.py
+++ b/faultlab/routes/baseline.py
@@ -114,11 +114,11 @@
 def in_plan(view: View, edit: Edit) -> bool:
     route = view.routes.get(edit.route)
     if edit.field == DELETED:
-        return (route is None) == (edit.value is True)
+        return (route is None) == bool(edit.value)
     if route is None:
         return False
     if edit.field == "owner":
-        return route.owner == edit.value
+        return bool(route.owner == edit.value)
     found = route.values.get(edit.field, route.others.get(edit.field))
     return bool(edit.field in route.decided or found == edit.value or edit.value in (None, []))
 
@@ -142,4 +142,4 @@
 def has(file: File, edit: Edit) -> bool:
     if edit.field == DELETED:
         return edit.route not in file
-    return file.get(edit.route, {}).get(edit.field) == edit.value
+    return bool(file.get(edit.route, {}).get(edit.field) == edit.value)
--- a/faultlab/routes/costs.py
+++ b/faultlab/routes/costs.py
@@ -26,14 +26,15 @@
 
 def changes(routes: int) -> list[Change]:
     """`routes` routes of TEAMS teams, PER_CHANGE in each change; none of two teams meet."""
-    made = []
+    made: list[Change] = []
     for number, first in enumerate(range(0, routes, PER_CHANGE)):
         team = f"team-{number % TEAMS}"
         edits: list[Edit] = []
         for route in range(first, min(first + PER_CHANGE, routes)):
             name = f"route-{route}"
             edits += [
-                Edit(name, "owner", team), Edit(name, "path", path(route)), Edit(name, "classes", ["transfer"]),
+                Edit(name, "owner", team), Edit(name, "path", path(route)),
+                Edit(name, "classes", ["transfer"]),
                 Edit(name, "targets", [{"groups": [str(route % 4)], "share": 5}]), Edit(name, "attempts", 2),
                 Edit(name, "note", f"route {route} of {team}"),
             ]  # fmt: skip
--- a/faultlab/routes/simulated.py
+++ b/faultlab/routes/simulated.py
@@ -1,4 +1,4 @@
-"""From an acknowledged edit to its plan at all members, over real ledger cores on simulated time and network."""
+"""From an acknowledged edit to its plan at all members, over real ledger cores on simulated time."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
     cluster.run(START_S)
     if not cluster.run(LIMIT_S, cluster.at_rest):
         raise RuntimeError("the members do not come to rest before the first edit")
-    took = []
+    took: list[float] = []
     for _ in range(rounds):
         member = rng.choice(cluster.up())
         read = cluster.readers[member.name].read
--- a/faultlab/storm/cluster/routes_truth.py
+++ b/faultlab/storm/cluster/routes_truth.py
@@ -97,7 +97,7 @@
                  if c.kind == "delete"}  # fmt: skip
         disputed = {(r, c.field) for c in view.conflicts if c.kind == "field" for r in c.routes}
         unsure = {r for c in view.conflicts if c.kind == "delete" for r in c.routes}
-        # A route with a cause still on its way, or lost with the disks that had it, is judged once it is here.
+        # A route with a cause still on its way, or lost with the disks that had it, is judged later.
         missing = self.seen(held) - set(held) - self.dropped
         gaps = {edit.route for dot in missing for edit in self.changes[dot].edits}
         gaps |= {accept.route for dot in missing for accept in self.changes[dot].accepts}
@@ -106,7 +106,9 @@
                 continue
             for edit in change.edits:
                 name, field = edit.route, edit.field
-                if name in gaps or (dot, name) in waiting or (name, field, dot) in told or (name, "", dot) in told:
+                if name in gaps or (dot, name) in waiting:
+                    continue
+                if (name, field, dot) in told or (name, "", dot) in told:
                     continue
                 later = (*writers[name, field], *self._deletes(writers, name, held))
                 if field == DELETED:  # what comes after it makes the route anew
@@ -124,7 +126,8 @@
                 if decided.dot not in held:
                     self.violated(f"{who}: {name}.{field} by {decided.dot}, which is not held")
                 elif (name, field) not in disputed and name not in unsure:
-                    over = [d for d in writers[name, field] if d not in back and decided.dot in self.seen_by[d]]
+                    over = [d for d in writers[name, field] if decided.dot in self.seen_by[d]]
+                    over = [dot for dot in over if dot not in back]
                     if over:
                         self.violated(f"{who}: {name}.{field} by {decided.dot}, and {over} had seen it")
         for conflict in view.conflicts:
--- a/faultlab/storm/command.py
+++ b/faultlab/storm/command.py
@@ -1,9 +1,9 @@
 """python -m faultlab storm --seed S --events N: random load and faults on the module and on whole clusters.
 
-The module's part plays N events; clusters of membership, the ledger and activation each play one history for
-every EVENTS of them, invariants on. History number I has the seed S + I. Each history's and the module's
-first violation is printed with the command that replays it: `--replay` plays that one run or history again
-and prints what befell it.
+The module's part plays N events; clusters of membership, the ledger, activation and routes each play one
+history for every EVENTS of them, invariants on. History number I has the seed S + I. Each history's and the
+module's first violation is printed with the command that replays it: `--replay` plays that one run or history
+again and prints what befell it.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from typing import Any
 
 from faultlab.report import Parts, positive, report
-from faultlab.storm.cluster import activation_history, ledger_history
+from faultlab.storm.cluster import activation_history, ledger_history, routes_history
 from faultlab.storm.cluster.faults import draw
 from faultlab.storm.cluster.played import Played
 from faultlab.storm.cluster.verdict import Outcome, play
@@ -26,6 +26,7 @@
 REPLICAS: dict[str, Callable[[int], Played]] = {
     "ledger": ledger_history.draw,
     "activation": activation_history.draw,
+    "routes": routes_history.draw,
 }
 PARTS = ("module", "cluster", *REPLICAS)
 
