--- a/cloverkeel/fleet/routes/owners.py
+++ b/cloverkeel/fleet/routes/owners.py
@@ -44,6 +44,10 @@
     return any(name != DELETED or value is not True for name, value in touch.fields.items())
 
 
+def writes_fields(touch: Touch) -> bool:
+    return any(name != DELETED for name in touch.fields)
+
+
 class _Judge:
     def __init__(self, rising: Sequence[Touch]) -> None:
         self._by_dot = {touch.dot: touch for touch in rising}
@@ -71,13 +75,17 @@
         if not touch.fields:
             return
         named = _named(touch)
-        if touch.team in owners if owners else named in (None, touch.team):
+        own = touch.team in owners if owners else named in (None, touch.team)
+        deletes = touch.fields.get(DELETED) is True
+        if own:
             self._self.add(touch.dot)
-            if not owners and named is None and any(name != DELETED for name in touch.fields):
-                named = self.standing.first[touch.dot] = touch.team
+        # The first of a route, or one that deletes it and makes it anew.
+        first = deletes or (own and not owners)
+        if first and OWNER not in touch.fields and len(touch.fields) > (DELETED in touch.fields):
+            named = self.standing.first[touch.dot] = touch.team
         if named is not None:
             self._owners.append(touch)
-        if touch.fields.get(DELETED) is True:
+        if deletes:
             self._deletes.append(touch)
         if writes_route(touch):
             self._writers.append(touch)
@@ -104,9 +112,10 @@
         writers = self._standing_at(self._owners, at)
         if writers and self._deletes:
             deletes, _ = self._effect(at)
-            writers = [
-                each for each in writers if not any(delete.context.covers(each.dot) for delete in deletes)
-            ]
+            writers = _left(writers, deletes)
+            if not writers:  # those who wrote after a delete that was to be accepted yet
+                left = _left(self._standing_at(self._writers, at), deletes)
+                return {touch.team for touch in left if writes_fields(touch)}
         if not writers:
             return set()
         first = self.standing.first
@@ -137,6 +146,10 @@
         return effect, disputes
 
 
+def _left(touches: Iterable[Touch], deletes: Sequence[Touch]) -> list[Touch]:
+    return [touch for touch in touches if not any(delete.context.covers(touch.dot) for delete in deletes)]
+
+
 def _named(touch: Touch) -> str | None:
     """The owner that a change names; a value that is no name does not hand a route over."""
     if (value := touch.fields.get(OWNER)) is None:
