Membership: many deaths at once slow no probe; standing still does

Where seven in ten members went at once, or half was cut off, it took 10 to 20 s until all were held dead.

In place of what that took from members on a stalled machine, each whole probe period that a process stood still counts against its own health.

--- a/cloverkeel/fleet/membership/health.py
+++ b/cloverkeel/fleet/membership/health.py
@@ -38,7 +38,8 @@
     score: int = 0
 
     def worse(self) -> None:
-        """A probe of ours failed, a helper sent no nack, or we had to refute a suspicion of ourselves."""
+        """A probe of ours failed and nothing tells that the fault is not ours, we stood still for a probe
+        period, or we had to refute a suspicion of ourselves."""
         self.score = min(self.most, self.score + 1)
 
     def better(self) -> None:
--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -239,7 +239,10 @@
         return pushes if isinstance(pushes[0], Send) else [Send(address, Push(self.me, held, reply=True))]
 
     def stalled(self, for_s: float) -> None:
-        """This process stood still for so long: nobody's silence meanwhile is held against them."""
+        """This process stood still for so long: nobody's silence meanwhile is held against them, and each
+        whole probe period of it counts against this member's own health."""
+        for _ in range(min(self.roster.health.most, int(for_s / self.timing.probe_interval_s))):
+            self.roster.health.worse()
         self.cycle.put_off(for_s)
         self.roster.put_off(for_s)
         if self.joining_until_s is not None:
--- a/cloverkeel/fleet/membership/probe.py
+++ b/cloverkeel/fleet/membership/probe.py
@@ -82,9 +82,10 @@
         if probe is not None and not probe.acked:
             if now_s >= probe.ends_s:
                 self.probe = None
-                if probe.asked and probe.nacks < probe.asked:
-                    roster.health.worse()  # a helper that sends no nack: our own network may be at fault
-                roster.health.worse()
+                held = roster.view.members.get(probe.target.name)
+                others_agree = held is not None and held.status is Status.SUSPECT
+                if not probe.nacks and not others_agree:
+                    roster.health.worse()  # nothing tells that the fault is not ours
                 actions += roster.suspect(probe.target.name, now_s)
             elif now_s >= probe.deadline_s and not probe.asked:
                 actions += self._ask_others(probe)
@@ -104,6 +105,9 @@
     def _ask_others(self, probe: Probe) -> list[Action]:
         roster = self.roster
         helpers = [r for r in roster.live() if r.name != probe.target.name]
+        well = [r for r in helpers if r.status is Status.ALIVE]
+        if len(well) >= roster.timing.indirect_checks:
+            helpers = well  # a suspect's silence tells nothing
         chosen = roster.rng.sample(helpers, min(roster.timing.indirect_checks, len(helpers)))
         probe.asked = len(chosen)
         target = roster.view.members.get(probe.target.name, probe.target)
