Duties: the Raft library's import no longer replaces the process's address functions

Seen: three gateways that were to found a quorum waited for each other for ever once membership parsed addresses with socket.inet_ntop. Ruled out: founding, the relay. Cause: pysyncobj's import of win_inet_pton puts functions that raise TypeError off Windows in the place of socket.inet_pton and inet_ntop. They are put back after the import; a test holds it.

--- a/cloverkeel/fleet/duties/quorum.py
+++ b/cloverkeel/fleet/duties/quorum.py
@@ -8,14 +8,27 @@
 from __future__ import annotations
 
 import os
+import socket
 import threading
 import time
 from collections.abc import Callable
 from typing import Any
 
-import pysyncobj
-
-from cloverkeel.fleet.duties.interface import Answer, Ask, Gone, Granted, Held, Row, Unreachable
+# Its import puts stand-ins that only Windows can call in the place of these two, for the whole process.
+_ADDRESSES = socket.inet_pton, socket.inet_ntop
+import pysyncobj  # noqa: E402
+
+socket.inet_pton, socket.inet_ntop = _ADDRESSES
+
+from cloverkeel.fleet.duties.interface import (  # noqa: E402
+    Answer,
+    Ask,
+    Gone,
+    Granted,
+    Held,
+    Row,
+    Unreachable,
+)
 
 JOURNAL = "duties.raft"
 LEADER_S = 0.2  # the voter that leads lets others go first: one kill should not take holder and leader
--- a/tests/test_duties_parts.py
+++ b/tests/test_duties_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from pathlib import Path
 
 import pytest
@@ -16,6 +17,13 @@
 from cloverkeel.fleet.duties.settings import parse_duties
 from faultlab.duties.site import begin
 
+
+def test_the_raft_library_leaves_the_addresses_of_the_process_alone() -> None:
+    from cloverkeel.fleet.duties import quorum
+
+    assert quorum.JOURNAL and socket.inet_ntop(socket.AF_INET, b"\x7f\0\0\1") == "127.0.0.1"
+
+
 VOTERS = {"a": "127.0.0.1:7101", "b": "127.0.0.1:7102", "c": "127.0.0.1:7103"}
 
 
