--- a/cloverkeel/fleet/routes/fields.py
+++ b/cloverkeel/fleet/routes/fields.py
@@ -70,6 +70,8 @@
 
 
 def _names(value: Any) -> list[str] | None:
+    if type(value) is list and len(value) == 1:  # most are
+        return [_name(value[0])]
     return sorted({_name(each) for each in _list(value, NAMES_MAX)}) or None
 
 
@@ -105,13 +107,13 @@
 def _target(value: Any) -> dict[str, Any]:
     if not isinstance(value, Mapping) or not all(isinstance(key, str) for key in value):
         raise ValueError(f"a target is a map of {', '.join(ANY_KIND)} and share, not {value!r:.40}")
-    target = {key: each for key, each in value.items() if key not in ANY_KIND}
+    target = {}
+    for key, each in value.items():
+        if key not in ANY_KIND:
+            target[key] = each
+        elif each is not None and (names := _groups(each) if key == "groups" else _names(each)):
+            target[key] = names
     target["share"] = _share(value.get("share", 100))
-    for kind in ANY_KIND:
-        if value.get(kind) is not None:
-            names = _groups(value[kind]) if kind == "groups" else _names(value[kind])
-            if names:
-                target[kind] = names
     return target
 
 
--- a/cloverkeel/fleet/routes/merge.py
+++ b/cloverkeel/fleet/routes/merge.py
@@ -16,6 +16,7 @@
 from cloverkeel.fleet.routes.whole import Whole
 
 SLICE = 100  # small things done in one step
+TAKEN = 40  # changes taken in in one step
 EMPTY = View(plan_hash(0), {}, {}, (), (), (), Context())
 
 
@@ -85,7 +86,7 @@
                 self._seen.take(change.dot, change.context)
                 self._held[change.dot] = change
             del self._taking[change.dot]
-            if at % SLICE == SLICE - 1:
+            if at % TAKEN == TAKEN - 1:
                 yield
 
     def _let_go(self) -> Iterator[None]:
--- a/cloverkeel/fleet/routes/order.py
+++ b/cloverkeel/fleet/routes/order.py
@@ -64,7 +64,9 @@
                     del self.behind[name]
             if at % SLICE == SLICE - 1:
                 yield
-        for name in affected:
+        for at, name in enumerate(affected):
+            if at % SLICE == SLICE - 1:
+                yield
             if name in self.behind.get(name, ()):
                 self.cycles[name] = tuple(
                     sorted(other for other in self.behind[name] if name in self.behind.get(other, ()))
--- a/cloverkeel/fleet/routes/overlaps.py
+++ b/cloverkeel/fleet/routes/overlaps.py
@@ -89,15 +89,18 @@
             self._walk(match, name, 1)
             self._matches[name] = match
 
-    def again(self, name: str) -> None:
-        """Its order to others may be another."""
-        self._dirty[name] = None
+    def again(self, names: dict[str, None]) -> None:
+        """Their order to others may be another."""
+        self._dirty.update(names)
 
     def settle(self) -> Iterator[None]:
         """Steps. Left off, it goes on with the next call."""
-        every = len(self._matches)
-        cost = sum(self._below(self._matches[name]) for name in self._dirty if name in self._matches)
-        if cost > 4 * every and len(self._dirty) > 1:
+        cost = 0
+        for at, name in enumerate(list(self._dirty)):
+            cost += self._below(self._matches[name]) if name in self._matches else 0
+            if at % SLICE == SLICE - 1:
+                yield
+        if cost > 4 * len(self._matches) and len(self._dirty) > 1:
             yield from self._all()
             return
         for name in list(self._dirty):
--- a/cloverkeel/fleet/routes/owners.py
+++ b/cloverkeel/fleet/routes/owners.py
@@ -36,9 +36,18 @@
 
 def stand(rising: Sequence[Touch]) -> Standing:
     """`rising`: all that touch the route, by `registers.order`."""
+    if len(rising) == 1 and rising[0].fields and DELETED not in rising[0].fields:
+        return _alone(rising[0])
     return _Judge(rising).standing
 
 
+def _alone(touch: Touch) -> Standing:
+    """What `_Judge` finds where there is one change, and no delete in it."""
+    if _named(touch) not in (None, touch.team):
+        return Standing(pending=[touch])
+    return Standing([touch], first={} if OWNER in touch.fields else {touch.dot: touch.team})
+
+
 def writes_route(touch: Touch) -> bool:
     """Whether it says more than that the route is to be gone."""
     return any(name != DELETED or value is not True for name, value in touch.fields.items())
--- a/cloverkeel/fleet/routes/registers.py
+++ b/cloverkeel/fleet/routes/registers.py
@@ -8,15 +8,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from typing import Any, TypeVar
 
+import msgspec
+
 from cloverkeel.fleet.ledger.dots import Actor, Context, Dot, Runs
 from cloverkeel.fleet.routes.fields import encoded, sound
 
 
-@dataclass(slots=True, frozen=True, eq=False)
-class Touch:
+class Touch(msgspec.Struct, frozen=True, eq=False):
     """What one change says of one route. `weight`: how many dots its context covers."""
 
     dot: Dot
@@ -27,8 +27,7 @@
     accepts: tuple[Dot, ...] = ()
 
 
-@dataclass(slots=True, frozen=True, eq=False)
-class Write:
+class Write(msgspec.Struct, frozen=True, eq=False):
     """One value of a field, by one change."""
 
     dot: Dot
--- a/cloverkeel/fleet/routes/resolved.py
+++ b/cloverkeel/fleet/routes/resolved.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cloverkeel.fleet.ledger.dots import Dot
 from cloverkeel.fleet.routes import conflicts
 from cloverkeel.fleet.routes.changes import DELETED
 from cloverkeel.fleet.routes.fields import FIELDS, route_hash, sound
@@ -36,6 +37,7 @@
     values: dict[str, Any] = {}
     others: dict[str, Any] = {}
     decided: dict[str, Decided] = {}
+    deciding: dict[Dot, Decided] = {}  # one for each change, not for each field
     owners: list[str] = []
     in_plan = any(field != DELETED for field in registers)
     for field in sorted(registers):
@@ -58,7 +60,9 @@
             found.append(conflicts.conflict("bad-value", (name,), field, (side,), f"{name}: {field}: {why}"))
         elif value is not None and field != DELETED:
             (values if field in FIELDS else others)[field] = value
-            decided[field] = Decided(chosen.dot, chosen.team)
+            if (by := deciding.get(chosen.dot)) is None:
+                by = deciding[chosen.dot] = Decided(chosen.dot, chosen.team)
+            decided[field] = by
     waiting = tuple(_waiting(name, held, registers, owners)) if held.pending else ()
     if not in_plan or not owners:
         return Resolved(None, 0, tuple(found), waiting) if found or waiting else NOTHING
--- a/cloverkeel/fleet/routes/whole.py
+++ b/cloverkeel/fleet/routes/whole.py
@@ -125,8 +125,7 @@
             if at % SLICE == SLICE - 1 or len(rising) > SLICE:
                 yield
         yield from self.order.settle()
-        for name in self.order.changed:
-            self._overlaps.again(name)
+        self._overlaps.again(self.order.changed)
         self.order.changed.clear()
         yield from self._overlaps.settle()
         for at, pair in enumerate(list(self._overlaps.changed)):
