--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -15,6 +15,7 @@
     Action,
     AttemptEnded,
     Event,
+    Fleet,
     ListedServer,
     ListKind,
     Outcome,
@@ -27,6 +28,7 @@
 from caperdrift.policy.balancer import Balancer
 from caperdrift.policy.breaker import Breaker
 from caperdrift.policy.servers import Server
+from caperdrift.policy.sharers import BELIEVED_US
 from faultlab.storm.module import run_module
 from tests.helpers import SETTINGS, START_US
 
@@ -93,6 +95,23 @@
         balancer.handle(START_US + 9_000, AttemptEnded("r1", 0, 1, Outcome.RESET, 9_000))
 
 
+def test_a_fleet_that_is_smaller_than_the_settings_say_has_larger_parts_of_a_cold_server() -> None:
+    balancer = Balancer(replace(SETTINGS, proxies=60, warm_after_us=60_000_000, start_capacity=0.1), 1)
+    watch(balancer, 1)
+    balancer.handle(START_US, Fleet((1,)))
+    listed_us = START_US + BELIEVED_US
+    cold = ListedServer(1, started_us=listed_us - 1_000_000)
+    balancer.handle(listed_us, ServerList(ListKind.FULL, (cold,)))
+    sent = 0
+    for turn in range(2_000):
+        now_us, name = listed_us + turn * 1_000, f"r{turn}"
+        actions = balancer.handle(now_us, RequestArrived(name, 0, 400_000, work_us=8_000))
+        if any(isinstance(action, Send) for action in actions):
+            sent += 1
+            balancer.handle(now_us + 500, AttemptEnded(name, 0, 1, Outcome.OK, 500, finished=True))
+    assert sent > 1  # so soon after the first a sixtieth of the budget has no room for another
+
+
 BREAKS: tuple[tuple[str, Any, str, Any], ...] = (
     ("open", Breaker, "may_pass", lambda breaker, now_us: True),
     ("not ready", Server, "ready", True),
