Lab: where the time to stop a bad version goes, and the processor that a round costs

The lab looked through each whole log fifty times a second beside the relay that it measures through; each line is looked at once now.

--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -63,6 +63,15 @@
         return next((at_s for line, at_s in pairs if all(word in line.split() for word in words)), None)
 
 
+    def first_s(self, seen: int, after_s: float, *words: str) -> float | None:
+        """When it first wrote such a line after `after_s`, of the lines from number `seen` on."""
+        pairs = zip(self.log[seen:], self.times[seen:], strict=False)
+        return next(
+            (at_s for line, at_s in pairs if at_s > after_s and all(word in line.split() for word in words)),
+            None,
+        )
+
+
 class Gateways:
     """`async with Derived(4, folder) as fleet`: gateways m0, m1, ... whose hosts answer all at once. `host`
     makes a host's side of a connection."""
--- a/faultlab/transforms/activation.py
+++ b/faultlab/transforms/activation.py
@@ -14,7 +14,8 @@
 from typing import Any
 
 from faultlab.lab import ask
-from faultlab.gateways import POLL_S, Timed
+from faultlab.gateways import POLL_S
+from faultlab.transforms.engine import cpu_s
 from faultlab.transforms.published import Published
 
 CANARY_S = 0.5
@@ -23,6 +24,9 @@
 SOURCE = 'transform mark owner lab phase request reads x-bad writes x-mark set x-mark = "%d"'
 BAD = 'transform mark owner lab phase request reads x-bad writes x-mark when has("x-bad") { fail "%d" }'
 CALL = b"POST /transfer HTTP/1.1\r\nHost: l\r\nX-Call-Id: l%d\r\nX-Bad: 1\r\nContent-Length: 0\r\n\r\n"
+# Of a bad version: published to the first that has the epoch, to the first breaker, to the first that has it
+# quarantined, to the last.
+STEPS = ("to_candidate", "to_trip", "to_quarantined", "to_all")
 _ids = itertools.count()
 BYTES = re.compile(rb"^lb_ledger_bytes_out_total (\d+)$", re.MULTILINE)
 
@@ -32,8 +36,10 @@
     settings = {"canary_s": CANARY_S}
     staged, spread, all_active, stopped = [], [], [], []
     statuses: Counter[int] = Counter()
+    steps: dict[str, list[float]] = {step: [] for step in STEPS}
     async with Published(arguments.gateways, folder, settings) as fleet:
         quiet = await quiet_bytes(fleet)
+        cpu_before = used(fleet)
         for number in range(arguments.rounds):
             began = time.monotonic()
             id = await fleet.publish(fleet.names[number % len(fleet.names)], (SOURCE % number).encode())
@@ -46,10 +52,16 @@
             began = time.monotonic()
             async with load(fleet, statuses):
                 id = await fleet.publish(fleet.names[-1 - number % len(fleet.names)], (BAD % number).encode())
-                await said(fleet, "event=transforms.epoch", f"candidate={id}")
+                tried = await said(fleet, "event=transforms.epoch", f"candidate={id}")
                 ends = await said(fleet, "event=transforms.quarantined", after_s=began)
                 stopped.append(max(ends) - began)
+                trips = [at_s for gateway in fleet.gateways.values()
+                         if (at_s := gateway.first_s(0, began, f"version={id}", "open=True")) is not None]
+                marks = [began, min(tried), min(trips), min(ends), max(ends)]  # one after the other
+                for step, (since, until) in zip(STEPS, itertools.pairwise(marks), strict=True):
+                    steps[step].append(until - since)
             await fleet.all(rests)
+        cpu = [(now - was) / arguments.rounds for now, was in zip(used(fleet), cpu_before, strict=True)]
     return {
         "gateways": arguments.gateways,
         "rounds": arguments.rounds,
@@ -58,11 +70,20 @@
         "published_to_active_everywhere": quantiles(all_active),
         "spread": quantiles(spread) | {"goal": 1.0},
         "bad_published_to_stopped_everywhere": quantiles(stopped) | {"goal": 3.0},
+        "bad_steps_p50": {step: quantiles(values)["p50"] for step, values in steps.items()},
         "calls_by_status": dict(sorted(statuses.items())),  # 0: no answer in time
+        # A round: a good version and a bad one. The lab: relay, hosts and callers, one process.
+        "cpu_s_per_round": {"a_gateway": round(cpu[0], 3), "lab": round(cpu[1], 3)},
         "quiet_ledger_bytes_per_member_per_s": quiet,
     }
 
 
+def used(fleet: Published) -> tuple[float, float]:
+    """CPU seconds so far: of a gateway, the mean of all, and of the lab."""
+    pids = [gateway.process.pid for gateway in fleet.gateways.values() if gateway.process is not None]
+    return sum(map(cpu_s, pids)) / len(pids), time.process_time()
+
+
 def rests(status: dict[str, Any]) -> bool:
     """Nothing is on its way, and all live members run the epoch: the next round begins alike."""
     return all(each["state"] == "active" for each in status["transforms"]) and all(
@@ -80,15 +101,22 @@
 
 
 async def said(fleet: Published, *words: str, after_s: float = 0.0, timeout_s: float = 60.0) -> list[float]:
-    """When each gateway last wrote a line with these words, once all have after `after_s`."""
-    gateways: list[Timed] = list(fleet.gateways.values())
+    """When each gateway first wrote a line with these words after `after_s`, once all have. Each line is
+    looked at once: the relay runs beside this."""
+    left = dict.fromkeys(fleet.names, 0)
+    at: list[float] = []
     async with asyncio.timeout(timeout_s):
-        while True:
-            found = [gateway.said_s(*words) for gateway in gateways]
-            at = [at_s for at_s in found if at_s is not None and at_s > after_s]
-            if len(at) == len(gateways):
-                return at
+        while left:
+            for name, seen in list(left.items()):
+                gateway = fleet.gateways[name]
+                found = gateway.first_s(seen, after_s, *words)
+                if found is None:
+                    left[name] = len(gateway.times)
+                else:
+                    at.append(found)
+                    del left[name]
             await asyncio.sleep(POLL_S)
+    return at
 
 
 @contextlib.asynccontextmanager
