--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -81,6 +81,10 @@
         """A gateway's configuration, with what it needs beyond a cluster and an operators' address."""
         raise NotImplementedError
 
+    def environment(self, name: str) -> dict[str, str]:
+        """Variables of its process beside the lab's own."""
+        return {}
+
     async def status(self, name: str) -> dict[str, Any]:
         """What a gateway says of itself; {}: it gave no answer."""
         raise NotImplementedError
@@ -106,7 +110,9 @@
                                 "seeds": seeds},
                 }  # fmt: skip
                 state = self.folder / f"state-{place.name}"
-                self.gateways[place.name] = Timed(place.name, self.folder, self.configured(config), state)
+                made = Timed(place.name, self.folder, self.configured(config), state)
+                made.environment = self.environment(place.name)
+                self.gateways[place.name] = made
             for at in range(0, len(self.names), AT_ONCE):
                 await asyncio.gather(*map(self.start, self.names[at : at + AT_ONCE]))
             await self.all(self.ready, START_S)
--- a/faultlab/lab.py
+++ b/faultlab/lab.py
@@ -70,6 +70,7 @@
     reader: asyncio.Task[None] | None = None
     logged: asyncio.Event = field(default_factory=asyncio.Event)
     root: Path = ROOT  # of the program that it runs
+    environment: dict[str, str] = field(default_factory=dict)  # variables beside the lab's own
 
     @property
     def port(self) -> int:
@@ -79,7 +80,7 @@
         """Start the process; returns the seconds until `/health/ready` answered 200 (inf: never, in 10 s)."""
         file = self.folder / f"{self.name}.json"
         file.write_text(json.dumps(self.config))
-        environment = os.environ | {"LB_CONFIG": str(file)}
+        environment = os.environ | self.environment | {"LB_CONFIG": str(file)}
         environment.pop("LB_STATE_DIR", None)
         if self.state_dir is not None:
             environment["LB_STATE_DIR"] = str(self.state_dir)
--- /dev/null
+++ b/faultlab/routes/fleet.py
@@ -0,0 +1,204 @@
+"""A fleet of real gateways behind the relay whose routes many teams edit, and what became of their edits."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tomllib
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Any
+
+from cloverkeel.fleet.ledger.dots import Context
+from cloverkeel.fleet.ledger.interface import Persist
+from cloverkeel.fleet.ledger.reader import peek
+from cloverkeel.fleet.ledger.records import Record, digest
+from cloverkeel.fleet.ledger.replica import Put
+from cloverkeel.fleet.ledger.store import Store
+from cloverkeel.fleet.routes.changes import DELETED, KIND, Change, decode, encode, key_of
+from cloverkeel.fleet.routes.files import unpack
+
+from faultlab.gateways import POLL_S, Gateways
+from faultlab.routes.draw import as_toml
+
+Routes = dict[str, dict[str, Any]]
+WRITABLE_S = 30.0
+
+
+class Routed(Gateways):
+    """`async with Routed(10, folder) as fleet`: gateways with routes on, that all hold one first edit."""
+
+    def __init__(self, count: int, folder: Path, offsets_s: Mapping[str, float] | None = None) -> None:
+        super().__init__(count, folder)
+        self.offsets_s = offsets_s or {}  # by gateway: how far its wall clock is ahead
+
+    def configured(self, config: dict[str, Any]) -> dict[str, Any]:
+        return config | {"routes": {"size": len(self.names), "room": {"m": 1000}}}
+
+    def environment(self, name: str) -> dict[str, str]:
+        return shifted(self.folder, self.offsets_s[name]) if name in self.offsets_s else {}
+
+    async def __aenter__(self) -> Routed:
+        await super().__aenter__()
+        try:
+            await self.apply("m0", "lab", {"first": {"path": "/lab"}}, wait="all")
+            await self.all(lambda status: status["count"] == 1, WRITABLE_S)
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    def ready(self, status: dict[str, Any]) -> object:
+        return status["hash"]
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """The plan in short: hash, count, conflicts, waiting, held_back."""
+        return await self._get(name, "brief")
+
+    async def plan(self, name: str) -> dict[str, Any]:
+        """The whole plan, its routes by name."""
+        found = await self._get(name, "json")
+        return found | {"routes": {each["name"]: each for each in found.get("routes", ())}}
+
+    async def _get(self, name: str, form: str) -> dict[str, Any]:
+        status, body = await self.call(name, f"/api/routes?form={form}")
+        found: dict[str, Any] = json.loads(body) if status == 200 else {}
+        return found
+
+    async def export(self, name: str, team: str) -> tuple[str, Routes]:
+        """A team's file as `routes show --toml` gives it: its base and its routes."""
+        status, body = await self.call(name, f"/api/routes?form=toml&team={team}")
+        if status != 200:
+            raise RuntimeError(f"{name} answered {status}: {body!r}")
+        file = tomllib.loads(body.decode())
+        return file["base"], file.get("route", {})
+
+    async def apply(
+        self, name: str, team: str, routes: Routes, base: str = "", wait: str = "quorum"
+    ) -> dict[str, Any]:
+        """What `routes apply` of this file says, with its `status`. Raises RuntimeError where it is refused
+        or has no answer."""
+        return await self._post(name, f"apply?wait={wait}", as_toml(team, base, routes).encode())
+
+    async def resolve(self, name: str, id: str, team: str, way: str, value: str = "") -> dict[str, Any]:
+        return await self._post(name, f"resolve?id={id}&team={team}&way={way}&wait=quorum", value.encode())
+
+    async def accept(self, name: str, change: str, route: str, team: str) -> dict[str, Any]:
+        return await self._post(name, f"accept?change={change}&route={route}&team={team}&wait=quorum", b"")
+
+    async def _post(self, name: str, what: str, body: bytes) -> dict[str, Any]:
+        status, answer = await self.call(name, f"/api/routes/{what}", body)
+        if status not in (200, 202):
+            raise RuntimeError(f"{name} answered {status}: {answer.decode(errors='replace')}")
+        found: dict[str, Any] = json.loads(answer)
+        return found | {"status": status}
+
+    def changes(self, name: str) -> dict[str, Change]:
+        """What a gateway's disk holds, by key."""
+        directory = self.gateways[name].state_dir
+        return {key: decode(payload) for key, payload in peek(str(directory), KIND)}
+
+
+def leave(directory: str, change: Change) -> None:
+    """Put a change into the ledger of a gateway that does not run, as a process of another version would have
+    left it there. Raises StoreError."""
+    payload, key = encode(change), key_of(change.dot)
+    store = Store(directory)
+    try:
+        loaded = store.load()
+        record = Record(KIND, key, digest(payload), len(payload), change.dot, Context())
+        store.write(Persist(1, (Put(record, payload),), (), loaded.context.add((change.dot,))))
+    finally:
+        store.close()
+
+
+def alike(status: Mapping[str, Any]) -> tuple[object, ...]:
+    """What equal records give alike at every gateway."""
+    return (
+        status["hash"],
+        tuple(sorted(c["id"] for c in status["conflicts"] if not c["local"])),
+        tuple(sorted((w["change"], w["route"]) for w in status["waiting"])),
+        tuple(sorted(each["change"] for each in status["held_back"])),
+    )
+
+
+async def agreement(fleet: Routed, timeout_s: float, names: Iterable[str] | None = None) -> dict[str, Any]:
+    """The status on which all gateways (or these) agree, each having been asked once they may. Raises
+    TimeoutError."""
+    first, *others = list(fleet.names if names is None else names)
+    async with asyncio.timeout(timeout_s):
+        while True:
+            wanted = await fleet.status(first)
+            same = bool(wanted)
+            for name in others:
+                status = await fleet.status(name)
+                same = same and bool(status) and alike(status) == alike(wanted)
+                if not same:
+                    break
+            if same:
+                return wanted
+            await asyncio.sleep(POLL_S)
+
+
+def lost(
+    plan: Mapping[str, Any], held: Mapping[str, Change], acknowledged: Iterable[str]
+) -> list[tuple[str, str, str]]:
+    """(change, route, field) of each acknowledged edit that is neither in the plan, nor in a conflict, nor
+    waiting, nor held back, nor followed by a write that had seen it. Judged by the records on a disk."""
+    back = {each["change"] for each in plan["held_back"]}
+    waiting = {(w["change"], w["route"]) for w in plan["waiting"]}
+    told = {(c["change"], r, conflict["field"]) for conflict in plan["conflicts"]
+            for c in conflict["choices"] for r in conflict["routes"]}  # fmt: skip
+    whole = {(change, route) for change, route, field in told if field in (DELETED, "owner")}
+    writers: dict[tuple[str, str], list[Change]] = defaultdict(list)
+    for change in held.values():
+        for edit in change.edits:
+            writers[edit.route, edit.field].append(change)
+            if edit.field == DELETED and edit.value is True:
+                writers[edit.route, ""].append(change)
+    gone = []
+    for key in acknowledged:
+        if key not in held:
+            gone.append((key, "", "its record"))
+            continue
+        change = held[key]
+        for edit in change.edits:
+            place = (key, edit.route)
+            if key in back or place in waiting or place in whole or (*place, edit.field) in told:
+                continue
+            later = (*writers[edit.route, edit.field], *writers[edit.route, ""])
+            if any(each.context.covers(change.dot) for each in later):
+                continue
+            if not shown(plan["routes"].get(edit.route), edit.field, edit.value):
+                gone.append((key, edit.route, edit.field))
+    return gone
+
+
+def shown(route: Mapping[str, Any] | None, field: str, value: Any) -> bool:
+    if route is None or field == DELETED:
+        return (route is None) == (field == DELETED and value is True)
+    found = route["owner"] if field == "owner" else route["values"].get(field, route["others"].get(field))
+    return bool(found == value)
+
+
+def seen(base: str) -> Context:
+    """What the writer under a base has seen."""
+    return unpack(base).context
+
+
+SHIFT = """import time
+_ahead_s = {ahead_s!r}
+_time, _time_ns = time.time, time.time_ns
+time.time = lambda: _time() + _ahead_s
+time.time_ns = lambda: _time_ns() + int(_ahead_s * 1e9)
+"""
+
+
+def shifted(folder: Path, ahead_s: float) -> dict[str, str]:
+    """What makes a Python process's `time.time` go `ahead_s` ahead of the machine's: a module that the
+    interpreter imports at its start."""
+    place = folder / f"clock{ahead_s:+.0f}"
+    place.mkdir(exist_ok=True)
+    (place / "sitecustomize.py").write_text(SHIFT.format(ahead_s=ahead_s))
+    return {"PYTHONPATH": str(place)}
