--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -12,9 +12,10 @@
 from faultlab import lookups, membership, recovery, transforms
 from faultlab.coldstart import command as coldstart
 from faultlab.duties import command as duties
+from faultlab.rollout import command as rollout
 from faultlab.storm import command as storm
 
-EXPERIMENTS = (coldstart, duties, lookups, recovery, membership, storm, transforms)
+EXPERIMENTS = (coldstart, duties, lookups, recovery, membership, rollout, storm, transforms)
 
 
 def main(argv: list[str]) -> int:
