--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -63,6 +63,15 @@
         return next((at_s for line, at_s in pairs if all(word in line.split() for word in words)), None)
 
 
+    def first_s(self, seen: int, after_s: float, *words: str) -> float | None:
+        """When it first wrote such a line after `after_s`, of the lines from number `seen` on."""
+        pairs = zip(self.log[seen:], self.times[seen:], strict=False)
+        return next(
+            (at_s for line, at_s in pairs if at_s > after_s and all(word in line.split() for word in words)),
+            None,
+        )
+
+
 class Gateways:
     """`async with Derived(4, folder) as fleet`: gateways m0, m1, ... whose hosts answer all at once. `host`
     makes a host's side of a connection."""
@@ -81,6 +90,10 @@
         """A gateway's configuration, with what it needs beyond a cluster and an operators' address."""
         raise NotImplementedError
 
+    def environment(self, name: str) -> dict[str, str]:
+        """Variables of its process beside the lab's own."""
+        return {}
+
     async def status(self, name: str) -> dict[str, Any]:
         """What a gateway says of itself; {}: it gave no answer."""
         raise NotImplementedError
@@ -89,11 +102,15 @@
         """Whether a gateway with this status has come to its place among all."""
         raise NotImplementedError
 
+    async def listed(self) -> list[dict[str, Any]]:
+        """Start the hosts; how discovery lists them."""
+        loop = asyncio.get_running_loop()
+        self.hosts = [await loop.create_server(self.host, "127.0.0.1", 0) for _ in range(HOSTS)]
+        return [endpoint(named(number, server)) for number, server in enumerate(self.hosts)]
+
     async def __aenter__(self) -> Self:
         try:
-            loop = asyncio.get_running_loop()
-            self.hosts = [await loop.create_server(self.host, "127.0.0.1", 0) for _ in range(HOSTS)]
-            listed = [endpoint(named(number, server)) for number, server in enumerate(self.hosts)]
+            listed = await self.listed()
             self.discovery = Discovery(endpoints=listed)
             await self.discovery.start()
             places = [await self.relay.add(name) for name in self.names]
@@ -106,7 +123,9 @@
                                 "seeds": seeds},
                 }  # fmt: skip
                 state = self.folder / f"state-{place.name}"
-                self.gateways[place.name] = Timed(place.name, self.folder, self.configured(config), state)
+                made = Timed(place.name, self.folder, self.configured(config), state)
+                made.environment = self.environment(place.name)
+                self.gateways[place.name] = made
             for at in range(0, len(self.names), AT_ONCE):
                 await asyncio.gather(*map(self.start, self.names[at : at + AT_ONCE]))
             await self.all(self.ready, START_S)
