--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -145,7 +145,9 @@
             if await gateway.start() < float("inf"):
                 return
             await gateway.signal(signal.SIGKILL)
-            gateway.config["listen"] = f"127.0.0.1:{free_port()}"  # the other one may have been taken
+            if gateway.listener is None:  # the ports may have been taken meanwhile
+                gateway.config["listen"] = f"127.0.0.1:{free_port()}"
+            gateway.config["operator"] = f"127.0.0.1:{free_port()}"
         raise RuntimeError(f"{name} did not start: {gateway.log[-5:]}")
 
     async def close(self) -> None:
