--- a/cloverkeel/fleet/ledger/interface.py
+++ b/cloverkeel/fleet/ledger/interface.py
@@ -24,6 +24,7 @@
 class Settings:
     size: int = 0  # members that the cluster is made of, for the quorum; 0: the view's
     fanout: int = 4
+    spread_s: float = 0.3  # between two times that what has come is passed on: then all in one message
     digest_s: float = 5.0
     again_s: float = 0.2  # until a comparison that left something over goes on
     resend_s: float = 0.5  # until a head is told again to who has not confirmed it
--- a/cloverkeel/fleet/ledger/ledger.py
+++ b/cloverkeel/fleet/ledger/ledger.py
@@ -84,6 +84,7 @@
         self.staged: list[Op] = []
         self.batch = 0
         self.planned: tuple[list[Op], Delta] | None = None  # the batch at the disk
+        self.spread_s = 0.0  # when what has come is passed on next
         self.compare_s = 0.0  # when the next comparison is due
         self.turn = 0  # of the live members, to compare with while unsettled
         self.rumours: list[tuple[Record, str]] = []  # taken in, and who told of each: for the next tick
@@ -264,7 +265,9 @@
 
     def _tick(self, now_s: float, out: list[Action]) -> None:
         self.staged += self.intake.tick(now_s)
-        self._pass_on(out)
+        if self.rumours and now_s >= self.spread_s:
+            self.spread_s = now_s + self.settings.spread_s
+            self._pass_on(out)
         for dot, (write, until_s) in self.local.items():
             if write is not None and now_s >= until_s:
                 self.local[dot] = None, until_s
@@ -328,7 +331,7 @@
         return self.rng.sample(self.live, min(most, len(self.live)))
 
     def _pass_on(self, out: list[Action]) -> None:
-        """What has come since the last tick and is still held, in one message to each of a few members."""
+        """What has come since the last time and is still held, in one message to each of a few members."""
         held = [(record, teller) for record, teller in self.rumours if record.dot in self.replica.records]
         self.rumours = []
         for member in self._some(self.settings.fanout) if held else ():
