Routes: a world whose list and settings change at once has its absent groups judged anew

Where classes and groups changed in one World, routes were resolved anew but not held against the list, so that warnings of the old list stayed.

--- a/cloverkeel/fleet/routes/whole.py
+++ b/cloverkeel/fleet/routes/whole.py
@@ -105,7 +105,7 @@
         if replace(old, groups=None, labels=None) != replace(world, groups=None, labels=None):
             self.again(self._touches)
             self._crowded.update(dict.fromkeys(self._rooms))
-        elif old != world:
+        if (old.groups, old.labels) != (world.groups, world.labels):
             self._unlisted.update(self._listed)
 
     def rising(self, name: str) -> list[Touch]:
