Membership: a successor outranks its older self in leaps

An upgrade's new process outranks what its older self refutes by one, at most four times. Each outranking now leaps four times as far as the last: 1, 4, 16, 64.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -127,8 +127,9 @@
                 self.older.add(rumour.address)
                 if not claims and rumour.order < self.me.order:
                     return []
+                # In leaps, each four times the last: where news is slow the older one goes on refuting.
+                incarnation = max(self.me.incarnation, rumour.incarnation + 4**self.outranked)
                 self.outranked += 1
-                incarnation = max(self.me.incarnation, rumour.incarnation + 1)
                 self.view.me = replace(self.me, incarnation=incarnation)
                 self.roster.broadcasts.add(self.me)
                 return []
