Membership: a successor stops to look for an older self after a period in company

A process whose configured port was held at its start took the first other process of its name for its older self, however late. After its first push-pull period with others it has heard of an older one, or there is none.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -211,6 +211,7 @@
         elif now_s >= self.next_push_s:
             self.next_push_s = now_s + self.timing.push_pull_s
             self.ask_gap_s = self.timing.probe_interval_s
+            self.older_runs = False  # in company for a period: an older one would have been heard of
             actions += self.roster.push_to(self.rng.choice(self.roster.live()).address, reply=True)
             actions += self._look_for_the_gone(self.seeds)
         if self.roster.broadcasts.waiting and now_s >= self.next_gossip_s:
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -65,6 +65,17 @@
     assert first.refused and first.me == A
 
 
+def test_a_successor_that_never_found_its_older_self_stops_to_look_for_it() -> None:
+    """It was cut off until that one had left, and outranked its own successor, which was refused."""
+    for in_company_s, refused in ((1.0, False), (6.0, True)):
+        member = Member(A, Timing(), take_over=True, older_runs=True)
+        member.start(0.0)
+        member.receive(Push(B, (B,)), 0.1)
+        member.tick(in_company_s)
+        member.receive(Ping(1, B, "a", (replace(A, address="127.0.0.1:9", incarnation=6),)), 9.0)
+        assert member.refused is refused
+
+
 def test_a_suspicion_of_a_process_that_claimed_the_name_and_went_is_refuted() -> None:
     """It stood over the living member at the same incarnation, which took it for its successor."""
     member = started()
