--- a/tests/test_routes_merge.py
+++ b/tests/test_routes_merge.py
@@ -90,6 +90,16 @@
     assert lost(history, view) == []
 
 
+@settings(max_examples=100, deadline=None)
+@given(histories())
+def test_no_side_of_a_field_conflict_had_seen_another(history: History) -> None:
+    view, by_dot = merged(history.changes, WORLD), {change.dot: change for change in history.changes}
+    for conflict in view.conflicts:
+        sides = [by_dot[choice.dot] for choice in conflict.choices if conflict.kind == "field"]
+        assert not any(one.context.covers(two.dot) for one in sides for two in sides)
+    assert all(view.context.covers(dot) for dot in by_dot)
+
+
 @settings(max_examples=100, deadline=None)
 @given(histories())
 def test_a_change_is_in_service_whole_or_not_at_all(history: History) -> None:
