--- a/cloverkeel/fleet/routes/command.py
+++ b/cloverkeel/fleet/routes/command.py
@@ -58,11 +58,12 @@
     code = _said(answer, arguments.wait)
     try:
         _rebase(path, source.decode(), answer["base"])
-        print(f"{path}: its base is this change now")
     except (OSError, ValueError) as error:
         why = getattr(error, "strerror", None) or error
         print(f"cloverkeel: {path}: export it anew before the next edit: its base is older than this change "
               f"({why})", file=sys.stderr)  # fmt: skip
+    else:
+        print(f"{path}: its base is this change now")
     return code
 
 
