--- a/caperdrift/policy/routes.py
+++ b/caperdrift/policy/routes.py
@@ -61,13 +61,13 @@
 
 def pools(proxy: Proxy, request: Request) -> list[list[Server]]:
     """The servers that a request may go to, by rank; the first pool is used where any of it may be."""
-    if not request.targets:
-        return [proxy.ranked]
+    found = []
     for hosts in request.targets:
-        if hosts not in proxy.narrowed:
+        if (ranked := proxy.narrowed.get(hosts)) is None:
             allowed = [server for server in proxy.servers.values() if names(hosts, server.entry)]
-            proxy.narrowed[hosts] = ranking(proxy, allowed)
-    return [proxy.narrowed[hosts] for hosts in request.targets]
+            ranked = proxy.narrowed[hosts] = ranking(proxy, allowed)
+        found.append(ranked)
+    return found or [proxy.ranked]
 
 def names(hosts: Hosts, entry: ListedServer) -> bool:
     return (
--- a/cloverkeel/fleet/routes/serving.py
+++ b/cloverkeel/fleet/routes/serving.py
@@ -132,10 +132,14 @@
 
     def _go_on(self) -> None:
         """One slice; the loop goes round before the next."""
+        if self.gateway.closed:
+            self.building = None
+            gc.enable()
+            return
         until_s = perf_counter() + SLICE_S
         try:
             for _ in self.building or ():
-                if perf_counter() >= until_s and not self.gateway.closed:
+                if perf_counter() >= until_s:
                     self.gateway.loop.call_soon(self._go_on)
                     return
         except Exception:
