--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -127,8 +127,9 @@
                 self.older.add(rumour.address)
                 if not claims and rumour.order < self.me.order:
                     return []
+                # In leaps, each four times the last: where news is slow the older one goes on refuting.
+                incarnation = max(self.me.incarnation, rumour.incarnation + 4**self.outranked)
                 self.outranked += 1
-                incarnation = max(self.me.incarnation, rumour.incarnation + 1)
                 self.view.me = replace(self.me, incarnation=incarnation)
                 self.roster.broadcasts.add(self.me)
                 return []
@@ -210,6 +211,7 @@
         elif now_s >= self.next_push_s:
             self.next_push_s = now_s + self.timing.push_pull_s
             self.ask_gap_s = self.timing.probe_interval_s
+            self.older_runs = False  # in company for a period: an older one would have been heard of
             actions += self.roster.push_to(self.rng.choice(self.roster.live()).address, reply=True)
             actions += self._look_for_the_gone(self.seeds)
         if self.roster.broadcasts.waiting and now_s >= self.next_gossip_s:
