--- a/cloverkeel/fleet/routes/serving.py
+++ b/cloverkeel/fleet/routes/serving.py
@@ -152,7 +152,7 @@
         """One slice; the loop goes round before the next."""
         if self.gateway.closed:
             self.building = None
-            gc.enable()
+            passes.release()
             return
         until_s = perf_counter() + SLICE_S
         try:
