--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -65,6 +65,7 @@
         self.refused = False
         self.older: set[str] = set()  # where the processes are heard that this one takes over from
         self.outranked = 0  # how often it had to outrank them
+        self.look_until_s = 0.0  # for an older one that runs and was not found yet
         self.next_push_s = self.next_ask_s = self.next_gossip_s = 0.0
         self.ask_gap_s = timing.probe_interval_s  # between two calls to the seeds while nobody is known
 
@@ -88,6 +89,7 @@
         """Say who this member is and ask the seeds for their views."""
         self.roster.broadcasts.add(self.me)
         self.cycle.start(now_s)
+        self.look_until_s = now_s + self.timing.reap_after_s
         self.next_push_s = now_s + self.timing.push_pull_s
         if not self.seeds:
             return []
@@ -211,13 +213,13 @@
         elif now_s >= self.next_push_s:
             self.next_push_s = now_s + self.timing.push_pull_s
             self.ask_gap_s = self.timing.probe_interval_s
-            self.older_runs = False  # in company for a period: an older one would have been heard of
             actions += self.roster.push_to(self.rng.choice(self.roster.live()).address, reply=True)
             actions += self._look_for_the_gone(self.seeds)
         if self.roster.broadcasts.waiting and now_s >= self.next_gossip_s:
             self.next_gossip_s = now_s + self.timing.gossip_interval_s
             actions += self._gossip()
         self.roster.reap(now_s)
+        self.older_runs = self.older_runs and now_s < self.look_until_s
         return actions
 
     def _gossip(self) -> list[Action]:
