--- a/cloverkeel/fleet/routes/whole.py
+++ b/cloverkeel/fleet/routes/whole.py
@@ -105,7 +105,7 @@
         if replace(old, groups=None, labels=None) != replace(world, groups=None, labels=None):
             self.again(self._touches)
             self._crowded.update(dict.fromkeys(self._rooms))
-        elif old != world:
+        if (old.groups, old.labels) != (world.groups, world.labels):
             self._unlisted.update(self._listed)
 
     def rising(self, name: str) -> list[Touch]:
@@ -125,8 +125,7 @@
             if at % SLICE == SLICE - 1 or len(rising) > SLICE:
                 yield
         yield from self.order.settle()
-        for name in self.order.changed:
-            self._overlaps.again(name)
+        self._overlaps.again(self.order.changed)
         self.order.changed.clear()
         yield from self._overlaps.settle()
         for at, pair in enumerate(list(self._overlaps.changed)):
