--- a/tests/test_routes_conflicts.py
+++ b/tests/test_routes_conflicts.py
@@ -52,9 +52,8 @@
     site.write(1, "red", "a", path="/y/", classes=["read", "write", "read"])
     view = site.heal()
     assert view.conflicts == ()
-    assert view.routes["a"].values == {
-        "owner": "red", "path": "/y", "limit": 7, "classes": ["read", "write"],
-    }  # fmt: skip
+    values = {"owner": "red", "path": "/y", "limit": 7, "classes": ["read", "write"]}
+    assert view.routes["a"].values == values
 
 
 def test_a_field_conflict_keeps_both_and_the_value_agreed_on_until_one_that_saw_both() -> None:
@@ -115,9 +114,8 @@
     site.write(0, "red", "a", limit=5)
     dot = site.write(0, "blue", "a", limit=6, note="please")
     view = site.view()
-    assert [(each.dot, each.owner, each.fields) for each in view.waiting] == [
-        (dot, "red", {"limit": 6, "note": "please"})
-    ]
+    waits = [(each.dot, each.owner, each.fields) for each in view.waiting]
+    assert waits == [(dot, "red", {"limit": 6, "note": "please"})]
     assert view.routes["a"].values == {"owner": "red", "limit": 5}
     site.commit(0, "blue", accepts=[Accept("a", dot)])  # not the owner
     assert site.view().routes["a"].values["limit"] == 5
@@ -209,9 +207,8 @@
     assert site.view().conflicts == ()
     site.write(0, "red", "b", path="/b", limit=8, targets=[{"types": ["m2"], "labels": ["l"]}])
     view = site.view(replace(WORLD, labels=frozenset()))
-    assert {(each.kind, each.severity, each.local) for each in view.conflicts} == {
-        ("room", "warning", False), ("absent", "warning", True),
-    }  # fmt: skip
+    found = {(each.kind, each.severity, each.local) for each in view.conflicts}
+    assert found == {("room", "warning", False), ("absent", "warning", True)}
     assert set(view.routes) == {"a", "b"}
 
 
@@ -267,10 +264,9 @@
             values["before"] = chance.sample(names, chance.randrange(3))
             site = Site()
             site.write(0, chance.choice(("red", "blue")), name, **values)
-            views[name] = site.view(World()).routes.get(name) or views.get(name)
-            if views[name] is None:
-                del views[name]
+            if (view := site.view(World()).routes.get(name)) is None:  # before itself
                 continue
+            views[name] = view
             overlaps.put(name, match_of(views[name]))
             order.put(name, views[name].values.get("before", ()))
         for part in (order, overlaps):
@@ -279,18 +275,16 @@
                 pass
         reach = {name: _reach(name, views) for name in views}
         assert order.behind == {name: found for name, found in reach.items() if found}
-        assert overlaps.pairs == {
-            name: found for name in views if (found := {b for b in views if _clash(views, reach, name, b)})
-        }
+        pairs = {name: {b for b in views if _clash(views, reach, name, b)} for name in views}
+        assert overlaps.pairs == {name: found for name, found in pairs.items() if found}
 
 
 def _reach(name: str, views: dict[str, Any]) -> frozenset[str]:
     found: set[str] = set()
     todo = [name]
     while todo:
-        new = {b for b in views[todo.pop()].values.get("before", ()) if b in views} - found
+        todo += (new := {b for b in views[todo.pop()].values.get("before", ()) if b in views} - found)
         found |= new
-        todo += new
     return frozenset(found)
 
 
