--- a/faultlab/transforms/faults/__init__.py
+++ b/faultlab/transforms/faults/__init__.py
@@ -47,7 +47,8 @@
     that of `mixed`."""
     FAULTS["mixed"] = functools.partial(mixed, rounds=arguments.rounds)
     rng = random.Random(arguments.seed)
-    injected, answers, took = Counter[str](), Counter[str](), dict[str, float]()
+    injected, answers, refusals = Counter[str](), Counter[str](), Counter[str]()
+    took: dict[str, float] = {}
     broken: list[str] = []
     lost: list[str] = []
     left = list(arguments.faults)
@@ -69,13 +70,15 @@
                 if fault:
                     break  # the next ones get a fleet that is whole
             injected, answers = injected + field.injected, answers + field.answers
+            refusals += field.refusals
             broken += field.broken
             lost += field.lost
     faults = {kind: count for kind, count in sorted(injected.items()) if kind not in NOT_FAULTS}
     return {
         "gateways": arguments.gateways, "seed": arguments.seed,
         "faults": sum(faults.values()), "injected": faults,
-        "orders": dict(answers), "calls_harmed": injected["calls harmed"],
+        "orders": dict(answers), "refusals": dict(refusals),
+        "calls_harmed": injected["calls harmed"],
         "calls_refused_or_late": injected["calls refused or late"],
         "acknowledged": answers["acknowledged"], "acknowledged_lost": len(lost), "lost": lost,
         "broken": len(broken), "reasons": broken, "seconds": took,
--- a/faultlab/transforms/faults/field.py
+++ b/faultlab/transforms/faults/field.py
@@ -42,6 +42,7 @@
     rng: random.Random
     injected: Counter[str] = field(default_factory=Counter)
     answers: Counter[str] = field(default_factory=Counter)
+    refusals: Counter[str] = field(default_factory=Counter)  # the reasons given
     broken: list[str] = field(default_factory=list)
     lost: list[str] = field(default_factory=list)
     open: dict[str, list[Order]] = field(default_factory=dict)  # by name: acknowledged, not judged yet
@@ -70,6 +71,7 @@
         told = {200: "acknowledged", 202: "kept", 0: "silent"}.get(status, "refused")
         self.answers[told] += 1
         if status not in (200, 202):
+            self.refusals[body.partition(b"\n")[0][:80].decode(errors="replace")] += status != 0
             return ""
         answer = json.loads(body)
         order = Order(int(answer["number"]), str(answer["id"]), sha256)
