--- a/faultlab/transforms/faults/__init__.py
+++ b/faultlab/transforms/faults/__init__.py
@@ -6,6 +6,7 @@
 import argparse
 import functools
 import random
+import sys
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -67,6 +68,8 @@
                 began = time.monotonic()
                 fault = await play(name, field)
                 took[name] = round(time.monotonic() - began, 1)
+                end = fault or f"{len(field.broken)} broken, {len(field.lost)} lost so far on this fleet"
+                print(f"{name}: {took[name]} s, {end}", file=sys.stderr, flush=True)
                 if fault:
                     break  # the next ones get a fleet that is whole
             injected, answers = injected + field.injected, answers + field.answers
