--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -21,7 +21,7 @@
 SEEDS = 3
 HOSTS = 4
 POLL_S = 0.02
-START_S = 60.0
+START_S = 180.0  # for all to find each other, on a machine that may be loaded beside it
 STARTS = 3
 AT_ONCE = 4  # gateways that start at the same time: each is busy for a second
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/faultlab/routes/spread.py
+++ b/faultlab/routes/spread.py
@@ -12,7 +12,7 @@
 from faultlab.routes.fleet import Routed, agreement
 
 PUSH_PULL_S = 5.0  # membership's default
-HELD_S = 30.0
+HELD_S = 120.0  # a machine may be loaded beside it
 CUT_S = (1.0, 8.0, 4.0)  # in turn: shorter than it takes to hold the other side dead, and longer
 
 
