Lab: a delete is followed by what made the route anew, having seen it

Cause: the judge of acknowledged edits told three deletes as lost; the records on disk showed each followed by a new route of another team whose context covered it, which docs/routes.md allows (invariant 3).

--- a/faultlab/routes/fleet.py
+++ b/faultlab/routes/fleet.py
@@ -162,12 +162,15 @@
     told = {(c["change"], r, conflict["field"]) for conflict in plan["conflicts"]
             for c in conflict["choices"] for r in conflict["routes"]}  # fmt: skip
     whole = {(change, route) for change, route, field in told if field in (DELETED, "owner")}
+    unowned = {r for c in plan["conflicts"] if c["field"] == "owner" for r in c["routes"]}
     writers: dict[tuple[str, str], list[Change]] = defaultdict(list)
     for change in held.values():
         for edit in change.edits:
             writers[edit.route, edit.field].append(change)
             if edit.field == DELETED and edit.value is True:
                 writers[edit.route, ""].append(change)
+            else:
+                writers[edit.route, DELETED].append(change)  # what comes after a delete makes the route anew
     gone = []
     for key in acknowledged:
         if key not in held:
@@ -178,6 +181,8 @@
             place = (key, edit.route)
             if key in back or place in waiting or place in whole or (*place, edit.field) in told:
                 continue
+            if edit.route in unowned and edit.route not in plan["routes"]:
+                continue
             later = (*writers[edit.route, edit.field], *writers[edit.route, ""])
             if any(each.context.covers(change.dot) for each in later):
                 continue
