--- a/faultlab/storm/cluster/members.py
+++ b/faultlab/storm/cluster/members.py
@@ -27,6 +27,7 @@
     older_runs: bool
     member: Member
     up: bool = True
+    asks_again: bool = False  # refused at its join, it is to join again
     paused_until_s: float = 0.0
     due_s: float = 0.0  # its next tick
     held: list[Message] = field(default_factory=list)
@@ -99,6 +100,7 @@
         return kind(me, self.history.timing, self.seeds, take_over, rng, older_runs)
 
     def _join_again(self, process: Process) -> None:
+        process.asks_again = False
         if process.up:
             process.member = self._core(process.me, process.take_over, process.older_runs)
             self.carry(process, process.member.start(self.clock.now_s))
@@ -116,6 +118,7 @@
                 if self.links.connected(source, action.address):
                     clock.at(clock.now_s + NEAR_S[1], self.exchange, process, action.address)
             elif isinstance(action, Refused) and action.joining:
+                process.asks_again = True
                 clock.at(clock.now_s + self.history.timing.push_pull_s, self._join_again, process)
             elif isinstance(action, Changed) and action.rumour.status is Status.DEAD:
                 self.deaths.append((clock.now_s, process.name, action.rumour))
--- a/faultlab/storm/cluster/verdict.py
+++ b/faultlab/storm/cluster/verdict.py
@@ -111,7 +111,8 @@
 
 def disagreements(cluster: Cluster) -> list[str]:
     """Where views differ from who is there: each process that speaks, at its incarnation and address, and
-    nobody else as alive; one process to a name; and one for each name whose process nothing befell."""
+    nobody else as alive; one process to a name; and one for each name whose process nothing befell, or that
+    is to ask for it again."""
     found: list[str] = []
     present: dict[str, Rumour] = {}
     for process in cluster.speakers():
@@ -119,7 +120,8 @@
             found.append(f"{process.name} speaks at {process.me.address} and {present[process.name].address}")
         present[process.name] = process.member.me
     for process in cluster.processes.values():
-        if process.up and process.name not in present and process.name not in cluster.unsettled:
+        expected = process.asks_again or process.name not in cluster.unsettled
+        if process.up and process.name not in present and expected:
             found.append(f"nobody speaks for {process.name}")
     for process in cluster.speakers():
         members = process.member.members()
