Activation: the first epoch is proposed once all members are here, so that it names all as voters

It takes all of them anyway; proposed by a first member that saw three of ten it named those three alone, and two of them absent would have held up the next.

--- a/cloverkeel/transforms/activation/planning.py
+++ b/cloverkeel/transforms/activation/planning.py
@@ -216,6 +216,8 @@
     renew = stale and lasting(f"voters {wanted} {disks}") >= settings.voters_after_s
     if found.slots == current.slots and not renew:
         return None, waits
+    if not current.voters and len(live) < settings.size:  # else few of them would decide the next one
+        return None, {**waits, "": undecided(current, live, settings.size)}
     here = [m for m in live if not current.voters or m in named]
     if not decides(current, settings.size, [(m, reports[m].disk) for m in here if m in reports]):
         waits = {**waits, "": undecided(current, live, settings.size)}
