--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -84,6 +84,22 @@
         assert set(run.gateway.pools.hosts) == {host_id(1)} == set(run.gateway.balancer.servers)
 
 
+@on_loop
+async def test_the_first_call_of_a_watch_may_wait_for_news_where_there_is_a_list() -> None:
+    async with (
+        peer(silent) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        discovery = run.gateway.discovery
+        for index, first in ((7, r".*from=7&hold_ms=[1-9]\d{3}"), (None, r"/registry/instances")):
+            discovery.watch(False)
+            discovery.index = index
+            registry.seen.clear()
+            discovery.watch(True, waits=True)
+            await until(lambda: registry.seen)
+            assert re.fullmatch(first, asked(registry)[0])
+
+
 @on_loop
 async def test_a_watch_that_is_let_go_is_heard_no_more() -> None:
     async with (
--- a/tests/test_list_follow.py
+++ b/tests/test_list_follow.py
@@ -8,8 +8,8 @@
 import pytest
 
 from cloverkeel.fleet.lists.actions import Ask, Fallback, Have, Subscribe, Unsubscribe, Watch
-from cloverkeel.fleet.lists.draws import ALONE_S, FollowSettings
-from cloverkeel.fleet.lists.follow import BAD_S, BLIND_S, GRACE_S, Follower
+from cloverkeel.fleet.lists.draws import ALONE_S, GROWS_S, FollowSettings
+from cloverkeel.fleet.lists.follow import BAD_S, BLIND_S, GRACE_S, SETTLE_S, Follower
 from cloverkeel.fleet.lists.limits import DEPTH, FEEDS, feeds_limit
 from cloverkeel.fleet.lists.order import ListVersion
 from cloverkeel.fleet.lists.relays import Peer, choose
@@ -177,6 +177,26 @@
     assert set(core.feeds) == set(followed)  # the nearer one again
 
 
+def test_a_fed_one_takes_its_role_on_once_the_view_has_stood_and_its_first_call_waits_for_news() -> None:
+    me = next(peer for peer in OTHERS if peer.name in choose("site", OTHERS, 3))
+    core = Follower(me, FollowSettings("site", gateways=8), random.Random(1))
+    core.view(0.0, True, OTHERS)
+    core.opened(0.1, next(iter(core.feeds)), 0)
+    acts = [(n / 10, a) for n in range(2, 40) for a in core.tick(n / 10, None) if isinstance(a, Watch)]
+    [(now_s, watch)] = acts
+    assert now_s == pytest.approx(GROWS_S) and watch == Watch(True, is_fed=True)
+
+
+def test_one_that_is_not_fed_acts_soon_however_the_view_grows() -> None:
+    me = next(peer for peer in OTHERS if peer.name in choose("site", OTHERS, 3))
+    core = Follower(me, FollowSettings("site", gateways=8), random.Random(1))
+    core.view(0.0, True, OTHERS)
+    for name in core.asking.copy():
+        core.asked(0.05, name)
+    acts = [n / 10 for n in range(1, 40) if Watch(True) in core.tick(n / 10, None)]
+    assert len(acts) == 1 and SETTLE_S <= acts[0] <= 1.5 * SETTLE_S + 0.1
+
+
 def test_all_silent_is_one_call_within_the_draw_and_back_once_one_speaks() -> None:
     core = follower()
     core.view(0.0, True, [ME, *OTHERS])
