--- a/cloverkeel/fleet/routes/merge.py
+++ b/cloverkeel/fleet/routes/merge.py
@@ -16,6 +16,7 @@
 from cloverkeel.fleet.routes.whole import Whole
 
 SLICE = 100  # small things done in one step
+TAKEN = 40  # changes taken in in one step
 EMPTY = View(plan_hash(0), {}, {}, (), (), (), Context())
 
 
@@ -62,12 +63,15 @@
         yield from self._take_in()
         yield from self._put_out(())
         yield from whole.settle()
-        found, waiting = whole.found.every(), tuple(self._waiting())
+        found = {each.id: each for each in whole.found.every()}
         yield
         while whole.found.blocking:
             yield from self._step_back()
             yield from whole.settle()
-        yield from self._show(found, waiting)
+            found |= {each.id: each for each in whole.found.every()}  # what the older plan disputes, too
+            yield
+        conflicts = tuple(found[id] for id in sorted(found))
+        yield from self._show(conflicts, tuple(self._waiting()))
 
     def droppable(self) -> list[Dot]:
         """Changes that may be deleted from the ledger; without them the view is the same."""
@@ -85,7 +89,7 @@
                 self._seen.take(change.dot, change.context)
                 self._held[change.dot] = change
             del self._taking[change.dot]
-            if at % SLICE == SLICE - 1:
+            if at % TAKEN == TAKEN - 1:
                 yield
 
     def _let_go(self) -> Iterator[None]:
@@ -117,13 +121,23 @@
         self._whole.out = new
 
     def _step_back(self) -> Iterator[None]:
-        """Take out the newest of the changes that touched what is in a blocking conflict."""
+        """Take out the newest of the changes that touched what is in a blocking conflict, and what rests on
+        them: a later change of one of their routes would leave half a route in service."""
         newest: set[Dot] = set()
         for conflict in list(self._whole.found.blocking.values()):
             newest.update(touch.dot for touch in self._whole.newest_of(conflict.routes))
             yield
         if not newest:
             raise AssertionError("a blocking conflict of no change")
+        todo = sorted(newest)
+        while todo:
+            dot = todo.pop()
+            for name in names_of(self._held[dot]):
+                for touch in self._whole.rising(name):
+                    if touch.dot not in newest and touch.context.covers(dot):
+                        newest.add(touch.dot)
+                        todo.append(touch.dot)
+                yield
         yield from self._put_out(self._whole.out | newest)
 
     def _waiting(self) -> Iterator[Waiting]:
--- a/cloverkeel/fleet/routes/resolved.py
+++ b/cloverkeel/fleet/routes/resolved.py
@@ -6,17 +6,19 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cloverkeel.fleet.ledger.dots import Dot
 from cloverkeel.fleet.routes import conflicts
 from cloverkeel.fleet.routes.changes import DELETED
 from cloverkeel.fleet.routes.fields import FIELDS, route_hash, sound
 from cloverkeel.fleet.routes.interface import Choice, Conflict, Decided, RouteView, Waiting, World
-from cloverkeel.fleet.routes.owners import OWNER, Standing, stand
+from cloverkeel.fleet.routes.owners import OWNER, Standing, stand, writes_fields
 from cloverkeel.fleet.routes.registers import Touch, Write, agree, agreed, newest
 
 
 @dataclass(slots=True, frozen=True)
 class Resolved:
-    """`view`: None where the route is deleted, or has no owner agreed on. `hash`: 0 then."""
+    """`view`: None where the route is deleted, has no owner agreed on, or a value that it cannot have.
+    `hash`: 0 then."""
 
     view: RouteView | None = None
     hash: int = 0
@@ -35,6 +37,7 @@
     values: dict[str, Any] = {}
     others: dict[str, Any] = {}
     decided: dict[str, Decided] = {}
+    deciding: dict[Dot, Decided] = {}  # one for each change, not for each field
     owners: list[str] = []
     in_plan = any(field != DELETED for field in registers)
     for field in sorted(registers):
@@ -51,12 +54,15 @@
             in_plan = in_plan and chosen is not None
         chosen = chosen or live[0]
         value, why = sound(field, chosen.value)
-        if why:
+        if why:  # the route is judged no further: without the value it would match what it was not meant to
+            in_plan = False
             side = Choice(chosen.dot, chosen.team, value)
             found.append(conflicts.conflict("bad-value", (name,), field, (side,), f"{name}: {field}: {why}"))
         elif value is not None and field != DELETED:
             (values if field in FIELDS else others)[field] = value
-            decided[field] = Decided(chosen.dot, chosen.team)
+            if (by := deciding.get(chosen.dot)) is None:
+                by = deciding[chosen.dot] = Decided(chosen.dot, chosen.team)
+            decided[field] = by
     waiting = tuple(_waiting(name, held, registers, owners)) if held.pending else ()
     if not in_plan or not owners:
         return Resolved(None, 0, tuple(found), waiting) if found or waiting else NOTHING
@@ -75,6 +81,12 @@
                 registers.setdefault(field, []).append(Write(touch.dot, touch.context, touch.team, value))
         if not gone and (owner := held.first.get(touch.dot)) is not None:
             registers.setdefault(OWNER, []).append(Write(touch.dot, touch.context, touch.team, owner))
+    if OWNER not in registers:  # it went with a delete that was accepted after these were written
+        for touch in held.counted:
+            if writes_fields(touch) and not held.gone(touch.dot):
+                registers.setdefault(OWNER, []).append(
+                    Write(touch.dot, touch.context, touch.team, touch.team)
+                )
     return registers
 
 
--- a/cloverkeel/fleet/routes/whole.py
+++ b/cloverkeel/fleet/routes/whole.py
@@ -125,8 +125,7 @@
             if at % SLICE == SLICE - 1 or len(rising) > SLICE:
                 yield
         yield from self.order.settle()
-        for name in self.order.changed:
-            self._overlaps.again(name)
+        self._overlaps.again(self.order.changed)
         self.order.changed.clear()
         yield from self._overlaps.settle()
         for at, pair in enumerate(list(self._overlaps.changed)):
@@ -142,6 +141,8 @@
             if at % LOOKED == LOOKED - 1:
                 yield
         self._settle_cycles()
+        for crowd in self._crowded:  # all first: a route that went to another owner has one id with both
+            self.found.put(("room", "", *crowd))
         for crowd in self._crowded:
             self._room(*crowd)
         self._crowded.clear()
