Lists by peers: one that is alone though seeds answer its calls watches by itself after 10 s

Where datagrams do not pass and calls do, the seeds' answers put its own watch off for ever, and its news came with the seeds' lists alone, every 2 s.

--- a/cloverkeel/fleet/lists/follow.py
+++ b/cloverkeel/fleet/lists/follow.py
@@ -31,7 +31,7 @@
     Unsubscribe,
     Watch,
 )
-from cloverkeel.fleet.lists.draws import FollowSettings, Growth, moment_s, width_s
+from cloverkeel.fleet.lists.draws import ALONE_S, FollowSettings, Growth, moment_s, width_s
 from cloverkeel.fleet.lists.feed import Feed, behind
 from cloverkeel.fleet.lists.limits import DEPTH, FEEDS, FULL_NAMES
 from cloverkeel.fleet.lists.order import ListVersion
@@ -321,7 +321,7 @@
                 return []  # it asks members first
             self.watching, self.call_due_s = True, None
             return [Watch(True, self.is_fed)]
-        if self.is_alone and now_s < self.answered_s + SEED_S:
+        if self.is_alone and now_s < min(self.answered_s + SEED_S, (self.joined_s or 0.0) + ALONE_S):
             self.call_due_s = None
             return []
         grows = self.growth.goes_on(now_s) and not self.is_alone
--- a/tests/test_list_follow.py
+++ b/tests/test_list_follow.py
@@ -258,6 +258,14 @@
                 assert ask.peer.address == "127.0.0.1:7"
                 core.asked(n / 10, ask.peer.name, answers)
         assert calls is called
+    # Where datagrams alone do not pass, what it reads of seeds is no watch for ever.
+    moments = (n / 10 for n in range(50, 260))
+    answering = Follower(ME, FollowSettings("site", gateways=40, seeds=("127.0.0.1:7",)), random.Random(1))
+    answering.view(0.0, True, [ME])
+    for now_s in moments:
+        if Watch(True) in answering.asked(now_s, "127.0.0.1:7") + answering.tick(now_s, None):
+            break
+    assert ALONE_S <= now_s <= 2 * ALONE_S
 
 
 def test_one_that_finds_the_others_before_its_draw_never_calls() -> None:
