--- a/faultlab/routes/fleet.py
+++ b/faultlab/routes/fleet.py
@@ -23,7 +23,8 @@
 from faultlab.routes.draw import as_toml
 
 Routes = dict[str, dict[str, Any]]
-WRITABLE_S = 30.0
+WRITABLE_S = 120.0
+TRIES, AGAIN_S = 5, 0.3  # of a call that the gateway could not keep
 
 
 class Routed(Gateways):
@@ -88,7 +89,11 @@
         return await self._post(name, f"accept?change={change}&route={route}&team={team}&wait=quorum", b"")
 
     async def _post(self, name: str, what: str, body: bytes) -> dict[str, Any]:
-        status, answer = await self.call(name, f"/api/routes/{what}", body)
+        for _ in range(TRIES):
+            status, answer = await self.call(name, f"/api/routes/{what}", body)
+            if status != 503:  # nothing was kept: a disk that was busy for too long
+                break
+            await asyncio.sleep(AGAIN_S)
         if status not in (200, 202):
             raise RuntimeError(f"{name} answered {status}: {answer.decode(errors='replace')}")
         found: dict[str, Any] = json.loads(answer)
@@ -157,12 +162,15 @@
     told = {(c["change"], r, conflict["field"]) for conflict in plan["conflicts"]
             for c in conflict["choices"] for r in conflict["routes"]}  # fmt: skip
     whole = {(change, route) for change, route, field in told if field in (DELETED, "owner")}
+    unowned = {r for c in plan["conflicts"] if c["field"] == "owner" for r in c["routes"]}
     writers: dict[tuple[str, str], list[Change]] = defaultdict(list)
     for change in held.values():
         for edit in change.edits:
             writers[edit.route, edit.field].append(change)
             if edit.field == DELETED and edit.value is True:
                 writers[edit.route, ""].append(change)
+            else:
+                writers[edit.route, DELETED].append(change)  # what comes after a delete makes the route anew
     gone = []
     for key in acknowledged:
         if key not in held:
@@ -173,6 +181,8 @@
             place = (key, edit.route)
             if key in back or place in waiting or place in whole or (*place, edit.field) in told:
                 continue
+            if edit.route in unowned and edit.route not in plan["routes"]:
+                continue
             later = (*writers[edit.route, edit.field], *writers[edit.route, ""])
             if any(each.context.covers(change.dot) for each in later):
                 continue
