Routes: what a newcomer has heard so far is served once its ledger is settled

Need: a change that came before the one that made its route left a route with half its fields in service, and one without a path matches widely (found by the merge's histories). A start serves what its disk had, and then the first view after the ledger is settled, with all routes taken as changed.

--- a/cloverkeel/fleet/routes/shell.py
+++ b/cloverkeel/fleet/routes/shell.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import time
 import traceback
 from collections.abc import Callable, Iterable, Iterator
@@ -66,6 +67,8 @@
         self.loop = asyncio.get_running_loop()
         self.merge = make()
         self.view: View | None = None  # in service; None: not merged yet
+        self.settled = False  # the ledger has been, in this life
+        self.unserved = False  # `view` is not the one that is served, yet
         self.number = 0  # of the last change written in this life
         self.held: dict[str, Change] = {}  # by the merge; by key in the ledger
         self.touching: collections.defaultdict[str, set[Dot]] = collections.defaultdict(set)  # by route
@@ -219,7 +222,7 @@
 
     def _take(self, view: View) -> None:
         before, self.view = self.view, view
-        self.serve(view)
+        self._serve(view, first=before is None)
         if before is None or before.hash != view.hash:
             event("routes.plan", hash=view.hash, routes=len(view.routes), conflicts=len(view.conflicts),
                   waiting=len(view.waiting), held_back=len(view.held_back))  # fmt: skip
@@ -227,6 +230,18 @@
             event(name, **fields)
         self.merged.set()
 
+    def _serve(self, view: View, first: bool = False) -> None:
+        """What the disk had is served at once. What comes until the ledger is settled comes in any order, and
+        a change without the one that it rests on is half a plan: it is served once all is here."""
+        core = self.ledger.core
+        self.settled = self.settled or (core is not None and core.settling.settled)
+        if not (first or self.settled):
+            self.unserved = True
+            return
+        # After some views were not served, any route may be another.
+        self.serve(dataclasses.replace(view, touched=None) if self.unserved else view)
+        self.unserved = False
+
     # The world, and what is superseded.
 
     async def _look(self) -> None:
@@ -236,6 +251,8 @@
                     self.world = world
                     self.wanted.set()
                 await self._drop()
+                if self.unserved and self.view is not None:
+                    self._serve(self.view)
             except Exception:
                 log(f"a look at what routes rest on failed\n{traceback.format_exc()}")
             await asyncio.sleep(LOOK_S)
--- a/tests/test_routes_shell.py
+++ b/tests/test_routes_shell.py
@@ -80,6 +80,28 @@
     return tuple(Edit(route, name, value) for name, value in sorted({"owner": team, **fields}.items()))
 
 
+@on_loop
+async def test_what_a_newcomer_has_heard_so_far_is_not_served_until_its_ledger_is_settled(
+    tmp_path: Path,
+) -> None:
+    async with fleet(tmp_path) as services:
+        served: list[View] = []
+        routes = Routes(services[0], Fixed(World()), lambda: Merge(World()), served.append)
+        settling = services[0].core.settling  # type: ignore[union-attr]
+        await until(lambda: settling.settled)
+        settling.settled = False
+        routes.start()
+        await until(lambda: routes.view is not None)
+        assert len(served) == 1  # what the disk had
+        settling.settled = False
+        await write(routes, "pay", Context(), *new("r", "pay", limit=1))
+        assert "r" in at(routes).routes and len(served) == 1
+        settling.settled = True
+        await until(lambda: len(served) == 2)
+        assert "r" in served[1].routes and served[1].touched is None
+        routes.close()
+
+
 @on_loop
 async def test_a_conflict_is_the_same_everywhere_told_once_and_gone_once_resolved(
     tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
