Membership: a successor knows its older self by the address that it holds

Now it follows whom its join finds, and who is heard at the configured address that was held when it started.

--- a/cloverkeel/fleet/membership/member.py
+++ b/cloverkeel/fleet/membership/member.py
@@ -40,9 +40,9 @@
 
     `me` is this member's own rumour (alive, its incarnation); `seeds` are addresses to ask at the start and
     while alone; `take_over` says that this process follows an older one of the same name (an upgrade), so
-    that the name held at another address is taken rather than refused; `older_runs`, that the older one is
-    known to run, though the join may not find it. `rng` makes the choices of whom to probe; a seeded one
-    makes a run repeat. Raises nothing: every message is judged on its fields.
+    that the name held at another address is taken rather than refused; `older`, where that one is known to
+    be heard, though the join may not find it. `rng` makes the choices of whom to probe; a seeded one makes a
+    run repeat. Raises nothing: every message is judged on its fields.
     """
 
     def __init__(
@@ -52,20 +52,19 @@
         seeds: tuple[str, ...] = (),
         take_over: bool = False,
         rng: random.Random | None = None,
-        older_runs: bool = False,
+        older: tuple[str, ...] = (),
     ) -> None:
         self.timing = timing
         self.seeds = tuple(s for s in seeds if s != me.address)
-        self.take_over, self.older_runs = take_over, older_runs
+        self.take_over = take_over
         self.rng = rng or random.Random()
         self.roster = Roster(me, timing, self.rng)
         self.cycle = ProbeCycle(self.roster)
         self.joining_until_s: float | None = None
         self.met = False  # another member has been heard since the join: the name is this one's
         self.refused = False
-        self.older: set[str] = set()  # where the processes are heard that this one takes over from
+        self.older = set(older)  # where the processes are heard that this one takes over from
         self.outranked = 0  # how often it had to outrank them
-        self.look_until_s = 0.0  # for an older one that runs and was not found yet
         self.next_push_s = self.next_ask_s = self.next_gossip_s = 0.0
         self.ask_gap_s = timing.probe_interval_s  # between two calls to the seeds while nobody is known
 
@@ -89,7 +88,6 @@
         """Say who this member is and ask the seeds for their views."""
         self.roster.broadcasts.add(self.me)
         self.cycle.start(now_s)
-        self.look_until_s = now_s + self.timing.reap_after_s
         self.next_push_s = now_s + self.timing.push_pull_s
         if not self.seeds:
             return []
@@ -149,11 +147,10 @@
 
     def _follows(self, rumour: Rumour, claims: bool) -> bool:
         """Whether `rumour` is of a process that this one takes over from: it refutes what is said of it until
-        it hears of this one. Where none was known to run and the join found none (the first process on an
-        inherited socket), who comes later is its own successor. Bounded, so that two that each follow the
-        other do not go on for ever."""
-        unfound = self.older_runs and not self.older
-        older = claims or unfound or rumour.address in self.older
+        it hears of this one. Who comes after the join from another address is its own successor, though this
+        one may have found nobody to follow (the first process on an inherited socket). Bounded, so that two
+        that each follow the other do not go on for ever."""
+        older = claims or rumour.address in self.older
         return self.take_over and older and self.outranked < MOST_OUTRANKED
 
     def receive(self, message: Message, now_s: float) -> list[Action]:
@@ -219,7 +216,6 @@
             self.next_gossip_s = now_s + self.timing.gossip_interval_s
             actions += self._gossip()
         self.roster.reap(now_s)
-        self.older_runs = self.older_runs and now_s < self.look_until_s
         return actions
 
     def _gossip(self) -> list[Action]:
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -65,7 +65,7 @@
         self.calls.serve(NAME, lambda peer, body: name)
         self.gossip = Gossip(Codec(settings.name), self._on_action)
         self.address = ""
-        self.elsewhere = False  # another process holds the configured port
+        self.older: tuple[str, ...] = ()  # where the process is heard that holds the configured port
         self.state = "starting"  # joining, alone, member, name_taken, superseded, left
         self.member: Member | None = None
         self.listeners: list[Listener] = []
@@ -82,13 +82,15 @@
         host, port = self.settings.bind_address
         udp, tcp = open_sockets(host, port, self.take_over)
         bound, told = udp.getsockname()[1], self.settings.advertise
-        self.elsewhere = port not in (0, bound)  # in an upgrade, beside the process before
-        if told and self.elsewhere:
+        elsewhere = port not in (0, bound)  # in an upgrade, beside the process before
+        if elsewhere:
+            self.older = (told or format_address(host, port),)
+        if told and elsewhere:
             told = format_address(parse_address(told)[0], bound)
         self.address = told or format_address(host, bound)
         await self.calls.listen(tcp)
         await self.gossip.open(udp)
-        if self.elsewhere:  # its view is the fleet's
+        if elsewhere:  # its view is the fleet's
             self.seeds = tuple(dict.fromkeys((*self.seeds, self.settings.bind)))
             self._spawn(self._hear_at(host, port))
         self._join()
@@ -109,7 +111,7 @@
         settings = self.settings
         kind = CheckedMember if invariants.ON else Member
         take_over = take_over or self.take_over
-        self.member = kind(me, settings.timing, self.seeds, take_over, self.rng, self.elsewhere)
+        self.member = kind(me, settings.timing, self.seeds, take_over, self.rng, self.older)
         self.state = "joining"
         self.gossip.run(self.member)
         if self.member.joining_until_s is None:
--- a/faultlab/storm/cluster/members.py
+++ b/faultlab/storm/cluster/members.py
@@ -24,7 +24,7 @@
 
     me: Rumour  # as at its start
     take_over: bool
-    older_runs: bool
+    older: tuple[str, ...]
     member: Member
     up: bool = True
     asks_again: bool = False  # refused at its join, it is to join again
@@ -79,14 +79,14 @@
         return [p for p in self.processes.values() if p.speaks]
 
     def start(
-        self, name: str, address: str, incarnation: int, take_over: bool = False, older_runs: bool = False
+        self, name: str, address: str, incarnation: int, take_over: bool = False, older: tuple[str, ...] = ()
     ) -> None:
         """A process starts at `address`, in place of any that was there."""
         old = self.processes.get(address)
         if old is not None:
             old.up = False
         me = Rumour(name, address, incarnation, Status.ALIVE, f"z{len(name) % 3}")
-        process = Process(me, take_over, older_runs, self._core(me, take_over, older_runs))
+        process = Process(me, take_over, older, self._core(me, take_over, older))
         self.processes[address] = process
         self.most = max(self.most, sum(p.up for p in self.processes.values()))
         self.carry(process, process.member.start(self.clock.now_s))
@@ -94,15 +94,15 @@
         if self.on_start is not None:
             self.on_start(process)
 
-    def _core(self, me: Rumour, take_over: bool, older_runs: bool) -> Member:
+    def _core(self, me: Rumour, take_over: bool, older: tuple[str, ...]) -> Member:
         rng = random.Random(self.rng.getrandbits(64))
         kind = CheckedMember if self.check else Member
-        return kind(me, self.history.timing, self.seeds, take_over, rng, older_runs)
+        return kind(me, self.history.timing, self.seeds, take_over, rng, older)
 
     def _join_again(self, process: Process) -> None:
         process.asks_again = False
         if process.up:
-            process.member = self._core(process.me, process.take_over, process.older_runs)
+            process.member = self._core(process.me, process.take_over, process.older)
             self.carry(process, process.member.start(self.clock.now_s))
 
     def carry(self, process: Process, actions: list[Action]) -> None:
@@ -229,7 +229,7 @@
                     return  # a process has one successor at a time
                 self.upgrading[name] = ends_s
                 address = self._address()
-                self.start(name, address, present + 1, True, True)
+                self.start(name, address, present + 1, True, (process.me.address,))
                 self.successors[process.me.address] = self.processes[address]
                 self.clock.at(ends_s, self.leave, process)
 
