--- a/faultlab/routes/fleet.py
+++ b/faultlab/routes/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 import tomllib
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
@@ -102,14 +103,17 @@
     async def alike_on_disk(self, wanted: set[str], ever: dict[str, Change], timeout_s: float) -> None:
         """Once all disks hold the same changes, and those `wanted` are there or were: `ever` is told of all
         that are seen. Raises TimeoutError."""
-        async with asyncio.timeout(timeout_s):
-            while True:
-                held = [self.changes(name) for name in self.names]
-                for each in held:
-                    ever.update(each)
-                if wanted <= set(ever) and all(set(each) == set(held[0]) for each in held):
-                    return
-                await asyncio.sleep(POLL_S)
+        ends_s = time.monotonic() + timeout_s
+        while True:
+            held = [self.changes(name) for name in self.names]
+            for each in held:
+                ever.update(each)
+            if wanted <= set(ever) and all(set(each) == set(held[0]) for each in held):
+                return
+            if time.monotonic() > ends_s:
+                differ = [sorted(set(each) ^ set(held[0]))[:5] for each in held]
+                raise TimeoutError(f"never seen: {sorted(wanted - set(ever))[:5]}; other than m0: {differ}")
+            await asyncio.sleep(POLL_S)
 
     def changes(self, name: str) -> dict[str, Change]:
         """What a gateway's disk holds, by key."""
