--- a/faultlab/storm/cluster/ledger_history.py
+++ b/faultlab/storm/cluster/ledger_history.py
@@ -11,7 +11,7 @@
 
 from cloverkeel.fleet.ledger.interface import Level
 
-from faultlab.storm.cluster.ledger import TICK_S, Cluster, Disk
+from faultlab.storm.cluster.ledger import TICK_S, Cluster, Disk, Member
 from faultlab.storm.cluster.played import Played, perform
 
 LARGE, LARGE_STEPS, LARGE_TICK_S = 500, 20, 0.5  # members, and what keeps a history of so many short
@@ -48,9 +48,11 @@
     return perform(cluster, steps, step)
 
 
-def _fault(cluster: Cluster, rng: random.Random, copies: dict[str, Disk]) -> None:
-    member = rng.choice(list(cluster.members.values()))
-    match rng.randrange(10):
+def befall(
+    cluster: Cluster, rng: random.Random, member: Member, number: int, copies: dict[str, Disk]
+) -> None:
+    """The faults 0 to 8, of any cluster of ledgers: stops, starts, sides, full disks, false payloads, copies."""
+    match number:
         case 0:
             cluster.stop(member)
         case 1 | 2:
@@ -69,12 +71,18 @@
             member.false = rng.choice((0.0, 0.5, 1.0))
         case 8:
             copies[member.name] = cluster.copy_disk(member)
-        case 9:
-            if rng.random() < 0.3:
-                cluster.lose_disk(member)
-            elif member.name in copies:
-                cluster.set_back(member, copies.pop(member.name))
-            else:
-                member.side = 2
-                cluster.run(rng.choice((2.0, 9.0)))  # away, perhaps past `reap_after_s`
-                member.side = 0
+
+
+def _fault(cluster: Cluster, rng: random.Random, copies: dict[str, Disk]) -> None:
+    member = rng.choice(list(cluster.members.values()))
+    number = rng.randrange(10)
+    if number < 9:
+        befall(cluster, rng, member, number, copies)
+    elif rng.random() < 0.3:
+        cluster.lose_disk(member)
+    elif member.name in copies:
+        cluster.set_back(member, copies.pop(member.name))
+    else:
+        member.side = 2
+        cluster.run(rng.choice((2.0, 9.0)))  # away, perhaps past `reap_after_s`
+        member.side = 0
--- a/faultlab/storm/cluster/routes_history.py
+++ b/faultlab/storm/cluster/routes_history.py
@@ -17,6 +17,7 @@
 
 from faultlab.routes.draw import Names, commit
 from faultlab.storm.cluster.ledger import TICK_S, Disk
+from faultlab.storm.cluster.ledger_history import befall
 from faultlab.storm.cluster.played import Played, perform
 from faultlab.storm.cluster.routes import KEPT, RoutesCluster
 
@@ -96,25 +97,9 @@
 def _fault(cluster: RoutesCluster, rng: random.Random, copies: dict[str, Disk]) -> None:
     members = list(cluster.members.values())
     member = rng.choice(members)
-    match rng.randrange(13):
-        case 0:
-            cluster.stop(member)
-        case 1 | 2:
-            for other in members:
-                if other.core is None and rng.random() < 0.7:
-                    cluster.start(other)
-        case 3:
-            for other in members:
-                other.side = rng.randrange(2)
-        case 4 | 5:
-            for other in members:
-                other.side = 0
-        case 6:
-            member.full = not member.full
-        case 7:
-            member.false = rng.choice((0.0, 0.5, 1.0))
-        case 8:
-            copies[member.name] = cluster.copy_disk(member)
+    match number := rng.randrange(13):
+        case _ if number < 9:
+            befall(cluster, rng, member, number, copies)
         case 9:
             if rng.random() < 0.3:
                 cluster.lose_disk(member)
