--- a/faultlab/storm/cluster/ledger_history.py
+++ b/faultlab/storm/cluster/ledger_history.py
@@ -51,7 +51,7 @@
 def befall(
     cluster: Cluster, rng: random.Random, member: Member, number: int, copies: dict[str, Disk]
 ) -> None:
-    """The faults 0 to 8, of any cluster of ledgers: stops, starts, sides, full disks, false payloads, copies."""
+    """The faults 0 to 8, of any cluster of ledgers: stops, starts, sides, full disks, false payloads."""
     match number:
         case 0:
             cluster.stop(member)
