--- a/tests/test_transforms_comparing.py
+++ b/tests/test_transforms_comparing.py
@@ -120,8 +120,8 @@
         new = version()
         run.gateway.transforms = ActiveSet(new)
         statuses: list[int] = []
-        # Which calls are its own is drawn by their ids, and the hosts' own breakers may open: at some
-        # rate calls go on until it is stopped, and skipped.
+        # Which calls are its own is drawn by their ids, and the hosts' own breakers may open meanwhile: so
+        # calls go on, at some rate, until it is stopped and skipped.
         while not new.counts["skipped"]:
             statuses.append((await run.ask(request("transfer"))).status)
             await asyncio.sleep(0.005)
