--- a/tests/test_transforms_comparing.py
+++ b/tests/test_transforms_comparing.py
@@ -126,5 +126,5 @@
             statuses.append((await run.ask(request("transfer"))).status)
             await asyncio.sleep(0.005)
         assert new.counts["worse"] == 1 and new.counts["skipped"], new.status()
-        # Only calls that it changed have failed; where the hosts' breakers were open, some of them were refused.
+        # Only calls that it changed have failed; where the hosts' breakers were open, some were refused.
         assert 0 < statuses.count(502) <= new.counts["ran"] and set(statuses) <= {200, 502, 503}
