--- a/cloverkeel/fleet/duties/part.py
+++ b/cloverkeel/fleet/duties/part.py
@@ -127,8 +127,7 @@
         return {f"duties_{name}_total": number for name, number in counts.items()}
 
     def gauges(self) -> dict[str, int]:
-        held = 0 if self.service is None else sum(row["token"] is not None for row in self.service.table())
-        return {"duties_held": held}
+        return {"duties_held": self.service.held() if self.service is not None else 0}
 
     # Operators' calls
 
--- a/cloverkeel/fleet/duties/shell.py
+++ b/cloverkeel/fleet/duties/shell.py
@@ -92,14 +92,9 @@
         """A call of the backend's beside the core's, on its thread. Raises what it raises."""
         return await self.loop.run_in_executor(self.thread, call)
 
-    def table(self) -> list[dict[str, object]]:
-        """This process's duties, as it sees them."""
-        now_s = self.loop.time()
-        return [
-            {"duty": name, "token": self.core.may_act(now_s, name), "ttl_s": lease.duty.ttl_s,
-             "left_s": round(max(0.0, lease.until_s - now_s), 3)}
-            for name, lease in sorted(self.core.leases.items())
-        ]  # fmt: skip
+    def held(self) -> int:
+        """How many duties this process holds at this moment."""
+        return sum(self.token(duty) is not None for duty in self.core.leases)
 
     async def close(self, wait_s: float = 1.0) -> None:
         """Let go of all that is held, so that the next has it at once; `wait_s` for the backend."""
