--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -237,10 +237,10 @@
             names=_names(settings),
             operator=parse_address(raw["operator"], "operator") if raw.get("operator") else None,
             state=_state(raw),
-            cluster=_cluster(raw),
+            cluster=(cluster := _cluster(raw)),
             transforms=_transforms(raw),
             routes=_routes(raw),
-            duties=_duties(raw),
+            duties=_duties(raw, cluster),
             rollout=_rollout(raw),
         )
     except WireError as error:
@@ -281,12 +281,11 @@
     return parse_transforms(raw["transforms"])
 
 
-def _duties(raw: dict[str, Any]) -> DutySettings | None:
+def _duties(raw: dict[str, Any], cluster: ClusterSettings | None) -> DutySettings | None:
     if "duties" not in raw:
         return None
     from cloverkeel.fleet.duties.settings import parse_duties  # nor one that holds none
 
-    cluster = _cluster(raw)
     trusted = cluster.trusted_network if cluster is not None else None
     return parse_duties(raw["duties"], str(raw.get("name", "")), trusted)
 
