--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -11,7 +11,7 @@
 
 from cloverkeel.front.reading import RequestReader
 from cloverkeel.front.requests import Request, RequestError, kept_for, passed_back, read_call
-from cloverkeel.hosts import HostConnection
+from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import (
     LINGER_S,
     Header,
@@ -176,12 +176,12 @@
     def pause_writing(self) -> None:
         self.unread_since_s = asyncio.get_running_loop().time()
         if self.source is not None:
-            self.source.hold()
+            self.source.pause_reading()
 
     def resume_writing(self) -> None:
         self.unread_since_s = math.inf
         if self.source is not None:
-            self.source.go_on()
+            self.source.resume_reading()
 
     def on_refused(self, request: Request, retry_after_us: int) -> None:
         if self.current is request:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -47,7 +47,8 @@
 from cloverkeel.entries import Entry
 from cloverkeel.fleet.kept import Figures, Snapshot
 from cloverkeel.held import Call, Held
-from cloverkeel.hosts import Attempt, Pools, load_of
+from cloverkeel.hosts.attempt import Attempt, load_of
+from cloverkeel.hosts.pool import Pools
 from cloverkeel.http1 import Reply, log
 from cloverkeel.listed import Lists, take_list
 from cloverkeel.probing import probe
--- a/cloverkeel/held.py
+++ b/cloverkeel/held.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cloverkeel.hosts import Attempt, HostConnection
+from cloverkeel.hosts.attempt import Attempt
+from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import Reply
 from cloverkeel.streams import Upload
 
--- /dev/null
+++ b/cloverkeel/hosts/attempt.py
@@ -0,0 +1,60 @@
+"""One request on its way to one host, and what its end is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from caperdrift.interface import LoadReport, Outcome
+from caperdrift.wire import parse_load
+
+from cloverkeel.http1 import Reply, header
+from cloverkeel.streams import Upload
+
+if TYPE_CHECKING:
+    from cloverkeel.hosts.connection import HostConnection
+    from cloverkeel.hosts.host import Host
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One request on its way to one host, until its outcome."""
+
+    host: Host
+    payload: bytes
+    on_end: Callable[[Attempt, Outcome, Reply | None], None]
+    is_probe: bool = False
+    # A long answer begins: returns what takes its pieces, or None if nobody does.
+    on_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = lambda attempt, reply: None
+    upload: Upload | None = None  # the rest of a long body
+    on_passing: Callable[[], None] = lambda: None  # what was held of it has gone on
+    timeout_us: int = 0
+    sent_us: int = 0  # with a long body: its last byte
+    latency_us: int = 0
+    connection: HostConnection | None = None
+    opening: asyncio.Task[object] | None = None
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
+    holding: asyncio.TimerHandle | None = None  # one of them
+    ended: bool = False
+
+
+def outcome_of(reply: Reply) -> Outcome:
+    if reply.status == 200:
+        return Outcome.OK
+    if reply.status in (503, 504) and header(reply.headers, b"x-rejected") == b"1":
+        return Outcome.FULL
+    return Outcome.ERROR
+
+
+def load_of(reply: Reply | None) -> LoadReport | None:
+    """The load report that came with an answer; what cannot be read is as good as none."""
+    text = header(reply.headers, b"x-load-report") if reply is not None else None
+    if text is None:
+        return None
+    form, _, values = text.decode("latin-1").partition(" ")
+    try:
+        return parse_load(values.replace(" ", "").replace("=", ":")) if form == "TEXT" else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/cloverkeel/hosts/connection.py
@@ -0,0 +1,141 @@
+"""One connection to a host: bytes in, bytes out."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from typing import TYPE_CHECKING, cast
+
+from cloverkeel.clock import now_us
+from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
+from cloverkeel.streams import Upload
+
+if TYPE_CHECKING:
+    from cloverkeel.hosts.attempt import Attempt
+    from cloverkeel.hosts.host import Host
+    from cloverkeel.hosts.pool import Pools
+
+
+class HostConnection(asyncio.BufferedProtocol):
+    """One connection to a host; it carries one attempt at a time."""
+
+    __slots__ = (
+        "address",
+        "attempt",
+        "closed",
+        "flushed",
+        "host",
+        "idle_since_us",
+        "moved_us",
+        "on_piece",
+        "poll",
+        "pools",
+        "replies",
+        "transport",
+        "upload",
+    )
+
+    def __init__(self, pools: Pools, host: Host, attempt: Attempt | None) -> None:
+        self.pools, self.host, self.attempt = pools, host, attempt
+        self.address = host.address
+        self.transport: asyncio.Transport | None = None
+        self.replies = ReplyReader(BODY_LIMIT, wants_long=True)
+        self.on_piece: Callable[[bytes], None] | None = None  # of the long answer that passes
+        self.upload: Upload | None = None  # the long body that passes
+        self.moved_us = 0  # when a long body last did
+        self.flushed = True  # what was written is with the kernel
+        self.idle_since_us = 0
+        self.closed = False  # its descriptor is given back
+        self.poll = select.poll()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        # With no room in the buffer, pause_writing tells at once that the last byte is not yet written.
+        self.transport.set_write_buffer_limits(high=0)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        self.pools.on_connected(self)
+
+    def is_fresh(self) -> bool:
+        """False once the host has closed it, or said something unasked, seen by the loop or not yet.
+
+        Guards against writing a request to a connection that the host has closed: it would end as a reset,
+        and nobody could tell whether it has run.
+        """
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and not self.poll.poll(0)
+
+    def write(self, data: bytes) -> bool:
+        """False if the connection turned out broken before the last byte was written."""
+        assert self.transport is not None
+        self.transport.write(data)
+        if self.transport.is_closing():
+            return False
+        if self.is_written:
+            self.pools.on_written(self)
+        return True
+
+    @property
+    def is_written(self) -> bool:
+        """Whether the last byte of the request is with the kernel."""
+        return self.flushed and (self.upload is None or self.upload.ended)
+
+    def write_on(self, data: bytes, ended: bool) -> None:
+        """A further piece of a long body; broken connections are found out by reading."""
+        self.moved_us = now_us()
+        if data and self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+        if ended:
+            self.pools.on_body_end(self)
+
+    def pause_reading(self) -> None:
+        """Read no more for now: the answer's reader is slower."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        self.moved_us = now_us()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def pause_writing(self) -> None:
+        self.flushed = False
+
+    def resume_writing(self) -> None:
+        self.flushed = True
+        self.moved_us = now_us()
+        if self.is_written:
+            self.pools.on_written(self)
+        elif self.upload is not None:
+            self.upload.on_room()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        buffer = self.pools.buffer
+        return buffer.for_long() if self.on_piece is not None else buffer.view
+
+    def buffer_updated(self, nbytes: int) -> None:
+        try:
+            reply = self.replies.feed(bytes(self.pools.buffer.view[:nbytes]))
+        except ReplyError:
+            self.pools.on_garbage(self)
+            return
+        if self.attempt is None:
+            self.close()
+        elif self.replies.begun is not None and not self.pools.pass_on(self, self.replies.begun):
+            return
+        elif reply is not None:
+            self.pools.on_reply(self, reply)
+        elif self.replies.is_unsized and self.on_piece is None:
+            self.pools.hold(self)
+
+    def eof_received(self) -> None:
+        reply = self.replies.feed_eof()
+        if reply is not None:
+            self.pools.on_reply(self, reply)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pools.on_lost(self)
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts/pool.py
@@ -1,205 +1,29 @@
-"""Connections to hosts: one pool for each host, attempts over them and how these end, probes."""
+"""Which connections there are to hosts, and which attempt goes on which."""
 
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import cast
 
-from caperdrift.interface import LoadReport, Outcome, Settings
-from caperdrift.wire import parse_load
+from caperdrift.interface import Outcome, Settings
 
 from cloverkeel.clock import now_us
 from cloverkeel.config import Address
-from cloverkeel.http1 import BODY_LIMIT, Reply, ReplyError, ReplyReader, header
-from cloverkeel.streams import Buffer, Upload
+from cloverkeel.hosts.attempt import Attempt, outcome_of
+from cloverkeel.hosts.connection import HostConnection
+from cloverkeel.hosts.host import Host, PoolCounts
+from cloverkeel.http1 import Reply
+from cloverkeel.streams import Buffer
 from cloverkeel.telemetry import Telemetry
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
 SPARE_IDLE_US = 5_000_000  # the same for what only a burst has needed
 SPARED = 1  # connections of a host that may stay idle for longer than that
 SWEEP_S = 1.0
-PROBE_TIMEOUT_US = 250_000
 HOLD_S = 0.05  # for a body of unknown length to come whole; else it passes on as a long one
 STALL_US = 30_000_000  # a long body of which nothing moves for so long, though it is read, has ended
 
 
-@dataclass(slots=True, eq=False)
-class Host:
-    """One host as this gateway reaches it."""
-
-    id: int
-    name: str
-    address: Address
-    started_us: int = 0  # as discovery tells it
-    drained_us: int | None = None  # when this gateway was told that it drains or is gone
-    idle: list[HostConnection] = field(default_factory=list)  # the most recently used last
-    open: int = 0  # connections up or coming up
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One request on its way to one host, until its outcome."""
-
-    host: Host
-    payload: bytes
-    on_end: Callable[[Attempt, Outcome, Reply | None], None]
-    is_probe: bool = False
-    # A long answer begins: returns what takes its pieces, or None if nobody does.
-    on_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = lambda attempt, reply: None
-    upload: Upload | None = None  # the rest of a long body
-    on_passing: Callable[[], None] = lambda: None  # what was held of it has gone on
-    timeout_us: int = 0
-    sent_us: int = 0  # with a long body: its last byte
-    latency_us: int = 0
-    connection: HostConnection | None = None
-    opening: asyncio.Task[object] | None = None
-    timers: list[asyncio.TimerHandle] = field(default_factory=list)
-    holding: asyncio.TimerHandle | None = None  # one of them
-    ended: bool = False
-
-
-@dataclass(slots=True)
-class PoolCounts:
-    """What the pools have done since the start."""
-
-    opened: int = 0
-    reused: int = 0
-    failed: int = 0
-    stale: int = 0  # taken from the idle ones and found ended, or too old
-    called_off: int = 0  # closed under an attempt: cancelled or timed out
-    lost: int = 0  # ended by the host under an attempt
-    ended_idle: int = 0  # ended by the host while idle
-    spare: int = 0  # idle for too long
-    given_up: int = 0  # idle, closed to gain a descriptor
-
-
-class HostConnection(asyncio.BufferedProtocol):
-    """One connection to a host; it carries one attempt at a time."""
-
-    __slots__ = (
-        "address",
-        "attempt",
-        "closed",
-        "flushed",
-        "host",
-        "idle_since_us",
-        "moved_us",
-        "on_piece",
-        "poll",
-        "pools",
-        "replies",
-        "transport",
-        "upload",
-    )
-
-    def __init__(self, pools: Pools, host: Host, attempt: Attempt | None) -> None:
-        self.pools, self.host, self.attempt = pools, host, attempt
-        self.address = host.address
-        self.transport: asyncio.Transport | None = None
-        self.replies = ReplyReader(BODY_LIMIT, wants_long=True)
-        self.on_piece: Callable[[bytes], None] | None = None  # of the long answer that passes
-        self.upload: Upload | None = None  # the long body that passes
-        self.moved_us = 0  # when a long body last did
-        self.flushed = True  # what was written is with the kernel
-        self.idle_since_us = 0
-        self.closed = False  # its descriptor is given back
-        self.poll = select.poll()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        # With no room in the buffer, pause_writing tells at once that the last byte is not yet written.
-        self.transport.set_write_buffer_limits(high=0)
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        self.pools.on_connected(self)
-
-    def is_fresh(self) -> bool:
-        """False once the host has closed it, or said something unasked, seen by the loop or not yet.
-
-        Guards against writing a request to a connection that the host has closed: it would end as a reset,
-        and nobody could tell whether it has run.
-        """
-        transport = self.transport
-        return transport is not None and not transport.is_closing() and not self.poll.poll(0)
-
-    def write(self, data: bytes) -> bool:
-        """False if the connection turned out broken before the last byte was written."""
-        assert self.transport is not None
-        self.transport.write(data)
-        if self.transport.is_closing():
-            return False
-        if self.is_written:
-            self.pools.on_written(self)
-        return True
-
-    @property
-    def is_written(self) -> bool:
-        """Whether the last byte of the request is with the kernel."""
-        return self.flushed and (self.upload is None or self.upload.ended)
-
-    def write_on(self, data: bytes, ended: bool) -> None:
-        """A further piece of a long body; broken connections are found out by reading."""
-        self.moved_us = now_us()
-        if data and self.transport is not None and not self.transport.is_closing():
-            self.transport.write(data)
-        if ended:
-            self.pools.on_body_end(self)
-
-    def hold(self) -> None:
-        """Read no more for now: the answer's reader is slower."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
-
-    def go_on(self) -> None:
-        self.moved_us = now_us()
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-    def pause_writing(self) -> None:
-        self.flushed = False
-
-    def resume_writing(self) -> None:
-        self.flushed = True
-        self.moved_us = now_us()
-        if self.is_written:
-            self.pools.on_written(self)
-        elif self.upload is not None:
-            self.upload.on_room()
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        buffer = self.pools.buffer
-        return buffer.for_long() if self.on_piece is not None else buffer.view
-
-    def buffer_updated(self, nbytes: int) -> None:
-        try:
-            reply = self.replies.feed(bytes(self.pools.buffer.view[:nbytes]))
-        except ReplyError:
-            self.pools.on_garbage(self)
-            return
-        if self.attempt is None:
-            self.close()
-        elif self.replies.begun is not None and not self.pools.pass_on(self, self.replies.begun):
-            return
-        elif reply is not None:
-            self.pools.on_reply(self, reply)
-        elif self.replies.is_unsized and self.on_piece is None:
-            self.pools.hold(self)
-
-    def eof_received(self) -> None:
-        reply = self.replies.feed_eof()
-        if reply is not None:
-            self.pools.on_reply(self, reply)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.pools.on_lost(self)
-
-
 class Pools:
     """Carries attempts to hosts. Every attempt that is sent ends once, by its `on_end`."""
 
@@ -461,7 +285,7 @@
         if connection.on_piece is not None or connection.upload is not None:
             connection.on_piece = connection.upload = None
             self.set_long(connection, False)
-            connection.go_on()
+            connection.resume_reading()
 
     def on_garbage(self, connection: HostConnection) -> None:
         attempt, connection.attempt = connection.attempt, None
@@ -525,23 +349,3 @@
         self.sweeper.cancel()
         for host in self.hosts.values():
             self.close_idle(host.id)
-
-
-def outcome_of(reply: Reply) -> Outcome:
-    if reply.status == 200:
-        return Outcome.OK
-    if reply.status in (503, 504) and header(reply.headers, b"x-rejected") == b"1":
-        return Outcome.FULL
-    return Outcome.ERROR
-
-
-def load_of(reply: Reply | None) -> LoadReport | None:
-    """The load report that came with an answer; what cannot be read is as good as none."""
-    text = header(reply.headers, b"x-load-report") if reply is not None else None
-    if text is None:
-        return None
-    form, _, values = text.decode("latin-1").partition(" ")
-    try:
-        return parse_load(values.replace(" ", "").replace("=", ":")) if form == "TEXT" else None
-    except ValueError:
-        return None
--- a/cloverkeel/listed.py
+++ b/cloverkeel/listed.py
@@ -7,7 +7,7 @@
 from caperdrift.interface import ListKind, ServerList, ServerStatus
 
 from cloverkeel.entries import Entry
-from cloverkeel.hosts import Pools
+from cloverkeel.hosts.pool import Pools
 
 
 class Lists(Protocol):
--- a/cloverkeel/probing.py
+++ b/cloverkeel/probing.py
@@ -6,12 +6,14 @@
 
 from caperdrift.interface import Outcome, Probed, Reports
 
-from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, load_of
+from cloverkeel.hosts.attempt import Attempt, load_of
 from cloverkeel.http1 import Reply
 
 if TYPE_CHECKING:
     from cloverkeel.gateway import Gateway
 
+PROBE_TIMEOUT_US = 250_000
+
 
 def probe(gateway: Gateway, id_: int) -> None:
     """Ask a host how it is; the answer, or that there was none, is an event."""
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -10,7 +10,8 @@
 from cloverkeel.clock import now_us
 from cloverkeel.config import parse
 from cloverkeel.entries import parse_list
-from cloverkeel.hosts import Attempt, HostConnection
+from cloverkeel.hosts.attempt import Attempt
+from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import Reply
 from tests.sockets import (
     Exchange,
