Repeats: a keyed request's further attempt is not written after its window

Cause, found by reading: the module decides within the window (policy/choice.py, `now - ran[0].sent_us >= window_us`), but the write follows when the connection is up and the host takes the last byte, up to the connect timeout or the attempt's time-out later. Only the drain's grace was looked at then (hosts/pool.py, `may_send`). With a window of 200 ms and a connect timeout of 120 ms an attempt decided at 190 ms was written at 310 ms. The same holds for a first attempt whose connection is still coming up when a second copy has gone out: from then on the first is the repeat.

Ruled out: the start of the window. The module counts from its decision on the first attempt that may have run, which is never later than that attempt's write; an upload's attempt counts from the body's end, but an upload that has begun to pass is tied to it and never repeated.

`Send.latest_us` is the last moment. A timer ends an attempt that is not wholly written by then, and a connection that comes up later is not written to; the outcome is MOOT (never sent), so its host is not judged for it. An upload needs no such bound: it goes on by one attempt. The checks demand it of each keyed repeat.

--- a/caperdrift/checks/sends.py
+++ b/caperdrift/checks/sends.py
@@ -31,6 +31,8 @@
         if ran and rules.effect is Effect.KEYED:
             since_us = now_us - ran[0].sent_us
             self.demand(since_us < rules.window_us, f"{name} is keyed and was sent again after {since_us} us")
+            may_be_late = action.latest_us != ran[0].sent_us + rules.window_us - 1
+            self.demand(not may_be_late, f"{name} is keyed and may be written after its window")
             inside = rules.scope is Scope.ALL or all(
                 (shot.zone if rules.scope is Scope.ZONE else shot.group)
                 == (entry.zone if rules.scope is Scope.ZONE else entry.group)
--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -59,6 +59,7 @@
 
 
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
+MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
 
 
 def _check(settings: object, least: Mapping[str, float], shares: tuple[str, ...] = ()) -> None:
@@ -90,6 +91,11 @@
         least = {"aim_us": 1, "give_up_us": 1, "worth": 0, "window_us": 0, "aim_stretch": 0}
         _check(self, least, shares=("late_worth",))
 
+    @property
+    def clients_may_repeat(self) -> bool:
+        """Whether it does no harm that a client sends a request again which may have run, to any server."""
+        return self.effect is Effect.SAFE or (self.effect is Effect.KEYED and self.scope is Scope.ALL)
+
 
 @dataclass(slots=True, frozen=True)
 class Goal:
@@ -379,6 +385,8 @@
     request: str
     server: int
     timeout_us: int
+    latest_us: int = 0  # clock reading up to which its last byte may be written, however late a connection
+    # comes up: never after that, neither this attempt nor an earlier one of the request; 0: any time
 
 
 @dataclass(slots=True, frozen=True)
--- a/caperdrift/policy/answers.py
+++ b/caperdrift/policy/answers.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from caperdrift.interface import Cancel, Effect, Fail, Refuse, RequestGone, Scope
+from caperdrift.interface import Cancel, Fail, Refuse, RequestGone
 from caperdrift.policy.breaker import State
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.sending import end_us, try_send
@@ -12,10 +12,8 @@
     """The final answer when no attempt is out and none is to come."""
     if request.done:
         return
-    klass = request.rules
     ran = any(a.may_have_run for a in request.attempts)
-    dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
-    if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
+    if not ran or request.rules.clients_may_repeat:
         proxy.actions.append(Refuse(request.id, retry_after_us(proxy)))
     else:
         proxy.actions.append(Fail(request.id))
--- a/caperdrift/policy/learned.py
+++ b/caperdrift/policy/learned.py
@@ -17,12 +17,10 @@
     return Learned(servers, tuple(proxy.smoothed), tuple(proxy.unhindered))
 
 def on_restore(proxy: Proxy, event: Restore) -> None:
-    learned, age_us = event.learned, max(0, event.age_us)
-    known = len(proxy.settings.classes)
-    latencies = zip(learned.smoothed_us, learned.unhindered_us, strict=False)
-    for index, (smoothed, unhindered) in enumerate(latencies):
-        bound = proxy.settings.classes[index].give_up_us if index < known else 0  # no good answer is later
-        if 0 < smoothed <= bound and 0 < unhindered <= bound:
+    learned, age_us, classes = event.learned, max(0, event.age_us), proxy.settings.classes
+    latencies = zip(classes, learned.smoothed_us, learned.unhindered_us, strict=False)
+    for index, (rules, smoothed, unhindered) in enumerate(latencies):
+        if 0 < smoothed <= rules.give_up_us and 0 < unhindered <= rules.give_up_us:  # no good answer is later
             proxy.smoothed[index], proxy.unhindered[index] = smoothed, unhindered
     taken = 0
     for was in learned.servers:
@@ -34,7 +32,7 @@
         server.idle = min(1.0, max(0.0, was.idle))
         server.breaker.restore(proxy.now_us - age_us, was.breaker)
         for klass, weight, breaker in was.parts:
-            if 0 <= klass < known:
+            if 0 <= klass < len(classes):
                 part = server.part(klass)
                 part.weight = min(CEILING, max(FLOOR, weight))
                 part.breaker.restore(proxy.now_us - age_us, breaker)
--- a/caperdrift/policy/retries.py
+++ b/caperdrift/policy/retries.py
@@ -1,14 +1,12 @@
 """What follows an attempt that ended or is overdue: the answer, another try, or a second copy."""
 
-from caperdrift.interface import NEVER_RAN, AttemptEnded, Effect, Outcome
+from caperdrift.interface import MAY_STILL_RUN, NEVER_RAN, AttemptEnded, Effect, Outcome
 from caperdrift.policy.answers import answer_unserved, finish, free
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.sending import end_us, stop_work, try_send
 from caperdrift.policy.servers import Request
 from caperdrift.policy.weights import judge
 
-MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
-
 def on_attempt_ended(proxy: Proxy, event: AttemptEnded) -> None:
     request = proxy.requests.get(event.request)
     if request is None or not 0 <= event.attempt < len(request.attempts):
--- a/caperdrift/policy/sending.py
+++ b/caperdrift/policy/sending.py
@@ -17,7 +17,7 @@
     server = pick(proxy, request)
     if server is None:
         return False
-    part_trial_of = server.part(request.klass).breaker.take_trial()
+    part_trial_of, latest_us = server.part(request.klass).breaker.take_trial(), request.latest_us()
     attempt = Attempt(server, proxy.now_us, server.breaker.take_trial(), part_trial_of)
     request.attempts.append(attempt)
     request.out += 1
@@ -27,7 +27,8 @@
     proxy.reach = max(needed, SUBSET + (proxy.reach - SUBSET) * REACH_MEMORY)
     if cold_share(proxy, server) < 1.0:
         server.spent_us += cold_cost_us(proxy, request)
-    proxy.actions.append(Send(request.id, server.entry.server, max(1, end_us(proxy, request) - proxy.now_us)))
+    timeout_us = max(1, end_us(proxy, request) - proxy.now_us)
+    proxy.actions.append(Send(request.id, server.entry.server, timeout_us, latest_us))
     overdue_us = proxy.now_us + int(OVERDUE * proxy.expected_us(request))
     if request.rules.effect is not Effect.UNSAFE and overdue_us < request.deadline_us:
         proxy.set_timer(overdue_us, request)
--- a/caperdrift/policy/servers.py
+++ b/caperdrift/policy/servers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from caperdrift.interface import ListedServer, RequestClass, ServerStatus
+from caperdrift.interface import Effect, ListedServer, RequestClass, ServerStatus
 from caperdrift.plan import Hosts
 from caperdrift.policy.breaker import PART_MINIMUM, Breaker
 
@@ -79,3 +79,8 @@
     opened_us: int = 0  # its body is still coming since then; 0: it is whole
     tied: bool = False  # its body has gone on, or its answer has begun: no further copy
     rests_until_us: int = 0  # in order: its key rests, as an attempt may still be running
+
+    def latest_us(self) -> int:
+        """Up to when a further attempt may be written: keyed, while repeats are dropped; 0: any time."""
+        ran = [a.sent_us for a in self.attempts if a.may_have_run]
+        return ran[0] + self.rules.window_us - 1 if ran and self.rules.effect is Effect.KEYED else 0
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -298,6 +298,10 @@
         attempt = Attempt(host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing)
         held.attempts.append(attempt)
         held.out += 1
+        if action.latest_us:
+            for earlier in held.attempts:  # one whose connection is still coming up would be the repeat
+                if earlier is not None:
+                    self.pools.limit(earlier, action.latest_us)
         self.pools.send(attempt, wait_us)
 
     def moot(self, action: Send, number: int) -> Event:
--- a/cloverkeel/hosts/attempt.py
+++ b/cloverkeel/hosts/attempt.py
@@ -30,6 +30,7 @@
     on_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = lambda attempt, reply: None
     upload: Upload | None = None  # the rest of a long body
     on_passing: Callable[[], None] = lambda: None  # what was held of it has gone on
+    latest_us: int = 0  # its last byte may be written up to then; 0: any time
     timeout_us: int = 0
     sent_us: int = 0  # with a long body: its last byte
     latency_us: int = 0
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -85,8 +85,8 @@
         later = self.loop.call_later
         if attempt.upload is None:
             attempt.timers.append(later(timeout_us / 1e6, self.on_timeout, attempt))
-        if not self.may_send(attempt.host):
-            self.end(attempt, Outcome.CONNECT_FAILED)
+        if (barred := self.barred(attempt)) is not None:
+            self.end(attempt, barred)
             return
         while (connection := self.take(attempt.host)) is not None:
             if self.put_on(connection, attempt):
@@ -108,10 +108,33 @@
         attempt.opening = opening
         opening.add_done_callback(lambda task: self.on_opened(task, connection))
 
-    def may_send(self, host: Host) -> bool:
-        """Guards the drain rule: nothing starts after the grace, however long a connection took."""
-        grace_us = self.settings.stop_sending_within_us
-        return host.drained_us is None or now_us() - host.drained_us <= grace_us
+    def limit(self, attempt: Attempt, latest_us: int) -> None:
+        """Let an attempt be written up to then and no later.
+
+        Guards against a repeat that runs: a keyed request's repeats are dropped for a while only, and a
+        connection may come up, or take the last byte, after that. A long body goes on once, by one attempt.
+        """
+        if attempt.ended or attempt.upload is not None:
+            return
+        attempt.latest_us = latest_us
+        left_s = max(0, latest_us - now_us()) / 1e6 + 0.001  # the loop rounds: not before it is due
+        attempt.timers.append(self.loop.call_later(left_s, self.on_latest, attempt))
+
+    def on_latest(self, attempt: Attempt) -> None:
+        barred = self.barred(attempt)
+        if barred is not None and not self.is_written(attempt):
+            self.cancel(attempt, barred)
+
+    def barred(self, attempt: Attempt) -> Outcome | None:
+        """The end of an attempt that may not be written any more, however long its connection took.
+
+        Guards the drain rule, and the last moment that an attempt has.
+        """
+        now, drained_us = now_us(), attempt.host.drained_us
+        if attempt.latest_us and now > attempt.latest_us:
+            return Outcome.MOOT  # its host is not to blame
+        is_over = drained_us is not None and now - drained_us > self.settings.stop_sending_within_us
+        return Outcome.CONNECT_FAILED if is_over else None
 
     def take(self, host: Host) -> HostConnection | None:
         """The most recently used free connection: those at the bottom of the stack age and are closed."""
@@ -248,10 +271,10 @@
             # Called off in the moment it came up: its opening is cancelled, and the loop ends it unasked.
             connection.attempt = None
             connection.close()
-        elif not self.may_send(connection.host) or not self.put_on(connection, attempt):
+        elif (barred := self.barred(attempt)) is not None or not self.put_on(connection, attempt):
             connection.attempt = None
             connection.close()
-            self.end(attempt, Outcome.CONNECT_FAILED)
+            self.end(attempt, barred or Outcome.CONNECT_FAILED)
 
     def on_written(self, connection: HostConnection) -> None:
         """The last byte of what was sent is with the kernel."""
--- /dev/null
+++ b/tests/test_repeat_window.py
@@ -0,0 +1,183 @@
+"""A keyed request's repeats are dropped for a while: none is written later, however late its connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from caperdrift.interface import Effect, ListKind, Outcome, RequestClass
+from cloverkeel.clock import now_us
+from cloverkeel.entries import parse_list
+from cloverkeel.hosts import pool
+from cloverkeel.hosts.attempt import Attempt
+from cloverkeel.hosts.connection import HostConnection
+from tests.helpers import KEYED, SAFE, SETTINGS, Driver, sends
+from tests.sockets import (
+    Exchange,
+    answers,
+    configuration,
+    endpoint,
+    hosts_list,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+WINDOW_US = 8_000_000  # no test takes so long: the clock is set on
+Hook = Callable[[asyncio.BaseTransport, Callable[[], None]], None]
+
+
+class Clock:
+    """The pools' clock, which a test sets on."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.ahead_us = 0
+        monkeypatch.setattr(pool, "now_us", lambda: now_us() + self.ahead_us)
+
+
+def keyed(*hosts: Any, second_copies: bool = False, **lane: object) -> dict[str, Any]:
+    config = configuration(*hosts, secondCopies=second_copies)
+    config["settings"]["lanes"][1] |= {"windowUs": WINDOW_US} | lane
+    return config
+
+
+def when_connected(monkeypatch: pytest.MonkeyPatch, hook: Hook) -> None:
+    """Call `hook` in place of a connection to a host coming up, with what lets it come up."""
+
+    class Hooked(HostConnection):
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            hook(transport, lambda: HostConnection.connection_made(self, transport))
+
+    monkeypatch.setattr(pool, "HostConnection", Hooked)
+
+
+@on_loop
+@pytest.mark.parametrize("late_us", [-1_000_000, 1_000])
+async def test_a_repeat_is_written_within_the_window_and_not_after_it(
+    late_us: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection comes up that long after the window's end."""
+    clock, came = Clock(monkeypatch), 0
+
+    def hook(_: asyncio.BaseTransport, come_up: Callable[[], None]) -> None:
+        nonlocal came
+        came += 1
+        clock.ahead_us = WINDOW_US + late_us if came == 2 else 0
+        come_up()
+
+    when_connected(monkeypatch, hook)
+    failing = answers(reply(500))
+    async with peer(failing) as one, peer(failing) as two, running(keyed(one, two)) as run:
+        answer = await run.ask(request("hold"))
+        assert came == 2
+        assert len(one.seen) + len(two.seen) == (1 if late_us > 0 else 2)
+        assert answer.status == 503  # its scope is all hosts: a client's repeat does no harm
+        rings = sorted(len(s.breaker.ring) for s in run.gateway.balancer.servers.values())
+        assert rings == ([0, 1] if late_us > 0 else [1, 1])  # the host is not to blame
+
+
+@on_loop
+async def test_a_repeat_whose_last_byte_is_not_written_in_the_window_is_called_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The second host takes a few kilobytes and no more; the window ends a second later."""
+    clock, partly, ended = Clock(monkeypatch), [], []
+    body = b"x" * 60_000
+    full = socket.create_server(("127.0.0.1", 0), backlog=5)
+    full.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    second = endpoint("s-1", f"127.0.0.1:{full.getsockname()[1]}")
+
+    def fail(exchange: Exchange) -> None:
+        clock.ahead_us = WINDOW_US - 1_000_000
+        run.gateway.on_list(ListKind.DELTA, parse_list(hosts_list(8, second), run.gateway.names)[2])
+        exchange.answer(reply(500))
+
+    def hook(transport: asyncio.BaseTransport, come_up: Callable[[], None]) -> None:
+        connection = transport.get_extra_info("socket")
+        if connection.getpeername() == full.getsockname():
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        come_up()
+        partly.append(any(not c.is_written for c in connections()))
+
+    def connections() -> list[HostConnection]:
+        attempts = [a for held in run.gateway.held.values() for a in held.attempts if a is not None]
+        return [a.connection for a in attempts if a.connection is not None]
+
+    end = pool.Pools.end
+
+    def on_end(self: pool.Pools, attempt: Attempt, outcome: Outcome, *rest: Any) -> None:
+        ended.append(outcome)
+        end(self, attempt, outcome, *rest)
+
+    when_connected(monkeypatch, hook)
+    monkeypatch.setattr(pool.Pools, "end", on_end)
+    with full:
+        async with peer(fail) as one, running(keyed(one)) as run:
+            assert (await run.ask(request("hold", body))).status == 503
+            assert partly == [False, True] and ended == [Outcome.ERROR, Outcome.MOOT]
+            accepted, _ = full.accept()
+            with accepted:
+                accepted.settimeout(10)
+                came = 0
+                try:
+                    while data := accepted.recv(65_536):
+                        came += len(data)
+                except ConnectionResetError:
+                    pass
+                assert came < len(body)
+
+
+@on_loop
+async def test_a_first_attempt_that_connects_late_is_no_repeat_after_the_window(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A second copy has gone out while the first connection came up: the first attempt is the repeat now."""
+    clock, held = Clock(monkeypatch), []
+
+    def hook(_: asyncio.BaseTransport, come_up: Callable[[], None]) -> None:
+        held.append(come_up)
+        if len(held) == 2:
+            come_up()
+
+    when_connected(monkeypatch, hook)
+    async with peer(silent) as one, peer(silent) as two:
+        config = keyed(one, two, second_copies=True, aimUs=40_000)  # so that the first is soon overdue
+        async with running(config) as run:
+            client = await run.connect()
+            client.send(request("hold"))
+            await until(lambda: one.seen or two.seen)
+            clock.ahead_us = WINDOW_US + 1_000
+            held[0]()
+            await until(lambda: one.ended + two.ended == 1)  # the late connection, unused
+            (exchange,) = one.seen + two.seen
+            exchange.answer(reply(200, b"once"))
+            assert (await client.answer()).body == b"once"
+            assert len(one.seen + two.seen) == 1
+            client.close()
+
+
+@pytest.mark.parametrize(
+    ("klass", "outcome", "bound"),
+    [(KEYED, Outcome.ERROR, True), (KEYED, Outcome.CONNECT_FAILED, False), (SAFE, Outcome.ERROR, False)],
+)
+def test_a_further_attempt_has_a_last_moment_after_one_that_may_have_run(
+    klass: RequestClass, outcome: Outcome, bound: bool
+) -> None:
+    """By the class as it was when the request came: the window is shorter by the end of the first attempt."""
+    driver = Driver(replace(SETTINGS, classes=(klass,)), servers=4)
+    sent_us = driver.now_us
+    name, actions = driver.arrive(patience_us=klass.give_up_us)
+    assert sends(actions)[0].latest_us == 0
+    driver.now_us += 10_000
+    again = sends(driver.end(name, sends(actions)[0].server, outcome))[0]
+    assert again.latest_us == (sent_us + klass.window_us - 1 if bound else 0)
+    assert klass.effect is not Effect.KEYED or again.server % 2 == sends(actions)[0].server % 2 or not bound
