Settings: a dropped class excuses no server, and a first guess goes with the aim

Two pieces of state that outlived the settings they came from, found by reading:

- policy/weights.py, `judge`: a failure counts against the whole server unless all other classes' last answers there were good.
Classes that a SIGHUP had dropped were among these for ever: with one class left, a server that failed all of it was never judged as a whole (ring [False, False] after a failure).
Only classes that take requests count.
- policy/balancer.py, `on_settings`: the first guess of a class's latency, a quarter of its aim, stayed when the aim changed before any answer.
From 3 s to 120 ms the guess (750 ms) forbade every further attempt; the other way second copies went out at once.
A guess that no answer has touched goes with the aim.
What was measured stays: hosts do not work faster for a shorter aim.

Numbers of classes, tenants, zones and kinds hold over any sequence of files. Both are tests.

`Breaker.failures` is the ring's sum in place of a second count beside it; `Settings.takes` says which classes take requests.

--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -195,6 +195,10 @@
         if self.proxy >= self.proxies:
             raise ValueError("proxy is not below proxies")
 
+    def takes(self, klass: int) -> bool:
+        """Whether there is a class of this number, and it takes new requests."""
+        return 0 <= klass < len(self.classes) and not self.classes[klass].dropped
+
 
 # Events
 
--- a/caperdrift/policy/balancer.py
+++ b/caperdrift/policy/balancer.py
@@ -40,8 +40,7 @@
         if event.request in self.requests:
             self.log(f"request {event.request} came twice; the second is ignored")
             return
-        classes = self.settings.classes
-        if not 0 <= event.klass < len(classes) or classes[event.klass].dropped:
+        if not self.settings.takes(event.klass):
             self.log(f"request {event.request} is of unknown class {event.klass}")
             self.actions.append(Fail(event.request))
             return
@@ -69,21 +68,21 @@
 
     def on_settings(self, event: SettingsChanged) -> None:
         """Go by other settings from now on; what was learned stays, and open requests keep their rules."""
-        old, settings = self.settings, event.settings
-        self.settings = settings
-        known = len(old.classes)
-        for values in (self.smoothed, self.unhindered):
-            values += [c.aim_us / 4 for c in settings.classes[known:]]
-        for values in (self.mean_work, self.asked, self.served):
-            values += [0.0] * (len(settings.classes) - known)
-        self.patience += [(c.give_up_us, 0) for c in settings.classes[known:]]
-        for index, (was, now) in enumerate(zip(old.classes, settings.classes, strict=False)):
-            if was.give_up_us != now.give_up_us:
+        old, self.settings = self.settings, event.settings
+        more = len(self.settings.classes) - len(old.classes)
+        for values in (self.smoothed, self.unhindered, self.mean_work, self.asked, self.served):
+            values += [0.0] * more
+        self.patience += [(0, 0)] * more
+        for index, now in enumerate(self.settings.classes):
+            was = old.classes[index] if index < len(old.classes) else None
+            if was is None or was.give_up_us != now.give_up_us:
                 self.patience[index] = (now.give_up_us, 0)
+            if was is None or self.smoothed[index] == was.aim_us / 4:  # no answer yet: still the first guess
+                self.smoothed[index] = self.unhindered[index] = now.aim_us / 4
             if now.dropped:
                 self.asked[index] = self.served[index] = 0.0
-        self.tries += [t.share / (1.0 - TENANT_MEMORY) for t in settings.tenants[len(self.tries) :]]
-        if old.list_is_pushed and not settings.list_is_pushed:
+        self.tries += [t.share / (1.0 - TENANT_MEMORY) for t in self.settings.tenants[len(self.tries) :]]
+        if old.list_is_pushed and not self.settings.list_is_pushed:
             self.actions.append(SetTimer(self.now_us, LIST_TOKEN))
         rank_servers(self)
 
--- a/caperdrift/policy/breaker.py
+++ b/caperdrift/policy/breaker.py
@@ -25,7 +25,6 @@
 
     minimum: int = MINIMUM
     ring: deque[bool] = field(default_factory=lambda: deque(maxlen=RING))
-    failures: int = 0
     state: State = State.CLOSED
     open_until_us: int = 0
     cooldown_us: int = COOLDOWN_US
@@ -33,6 +32,10 @@
     trials_out: int = 0
     trial_results: list[bool] = field(default_factory=list)
 
+    @property
+    def failures(self) -> int:
+        return sum(self.ring)
+
     def may_pass(self, now_us: int) -> bool:
         """True if closed, half-open with trials left to give, or open with its cooldown over."""
         if self.state is State.HALF_OPEN:
@@ -66,10 +69,7 @@
             if sum(self.trial_results) / TRIALS >= THRESHOLD:  # the rest cannot save it
                 return self.reopen(now_us)
             return self.close() if len(self.trial_results) == TRIALS else None
-        if len(self.ring) == RING:
-            self.failures -= self.ring[0]
         self.ring.append(failed)
-        self.failures += failed
         limit = len(self.ring) * (common + (1.0 - common) * THRESHOLD)
         if failed and len(self.ring) >= self.minimum and self.failures >= limit:
             return self.open(now_us)
@@ -94,7 +94,6 @@
     def close(self) -> State:
         self.state = State.CLOSED
         self.ring.clear()
-        self.failures = 0
         self.cooldown_us = COOLDOWN_US
         return self.state
 
@@ -106,7 +105,6 @@
         """Take up a breaker as it was; one that was half-open is open with its cooldown over: its trials
         were another process's."""
         self.ring = deque(learned.ring[-RING:], maxlen=RING)
-        self.failures = sum(self.ring)
         self.state = State.CLOSED if learned.state == State.CLOSED.value else State.OPEN
         self.cooldown_us = min(max(COOLDOWN_US, learned.cooldown_us), LONGEST_COOLDOWN_US)
         self.open_until_us = now_us + min(max(0, learned.open_left_us), self.cooldown_us)
--- a/caperdrift/policy/retries.py
+++ b/caperdrift/policy/retries.py
@@ -61,6 +61,5 @@
     return proxy.retry_tokens >= 1 and proxy.shed <= 0.0
 
 def count_served(proxy: Proxy, request: Request) -> None:
-    in_time = request.first_try and proxy.now_us <= request.aim_us
-    if in_time and not proxy.settings.classes[request.klass].dropped:
+    if request.first_try and proxy.now_us <= request.aim_us and proxy.settings.takes(request.klass):
         proxy.served[request.klass] += 1
--- a/caperdrift/policy/weights.py
+++ b/caperdrift/policy/weights.py
@@ -30,7 +30,7 @@
         common = common_share(proxy, server, request.klass) if failed else 0.0
         changed = part.breaker.record(proxy.now_us, failed, attempt.part_trial_of, common)
         log_change(proxy, server, part.breaker, changed, f" for class {request.klass}")
-        others = [p.fine for p in server.parts.values() if p is not part]
+        others = [p.fine for k, p in server.parts.items() if p is not part and proxy.settings.takes(k)]
         if failed and others and all(others):
             server.breaker.forgo_trial(attempt.trial_of)
             return  # it serves others: no verdict on the whole server
--- /dev/null
+++ b/tests/test_other_settings.py
@@ -0,0 +1,173 @@
+"""Settings of other deployments, and settings that change under load: nothing of the ones before leaks in."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
+from caperdrift.checks import watch
+from caperdrift.interface import (
+    Effect,
+    Event,
+    Outcome,
+    RequestClass,
+    Scope,
+    Settings,
+    SettingsChanged,
+    Tenant,
+)
+from caperdrift.policy.balancer import Balancer
+from cloverkeel.config import Config, follow, parse
+from faultlab.storm.world.draws import draw_settings
+from faultlab.storm.world.world import World
+from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE, Driver, sends
+from tests.sockets import configuration
+
+
+def test_a_class_that_was_dropped_excuses_no_server() -> None:
+    """Its last good answer was for requests that come no more: who fails all that comes is bad as a whole."""
+    driver = Driver(servers=1)
+    for klass, patience_us in ((0, 400_000), (2, 1_000_000)):
+        name, actions = driver.arrive(klass, patience_us)
+        driver.end(name, sends(actions)[0].server)
+    classes = (replace(SAFE, dropped=True), KEYED, UNSAFE)
+    driver.handle(SettingsChanged(replace(SETTINGS, classes=classes)))
+    name, actions = driver.arrive(2, 1_000_000)
+    driver.end(name, sends(actions)[0].server, Outcome.ERROR)
+    assert list(driver.balancer.servers[0].breaker.ring) == [False, False, True]
+
+
+def test_a_first_guess_goes_with_the_aim_and_a_measured_latency_stays() -> None:
+    driver = Driver()
+    name, actions = driver.arrive()
+    driver.end(name, sends(actions)[0].server, latency_us=10_000)
+    measured = driver.balancer.smoothed[0]
+    classes = tuple(replace(c, aim_us=10 * c.aim_us, give_up_us=10 * c.give_up_us) for c in SETTINGS.classes)
+    driver.handle(SettingsChanged(replace(SETTINGS, classes=classes)))
+    assert driver.balancer.smoothed == [measured, 500_000.0, 750_000.0]
+    assert driver.balancer.unhindered[1:] == [500_000.0, 750_000.0]
+    assert driver.balancer.patience == [(4_000_000, 0), (8_000_000, 0), (10_000_000, 0)]
+
+
+# Changes under load, by the checks of caperdrift/checks
+
+
+def any_class(rng: Random) -> RequestClass:
+    aim_us = rng.choice((1, 5_000, 60_000, 300_000, 5_000_000))
+    return RequestClass(
+        aim_us=aim_us,
+        give_up_us=max(1, int(aim_us * rng.choice((0.5, 1.0, 2.0, 4.0)))),
+        worth=rng.choice((0.0, 1.0, 5.0)),
+        late_worth=rng.choice((0.0, 0.2)),
+        effect=rng.choice(tuple(Effect)),
+        scope=rng.choice(tuple(Scope)),
+        window_us=rng.choice((0, 1, 20_000, 150_000, 10_000_000)),
+        in_order=rng.random() < 0.25,
+        aim_stretch=rng.choice((0.0, 0.0, 3.0)),
+    )
+
+
+def other_settings(rng: Random, old: Settings) -> Settings:
+    """All but the numbers of classes and tenants may be others."""
+    classes = list(old.classes)
+    for number, klass in enumerate(classes):
+        turn = rng.randrange(6)
+        if turn == 0:
+            classes[number] = replace(klass, dropped=True)
+        elif turn == 1:
+            classes[number] = any_class(rng)
+        elif turn == 2:
+            effect, scope = rng.choice(tuple(Effect)), rng.choice(tuple(Scope))
+            classes[number] = replace(klass, dropped=False, effect=effect, scope=scope)
+    if len(classes) < 7 and rng.random() < 0.3:
+        classes.append(any_class(rng))
+    if all(klass.dropped for klass in classes):
+        classes[0] = replace(classes[0], dropped=False)
+    tenants = [Tenant(rng.choice((0.0, t.share, rng.random()))) for t in old.tenants]
+    if len(tenants) < 20 and rng.random() < 0.3:
+        tenants += [Tenant(rng.random()) for _ in range(rng.randint(1, 5))]
+    other = draw_settings(rng)
+    return replace(other, classes=tuple(classes), tenants=tuple(tenants), zone=rng.randrange(5))
+
+
+class ChangingWorld(World):
+    """Settings change every few dozen events, and no process is held up: so every answer is due in time."""
+
+    late: list[str]
+
+    def settings_change(self) -> Event | None:
+        self.plan(self.later(100_000), self.settings_change)
+        self.settings = other_settings(self.rng, self.settings)
+        return SettingsChanged(self.settings)
+
+    def oddity(self) -> Event | None:
+        now_us = self.now_us
+        event = super().oddity()
+        self.now_us = now_us
+        return event
+
+    def leave(self, name: str) -> Event | None:
+        asked = self.asked.get(name)
+        is_late = asked is not None and not asked.closed and self.now_us >= asked.deadline_us + 1_500
+        if asked is not None and is_late and not any(shot.streams for shot in asked.shots):
+            self.late.append(name)
+        return super().leave(name)
+
+
+@examples(max_examples=25, deadline=None)
+@given(seed=st.integers(0, 2**32), events=st.integers(500, 3_000))
+def test_invariants_hold_and_every_answer_is_in_time_while_settings_change(seed: int, events: int) -> None:
+    rng = Random(seed)
+    settings = draw_settings(rng)
+    balancer = Balancer(settings, seed)
+    watch(balancer, seed)
+    world = ChangingWorld(rng, settings, None, Random(seed + 1))
+    world.late = []
+    for _ in range(events):
+        now_us, event = world.next()
+        world.take(balancer.handle(now_us, event))
+    assert world.late == []
+
+
+# Numbers across SIGHUP
+
+names = st.lists(st.sampled_from("abcdef"), unique=True, max_size=6)
+
+
+def numbered(lanes: list[str], tenants: list[str], zones: list[str], kinds: list[str], zone: int) -> Config:
+    """Each class has a deadline of its own name, each tenant a share."""
+    config = configuration("127.0.0.1:1")
+    settings = config["settings"]
+    lane = settings["lanes"][0]
+    settings["lanes"] = [lane | {"name": n, "giveUpUs": 20_000_000 + ord(n)} for n in lanes or ["a"]]
+    settings["tenants"] = [{"name": n, "fraction": ord(n) / 1000} for n in tenants]
+    settings |= {"zones": zones, "shapes": kinds, "zone": zone % max(1, len(zones))}
+    return parse(config)
+
+
+@examples(max_examples=200, deadline=None)
+@given(st.lists(st.builds(numbered, names, names, names, names, st.integers(0, 5)), min_size=2, max_size=6))
+def test_what_has_a_number_keeps_it_and_its_own_settings_whatever_files_follow(files: list[Config]) -> None:
+    now = files[0]
+    for file in files[1:]:
+        before, now = now, follow(now, file)
+        for kind in ("tenants", "zones", "kinds"):
+            old, new = getattr(before.names, kind), getattr(now.names, kind)
+            assert new == old | new and sorted(new.values()) == list(range(len(new))), kind
+        assert now.names.by_class[: len(before.names.by_class)] == before.names.by_class
+        assert len(now.settings.classes) == len(now.names.by_class) == len(set(now.names.by_class))
+        for number, name in enumerate(now.names.by_class):
+            assert now.settings.classes[number].give_up_us == 20_000_000 + ord(name)
+            assert now.settings.takes(number) is (name in file.names.classes)
+            assert now.names.classes.get(name, number) == number
+        for tenant, number in now.names.tenants.items():
+            share = ord(tenant) / 1000 if tenant in file.names.tenants else 0.0
+            assert now.settings.tenants[number].share == pytest.approx(share)
+        if file.names.zones:
+            place = {number: name for name, number in file.names.zones.items()}[file.settings.zone]
+            assert now.names.zones[place] == now.settings.zone
