Settings: the aim grows with a request's own work where the class says so

`lanes[].aimStretch` (the aim grows by this many times the request's own work, up to the deadline) was read into `RequestClass.aim_stretch` and used nowhere (grep). On a deployment that gives it, a request of much work was cut off at the plain aim where late answers are worth nothing, or counted as late, refused as hopeless and not counted as served. `aim_for_us` gives the aim of a request on its arrival (policy/admission.py).

Without the key, or without a hint of work, nothing changes. The test fails without the change.

--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -91,6 +91,10 @@
         least = {"aim_us": 1, "give_up_us": 1, "worth": 0, "window_us": 0, "aim_stretch": 0}
         _check(self, least, shares=("late_worth",))
 
+    def aim_for_us(self, work_us: int) -> int:
+        """The aim of a request that says it is so much work; 0: it does not say."""
+        return min(self.aim_us + int(self.aim_stretch * work_us), max(self.aim_us, self.give_up_us))
+
     @property
     def clients_may_repeat(self) -> bool:
         """Whether it does no harm that a client sends a request again which may have run, to any server."""
--- a/caperdrift/policy/admission.py
+++ b/caperdrift/policy/admission.py
@@ -28,7 +28,8 @@
         if sum(proxy.asked) > MEMORY:
             proxy.asked = [n / 2 for n in proxy.asked]
             proxy.served = [n / 2 for n in proxy.served]
-    most, patience_us, aim_us = capped(proxy, route, event.patience_us, max(0, klass.aim_us - gone_us))
+    aim_us = max(0, klass.aim_for_us(event.work_us or 0) - gone_us)
+    most, patience_us, aim_us = capped(proxy, route, event.patience_us, aim_us)
     return Request(
         event.request, event.klass, klass, most, event.key, event.work_us or 0, proxy.now_us + patience_us,
         proxy.now_us + aim_us, size, first_try, excess(proxy, event.tenant), event.route,
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -29,6 +29,13 @@
 from tests.sockets import configuration
 
 
+def test_the_aim_grows_with_a_requests_own_work_up_to_the_deadline() -> None:
+    stretched = replace(SAFE, late_worth=0.0, aim_stretch=2.0)
+    driver = Driver(replace(SETTINGS, classes=(stretched,)))
+    waits = [sends(driver.arrive(work_us=work_us)[1])[0].timeout_us for work_us in (0, 50_000, 500_000)]
+    assert waits == [int(0.98 * 200_000), int(0.98 * 300_000), int(0.98 * 400_000)]
+
+
 def test_a_class_that_was_dropped_excuses_no_server() -> None:
     """Its last good answer was for requests that come no more: who fails all that comes is bad as a whole."""
     driver = Driver(servers=1)
