Shedding: a class whose aim hosts cannot meet sheds no other class

Cause: policy/shedding.py, `long`: an answer may have waited a quarter of (aim - unhindered latency), which is nothing or less where the aim is as short as the latency; each answer raised the share that is shed of all classes. And policy/weights.py, `learn_latency`: the unhindered latency begins as a quarter of the aim and rises by 0.05 % with each answer, so a first guess that was too low was held for thousands of answers, which all seemed to have waited.

Now an aim that leaves less than the latency itself tells of a crowd only by answers of 2.75 times that latency, as for what is dear already; and as long as no answer was faster than the first guess, the guess rises with the smoothed latency. Aims of more than twice the latency are judged as before, and the first answer that is faster than the guess ends the second rule.

The test fails without the change at aims of 20, 40 and 60 ms; the crowd of four times the latency is noticed in all.

--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -60,6 +60,7 @@
 
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
 MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
+TELL_OF_LOAD = frozenset({Outcome.OK, Outcome.TIMEOUT, Outcome.FULL})
 
 
 def _check(settings: object, least: Mapping[str, float], shares: tuple[str, ...] = ()) -> None:
--- a/caperdrift/policy/shedding.py
+++ b/caperdrift/policy/shedding.py
@@ -1,10 +1,10 @@
 """Shedding: which requests to refuse on arrival, and how many."""
 
-from caperdrift.interface import AttemptEnded, Outcome
+from caperdrift.interface import TELL_OF_LOAD, AttemptEnded, Outcome
 from caperdrift.policy.proxy import OVERDUE, Proxy
 from caperdrift.policy.servers import Request
 
-TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
+TOLERATED = 0.25  # share of the slack under its aim that an answer may have waited, if that is over latency
 CHEAP = 0.5  # of the mean worth for work: what is worth less yields to waiting, the rest only to lateness
 INFLATED = 2.75  # times the unhindered latency: answers of crowded servers, whatever the aim
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer
@@ -49,18 +49,18 @@
 def adjust_shed(proxy: Proxy, request: Request, event: AttemptEnded) -> None:
     """Feedback like the weights': more after an answer that waited too long, less after a prompt one."""
     klass, unhindered_us = request.rules, proxy.unhindered[request.klass]
-    dropped = proxy.settings.classes[request.klass].dropped
-    if dropped or event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.FULL):
+    if event.outcome not in TELL_OF_LOAD or not proxy.settings.takes(request.klass):
         return
     waited = event.latency_us - unhindered_us * request.size
     bad = event.outcome is not Outcome.OK
-    long = bad or waited > TOLERATED * (klass.aim_us - unhindered_us)
+    crowded = bad or waited > (INFLATED - 1.0) * unhindered_us * request.size
+    slack_us = klass.aim_for_us(request.work_us) - unhindered_us
+    long = (bad or waited > TOLERATED * slack_us) if slack_us > unhindered_us else crowded
     # By the time since the last answer: with few of them a jam must be noticed as soon as with many.
     step = max(SHED_STEP, SHED_RATE * min(proxy.now_us - proxy.shed_at_us, SHED_LONGEST_US) / 1e6)
     proxy.shed_at_us = proxy.now_us
     proxy.shed = min(SHED_MOST, max(0.0, proxy.shed + (step if long else -step)))
-    inflated = bad or waited > (INFLATED - 1.0) * unhindered_us * request.size
-    move = step if inflated else -step
+    move = step if crowded else -step
     usual_us = OVERDUE * proxy.expected_us(request)
     if event.outcome is Outcome.TIMEOUT and klass.late_worth <= 0.0 and event.latency_us < usual_us:
         move = step / 4  # cut short at the aim: as likely a lost connection's silence as a crowd's
--- a/caperdrift/policy/weights.py
+++ b/caperdrift/policy/weights.py
@@ -54,9 +54,12 @@
 
 def learn_latency(proxy: Proxy, request: Request, latency_us: int) -> None:
     index, latency = request.klass, latency_us / request.size
-    proxy.smoothed[index] += SMOOTHING * (latency - proxy.smoothed[index])
-    floor = proxy.unhindered[index]
-    proxy.unhindered[index] += min(0.0, proxy.smoothed[index] - floor) + UNHINDERED_UP * floor
+    usual, floor = proxy.smoothed[index], proxy.unhindered[index]
+    proxy.smoothed[index] += SMOOTHING * (latency - usual)
+    if floor == usual < latency:  # no answer was faster yet than the first guess: it was too low for both
+        proxy.unhindered[index] = proxy.smoothed[index]
+    else:
+        proxy.unhindered[index] += min(0.0, proxy.smoothed[index] - floor) + UNHINDERED_UP * floor
 
 def adjust_weight(proxy: Proxy, judged: Server | Part, bad: bool) -> None:
     """The controller: a small step up for a good answer, a cut for a failure or a slow one."""
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -61,6 +61,28 @@
     assert driver.balancer.patience == [(4_000_000, 0), (8_000_000, 0), (10_000_000, 0)]
 
 
+@pytest.mark.parametrize("crowded", [False, True])
+@pytest.mark.parametrize("aim_ms", [20, 40, 60, 200])
+def test_a_class_whose_aim_hosts_cannot_meet_sheds_no_other_before_there_is_a_crowd(
+    aim_ms: int, crowded: bool
+) -> None:
+    """Idle hosts take about 40 ms, and four times that when crowded; late answers are worth something."""
+    tight = replace(SAFE, aim_us=aim_ms * 1000, give_up_us=400_000)
+    easy = replace(SAFE, aim_us=500_000, give_up_us=2_000_000, worth=1.0)
+    driver, rng, refused = Driver(replace(SETTINGS, classes=(tight, easy)), servers=8), Random(1), 0
+    for number in range(400):
+        driver.now_us += 40_000
+        name, actions = driver.arrive(number % 2, 400_000 if number % 2 == 0 else 2_000_000)
+        if not sends(actions):
+            refused += 1
+            continue
+        jam = 4 if crowded and number >= 200 else 1
+        latency_us = int(jam * 40_000 * rng.lognormvariate(0.0, 0.3))
+        driver.now_us += latency_us
+        driver.end(name, sends(actions)[0].server, latency_us=latency_us)
+    assert refused > 40 if crowded else refused < 4
+
+
 # Changes under load, by the checks of caperdrift/checks
 
 
