Hosts: an attempt is asked for once more right before it is written

Seen by reading: an attempt whose connection is still coming up (up to the connect time of the settings) is written once that is there, whatever became of its request meanwhile (hosts.py, on_connected and put_on); where the settings allow no cancelling nothing else stops it. What has not begun may always be left out.

Change: Attempt.is_wanted, asked by put_on before the write, on kept and on new connections. What is not wanted ends as MOOT, which proves that it never ran and judges no server, and the connection is kept for the next attempt.

--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -51,6 +51,7 @@
     on_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = lambda attempt, reply: None
     upload: Upload | None = None  # the rest of a long body
     on_passing: Callable[[], None] = lambda: None  # what was held of it has gone on
+    is_wanted: Callable[[], bool] = lambda: True  # asked right before it is written; may call it off
     timeout_us: int = 0
     sent_us: int = 0  # with a long body: its last byte
     latency_us: int = 0
@@ -301,6 +302,12 @@
         return None
 
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
+        """Write it, or end it where nobody wants it any more; False if the connection is of no use."""
+        connection.attempt = attempt.connection = None  # until it is written
+        if not attempt.is_wanted():
+            self.keep(connection)
+            self.end(attempt, Outcome.MOOT)
+            return True
         if attempt.upload is not None and attempt.upload.carrier is not None:
             connection.close()
             return False  # its body goes on with another attempt
