--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -4,7 +4,7 @@
 
 from caperdrift.interface import Outcome
 
-from cloverkeel.hosts import Attempt
+from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.http1 import Reply
 from tests.sockets import configuration, host_id, on_loop, peer, request, running, until
 
