--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -14,7 +14,7 @@
 from cloverkeel.config import Address, Names
 from cloverkeel.entries import Entry, parse_list
 from cloverkeel.http1 import Reply, log
-from cloverkeel.listcall import CallError, Line
+from cloverkeel.listcall import CallError, DiscoveryConnection
 
 LIST = b"/registry/instances"
 TOLD_S = 6.0  # after a watch has fallen silent, what it misses counts as told ...
@@ -72,7 +72,7 @@
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
         self.slow: asyncio.Task[None] | None = None  # the call that is kept (LATE_S)
-        self.spare: Line | None = None  # where its answer came: the next watch goes on there
+        self.spare: DiscoveryConnection | None = None  # where its answer came: the next watch goes on there
         self.set_address(address)
 
     def set_address(self, address: Address) -> None:
@@ -164,17 +164,17 @@
         list, which loses nothing by a longer wait."""
         return CALL_TIMEOUT_S * (1 if self.index is not None else min(1 + self.late, PATIENCE))
 
-    async def _connect(self) -> Line:
-        _, call = await asyncio.get_running_loop().create_connection(Line, *self.address)
+    async def _connect(self) -> DiscoveryConnection:
+        _, call = await asyncio.get_running_loop().create_connection(DiscoveryConnection, *self.address)
         return call
 
-    async def _ask(self, call: Line, target: bytes) -> None:
+    async def _ask(self, call: DiscoveryConnection, target: bytes) -> None:
         """Raises TimeoutError where it is called off for that, and leaves the call as it is: see `_keep`."""
         call.begun = self.order.begin() if self.order is not None else None
         answer = call.ask(b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, self.host))
         self._answered(call, await asyncio.shield(answer))
 
-    def _answered(self, call: Line, reply: Reply) -> None:
+    def _answered(self, call: DiscoveryConnection, reply: Reply) -> None:
         if reply.status != 200:
             raise CallError(f"answered {reply.status}")
         if not reply.keep_alive:
@@ -190,7 +190,7 @@
         self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
 
     async def _fetch(self) -> None:
-        call: Line | None = None
+        call: DiscoveryConnection | None = None
         try:
             async with asyncio.timeout(self.timeout_s):
                 call = await self._connect()
@@ -234,14 +234,14 @@
     # A service that is slow for all takes longer for each answer than a call has. Its calls must not all end
     # in vain, while a call that has gone silent needs another beside it in time: one old, one new.
 
-    def _keep(self, call: Line | None) -> None:
+    def _keep(self, call: DiscoveryConnection | None) -> None:
         """Leave a call that has run out of time open for its answer, unless another is; else end it."""
         if call is not None and (self.slow is not None or not call.is_waiting):
             call.close()
         elif call is not None:
             self.slow = asyncio.get_running_loop().create_task(self._hear_late(call))
 
-    async def _hear_late(self, call: Line) -> None:
+    async def _hear_late(self, call: DiscoveryConnection) -> None:
         heard = False
         try:
             assert call.answer is not None
--- a/cloverkeel/listcall.py
+++ b/cloverkeel/listcall.py
@@ -14,7 +14,7 @@
     """A call to discovery has failed."""
 
 
-class Line(asyncio.Protocol):
+class DiscoveryConnection(asyncio.Protocol):
     """`answer`: of the call made last; `begun`: what its caller notes of the moment it was made."""
 
     def __init__(self) -> None:
