Attempts: what a host is told of the time left is worked out when it is written

Seen by reading: gateway.send built the request with X-Budget-Ms at the start of an attempt, while its connection may come up as long after as the settings' connect time-out, so that a further attempt told up to that much too much. Change: Attempt.payload is a callable that put_on asks at the write; it tells the time to the attempt's own end.

--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -276,6 +276,7 @@
         number = len(held.attempts)
         left_us = held.deadline_us - now_us()
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
+        ends_us = now_us() + wait_us
         if host is None or held.closed or wait_us <= 0 or number >= held.max_attempts:
             held.attempts.append(None)
             self.post(lambda: self.moot(action, number))
@@ -284,7 +285,9 @@
         def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
             self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
 
-        payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, max(1, wait_us // 1000), held.call.body)
+        def payload() -> bytes:
+            left_ms = max(1, (ends_us - now_us()) // 1000)
+            return b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, left_ms, held.call.body)
 
         def on_begin(attempt: Attempt, reply: Reply) -> Callable[[bytes], None] | None:
             self.post(lambda: self.answer_begun(held, number, attempt, reply))
--- a/cloverkeel/hosts/attempt.py
+++ b/cloverkeel/hosts/attempt.py
@@ -23,7 +23,7 @@
     """One request on its way to one host, until its outcome."""
 
     host: Host
-    payload: bytes
+    payload: Callable[[], bytes]  # as it is when it is written: a connection may come up long after the start
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
     is_probe: bool = False
     # A long answer begins: returns what takes its pieces, or None if nobody does.
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -130,8 +130,7 @@
             return False  # its body goes on with another attempt
         connection.attempt, attempt.connection = attempt, connection
         connection.upload = attempt.upload
-        if connection.write(attempt.payload):
-            attempt.payload = b""  # it goes out once
+        if connection.write(attempt.payload()):
             if attempt.upload is not None:
                 self.set_long(connection, True)
                 attempt.on_passing()
--- a/cloverkeel/probing.py
+++ b/cloverkeel/probing.py
@@ -27,4 +27,4 @@
     path = b"/health/live" if gateway.settings.reports is Reports.NONE else b"/stats"
     address = f"{host.address[0]}:{host.address[1]}".encode()
     payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
-    gateway.pools.send(Attempt(host, payload, on_end, is_probe=True), PROBE_TIMEOUT_US)
+    gateway.pools.send(Attempt(host, lambda: payload, on_end, is_probe=True), PROBE_TIMEOUT_US)
