Replies: a blank line ahead of an answer does not bring back the head of a long one before it

Seen by reading and forced: after a long answer ReplyReader.begun stayed set until the next message began; a read that held only CR LF (which the parser skips) let buffer_updated pass the old head on to the next request on that connection. Change: feed forgets it once its body is over. The test fails without (the client hears the old head and waits for 100,000 bytes), passes with it.

--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -124,6 +124,8 @@
     def feed(self, data: bytes) -> Reply | None:
         """The answer that these bytes complete, if they do; bytes beyond it are an error."""
         before = self._size
+        if not self._in_body:
+            self.begun = None  # that of the answer before: a blank line may come ahead of the next one
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
