--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -1,4 +1,4 @@
-"""Which connections there are to hosts, and which attempt goes on which."""
+"""Connections opened to hosts, and the attempts that go over them."""
 
 from __future__ import annotations
 
@@ -8,23 +8,20 @@
 from caperdrift.interface import Outcome, Settings
 
 from cloverkeel.clock import now_us
-from cloverkeel.config import Address
 from cloverkeel.hosts.attempt import Attempt, outcome_of
 from cloverkeel.hosts.connection import HostConnection
-from cloverkeel.hosts.host import Host, PoolCounts
+from cloverkeel.hosts.host import Host
+from cloverkeel.hosts.idle import IdleConnections
 from cloverkeel.http1 import Reply
 from cloverkeel.streams import Buffer
 from cloverkeel.telemetry import Telemetry
 
-IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
-SPARE_IDLE_US = 5_000_000  # the same for what only a burst has needed
-SPARED = 1  # connections of a host that may stay idle for longer than that
 SWEEP_S = 1.0
 HOLD_S = 0.05  # for a body of unknown length to come whole; else it passes on as a long one
 STALL_US = 30_000_000  # a long body of which nothing moves for so long, though it is read, has ended
 
 
-class Pools:
+class Pools(IdleConnections):
     """Carries attempts to hosts. Every attempt that is sent ends once, by its `on_end`."""
 
     def __init__(
@@ -34,49 +31,14 @@
         buffer: Buffer,
         room: Callable[[], None] = lambda: None,
     ) -> None:
-        self.settings, self.telemetry, self.buffer = settings, telemetry, buffer
+        super().__init__(settings)
+        self.telemetry, self.buffer = telemetry, buffer
         self.long: set[HostConnection] = set()  # those that long bodies pass over
         self.loop = asyncio.get_running_loop()
         self.room = room  # called before a descriptor is taken
-        self.hosts: dict[int, Host] = {}
-        self.counts = PoolCounts()
         self.open = 0
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
-    # Hosts
-
-    def put(self, id_: int, name: str, address: Address, ready: bool, started_us: int = 0) -> None:
-        """Learn of a host, of its new address, that it has started anew, or that it drains."""
-        host = self.hosts.get(id_)
-        if host is None:
-            host = self.hosts[id_] = Host(id_, name, address, started_us)
-        if (host.address, host.started_us) != (address, started_us):
-            # Guards against writing to a connection of its earlier life: a machine that went silent may not
-            # have ended it, and what is written there ends as a reset.
-            host.address, host.started_us = address, started_us
-            self.close_idle(id_)
-        if ready:
-            host.drained_us = None
-        else:
-            self.drain(host)
-
-    def drain(self, host: Host) -> None:
-        if host.drained_us is None:
-            host.drained_us = now_us()
-        while host.idle:
-            host.idle.pop().close()
-
-    def remove(self, id_: int) -> None:
-        """Forget a host that is gone; what is out there still ends as it will."""
-        host = self.hosts.pop(id_, None)
-        if host is not None:
-            self.drain(host)
-
-    def close_idle(self, id_: int) -> None:
-        host = self.hosts.get(id_)
-        while host is not None and host.idle:
-            host.idle.pop().close()
-
     # Attempts
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
@@ -113,17 +75,6 @@
         grace_us = self.settings.stop_sending_within_us
         return host.drained_us is None or now_us() - host.drained_us <= grace_us
 
-    def take(self, host: Host) -> HostConnection | None:
-        """The most recently used free connection: those at the bottom of the stack age and are closed."""
-        oldest_us = now_us() - int(self.settings.keepalive_us * IDLE_SHARE)
-        while host.idle:
-            connection = host.idle.pop()
-            if connection.idle_since_us >= oldest_us and connection.is_fresh():
-                return connection
-            self.counts.stale += 1
-            connection.close()
-        return None
-
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
         if attempt.upload is not None and attempt.upload.carrier is not None:
             connection.close()
@@ -310,39 +261,14 @@
         connection.host.open -= 1
         self.open -= 1
 
-    def keep(self, connection: HostConnection) -> None:
-        host = connection.host
-        if host.drained_us is not None or connection.address != host.address:
-            connection.close()
-            return
-        connection.idle_since_us = now_us()
-        host.idle.append(connection)
-
     def sweep(self) -> None:
-        """Close what has been idle for too long, well before the host does it."""
+        """Close what has stood still, or been idle, for too long."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
         now = now_us()
         for connection in [c for c in self.long if now - c.moved_us > STALL_US]:
             if connection.transport is not None and connection.transport.is_reading():
                 connection.close()
-        oldest_us = now - int(self.settings.keepalive_us * IDLE_SHARE)
-        spare_us = now - SPARE_IDLE_US
-        for host in self.hosts.values():
-            while host.idle:
-                limit_us = spare_us if len(host.idle) > SPARED else oldest_us
-                if host.idle[0].idle_since_us >= limit_us:
-                    break
-                host.idle.pop(0).close()
-                self.counts.spare += 1
-
-    def give_up_idle(self) -> bool:
-        """Close the connection that was idle for the longest time, to gain a descriptor."""
-        hosts = [host for host in self.hosts.values() if host.idle]
-        if not hosts:
-            return False
-        min(hosts, key=lambda host: host.idle[0].idle_since_us).idle.pop(0).close()
-        self.counts.given_up += 1
-        return True
+        self.close_aged(now)
 
     def close(self) -> None:
         self.sweeper.cancel()
