Answers: one that trickles without end is over with its client's time

Seen by reading and forced: an answer of unknown length passes on after 50 ms, and all of the attempt's timers end there; one that never ended held its client and both descriptors until the client left, or until nothing of it had moved for 30 s. Ruled out by test: an answer of a known length, a head, interim answers and a chunk's extension without end (the attempt's time-out still stands: 504). Change: when the client's time is out, an answer that is not known to be long (over 64 KiB) and that came at less than 32 kB a second, half of what the slowest proper client keeps, is broken off so that the client can tell. What comes faster is looked at again each 0.1 s; where reading is paused for a slow client, or the client still sends its body, nothing ends. A long one goes on as before: of that the first bytes are timed. Tests: the two forms of unknown length fail without (they hang) and pass with it; a slow long one still passes.

--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -299,6 +299,7 @@
 
         upload = held.call.upload
         attempt = Attempt(host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing)
+        attempt.left_us = lambda: held.deadline_us - now_us()
         held.attempts.append(attempt)
         held.out += 1
         self.pools.send(attempt, wait_us)
--- a/cloverkeel/hosts/attempt.py
+++ b/cloverkeel/hosts/attempt.py
@@ -28,11 +28,13 @@
     is_probe: bool = False
     # A long answer begins: returns what takes its pieces, or None if nobody does.
     on_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = lambda attempt, reply: None
+    left_us: Callable[[], int] = lambda: 0  # of its client's time
     upload: Upload | None = None  # the rest of a long body
     on_passing: Callable[[], None] = lambda: None  # what was held of it has gone on
     timeout_us: int = 0
     sent_us: int = 0  # with a long body: its last byte
     latency_us: int = 0
+    begun_us: int = 0  # when its long answer did
     connection: HostConnection | None = None
     opening: asyncio.Task[object] | None = None
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -13,11 +13,12 @@
 from cloverkeel.hosts.host import Host
 from cloverkeel.hosts.idle import IdleConnections
 from cloverkeel.http1 import Reply
-from cloverkeel.streams import Buffer
+from cloverkeel.streams import LEAST_RATE, Buffer
 from cloverkeel.telemetry import Telemetry
 
 SWEEP_S = 1.0
 HOLD_S = 0.05  # for a body of unknown length to come whole; else it passes on as a long one
+RATE_S = 0.1  # between two looks at how much of an answer has come
 STALL_US = 30_000_000  # a long body of which nothing moves for so long, though it is read, has ended
 
 
@@ -184,12 +185,33 @@
                 self.end(attempt, Outcome.CANCELLED if outcome is Outcome.OK else outcome, head)
                 return False
             self.set_long(connection, True)
+            attempt.begun_us = now_us()
+            if not connection.replies.is_long:
+                self.check_rate(connection, attempt, attempt.left_us() / 1e6)
         connection.moved_us = now_us()
         data = connection.replies.take()
         if data:
             connection.on_piece(data)
         return connection.attempt is attempt
 
+    def check_rate(self, connection: HostConnection, attempt: Attempt, delay_s: float) -> None:
+        attempt.timers = [self.loop.call_later(max(0, delay_s), self.on_rate, connection, attempt)]
+
+    def on_rate(self, connection: HostConnection, attempt: Attempt) -> None:
+        """End an answer that passes on, is not long so far, and trickles when its client's time is out.
+
+        Guards against one that never ends: its client waited for an end until it left. What comes faster may
+        be a long one, of which the first bytes are timed, and goes on.
+        """
+        if connection.attempt is not attempt or connection.replies.is_long or connection.transport is None:
+            return
+        least = LEAST_RATE * (now_us() - attempt.begun_us) / 1e6
+        passes = attempt.upload is not None and not attempt.upload.ended
+        if passes or not connection.transport.is_reading() or connection.replies.size >= least:
+            self.check_rate(connection, attempt, RATE_S)
+        else:
+            self.cancel(attempt, Outcome.TIMEOUT)
+
     # Connections
 
     def on_connected(self, connection: HostConnection) -> None:
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -105,12 +105,13 @@
 
     __slots__ = (
         "_body", "_headers", "_in_body", "_limit", "_overhead", "_parser", "_replies", "_size",
-        "_to_the_end", "_unsized", "_wants_long", "begun",
+        "_to_the_end", "_unsized", "_wants_long", "begun", "is_long",
     )  # fmt: skip
 
     def __init__(self, limit: int = BODY_LIMIT, wants_long: bool = False) -> None:
         self._limit, self._wants_long = limit, wants_long
         self.begun: Reply | None = None  # the head of a long answer
+        self.is_long = False  # its body is known to be beyond the limit
         self._in_body = False
         self._unsized = False
         self._to_the_end = False  # the body ends with the connection
@@ -154,6 +155,11 @@
             self._begin()
         return self.begun is not None
 
+    @property
+    def size(self) -> int:
+        """Bytes of the body that has come, or is coming."""
+        return self._size
+
     @property
     def is_unsized(self) -> bool:
         """Whether a body is coming of which nobody has said how long it is."""
@@ -172,7 +178,7 @@
         if self._replies:
             raise ReplyError("more than one answer")
         self._headers, self._body, self._size = [], [], 0
-        self.begun, self._in_body = None, False
+        self.begun, self.is_long, self._in_body = None, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_body:
@@ -190,15 +196,18 @@
         self._unsized = length is None
         self._to_the_end = not coding and length is None
         if self._wants_long and length is not None and int(length) > self._limit:
+            self.is_long = True
             self._begin()
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
         self._body.append(data)
-        if self._size > self._limit and self.begun is None:
+        if self._size > self._limit and not self.is_long:
             if not self._wants_long:
                 raise ReplyError("the body is too long")
-            self._begin()
+            self.is_long = True
+            if self.begun is None:
+                self._begin()
 
     def _begin(self) -> None:
         self.begun = Reply(self._parser.get_status_code(), self._headers, b"", False)
--- a/cloverkeel/streams.py
+++ b/cloverkeel/streams.py
@@ -7,6 +7,7 @@
 
 PIECE = 64 * 1024  # the most that is read at a time, and so held of one body
 LEAST_PIECE = 4 * 1024
+LEAST_RATE = 32_000  # bytes a second: half of what the slowest proper side gives or takes
 SHARE = 8  # part of the memory that the pieces of all long bodies together may take
 
 
