Idle connections: spare ones end by the settings' idle time where that is the shorter

Nothing was sent there: take() asks for the age. The test (an idle time of 2 s) fails without and passes with it.

--- a/cloverkeel/hosts/idle.py
+++ b/cloverkeel/hosts/idle.py
@@ -79,7 +79,7 @@
         spare_us = now - SPARE_IDLE_US
         for host in self.hosts.values():
             while host.idle:
-                limit_us = spare_us if len(host.idle) > SPARED else oldest_us
+                limit_us = max(spare_us, oldest_us) if len(host.idle) > SPARED else oldest_us
                 if host.idle[0].idle_since_us >= limit_us:
                     break
                 host.idle.pop(0).close()
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -124,6 +124,21 @@
         await until(lambda: pools.open == 0 and host.ended == 4)
 
 
+@on_loop
+async def test_none_is_idle_for_longer_than_the_settings_say() -> None:
+    """With a shorter idle time than a spare one's own, spare ones were left for the host to end."""
+    async with peer(silent) as host, running(configuration(host, keepaliveUs=2_000_000)) as run:
+        tasks = [asyncio.create_task(run.ask(request())) for _ in range(3)]
+        await until(lambda: len(host.seen) == 3)
+        for exchange in host.seen:
+            exchange.answer(reply())
+        await asyncio.gather(*tasks)
+        for connection in idle(run):
+            connection.idle_since_us -= 1_700_000
+        run.gateway.pools.sweep()
+        assert not idle(run)
+
+
 @on_loop
 async def test_a_drained_host_keeps_no_idle_connection_and_finishes_what_it_has() -> None:
     async with peer(silent) as host, running(configuration(host)) as run:
