Hosts: a request goes to a host's new address where its connection still came up to the old one

Line at fault: on_connected asked only whether the host drains, not whether it stands elsewhere by now, where another may have its old address. Change: such a connection is closed unused and one to the new address is opened, within the same connect time-out. The test forces it: fails without, passes with it. Forced by tests and ruled out, with no change: a reset between take() and the write (the write fails, another connection carries it, once); an end the write did not meet, or a reset after it (RESET, nothing sent again); half a line at that moment (ERROR); bytes on an idle connection, seen by the loop or not (not used again); a partly written request reset or timed out (CONNECT_FAILED, and the host never has the end), and read whole, then reset (RESET).

--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -57,9 +57,13 @@
                 return
             # The write itself failed: nothing has reached the host, so the same attempt may begin anew.
             self.counts.stale += 1
-        self.room()
-        host, connect_us = attempt.host, self.settings.connect_timeout_us
+        connect_us = self.settings.connect_timeout_us
         attempt.timers.append(later(connect_us / 1e6, self.on_connect_timeout, attempt))
+        self.open_for(attempt)
+
+    def open_for(self, attempt: Attempt) -> None:
+        self.room()
+        host = attempt.host
         connection = HostConnection(self, host, attempt)
         attempt.connection = connection
         host.open += 1
@@ -220,6 +224,11 @@
             # Called off in the moment it came up: its opening is cancelled, and the loop ends it unasked.
             connection.attempt = None
             connection.close()
+        elif connection.address != connection.host.address and self.may_send(connection.host):
+            # The host has moved meanwhile; another may stand where it was.
+            connection.attempt = None
+            connection.close()
+            self.open_for(attempt)
         elif not self.may_send(connection.host) or not self.put_on(connection, attempt):
             connection.attempt = None
             connection.close()
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -3,16 +3,104 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
 
 import pytest
 
+from caperdrift.interface import Outcome, Settings
 from cloverkeel.clock import now_us
 from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.hosts.connection import HostConnection
+from cloverkeel.hosts.host import Host
 from cloverkeel.hosts.pool import Pools
+from cloverkeel.http1 import Reply
+from cloverkeel.streams import Buffer
+from cloverkeel.telemetry import Telemetry
+from tests.helpers import SAFE
 from tests.sockets import Exchange, configuration, on_loop, peer, reply, request, running, until
 
 LATE_US = 3_000_000
+PATIENCE_US = 20_000_000
+SMALL = 65_536  # a socket's buffer: far less than what is written
+ASKED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def reset(taken: socket.socket) -> None:
+    taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    taken.close()
+
+
+def seen_by(connection: HostConnection) -> None:
+    """Wait, without a turn of the loop, until what its host has done has arrived at this side."""
+    assert connection.poll.poll(5_000)
+
+
+@dataclass
+class RawHost:
+    """A host whose every step the test makes itself, and the pool that reaches it."""
+
+    listener: socket.socket
+    pools: Pools
+    known: Host
+    taken: list[socket.socket] = field(default_factory=list)
+    ended: list[Outcome] = field(default_factory=list)
+    replies: list[Reply | None] = field(default_factory=list)
+
+    def send(self, data: bytes = ASKED, timeout_us: int = PATIENCE_US) -> Attempt:
+        attempt = Attempt(self.known, lambda: data, self.on_end)
+        self.pools.send(attempt, timeout_us)
+        return attempt
+
+    def on_end(self, attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
+        self.ended.append(outcome)
+        self.replies.append(answer)
+
+    async def accept(self) -> socket.socket:
+        taken, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        self.taken.append(taken)
+        return taken
+
+    async def read(self, taken: socket.socket, size: int = len(ASKED)) -> int:
+        """Bytes that came, up to a size or the end."""
+        got = 0
+        while got < size and (data := await asyncio.get_running_loop().sock_recv(taken, 1 << 20)):
+            got += len(data)
+        return got
+
+    async def exchange(self, *answer: bytes) -> socket.socket:
+        """One request on a new connection, answered: the connection is idle then, if it may be."""
+        self.send()
+        taken = await self.accept()
+        await self.read(taken)
+        taken.sendall(b"".join(answer) or reply())
+        await until(lambda: self.ended)
+        self.ended.clear()
+        self.replies.clear()
+        return taken
+
+
+@asynccontextmanager
+async def raw_host(receive_buffer: int = 0) -> AsyncIterator[RawHost]:
+    pools = Pools(Settings(classes=(SAFE,)), Telemetry(), Buffer(192))
+    with socket.socket() as listener:
+        if receive_buffer:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        pools.put(1, "h", listener.getsockname(), True)
+        host = RawHost(listener, pools, pools.hosts[1])
+        try:
+            yield host
+            await until(lambda: pools.open == len(host.known.idle) == host.known.open)
+        finally:
+            pools.close()
+            for taken in host.taken:
+                taken.close()
 
 
 @on_loop
@@ -130,3 +218,137 @@
             data += await client.reader.readexactly(1)
         assert data.count(b"\0") == 100_000 and looks >= 3
         client.close()
+
+
+def between(monkeypatch: pytest.MonkeyPatch, does: Callable[[HostConnection], None]) -> None:
+    """Have something happen between `take`, which found a connection fresh, and the write to it."""
+    is_fresh = HostConnection.is_fresh
+
+    def crossed(connection: HostConnection) -> bool:
+        if not is_fresh(connection):
+            return False
+        does(connection)
+        seen_by(connection)
+        return True
+
+    monkeypatch.setattr(HostConnection, "is_fresh", crossed)
+
+
+@on_loop
+async def test_a_reset_that_crosses_the_write_leaves_the_request_to_another_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The write itself fails: not a byte of it can have arrived."""
+    async with raw_host() as host:
+        first = await host.exchange()
+        between(monkeypatch, lambda connection: reset(first))
+        host.send()
+        second = await host.accept()
+        assert await host.read(second) == len(ASKED)
+        second.sendall(reply())
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and host.pools.counts.stale == 1
+
+
+@pytest.mark.parametrize("end", ["orderly", "reset after the write"])
+@on_loop
+async def test_an_end_that_the_write_did_not_meet_is_a_reset(
+    end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with raw_host() as host:
+        first = await host.exchange()
+        if end == "orderly":
+            between(monkeypatch, lambda connection: first.close())
+        else:
+            write = HostConnection.write
+
+            def crossed(connection: HostConnection, data: bytes) -> bool:
+                written = write(connection, data)
+                reset(first)
+                seen_by(connection)
+                return written
+
+            monkeypatch.setattr(HostConnection, "write", crossed)
+        host.send()
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.RESET] and host.pools.counts.opened == 1
+
+
+@pytest.mark.parametrize("bytes_", [b"H", b"HTTP/1.", b"HTTP/1.1 200 OK\r\nContent-Le", b"\0", b"0\r\n\r\n"])
+@on_loop
+async def test_half_a_line_that_crosses_the_write_spoils_the_answer(
+    bytes_: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with raw_host() as host:
+        first = await host.exchange()
+        between(monkeypatch, lambda connection: first.sendall(bytes_))
+        host.send()
+        assert await host.read(first) == len(ASKED)
+        if not host.ended:
+            first.sendall(reply(200, b"mine"))
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.ERROR]
+        await until(lambda: host.pools.open == 0)
+
+
+@pytest.mark.parametrize("bytes_", [b"H", b"HTTP/1.1 200", reply(200, b"whose?"), b"\r\n"])
+@pytest.mark.parametrize("in_the_loop", [False, True])
+@on_loop
+async def test_an_idle_connection_that_says_something_is_not_used_again(
+    bytes_: bytes, in_the_loop: bool
+) -> None:
+    async with raw_host() as host:
+        first = await host.exchange()
+        connection = host.known.idle[0]
+        first.sendall(bytes_)
+        seen_by(connection)
+        if in_the_loop:
+            await until(lambda: host.pools.open == 0)
+        host.send()
+        second = await host.accept()
+        assert await host.read(second) == len(ASKED)
+        second.sendall(reply(200, b"mine"))
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and host.replies[0] is not None and host.replies[0].body == b"mine"
+
+
+@pytest.mark.parametrize("then", ["reset", "time-out", "read and reset", "read and end"])
+@on_loop
+async def test_a_request_is_written_once_its_last_byte_is_with_the_kernel(then: str) -> None:
+    data = ASKED + bytes(16_000_000)
+    async with raw_host(SMALL) as host:
+        attempt = host.send(data, PATIENCE_US if then != "time-out" else 200_000)
+        taken = await host.accept()
+        got = await host.read(taken, 10_000)
+        assert attempt.connection is not None and not attempt.connection.is_written
+        if then.startswith("read"):
+            assert got + await host.read(taken, len(data) - got) == len(data)
+        if then == "read and end":
+            taken.close()
+        elif then != "time-out":
+            reset(taken)
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.RESET if then.startswith("read") else Outcome.CONNECT_FAILED]
+        if then == "time-out":
+            assert got + await host.read(taken, len(data)) < len(data)
+
+
+@on_loop
+async def test_a_host_that_moves_while_a_connection_comes_up_gets_the_request_at_its_new_address(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Another host may stand at the old one by now."""
+    async with raw_host() as host, peer() as moved:
+        on_connected = host.pools.on_connected
+
+        def crossed(connection: HostConnection) -> None:
+            name, _, port = moved.address.partition(":")
+            host.pools.put(1, "h", (name, int(port)), True)
+            on_connected(connection)
+
+        monkeypatch.setattr(host.pools, "on_connected", crossed)
+        host.send(request())
+        taken = await host.accept()
+        assert await host.read(taken) == 0
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and len(moved.seen) == 1
