--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -49,9 +49,12 @@
     taken: list[socket.socket] = field(default_factory=list)
     ended: list[Outcome] = field(default_factory=list)
     replies: list[Reply | None] = field(default_factory=list)
+    pieces: list[bytes] = field(default_factory=list)  # of long answers
 
     def send(self, data: bytes = ASKED, timeout_us: int = PATIENCE_US) -> Attempt:
-        attempt = Attempt(self.known, lambda: data, self.on_end)
+        attempt = Attempt(
+            self.known, lambda: data, self.on_end, on_begin=lambda attempt, head: self.pieces.append
+        )
         self.pools.send(attempt, timeout_us)
         return attempt
 
@@ -85,7 +88,7 @@
 
 @asynccontextmanager
 async def raw_host(receive_buffer: int = 0) -> AsyncIterator[RawHost]:
-    pools = Pools(Settings(classes=(SAFE,)), Telemetry(), Buffer(192))
+    pools = Pools(Settings(classes=(SAFE,), stop_sending_within_us=1_000_000), Telemetry(), Buffer(192))
     with socket.socket() as listener:
         if receive_buffer:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
@@ -352,3 +355,44 @@
         assert await host.read(taken) == 0
         await until(lambda: host.ended)
         assert host.ended == [Outcome.OK] and len(moved.seen) == 1
+
+
+@pytest.mark.parametrize("size", [3, 50_000, 100_000])
+@pytest.mark.parametrize("passing", [False, True])
+@pytest.mark.parametrize("end", ["orderly", "reset"])
+@on_loop
+async def test_a_reset_is_no_end_of_an_answer_without_a_length(end: str, passing: bool, size: int) -> None:
+    """Its last bytes and what ends it are there in one poll."""
+    async with raw_host() as host:
+        host.send()
+        taken = await host.accept()
+        await host.read(taken)
+        taken.sendall(b"HTTP/1.1 200 OK\r\n\r\nfirst")
+        if passing:
+            await until(lambda: host.pieces)
+        taken.sendall(bytes(size))
+        taken.close() if end == "orderly" else reset(taken)
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK if end == "orderly" else Outcome.RESET]
+        whole = b"".join(host.pieces) or (host.replies[0].body if host.replies[0] is not None else b"")
+        assert end == "reset" or len(whole) == size + len(b"first")
+
+
+@on_loop
+async def test_a_host_that_is_gone_and_listed_again_keeps_nothing_of_its_earlier_life() -> None:
+    async with raw_host() as host:
+        address = host.known.address
+        host.send()
+        taken = await host.accept()
+        await host.read(taken)
+        coming_up = host.send()
+        host.pools.remove(1)
+        host.pools.put(1, "h", address, True)
+        again = host.pools.hosts[1]
+        late = await host.accept()
+        assert await host.read(late) == len(ASKED)  # within the grace
+        taken.sendall(reply())
+        late.sendall(reply())
+        await until(lambda: len(host.ended) == 2)
+        assert host.ended == [Outcome.OK] * 2 and coming_up.ended
+        assert not again.idle and not host.known.idle and again.open == 0
