--- a/cloverkeel/hosts/attempt.py
+++ b/cloverkeel/hosts/attempt.py
@@ -23,11 +23,12 @@
     """One request on its way to one host, until its outcome."""
 
     host: Host
-    payload: bytes
+    payload: Callable[[], bytes]  # as it is when it is written: a connection may come up long after the start
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
     is_probe: bool = False
     # A long answer begins: returns what takes its pieces, or None if nobody does.
     on_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = lambda attempt, reply: None
+    left_us: Callable[[], int] = lambda: 0  # of its client's time
     upload: Upload | None = None  # the rest of a long body
     on_passing: Callable[[], None] = lambda: None  # what was held of it has gone on
     is_wanted: Callable[[], bool] = lambda: True  # asked right before it is written; may call it off
@@ -35,6 +36,7 @@
     timeout_us: int = 0
     sent_us: int = 0  # with a long body: its last byte
     latency_us: int = 0
+    begun_us: int = 0  # when its long answer did
     connection: HostConnection | None = None
     opening: asyncio.Task[object] | None = None
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
