Clients that have gone: nothing begins for them, also unseen while reading is paused

Seen by reading: reading.hold() pauses reading (pipelined requests, uploads, long answers), so that the loop tells of no end of stream and no reset; where output is buffered uvloop calls connection_lost only once all of it is taken; a request behind the current one was begun for a client that had gone (take_next); gateway.leave ended begun answers and uploads only, so an attempt whose connection was coming up was written later, and where settings allow no cancelling a second copy even after the answer; a failure and the client's end in one round of the loop began a further attempt.

Ruled out: the module sends for a request after RequestGone (it is done: on_timer, try_again and lines look at that).

Change: one mechanism. eof_received and connection_lost both leave(): what waits is dropped, the request is given up and the connection ends, at last LINGER_S later where its output is not taken. check_gone() asks the kernel by poll (POLLRDHUP, POLLHUP, POLLERR); Call.is_gone brings it to the gateway, which asks before each Send and, by Attempt.is_wanted, before each write. leave ends as MOOT what is not written yet, whatever may be cancelled.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -48,17 +48,14 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
         self.rest()
         self.server.make_room()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.pop(self, None)
-        self.deaf = True
-        self.waiting.clear()
-        if self.current is not None and self.current_id:
-            self.server.gateway.leave(self.current_id)
+        self.leave()
 
     def rest(self) -> None:
         self.rests_since_s = asyncio.get_running_loop().time()
--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -11,7 +11,7 @@
 import httptools
 
 from cloverkeel.front.requests import Request, RequestError
-from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, Header, coding_of, header
+from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, LINGER_S, Header, coding_of, header
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
@@ -22,6 +22,7 @@
 BODY_SLACK_S = 1.0
 BODY_MOST = 32 * 1024 * 1024
 PIPELINED = 16  # requests read ahead on one connection
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what a client's close or reset shows as
 
 
 class RequestReader(asyncio.BufferedProtocol):
@@ -44,6 +45,7 @@
         self.current: Request | None = None  # read and not yet answered
         self.current_id = ""
         self.deaf = False  # nothing more is read as a request
+        self.gone = False  # the client has closed, cancelled, or lost its connection
         self.poll = select.poll()
 
     def take_next(self) -> None:
@@ -67,6 +69,35 @@
         if not self.deaf:  # else it follows a request that can't be read, until the connection ends
             self.read(bytes(self.server.gateway.buffer.view[:nbytes]))
 
+    def eof_received(self) -> None:
+        """The client has closed. Told here, as `connection_lost` comes only once all output is taken."""
+        self.leave()
+
+    def check_gone(self) -> bool:
+        """Whether the client has gone; if so, nothing is held for it any more.
+
+        The kernel is asked: while reading is paused the loop sees no end of it, and an end may come in the
+        same round of the loop as what begins an attempt.
+        """
+        if not self.gone and self.transport is not None:
+            ended = any(flags & GONE for _, flags in self.poll.poll(0))
+            if ended or self.transport.is_closing():
+                self.leave()
+        return self.gone
+
+    def leave(self) -> None:
+        """The client has gone: nothing more is begun for it, and its connection ends."""
+        if self.gone:
+            return
+        self.gone = self.deaf = True
+        self.waiting.clear()
+        if self.current is not None and self.current_id:
+            self.server.gateway.leave(self.current_id)
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.close()
+            # Guards against a client that takes no more of what is written to it.
+            asyncio.get_running_loop().call_later(LINGER_S, self.transport.abort)
+
     def hold(self) -> None:
         """Read no more for now."""
         if self.held_at_s == math.inf and self.transport is not None and not self.transport.is_closing():
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -65,6 +65,7 @@
     def on_broken(self, request: Request) -> None: ...
     def on_refused(self, request: Request, retry_after_us: int) -> None: ...
     def on_failed(self, request: Request, timed_out: bool) -> None: ...
+    def check_gone(self) -> bool: ...
 
 
 def read_call(
@@ -125,6 +126,7 @@
         on_broken=partial(answers.on_broken, request),
         on_refused=partial(answers.on_refused, request),
         on_failed=partial(answers.on_failed, request),
+        is_gone=answers.check_gone,
         route=route.number if route is not None else 0,
     )
 
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -105,7 +106,7 @@
             connection.close()
 
     def sweep(self) -> None:
-        """Guards against peers that connect and send nothing, or never end what they began."""
+        """Guards against peers that connect and send nothing, never end what they began, or go unseen."""
         loop = asyncio.get_running_loop()
         loop.call_later(SWEEP_S, self.sweep)
         now_s = loop.time()
@@ -113,6 +114,8 @@
             connection.on_unfinished()
         for connection in [c for c in self.connections if c.unread_since_s < now_s - UNREAD_S]:
             connection.abort()
+        for connection in [c for c in self.connections if c.held_at_s != math.inf]:
+            connection.check_gone()  # the loop tells of no end while reading is paused
 
     def reload(self) -> None:
         """Take up what the configuration's file says now: all of it, or nothing where it cannot be used."""
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -198,8 +198,13 @@
         self.finish(id_, held, None)
         self.post(lambda: RequestGone(id_))
         for attempt in held.attempts:
-            # Not the module's to say: what has no source or no reader any more cannot go on.
-            if attempt is not None and (attempt is held.begun or attempt.upload is not None):
+            # Not the module's to say, nor the settings': what has not begun is never begun, and what has no
+            # source or no reader any more cannot go on.
+            if attempt is None or attempt.ended:
+                continue
+            if attempt is not held.begun and not self.pools.is_written(attempt):
+                self.pools.cancel(attempt, Outcome.MOOT)
+            elif attempt is held.begun or attempt.upload is not None:
                 self.pools.cancel(attempt)
 
     def body_ended(self, id_: str) -> None:
@@ -275,7 +280,7 @@
         number = len(held.attempts)
         left_us = held.deadline_us - now_us()
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
-        if host is None or held.closed or wait_us <= 0 or number >= held.max_attempts:
+        if host is None or not self.may_begin(held) or wait_us <= 0 or number >= held.max_attempts:
             held.attempts.append(None)
             self.post(lambda: self.moot(action, number))
             return
@@ -294,11 +299,18 @@
             self.post(lambda: BodyPassing(id_, number))
 
         upload = held.call.upload
-        attempt = Attempt(host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing)
+        attempt = Attempt(
+            host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing,
+            is_wanted=lambda: self.may_begin(held),
+        )  # fmt: skip
         held.attempts.append(attempt)
         held.out += 1
         self.pools.send(attempt, wait_us)
 
+    def may_begin(self, held: Held) -> bool:
+        """Whether an attempt may still begin: nothing has been answered, and the client is there."""
+        return not held.closed and not held.call.is_gone()
+
     def moot(self, action: Send, number: int) -> Event:
         held = self.held.get(action.request)
         finished = held is None or held.closed
--- a/cloverkeel/held.py
+++ b/cloverkeel/held.py
@@ -31,6 +31,7 @@
     on_broken: Callable[[], None]  # a long answer will not be whole
     on_refused: Callable[[int], None]  # with the time after which to come back, in microseconds
     on_failed: Callable[[bool], None]  # with whether time ran out
+    is_gone: Callable[[], bool]  # its client has closed or cancelled, seen by the loop or not yet
     route: int = 0  # its number in the plan; 0: none
 
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -2,11 +2,71 @@
 
 from __future__ import annotations
 
-from caperdrift.interface import Outcome
+import asyncio
+import math
+import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 
-from cloverkeel.hosts import Attempt
+import pytest
+from caperdrift.interface import Outcome, Send
+
+from cloverkeel.front import reading
+from cloverkeel.hosts import Attempt, HostConnection
 from cloverkeel.http1 import Reply
-from tests.sockets import configuration, host_id, on_loop, peer, request, running, until
+from tests.sockets import (
+    Exchange,
+    Running,
+    answers,
+    configuration,
+    host_id,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+from tests.test_gateway_outcomes import outcomes
+
+
+class Leaver:
+    """A client on a socket of its own, which closes while the loop stands still."""
+
+    def __init__(self, run: Running, receive_buffer: int = 0) -> None:
+        self.socket = socket.socket()
+        if receive_buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.socket.connect(("127.0.0.1", run.port))
+        self.send = self.socket.sendall
+
+    def leave(self, how: str = "close") -> None:
+        if how == "reset":
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if how == "end":  # of its sending alone: it reads on, or does not
+            self.socket.shutdown(socket.SHUT_WR)
+        else:
+            self.socket.close()
+
+
+@contextmanager
+def full_listener() -> Iterator[socket.socket]:
+    """A host whose connections stay away for now: its backlog is taken."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        fill = [socket.socket() for _ in range(4)]
+        for one in fill:
+            one.setblocking(False)
+            one.connect_ex(listener.getsockname())
+        yield listener
+        for one in fill:
+            one.close()
+
+
+PART = request("transfer", bytes(200_000))[:100_000]  # of a long body: it waits for a host to take it
 
 
 @on_loop
@@ -25,3 +85,158 @@
         pools.send(Attempt(known, request(), on_end), 20_000_000)
         await until(lambda: len(ends) == 3)
         assert ends[2] is Outcome.OK and len(host.seen) == 1 and host.opened == 1
+
+
+@pytest.mark.parametrize("may_cancel", [False, True])
+@pytest.mark.parametrize("data", [request("transfer"), PART], ids=["short", "long"])
+@on_loop
+async def test_a_client_that_leaves_while_its_connection_comes_up_ends_the_attempt_at_once(
+    data: bytes, may_cancel: bool
+) -> None:
+    with full_listener() as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        async with running(configuration(address, mayCancel=may_cancel)) as run:
+            told, client = outcomes(run), Leaver(run)
+            client.send(data)
+            await until(lambda: run.gateway.pools.open)
+            client.leave()
+            await until(lambda: not run.server.connections and not run.gateway.pools.open)
+            assert [event.outcome for event in told] == [Outcome.MOOT] and told[0].finished
+            assert not run.gateway.held and not run.gateway.balancer.requests
+
+
+@pytest.mark.parametrize("may_cancel", [False, True])
+@pytest.mark.parametrize("how", ["close", "reset"])
+@pytest.mark.parametrize("data", [request("transfer"), PART], ids=["short", "long"])
+@on_loop
+async def test_a_client_that_leaves_in_the_moment_in_which_the_connection_comes_up_gets_nothing_begun(
+    data: bytes, how: str, may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = HostConnection.connection_made
+    async with peer() as host, running(configuration(host, mayCancel=may_cancel)) as run:
+        told, client = outcomes(run), Leaver(run)
+
+        def leave_first(connection: HostConnection, transport: asyncio.BaseTransport) -> None:
+            client.leave(how)  # and the loop has had no turn since
+            made(connection, transport)
+
+        monkeypatch.setattr(HostConnection, "connection_made", leave_first)
+        client.send(data)
+        await until(lambda: told)
+        await until(lambda: not run.server.connections)
+        assert [event.outcome for event in told] == [Outcome.MOOT] and told[0].finished
+        assert not host.seen and not run.gateway.held and not run.gateway.balancer.requests
+        assert not any(server.out for server in run.gateway.balancer.servers.values())
+
+
+@pytest.mark.parametrize("first", [b"", reply(503, b"", "X-Rejected: 1"), reply(500)])
+@on_loop
+async def test_no_further_attempt_begins_for_a_client_that_leaves_as_the_first_fails(first: bytes) -> None:
+    def script(exchange: Exchange) -> None:
+        client.leave()  # both are ready in the loop's next poll
+        if first:
+            exchange.answer(first)
+        else:
+            exchange.reset()
+
+    config = configuration
+    async with peer(script) as one, peer(script) as two, running(config(one, two, mayCancel=False)) as run:
+        told, client = outcomes(run), Leaver(run)
+        client.send(request())
+        await until(lambda: told and not run.server.connections)
+        assert len(one.seen) + len(two.seen) == 1
+        assert not run.gateway.held and not run.gateway.balancer.requests
+
+
+@on_loop
+async def test_a_second_copy_that_comes_up_after_the_answer_is_not_sent() -> None:
+    """Where the settings allow no cancelling nothing called it off."""
+    with full_listener() as listener:
+        async with peer() as host, running(configuration(host, mayCancel=False)) as run:
+            told, gateway = outcomes(run), run.gateway
+            gateway.pools.put(1, "late", ("127.0.0.1", listener.getsockname()[1]), True)
+            host.script = silent
+            client = await run.connect()
+            client.send(request())
+            await until(lambda: host.seen)
+            (held,) = gateway.held.values()
+            gateway.send(Send(held.call.id, 1, 20_000_000))
+            host.seen[0].answer(reply())
+            assert (await client.answer()).status == 200
+            attempt = held.attempts[1]
+            assert attempt is not None and attempt.connection is not None and not attempt.ended
+            connection = attempt.connection
+            gateway.pools.put_on(connection, attempt)  # as if it had come up
+            assert attempt.ended and attempt.payload
+            await until(lambda: len(told) == 2)
+            assert told[1].outcome is Outcome.MOOT and not gateway.held
+            client.close()
+
+
+@pytest.mark.parametrize("swept", [False, True])
+@pytest.mark.parametrize("how", ["close", "reset"])
+@on_loop
+async def test_none_of_many_requests_begins_once_their_client_has_gone_though_reading_is_paused(
+    how: str, swept: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        if not swept:
+            monkeypatch.setattr(run.server, "sweep", lambda: None)
+            await asyncio.sleep(0.25)  # the one that was due
+        client = Leaver(run)
+        client.send(b"".join(request("transfer") for _ in range(40)))
+        await until(lambda: host.seen)
+        (connection,) = run.server.connections
+        await until(lambda: connection.held_at_s < math.inf)
+        client.leave(how)
+        if not swept:
+            host.seen[0].answer(reply())
+        await until(lambda: not run.server.connections)
+        await until(lambda: not run.gateway.held)
+        assert len(host.seen) == 1 and not connection.waiting
+
+
+@on_loop
+async def test_an_end_is_seen_though_output_waits_and_an_unread_answer_holds_no_descriptor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(reading, "LINGER_S", 0.05)
+    async with peer(answers(reply(200, bytes(60_000)))) as host, running(configuration(host)) as run:
+        client = Leaver(run, receive_buffer=2048)
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        transport = connection.transport
+        assert transport is not None
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(request("transfer"))
+        await until(lambda: transport.get_write_buffer_size())
+        host.script = silent
+        client.send(b"".join(request("transfer") for _ in range(3)))
+        await until(lambda: len(host.seen) == 2)
+        client.leave("end")
+        await until(lambda: not run.gateway.held)  # its output still waits, or has been given up
+        await until(lambda: not run.server.connections)
+        assert len(host.seen) == 2 and not connection.waiting
+        client.leave()
+
+
+@on_loop
+async def test_a_client_that_leaves_a_key_s_line_costs_the_next_one_no_turn() -> None:
+    async with peer(silent) as host:
+        config = configuration(host, mayCancel=False)
+        config["settings"]["lanes"][2]["sequential"] = True
+        async with running(config) as run:
+            first, second, third = Leaver(run), Leaver(run), Leaver(run)
+            for count, client in enumerate((first, second, third), 1):
+                client.send(request("transfer", x_call_id=f"in-line-{count}"))
+                await until(lambda n=count: len(run.gateway.held) == n)  # type: ignore[misc]
+            await until(lambda: host.seen)
+            second.leave()
+            host.seen[0].answer(reply())  # both are ready in the loop's next poll
+            await until(lambda: len(host.seen) == 2)
+            host.seen[1].answer(reply())
+            await until(lambda: not run.gateway.held)
+            assert [e.message.headers["x-call-id"] for e in host.seen] == ["in-line-1", "in-line-3"]
+            first.leave()
+            third.leave()
