Discovery: a list that ends with its connection is a list

Cause: DiscoveryConnection never asked its reader for the answer that the end of the connection completes (ReplyReader.feed_eof), as connections to hosts do. Ruled out: indented, chunked with extensions, lower case headers, one byte at a time (all were taken); a reset, which ends no list (test). Measured: tests/test_list_told.py, the four cases 'ended by close' fail without the change, all ten pass with it.

--- a/cloverkeel/listcall.py
+++ b/cloverkeel/listcall.py
@@ -28,10 +28,15 @@
 
     def data_received(self, data: bytes) -> None:
         try:
-            reply = self.replies.feed(data)
+            self._take(self.replies.feed(data))
         except ReplyError as error:
             self.fail(str(error))
-            return
+
+    def eof_received(self) -> None:
+        """A list of which nobody said how long it is ends here; a reset, which comes without this, ends none."""
+        self._take(self.replies.feed_eof())
+
+    def _take(self, reply: Reply | None) -> None:
         if reply is not None and self.is_waiting:
             assert self.answer is not None
             self.answer.set_result(reply)
