Discovery: calls to the agent fit in the time that the settings give after a drain

Cause: CALL_TIMEOUT_S (1 s) and FIRST_RETRY_S (0.125 s, doubled twice) were taken from servers that may be used for 2 s after word of a drain. Where lists are pushed what the agent has counts as told at once: with stopSendingWithinUs of 0.5 s a call into the agent's silence and the wait after it alone took up to 1.5 s. Change: limits and waits are derived from stopSendingWithinUs (half for the call, a quarter for the wait), also after SIGHUP; they stand in listtimes.py beside the worst time of each path.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -4,38 +4,22 @@
 
 import asyncio
 import json
-import random
 from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any, Protocol
 
 from caperdrift.interface import ListKind
 
+from cloverkeel import listtimes
 from cloverkeel.config import Address, Names
 from cloverkeel.entries import Entry, parse_list
 from cloverkeel.http1 import Reply, log
 from cloverkeel.listcall import CallError, DiscoveryConnection
 
 LIST = b"/registry/instances"
-TOLD_S = 6.0  # after a watch has fallen silent, what it misses counts as told ...
-TOLD_LATE_S = 2.0  # ... but not before this much after its wait is over
-CALL_TIMEOUT_S = TOLD_LATE_S / 2  # for an answer beyond its wait, then for a new connection and its answer
-LATE_S = 4.0  # a call that has run out of time is kept for so long beside the next: its answer may yet come
-PATIENCE = 3  # times that, for one that has no list yet and whose calls have run out of time
-# A longer wait only puts off news that a silent watch misses, a shorter one costs calls. Each call draws its
-# own from the upper half: gateways that were told of one change must not all ask again in one moment.
-HOLD_S = TOLD_S - TOLD_LATE_S
-# Between calls where the module does not ask itself. What the agent has counts as told at once: a call into
-# its silence, the wait after it and the next answer fit in the 2 s that a drained server may still be used.
-FIRST_RETRY_S, RETRY_DOUBLED = 0.125, 2
 OnList = Callable[[ListKind, list[Entry]], None]
 
 
-def retry_wait_s(failures: int) -> float:
-    """How long to wait after this many failed calls on end before the one that has just failed."""
-    return FIRST_RETRY_S * (1 << min(failures, RETRY_DOUBLED)) * random.uniform(0.5, 1.0)
-
-
 class Order(Protocol):
     """The one place that knows which list is newer, where lists come from other gateways too. It sets
     `Discovery.index` and tells `on_list` itself."""
@@ -61,9 +45,12 @@
     order: Order | None = None
     epoch: int | None = None  # of the list that `index` is of, where there is an order
 
-    def __init__(self, address: Address, names: Names, on_list: OnList, pushed: bool) -> None:
+    def __init__(
+        self, address: Address, names: Names, on_list: OnList, pushed: bool, stop_sending_s: float
+    ) -> None:
         self.names, self.on_list = names, on_list
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
+        self.stop_sending_s = stop_sending_s  # how long a server may be used after word that it drains
         self.failures = 0
         self.closed = False
         self.watched = False  # a watch was asked for: at another address it begins at once
@@ -71,7 +58,7 @@
         self.late = 0  # calls in a row that ran out of time
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
-        self.slow: asyncio.Task[None] | None = None  # the call that is kept (LATE_S)
+        self.slow: asyncio.Task[None] | None = None  # the call that is kept (listtimes.LATE_S)
         self.spare: DiscoveryConnection | None = None  # where its answer came: the next watch goes on there
         self.set_address(address)
 
@@ -147,7 +134,8 @@
                 return
             self.on_list(ListKind.ERROR, [])
             if self.pushed:
-                asyncio.get_running_loop().call_later(retry_wait_s(self.failures), self.watch, True)
+                wait_s = listtimes.retry_s(True, self.stop_sending_s, self.failures, False)
+                asyncio.get_running_loop().call_later(wait_s, self.watch, True)
                 self.failures += 1
         finally:
             self._forget(asyncio.current_task())
@@ -162,7 +150,8 @@
     def timeout_s(self) -> float:
         """For an answer that need not wait: a service that is slow for all must not leave a start without a
         list, which loses nothing by a longer wait."""
-        return CALL_TIMEOUT_S * (1 if self.index is not None else min(1 + self.late, PATIENCE))
+        time_s = listtimes.call_s(self.pushed, self.stop_sending_s)
+        return time_s if self.index is not None else time_s * min(1 + self.late, listtimes.PATIENCE)
 
     async def _connect(self) -> DiscoveryConnection:
         _, call = await asyncio.get_running_loop().create_connection(DiscoveryConnection, *self.address)
@@ -205,7 +194,7 @@
 
     async def _watch(self, waits: bool) -> None:
         call, self.spare = self.spare, None
-        wait_s = self._hold_s() if (waits or call is not None) and self.index is not None else 0.0
+        wait_s = listtimes.hold_s() if (waits or call is not None) and self.index is not None else 0.0
         try:
             while True:
                 try:
@@ -216,7 +205,7 @@
                         if self.index is not None:
                             target += b"?from=%d&hold_ms=%d" % (self.index, wait_s * 1000)
                         await self._ask(call, target)
-                    wait_s = self._hold_s()
+                    wait_s = listtimes.hold_s()
                 except TimeoutError:
                     self._keep(call)
                     call = None
@@ -228,9 +217,6 @@
             if call is not None:
                 call.close()
 
-    def _hold_s(self) -> float:
-        return HOLD_S * random.uniform(0.5, 1.0)
-
     # A service that is slow for all takes longer for each answer than a call has. Its calls must not all end
     # in vain, while a call that has gone silent needs another beside it in time: one old, one new.
 
@@ -245,7 +231,7 @@
         heard = False
         try:
             assert call.answer is not None
-            async with asyncio.timeout(LATE_S):
+            async with asyncio.timeout(listtimes.LATE_S):
                 reply = await call.answer
             self.slow, before = None, self.watching
             if self.watched or self.pushed:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -76,7 +76,8 @@
         self.buffer = Buffer(config.memory_mb)
         self.pools = Pools(config.settings, self.telemetry, self.buffer)
         pushed = config.settings.list_is_pushed
-        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
+        stop_sending_s = config.settings.stop_sending_within_us / 1e6
+        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed, stop_sending_s)
         self.lists: Lists = self.discovery  # what the module's own wishes for lists go to
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
@@ -134,6 +135,7 @@
         event = SettingsChanged(config.settings)
         self.post(lambda: event)
         self.discovery.names, self.discovery.pushed = config.names, config.settings.list_is_pushed
+        self.discovery.stop_sending_s = config.settings.stop_sending_within_us / 1e6
         self.discovery.move(config.discovery)
         if self.routes is not None:
             self.routes.follow()
--- a/cloverkeel/listcall.py
+++ b/cloverkeel/listcall.py
@@ -33,7 +33,7 @@
             self.fail(str(error))
 
     def eof_received(self) -> None:
-        """A list of which nobody said how long it is ends here; a reset, which comes without this, ends none."""
+        """A list of which nobody said how long it is ends here; a reset comes without this and ends none."""
         self._take(self.replies.feed_eof())
 
     def _take(self, reply: Reply | None) -> None:
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -10,7 +10,7 @@
 
 from caperdrift.interface import FetchList, ListKind, ServerList, WatchList
 from cloverkeel.config import parse_address
-from cloverkeel.discovery import CALL_TIMEOUT_S, retry_wait_s
+from cloverkeel.listtimes import CALL_TIMEOUT_S, call_s, retry_s
 from tests.sockets import (
     Exchange,
     Peer,
@@ -118,7 +118,7 @@
 async def test_a_slow_service_is_waited_for_longer_where_there_is_no_list(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("cloverkeel.discovery.CALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr("cloverkeel.listtimes.CALL_TIMEOUT_S", 0.2)
 
     async def slow(exchange: Exchange) -> None:
         await asyncio.sleep(0.3)  # what is measured: each answer takes longer than one call's time
@@ -216,8 +216,8 @@
 @on_loop
 async def test_a_watch_that_falls_silent_is_opened_anew(monkeypatch: pytest.MonkeyPatch, mode: str) -> None:
     """Such a watch stood for 20 s and more, while its news counted as told after 6 s."""
-    monkeypatch.setattr("cloverkeel.discovery.HOLD_S", 0.05)
-    monkeypatch.setattr("cloverkeel.discovery.CALL_TIMEOUT_S", 0.5)
+    monkeypatch.setattr("cloverkeel.listtimes.HOLD_S", 0.05)
+    monkeypatch.setattr("cloverkeel.listtimes.CALL_TIMEOUT_S", 0.5)
 
     def script(exchange: Exchange) -> None:
         if "hold_ms=0 " in exchange.message.first:
@@ -240,8 +240,8 @@
     monkeypatch: pytest.MonkeyPatch, mode: str
 ) -> None:
     """Each of its calls was ended before the answer came, for ever."""
-    monkeypatch.setattr("cloverkeel.discovery.HOLD_S", 0.2)
-    monkeypatch.setattr("cloverkeel.discovery.CALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr("cloverkeel.listtimes.HOLD_S", 0.2)
+    monkeypatch.setattr("cloverkeel.listtimes.CALL_TIMEOUT_S", 0.2)
     opened: list[int] = []  # connections at each call
 
     async def slow(exchange: Exchange) -> None:
@@ -262,7 +262,7 @@
 
 @on_loop
 async def test_a_late_answer_never_follows_a_newer_one(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("cloverkeel.discovery.CALL_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("cloverkeel.listtimes.CALL_TIMEOUT_S", 0.1)
 
     def script(exchange: Exchange) -> None:
         if len(registry.seen) == 2:  # the first one waits
@@ -278,10 +278,13 @@
         assert run.gateway.discovery.slow is None and run.gateway.discovery.index == 9
 
 
-def test_the_agent_is_asked_soon_after_an_outage_however_long() -> None:
-    """It was asked up to 5 s late, and never again after 1,024 failures, while its news counts as told."""
-    waits = [retry_wait_s(failures) for failures in range(5_000)]
-    assert CALL_TIMEOUT_S + max(waits) < 2.0 and min(waits[2:]) >= 0.25
+@pytest.mark.parametrize("stop_sending_s", [0.5, 1.0, 2.0, 10.0])
+def test_the_agent_is_asked_soon_after_an_outage_however_long(stop_sending_s: float) -> None:
+    """It was asked up to 5 s late, and never again after 1,024 failures, while its news counts as told; then
+    in time where servers may be used for 2 s after it, and late in a deployment where it is less."""
+    waits = [retry_s(True, stop_sending_s, failures, False) for failures in range(5_000)]
+    assert call_s(True, stop_sending_s) + max(waits) < min(stop_sending_s, 2.0) * 0.8
+    assert min(waits[2:]) >= min(stop_sending_s, 2.0) / 8
 
 
 @on_loop
--- a/tests/test_list_sharing.py
+++ b/tests/test_list_sharing.py
@@ -160,7 +160,7 @@
     """One without a list, and what it tells."""
     told: list[Any] = []
     config = parse(configuration())
-    discovery = Discovery(config.discovery, config.names, lambda *heard: told.append(heard), False)
+    discovery = Discovery(config.discovery, config.names, lambda *heard: told.append(heard), False, 2.0)
     return Intake(discovery, discovery.on_list, told.append, told.append), told
 
 
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -4,19 +4,27 @@
 
 import asyncio
 import json
+import math
 import socket
 import struct
+from collections.abc import Callable
+from contextlib import suppress
 
 import pytest
 
+from cloverkeel.listtimes import TOLD_S
 from tests.sockets import (
     Exchange,
+    Message,
     configuration,
     endpoint,
     host_id,
     hosts_list,
+    list_reply,
     on_loop,
     peer,
+    read_message,
+    reply,
     running,
     silent,
     until,
@@ -82,3 +90,124 @@
         await until(lambda: len(registry.seen) == 2)
         assert set(run.gateway.pools.hosts) == {host_id(0)}
         registry.script = silent
+
+
+Fails = Callable[["Service", asyncio.StreamWriter], None]
+
+
+class Service:
+    """A list service that fails in one way until it has done so once, and tells of a change from then on."""
+
+    def __init__(self, fails: Fails) -> None:
+        self.fails, self.calls = fails, 0
+        self.good_s = math.inf  # when it had the change and could be reached
+        self.listener: asyncio.Server | None = None
+        self.port = 0
+        self.tasks: list[asyncio.Task[None]] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def listen(self) -> None:
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            await read_message(reader)
+            self.calls += 1
+            if self.good_s < math.inf:
+                writer.write(list_reply(9, FRESH))
+                await read_message(reader)  # the next call waits
+                return
+            self.good_s = asyncio.get_running_loop().time()
+            self.fails(self, writer)
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for writer in self.writers:
+            writer.close()
+        if self.listener is not None:
+            self.listener.close()
+
+
+WHOLE = list_reply(9, FRESH)
+
+
+def says(data: bytes, ends: bool = False) -> Fails:
+    def answer(service: Service, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        if ends:
+            writer.write_eof()
+
+    return answer
+
+
+def resets(service: Service, writer: asyncio.StreamWriter) -> None:
+    writer.write(WHOLE[:-9])
+    reset(Exchange(Message("", {}), writer, 0))
+
+
+def trickles(service: Service, writer: asyncio.StreamWriter) -> None:
+    async def on_and_on() -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        while True:
+            writer.write(b"1\r\n \r\n")
+            await asyncio.sleep(0.02)
+
+    service.tasks.append(asyncio.get_running_loop().create_task(on_and_on()))
+
+
+FAULTS = {
+    "silent": says(b""),
+    "silent in the status line": says(WHOLE[:9]),
+    "silent in the head": says(WHOLE[:25]),
+    "silent behind the head": says(WHOLE[: WHOLE.index(b"{")]),
+    "silent in the body": says(WHOLE[: WHOLE.index(b"{") + 30]),
+    "silent before the last byte": says(WHOLE[:-1]),
+    "ends with no answer": says(b"", True),
+    "ends in the body": says(WHOLE[:-1], True),
+    "resets in the body": resets,
+    "bytes without end": trickles,
+    "500": says(reply(500)),
+    "no JSON": says(reply(200, BODY[:-9])),
+    "other types": says(reply(200, b'{"index":{},"snapshot":true,"endpoints":[]}')),
+    "no HTTP": says(b"\0" * 99),
+}
+
+
+async def told_after(mode: str, stop_sending_s: float, must_ask_s: float, fails: Fails) -> float:
+    """How long after the service had a change and could be reached the gateway had it, at worst: whatever
+    can wait has waited for its longest time."""
+    service = Service(fails)
+    await service.listen()
+    config = configuration("127.0.0.1:1", discovery=f"127.0.0.1:{service.port}")
+    config["settings"]["membershipMode"] = mode
+    contract = {"mustAskInUs": must_ask_s * 1e6, "stopSendingWithinUs": stop_sending_s * 1e6}
+    config["settings"]["contract"] |= contract
+    try:
+        async with running(config) as run:
+            run.gateway.discovery.failures = run.gateway.balancer.list_calls_failed = 99
+            run.gateway.discovery.watch(True)
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            return asyncio.get_running_loop().time() - service.good_s
+    finally:
+        service.close()
+
+
+@pytest.mark.parametrize(("mode", "stop_sending_s"), [("pushed", 0.5), ("pushed", 2.0)])
+@on_loop
+async def test_whatever_fails_is_made_good_in_time(
+    monkeypatch: pytest.MonkeyPatch, mode: str, stop_sending_s: float
+) -> None:
+    """Calls to the agent took 1 s where servers may be used for 0.5 s; calls on request waited for as long as
+    other settings made the module wait, for over 6 s where it must ask in 20 s or more."""
+    monkeypatch.setattr("random.uniform", max)
+    bound_s = stop_sending_s if mode == "pushed" else TOLD_S
+    async with asyncio.TaskGroup() as group:
+        runs = {
+            name: group.create_task(told_after(mode, stop_sending_s, 400.0, fails))
+            for name, fails in FAULTS.items()
+        }
+    late = {name: run.result() for name, run in runs.items() if run.result() > bound_s}
+    assert not late
