--- /dev/null
+++ b/tests/test_list_told.py
@@ -0,0 +1,262 @@
+"""By when a change of the list is told, for each way in which a call to the list service can go wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import socket
+import struct
+from collections.abc import Callable
+from contextlib import suppress
+
+import pytest
+
+from cloverkeel.listtimes import TOLD_MOVED_S, TOLD_S
+from tests.sockets import (
+    Exchange,
+    Message,
+    answers,
+    configuration,
+    endpoint,
+    host_id,
+    hosts_list,
+    list_reply,
+    on_loop,
+    peer,
+    read_message,
+    reply,
+    running,
+    silent,
+    until,
+)
+
+FRESH = endpoint("s-3", "127.0.0.1:1")
+BODY = json.dumps(hosts_list(9, FRESH), indent=4).encode()
+CHUNKS = b"".join(b"%x;note=1\r\n%b\r\n" % (len(part), part) for part in (BODY[:7], BODY[7:])) + b"0\r\n\r\n"
+FORMS = {
+    "lower case": b"HTTP/1.1 200 OK\r\ncontent-length:%d\r\n\r\n" % len(BODY) + BODY,
+    "chunked": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + CHUNKS,
+    "ended by close": b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
+    "old, ended by close": b"HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n" + BODY,
+}
+
+
+def reset(exchange: Exchange) -> None:
+    """At once, and never a plain end."""
+    sock = exchange.writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    exchange.reset()
+
+
+@pytest.mark.parametrize("form", FORMS)
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+@on_loop
+async def test_a_list_is_taken_in_every_form(form: str, mode: str) -> None:
+    """One that ended with the connection was taken for a failed call."""
+
+    async def in_pieces(exchange: Exchange) -> None:
+        if registry.seen[1:]:
+            return  # a watch that waits
+        for byte in FORMS[form]:
+            exchange.writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        if form.endswith("close"):
+            exchange.writer.write_eof()
+
+    async with peer(in_pieces) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"]["membershipMode"] = mode
+        async with running(config) as run:
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            assert set(run.gateway.pools.hosts) == {host_id(3)}
+            assert run.gateway.discovery.failures == run.gateway.balancer.list_calls_failed == 0
+            assert sum("from=7" in exchange.message.first for exchange in registry.seen) == 1
+
+
+@pytest.mark.parametrize("form", ["ended by close", "old, ended by close"])
+@on_loop
+async def test_a_reset_ends_no_list(form: str) -> None:
+    """It may have come whole by its look, and lack its end for all that."""
+
+    def script(exchange: Exchange) -> None:
+        if len(registry.seen) == 1:
+            exchange.answer(FORMS[form])
+            reset(exchange)
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        await until(lambda: len(registry.seen) == 2)
+        assert set(run.gateway.pools.hosts) == {host_id(0)}
+        registry.script = silent
+
+
+Fails = Callable[["Service", asyncio.StreamWriter], None]
+
+
+class Service:
+    """A list service that fails in one way until it has done so once, and tells of a change from then on."""
+
+    def __init__(self, fails: Fails) -> None:
+        self.fails, self.calls = fails, 0
+        self.good_s = math.inf  # when it had the change and could be reached
+        self.listener: asyncio.Server | None = None
+        self.port = 0
+        self.tasks: list[asyncio.Task[None]] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def listen(self) -> None:
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            await read_message(reader)
+            self.calls += 1
+            if self.good_s < math.inf:
+                writer.write(list_reply(9, FRESH))
+                await read_message(reader)  # the next call waits
+                return
+            self.good_s = asyncio.get_running_loop().time()
+            self.fails(self, writer)
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for writer in self.writers:
+            writer.close()
+        if self.listener is not None:
+            self.listener.close()
+
+
+WHOLE = list_reply(9, FRESH)
+
+
+def says(data: bytes, ends: bool = False) -> Fails:
+    def answer(service: Service, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        if ends:
+            writer.write_eof()
+
+    return answer
+
+
+def resets(service: Service, writer: asyncio.StreamWriter) -> None:
+    writer.write(WHOLE[:-9])
+    reset(Exchange(Message("", {}), writer, 0))
+
+
+def trickles(service: Service, writer: asyncio.StreamWriter) -> None:
+    async def on_and_on() -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        while True:
+            writer.write(b"1\r\n \r\n")
+            await asyncio.sleep(0.02)
+
+    service.tasks.append(asyncio.get_running_loop().create_task(on_and_on()))
+
+
+FAULTS = {
+    "silent": says(b""),
+    "silent in the status line": says(WHOLE[:9]),
+    "silent in the head": says(WHOLE[:25]),
+    "silent behind the head": says(WHOLE[: WHOLE.index(b"{")]),
+    "silent in the body": says(WHOLE[: WHOLE.index(b"{") + 30]),
+    "silent before the last byte": says(WHOLE[:-1]),
+    "ends with no answer": says(b"", True),
+    "ends in the body": says(WHOLE[:-1], True),
+    "resets in the body": resets,
+    "bytes without end": trickles,
+    "500": says(reply(500)),
+    "no JSON": says(reply(200, BODY[:-9])),
+    "other types": says(reply(200, b'{"index":{},"snapshot":true,"endpoints":[]}')),
+    "no HTTP": says(b"\0" * 99),
+}
+
+
+async def told_after(mode: str, stop_sending_s: float, must_ask_s: float, fails: Fails) -> float:
+    """How long after the service had a change and could be reached the gateway had it, at worst: whatever
+    can wait has waited for its longest time."""
+    service = Service(fails)
+    await service.listen()
+    config = configuration("127.0.0.1:1", discovery=f"127.0.0.1:{service.port}")
+    config["settings"]["membershipMode"] = mode
+    contract = {"mustAskInUs": must_ask_s * 1e6, "stopSendingWithinUs": stop_sending_s * 1e6}
+    config["settings"]["contract"] |= contract
+    try:
+        async with running(config) as run:
+            run.gateway.discovery.failures = run.gateway.balancer.list_calls_failed = 99
+            run.gateway.discovery.watch(True)
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            return asyncio.get_running_loop().time() - service.good_s
+    finally:
+        service.close()
+
+
+@pytest.mark.parametrize(("mode", "stop_sending_s"), [("pushed", 0.5), ("pushed", 2.0), ("on_request", 0.5)])
+@on_loop
+async def test_whatever_fails_is_made_good_in_time(
+    monkeypatch: pytest.MonkeyPatch, mode: str, stop_sending_s: float
+) -> None:
+    """Calls to the agent took 1 s where servers may be used for 0.5 s; calls on request waited for as long as
+    other settings made the module wait, for over 6 s where it must ask in 20 s or more."""
+    monkeypatch.setattr("random.uniform", max)
+    bound_s = stop_sending_s if mode == "pushed" else TOLD_S
+    async with asyncio.TaskGroup() as group:
+        runs = {
+            name: group.create_task(told_after(mode, stop_sending_s, 400.0, fails))
+            for name, fails in FAULTS.items()
+        }
+    late = {name: run.result() for name, run in runs.items() if run.result() > bound_s}
+    assert not late
+
+
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+@pytest.mark.parametrize("first", ["silent", "refused"])
+@on_loop
+async def test_a_new_address_that_fails_once_is_heard_in_time(
+    monkeypatch: pytest.MonkeyPatch, first: str, mode: str
+) -> None:
+    """The module went on with its waits of the old address, up to 4 s, and calls that had run out of time
+    there made those at the new one take up to 3 s: it could be told 8 s after the signal."""
+    monkeypatch.setattr("random.uniform", max)
+    service = Service(FAULTS["silent"])
+    await service.listen()
+    if first == "refused" and service.listener is not None:
+        service.listener.close()
+    async with peer(silent) as old:
+        config = configuration("127.0.0.1:1", discovery=old.address)
+        config["settings"]["membershipMode"] = mode
+        config["settings"]["contract"]["mustAskInUs"] = 4e8
+        async with running(config) as run:
+            discovery = run.gateway.discovery
+            discovery.watch(True)
+            await until(lambda: old.seen)
+            discovery.failures = discovery.late = run.gateway.balancer.list_calls_failed = 99
+            begun_s = asyncio.get_running_loop().time()
+            discovery.move(("127.0.0.1", service.port))
+            if first == "refused":
+                await until(lambda: discovery.watching is None)
+                service.good_s = begun_s
+                await service.listen()
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            assert asyncio.get_running_loop().time() - begun_s < TOLD_MOVED_S
+    service.close()
+
+
+@on_loop
+async def test_a_start_is_told_in_time_whatever_its_settings_let_it_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("random.uniform", max)
+    async with peer(answers(WHOLE)) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"] |= {"membershipMode": "on_request", "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:
+            begun_s = asyncio.get_running_loop().time()
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            assert asyncio.get_running_loop().time() - begun_s < TOLD_S - 1.0  # a call may still be lost
+            registry.script = silent
