Clients' connections end in a lingering close: what crosses an end resets nothing

Cause: every end of a client's connection (idle close, drain, room for descriptors, last answer) was `transport.close()`, which stops reading and closes once the output is out (front/connection.py: `close`, `answered`). Bytes that came between the poll in `is_idle` and that close, or behind a last answer that was still being written, made the system reset the connection, and with it went what the client had not read. `end_writing` had the same gap at its late close. What followed in the very piece whose reading brought the last answer (the end of a long body) was still parsed and sent on, on a connection already marked as ending. A client that took nothing of a short last answer (below the transport's high water) held its connection for ever.

Ruled out: writes held back by the system (uvloop sets TCP_NODELAY on accepted sockets; a test asks it); `write_eof` overtaking buffered output (uvloop shuts down only once its buffer is empty); the client's end before ours (`eof_received` closes, and nothing unread is left then).

Change: one `lingering_close` (RFC 9112, 9.6) for all of these and the operators' front: shut down writing, read and discard until the other side's end or 1 s (10 s for the rest of an upload), counted anew while output is still buffered, 30 s at most. `shut` tells that nothing more is read as a request or written. Lingering connections are no longer among `connections`, count as descriptors, and the first of them is closed at once where fewer than half of the reserve is left.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -17,8 +17,8 @@
     Header,
     Reply,
     answer_head,
-    end_writing,
     header,
+    lingering_close,
     write_answer,
 )
 from cloverkeel.streams import LAST_CHUNK, chunk
@@ -43,6 +43,7 @@
         self.opened_s = 0.0
         self.rests_since_s = 0.0  # the last answer, or the connection's beginning
         self.served = False  # has had an answer
+        self.shut = False  # writing is shut down: what is read is discarded
 
     # Connection
 
@@ -55,6 +56,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.pop(self, None)
+        self.server.lingering.pop(self, None)
         self.deaf = True
         self.waiting.clear()
         if self.current is not None and self.current_id:
@@ -77,21 +79,55 @@
             return False
         return not self.poll.poll(0)
 
-    def close(self) -> None:
-        self.deaf = True
-        if self.transport is not None:
-            self.transport.close()
+    def close(self, linger_s: float = LINGER_S) -> None:
+        """End the connection once all that was written has gone out; nothing that is read later is a request.
+
+        A client that had sent one into this moment sees the end before any answer, and sends it once more.
+        """
+        if self.shut or self.transport is None or self.transport.is_closing():
+            self.deaf = True
+            return
+        self.shut = self.deaf = True
+        self.server.connections.pop(self, None)
+        self.server.lingering[self] = None
+        self.discard()
+        lingering_close(self.transport, linger_s)
+
+    def discard(self) -> None:
+        """Drop what was read and not taken, and go on reading, so that the client's end is seen."""
+        self.waiting.clear()
+        self.awaits_since_s = math.inf
+        self.go_on()
 
     def abort(self) -> None:
         self.deaf = True
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def only_lingers(self) -> bool:
+        """Whether it is shut down and all that was written is with the kernel."""
+        transport = self.transport
+        return (
+            self.shut
+            and transport is not None
+            and not (transport.is_closing() or transport.get_write_buffer_size())
+        )
+
+    def read(self, data: bytes) -> None:
+        super().read(data)
+        if self.shut:  # by an answer to a part of this piece: what followed in it has been read in vain
+            self.discard()
+
+    def ask_for_body(self) -> None:
+        if not self.shut:
+            super().ask_for_body()
+
     # Answering
 
     def take_next(self) -> None:
         """Take the next request that was read, once the one before is answered."""
-        while self.current is None and self.waiting:
+        while self.current is None and self.waiting and not self.shut:
             request = self.current = self.waiting.popleft()
             self.current_id = ""
             if not self.waiting and request.upload is None:
@@ -240,11 +276,5 @@
                 asyncio.get_running_loop().call_soon(self.take_next)
             self.ask_for_body()
             return
-        self.waiting.clear()
-        self.deaf = True
-        self.awaits_since_s = math.inf
-        self.go_on()
-        if not request.whole:
-            end_writing(transport, UPLOAD_LINGER_S if request.upload is not None else LINGER_S)
-        else:
-            transport.close()
+        request.answered = True  # what still comes of its body goes nowhere
+        self.close(UPLOAD_LINGER_S if request.upload is not None and not request.whole else LINGER_S)
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -11,13 +11,12 @@
 from cloverkeel.config import Config, ConfigError, follow, load
 from cloverkeel.front.connection import RESERVE, ClientConnection
 from cloverkeel.gateway import Gateway
-from cloverkeel.http1 import log
+from cloverkeel.http1 import UNREAD_S, log
 
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
 LONGEST_S = 3.0
 LAST_MOMENT_S = 0.1  # before that, this process answers what is left and ends by itself
-UNREAD_S = 30.0  # a client that takes nothing of a long answer for so long has gone
 SWEEP_S = 0.2
 REPORT_S = 10.0
 POLL_S = 0.02
@@ -31,6 +30,7 @@
     def __init__(self, config: Config, gateway: Gateway, inherited: socket.socket | None = None) -> None:
         self.config, self.gateway = config, gateway
         self.connections: dict[ClientConnection, None] = {}  # the longest without an answer first
+        self.lingering: dict[ClientConnection, None] = {}  # shut down, not yet closed; the first one first
         self.draining = False
         self.listener: asyncio.Server | None = None
         self.inherited = inherited  # others accept from it too
@@ -88,7 +88,7 @@
                 await asyncio.sleep(POLL_S)
             if self.listener is not None:
                 self.listener.close()
-        while self.connections:
+        while self.connections or self.lingering:
             self.close_idle()
             await asyncio.sleep(POLL_S)
 
@@ -142,12 +142,20 @@
     @property
     def spare(self) -> int:
         """Descriptors left, but for the few of the program itself."""
-        return self.config.sockets - len(self.connections) - self.gateway.pools.open - self.others()
+        clients = len(self.connections) + len(self.lingering)
+        return self.config.sockets - clients - self.gateway.pools.open - self.others()
 
     def make_room(self) -> None:
         """Give up idle connections when descriptors run short: first a client's, which costs no host work."""
-        if self.spare > RESERVE:
+        spare = self.spare
+        if spare > RESERVE:
             return
+        if spare < RESERVE // 2:  # too short to wait for a client's end
+            lingering = next((c for c in self.lingering if c.only_lingers), None)
+            if lingering is not None:
+                lingering.abort()
+        elif spare + len(self.lingering) > RESERVE:
+            return  # enough come free soon
         since_s = asyncio.get_running_loop().time() - CLIENT_IDLE_S
         rested = itertools.takewhile(lambda c: c.rests_since_s < since_s, self.connections)
         idle = next((c for c in rested if c.is_idle()), None)
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -12,7 +12,8 @@
 
 BODY_LIMIT = 64 * 1024  # of a body that is held whole
 HEAD_LIMIT = 64 * 1024
-LINGER_S = 1.0  # for the other side to read an answer that it did not expect
+LINGER_S = 1.0  # for the other side to read what was written, and to end too
+UNREAD_S = 30.0  # a client that takes nothing of what is written for so long has gone
 BLANK = b" \t"  # may stand round a header's value; the parser leaves what is behind it
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer"
@@ -60,17 +61,33 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def end_writing(transport: asyncio.Transport, linger_s: float = LINGER_S) -> None:
-    """End an answer's connection so that the answer is read.
+def lingering_close(transport: asyncio.Transport, linger_s: float = LINGER_S) -> None:
+    """Shut down writing behind all that was written, go on reading, and close: RFC 9112, section 9.6.
 
-    Guards against a reset that overtakes the answer where the other side has still more to say: then it is
-    left to read first.
+    Guards against a reset that overtakes what was written: a close over bytes that nobody has read is one.
+    What comes in meanwhile is the protocol's to discard. The other side's end closes at once, else `linger_s`
+    does; where not all has gone out by then, its reader has that long again and again, up to `UNREAD_S`.
     """
-    if transport.can_write_eof():
-        transport.write_eof()
-        asyncio.get_running_loop().call_later(linger_s, transport.close)
-    else:
+    if transport.is_closing():
+        return
+    if not transport.can_write_eof():
         transport.close()
+        return
+    transport.write_eof()
+    loop = asyncio.get_running_loop()
+    loop.call_later(linger_s, _end_linger, transport, linger_s, loop.time() + UNREAD_S)
+
+
+def _end_linger(transport: asyncio.Transport, linger_s: float, abort_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    if transport.is_closing():
+        return
+    if not transport.get_write_buffer_size():
+        transport.close()
+    elif loop.time() < abort_s:
+        loop.call_later(linger_s, _end_linger, transport, linger_s, abort_s)
+    else:
+        transport.abort()
 
 
 def log(line: str) -> None:
--- a/cloverkeel/operator.py
+++ b/cloverkeel/operator.py
@@ -9,7 +9,7 @@
 import httptools
 
 from cloverkeel.config import Address
-from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, end_writing, write_answer
+from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, lingering_close, write_answer
 
 CALL_S = 3.0  # for a call to come whole
 MOST = 32  # connections at once; beyond, the oldest gives way
@@ -166,4 +166,4 @@
             return
         self.answered = True
         write_answer(self.transport, answer.status, answer.headers, answer.body, True, head_only)
-        end_writing(self.transport)
+        lingering_close(self.transport)
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,226 @@
+"""The gateway's end of clients' connections: what crosses it neither resets them nor is sent on."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import partial
+
+import pytest
+
+from cloverkeel import http1, operator
+from cloverkeel.front.connection import ClientConnection
+from cloverkeel.operator import Answer, Operator
+from tests.sockets import (
+    Running,
+    answers,
+    configuration,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+LARGE = b"x" * 60_000  # more than the small buffers of both sides
+
+
+@contextmanager
+def raw_client(port: int, receive_buffer: int = 0) -> Iterator[socket.socket]:
+    """A client whose calls take effect at once, between two lines of the gateway's."""
+    with socket.socket() as client:
+        if receive_buffer:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        client.connect(("127.0.0.1", port))
+        client.setblocking(False)
+        yield client
+
+
+async def read_all(client: socket.socket) -> bytes:
+    """All up to the end of stream; a reset raises ConnectionResetError."""
+    data, loop = b"", asyncio.get_running_loop()
+    while piece := await loop.sock_recv(client, 65536):
+        data += piece
+    return data
+
+
+async def connected(run: Running) -> ClientConnection:
+    await until(lambda: run.server.connections)
+    (connection,) = run.server.connections
+    return connection
+
+
+def small_send_buffers(monkeypatch: pytest.MonkeyPatch, protocol: type) -> None:
+    made = protocol.connection_made  # type: ignore[attr-defined]
+
+    def connection_made(self: object, transport: asyncio.Transport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(self, transport)
+
+    monkeypatch.setattr(protocol, "connection_made", connection_made)
+
+
+@pytest.mark.parametrize("way", ["close_idle", "make_room", "on_unfinished"])
+@on_loop
+async def test_a_request_that_crosses_the_close_of_an_idle_connection_meets_an_end_and_no_reset(
+    way: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        with raw_client(run.port) as client:
+            connection = await connected(run)
+            connection.served = True
+            connection.rests_since_s -= 60
+
+            def crossing(linger_s: float = http1.LINGER_S) -> None:
+                client.send(request("transfer"))  # after the last look for one, and before the end
+                monkeypatch.undo()
+                connection.close(linger_s)
+
+            monkeypatch.setattr(connection, "close", crossing)
+            if way == "make_room":
+                monkeypatch.setattr(type(run.server), "spare", property(lambda self: 40))
+            (connection if way == "on_unfinished" else run.server).__getattribute__(way)()
+            assert not run.server.connections
+            assert await read_all(client) == b""
+            assert not host.seen
+            assert list(run.server.lingering) == [connection]  # the client has not ended yet
+        await until(lambda: not run.server.lingering)  # it has, and needs no time to run out
+
+
+@pytest.mark.parametrize("keep", ["close", ""])
+@on_loop
+async def test_bytes_that_come_behind_the_last_answer_take_none_of_it_along(
+    keep: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Closed with the answer half out, the connection was reset over them."""
+    small_send_buffers(monkeypatch, ClientConnection)
+    async with peer(answers(reply(200, LARGE))) as host, running(configuration(host)) as run:
+        run.server.draining = not keep
+        with raw_client(run.port, receive_buffer=4096) as client:
+            connection = await connected(run)
+            client.send(request("transfer", connection=keep))
+            await until(lambda: connection.shut)
+            assert connection.transport is not None and connection.transport.get_write_buffer_size()
+            client.send(request("transfer"))
+            data = await read_all(client)
+            assert data.endswith(LARGE) and b"Connection: close" in data
+            assert len(host.seen) == 1
+
+
+@on_loop
+async def test_an_operator_s_answer_that_is_read_slowly_outlasts_the_time_to_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    small_send_buffers(monkeypatch, operator.OperatorConnection)
+    rounds, end_linger = [], http1._end_linger
+
+    def counted(transport: asyncio.Transport, linger_s: float, abort_s: float) -> None:
+        rounds.append(linger_s)
+        end_linger(transport, linger_s, abort_s)
+
+    monkeypatch.setattr(http1, "_end_linger", counted)
+    monkeypatch.setattr(operator, "lingering_close", partial(http1.lingering_close, linger_s=0.01))
+    calls = Operator(("127.0.0.1", 0), {b"/large": lambda: Answer(200, LARGE)})
+    await calls.start()
+    assert calls.listener is not None
+    with raw_client(calls.listener.sockets[0].getsockname()[1], receive_buffer=4096) as client:
+        client.send(b"GET /large HTTP/1.1\r\nHost: o\r\n\r\n")
+        await until(lambda: len(rounds) > 2)
+        client.send(b"what nobody reads")
+        assert (await read_all(client)).endswith(LARGE)
+        await until(lambda: not calls.connections)  # in time, though the client does not end
+    calls.close()
+
+
+@on_loop
+async def test_a_client_that_takes_nothing_and_one_that_does_not_end_are_closed_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    small_send_buffers(monkeypatch, ClientConnection)
+    monkeypatch.setattr(http1, "UNREAD_S", 0.05)
+    async with peer(answers(reply(200, LARGE))) as host, running(configuration(host)) as run:
+        for body in (LARGE, b""):
+            host.script = answers(reply(200, body))
+            with raw_client(run.port, receive_buffer=4096) as client:
+                connection = await connected(run)
+                client.send(request("transfer"))
+                await until(partial(getattr, connection, "served"))
+                connection.close(0.01)
+                await until(lambda: not run.server.lingering)
+
+
+@on_loop
+async def test_the_rest_of_a_half_request_that_was_given_up_is_not_sent_on() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        data = request("transfer", b"whole")
+        with raw_client(run.port) as client:
+            client.send(data[:-3])
+            connection = await connected(run)
+            await until(lambda: connection.reading)
+            connection.on_unfinished()
+            client.send(data[-3:] + request("transfer"))
+            assert (await read_all(client)).startswith(b"HTTP/1.1 408 ")
+            assert not host.seen
+
+
+@on_loop
+async def test_what_follows_in_the_piece_that_brings_the_last_answer_is_not_sent_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end of a long body may have its request answered at once, in the middle of what is read."""
+    async with peer(silent) as host, running(configuration(host)) as run:
+        with raw_client(run.port) as client:
+            long = request("transfer", b"y" * 150_000)
+            client.setblocking(True)
+            client.sendall(long[:-5])
+            client.setblocking(False)
+            connection = await connected(run)
+            await until(lambda: connection.current is not None and connection.current_id in run.gateway.held)
+            await until(lambda: not connection.poll.poll(0))
+            run.server.draining = True
+
+            def body_ended(id_: str) -> None:
+                assert connection.current is not None
+                connection.on_failed(connection.current, False)
+
+            taken: list[object] = []
+            monkeypatch.setattr(run.gateway, "body_ended", body_ended)
+            monkeypatch.setattr(run.gateway, "arrive", taken.append)
+            client.send(long[-5:] + request("transfer") + request("transfer", expect="100-continue")[:-2])
+            data = await read_all(client)
+            assert data.startswith(b"HTTP/1.1 502 ") and data.count(b"HTTP/1.1 ") == 1
+            assert not taken
+
+
+@on_loop
+async def test_connections_that_linger_count_and_the_first_gives_way_where_descriptors_are_short() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        clients = [await run.connect() for _ in range(3)]
+        await until(lambda: len(run.server.connections) == 3)
+        spare = run.server.spare
+        first, second, third = run.server.connections
+        second.close()
+        first.close()
+        assert run.server.spare == spare
+        assert list(run.server.lingering) == [second, first]
+        object.__setattr__(run.server.config, "sockets", 3)
+        run.server.make_room()
+        await until(lambda: second not in run.server.lingering)
+        assert list(run.server.lingering) == [first] and list(run.server.connections) == [third]
+        for client in clients:
+            client.close()
+
+
+@on_loop
+async def test_small_writes_are_not_held_back() -> None:
+    """What the system holds back for more to come goes with a reset: uvloop sets this on each connection."""
+    async with peer() as host, running(configuration(host)) as run:
+        with raw_client(run.port):
+            transport = (await connected(run)).transport
+            assert transport is not None
+            made = transport.get_extra_info("socket")
+            assert made.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) == 1
