Discovery: the order of lists is that of their versions, whichever call is answered last

Cause: _answered took whatever came. A whole list asked for beside a watch, answered first, was overwritten by the watch's older answer: servers came back that had gone, and the watch went on from the older version. A change with an index under the one asked from (a service that counts anew) was taken as the next version: what the lists of the two services do not share was never told. Ruled out: a kept call's answer after a newer one (the newer one drops it: test of before), the answer of a call from before move (cancelled with it), lists shared by members (Intake has an order of its own). Change: each call notes the version it is made from. After another answer only one from the version now held or an older one to a newer one counts; a change under its own base is taken, and the whole list asked for next. With no version a call has no wait either, where members' lists unset it.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -184,6 +184,7 @@
     async def _ask(self, call: DiscoveryConnection, target: bytes) -> None:
         """Raises TimeoutError where it is called off for that, and leaves the call as it is: see `_keep`."""
         call.begun = self.order.begin() if self.order is not None else None
+        call.index = self.index
         answer = call.ask(b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, self.host))
         self._answered(call, await asyncio.shield(answer))
 
@@ -193,6 +194,7 @@
         if not reply.keep_alive:
             call.close()
         raw = json.loads(reply.body)
+        index: int | None
         index, whole, entries = parse_list(raw, self.names)
         self.failures = self.late = 0
         self.has_list, self.moved = True, False
@@ -200,6 +202,11 @@
         if self.order is not None:
             self.order.answered(call.begun, raw, index, whole, entries)
             return
+        if self.index is not None and self.index != call.index:  # another call was answered meanwhile
+            if not (call.index or 0) <= self.index <= index:
+                return  # what it tells is older, or a change of a list that is not the one held
+        elif not whole and call.index is not None and (self.index is None or index < self.index):
+            index = None  # the service counts anew: what else has changed only the whole list tells
         self.index = index
         self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
 
@@ -222,6 +229,8 @@
         wait_s = listtimes.hold_s() if (waits or call is not None) and self.index is not None else 0.0
         try:
             while True:
+                if self.index is None:
+                    wait_s = 0.0  # the whole list is there already
                 try:
                     async with asyncio.timeout(wait_s + self.timeout_s):
                         if call is None or call.is_closing:
--- a/cloverkeel/listcall.py
+++ b/cloverkeel/listcall.py
@@ -15,13 +15,14 @@
 
 
 class DiscoveryConnection(asyncio.Protocol):
-    """`answer`: of the call made last; `begun`: what its caller notes of the moment it was made."""
+    """`answer`: of the call made last; `begun`, `index`: what its caller notes of the moment it was made."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.replies = ReplyReader(LIST_LIMIT)
         self.answer: asyncio.Future[Reply] | None = None
         self.begun: Any = None
+        self.index: int | None = None  # of the list held then
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -260,3 +260,61 @@
             await until(lambda: host_id(3) in run.gateway.pools.hosts)
             assert asyncio.get_running_loop().time() - begun_s < TOLD_S - 1.0  # a call may still be lost
             registry.script = silent
+
+
+def named(exchange: Exchange) -> str:
+    """From which version it asks, or for the whole list."""
+    return exchange.message.first.partition("from=")[2].partition("&")[0] or "whole"
+
+
+@pytest.mark.parametrize(
+    ("late", "goes_on_from"),
+    [
+        (list_reply(9, endpoint("s-1", "127.0.0.1:1"), snapshot=False), "12"),  # a change from 7, now of 12
+        (list_reply(9, endpoint("s-1", "127.0.0.1:1")), "12"),
+        (list_reply(14, FRESH | {"status": "DELETED"}, snapshot=False), "14"),  # as good from 12
+    ],
+    ids=["older change", "older list", "newer change"],
+)
+@on_loop
+async def test_an_answer_never_brings_an_older_list_back(late: bytes, goes_on_from: str) -> None:
+    """The watch's older answer took the place of a whole list that was asked for beside it: servers came
+    back that had gone, and what lay between was asked for from there, and never told."""
+
+    def script(exchange: Exchange) -> None:
+        if named(exchange) == "whole":
+            exchange.answer(list_reply(12, FRESH))
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        await until(lambda: registry.seen)  # the watch, from 7
+        run.gateway.discovery.fetch()
+        await until(lambda: host_id(3) in run.gateway.pools.hosts)
+        registry.seen[0].answer(late)
+        await until(lambda: len(registry.seen) == 3)
+        assert named(registry.seen[2]) == goes_on_from
+        assert host_id(1) not in run.gateway.pools.hosts
+        assert (host_id(3) in run.gateway.pools.hosts) == (goes_on_from == "12")
+
+
+@on_loop
+async def test_a_service_that_counts_anew_is_asked_for_the_whole_list() -> None:
+    """Its change was taken, and the watch went on from a version of another list: what that one lacked was
+    never told."""
+
+    def script(exchange: Exchange) -> None:
+        if named(exchange) == "7":
+            drains = endpoint("s-1", "127.0.0.1:1", status="DRAINING")
+            exchange.answer(list_reply(3, drains, snapshot=False))
+        elif named(exchange) == "whole":
+            exchange.answer(list_reply(3, FRESH))
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", "127.0.0.1:2", discovery=registry.address)) as run,
+    ):
+        await until(lambda: len(registry.seen) == 3)
+        assert [named(exchange) for exchange in registry.seen] == ["7", "whole", "3"]
+        assert set(run.gateway.pools.hosts) == {host_id(3)}
