Discovery: an answer that comes as its call's time ends is taken

Cause: with the end of the time and the answer in one poll, the timer cancels the call first, the answer is set on the connection after that, and _keep closed a call that no longer waited: what discovery had written, and counts as told, was thrown away. On request the next call came up to 4 s later, where servers may be used for 2 s. Ruled out: a call that is cancelled by move, watch(False) or close, whose answer must not be taken; a call whose answer comes after its time, which is kept and heard. Change: a call that has run out of time is looked at for its answer before it is kept or ended. Measured: watch and fetch with both events forced into one poll: not told without the change, told with it.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -210,6 +210,14 @@
         self.index = index
         self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
 
+    def _take_reply(self, call: DiscoveryConnection | None) -> bool:
+        """Take the answer of a call that has run out of time in the very moment in which it came."""
+        reply = call.reply if call is not None else None
+        if call is None or reply is None:
+            return False
+        self._answered(call, reply)
+        return True
+
     async def _fetch(self) -> None:
         call: DiscoveryConnection | None = None
         try:
@@ -217,6 +225,8 @@
                 call = await self._connect()
                 await self._ask(call, LIST)
         except TimeoutError:
+            if self._take_reply(call):
+                return
             self._keep(call)
             call = None
             raise
@@ -232,8 +242,10 @@
                 if self.index is None:
                     wait_s = 0.0  # the whole list is there already
                 try:
+                    if call is not None and call.is_closing:
+                        call = None
                     async with asyncio.timeout(wait_s + self.timeout_s):
-                        if call is None or call.is_closing:
+                        if call is None:
                             call = await self._connect()
                         target = LIST
                         if self.index is not None:
@@ -241,6 +253,9 @@
                         await self._ask(call, target)
                     wait_s = listtimes.hold_s()
                 except TimeoutError:
+                    if self._take_reply(call):
+                        wait_s = listtimes.hold_s()
+                        continue
                     self._keep(call)
                     call = None
                     if not wait_s:
--- a/cloverkeel/listcall.py
+++ b/cloverkeel/listcall.py
@@ -63,6 +63,13 @@
     def is_waiting(self) -> bool:
         return self.answer is not None and not self.answer.done()
 
+    @property
+    def reply(self) -> Reply | None:
+        """The answer to the call made last, once it has come."""
+        answer = self.answer
+        is_here = answer is not None and answer.done() and not answer.cancelled() and not answer.exception()
+        return answer.result() if answer is not None and is_here else None
+
     @property
     def is_closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -7,12 +7,13 @@
 import math
 import socket
 import struct
+import time
 from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
 
-from cloverkeel.listtimes import TOLD_MOVED_S, TOLD_S
+from cloverkeel.listtimes import CALL_TIMEOUT_S, TOLD_MOVED_S, TOLD_S
 from tests.sockets import (
     Exchange,
     Message,
@@ -318,3 +319,25 @@
         await until(lambda: len(registry.seen) == 3)
         assert [named(exchange) for exchange in registry.seen] == ["7", "whole", "3"]
         assert set(run.gateway.pools.hosts) == {host_id(3)}
+
+
+@pytest.mark.parametrize("call", ["watch", "fetch"])
+@on_loop
+async def test_an_answer_that_comes_as_its_time_ends_is_taken(call: str) -> None:
+    """Both in one poll: the call was ended, its answer, which counts as told, thrown away, and on request the
+    next call made up to 4 s later."""
+
+    def script(exchange: Exchange) -> None:
+        if len(registry.seen) == 1:
+            exchange.answer(WHOLE)
+            time.sleep(CALL_TIMEOUT_S + 0.05)  # what is forced: the loop sees the answer and the end at once
+
+    async with peer(script) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"] |= {"membershipMode": "on_request", "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:
+            discovery = run.gateway.discovery
+            discovery.watch(True) if call == "watch" else discovery.fetch()
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            assert run.gateway.balancer.list_calls_failed == 0 and discovery.slow is None
+            assert registry.opened == 1
