Discovery: a kept call that failed is not gone on with

Cause: _hear_late put the connection by for the next watch before it looked at the answer. One with 500 or no list was closed, and stayed put by: the next watch took it for one that had just answered, connected anew and let its first call wait for news, so that a silent service showed after up to 5 s in place of 1 s. Change: it is let go with the failure.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -293,6 +293,8 @@
                 self.watch(True)
         except Exception as error:  # as in `_guard`
             heard = False
+            if self.spare is call:
+                self.spare = None
             log(f"discovery: a call kept for its answer: {error or type(error).__name__}")
         finally:
             if self.slow is asyncio.current_task():
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -341,3 +341,24 @@
             await until(lambda: host_id(3) in run.gateway.pools.hosts)
             assert run.gateway.balancer.list_calls_failed == 0 and discovery.slow is None
             assert registry.opened == 1
+
+
+@on_loop
+async def test_a_kept_call_that_fails_leaves_no_connection_to_go_on_with(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next watch took it for one that had just answered, and its first call waited for news."""
+    monkeypatch.setattr("cloverkeel.listtimes.CALL_TIMEOUT_S", 0.1)
+    async with peer(silent) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"] |= {"membershipMode": "on_request", "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:
+            discovery = run.gateway.discovery
+            discovery.watch(True)
+            await until(lambda: discovery.slow is not None and discovery.watching is None)
+            registry.seen[0].answer(reply(500))
+            await until(lambda: discovery.slow is None)
+            assert discovery.spare is None
+            discovery.watch(True)
+            await until(lambda: len(registry.seen) == 2)
+            assert registry.seen[1].message.first.split(" ")[1].endswith("hold_ms=0")
