Discovery: a connection is given up in a call's time, not in a watch's

Cause: after an answer that ended its connection the next call's limit, its wait for news and 1 s, held for the connection too: one that never came up took up to 5 s, though nobody had been asked to wait yet. Change: the connection has a call's time (1 s, less where lists are pushed); the next one is opened at once.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -246,7 +246,8 @@
                         call = None
                     async with asyncio.timeout(wait_s + self.timeout_s):
                         if call is None:
-                            call = await self._connect()
+                            async with asyncio.timeout(self.timeout_s):
+                                call = await self._connect()
                         target = LIST
                         if self.index is not None:
                             target += b"?from=%d&hold_ms=%d" % (self.index, wait_s * 1000)
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from cloverkeel.listcall import DiscoveryConnection
 from cloverkeel.listtimes import CALL_TIMEOUT_S, TOLD_MOVED_S, TOLD_S
 from tests.sockets import (
     Exchange,
@@ -362,3 +363,34 @@
             discovery.watch(True)
             await until(lambda: len(registry.seen) == 2)
             assert registry.seen[1].message.first.split(" ")[1].endswith("hold_ms=0")
+
+
+@on_loop
+async def test_a_connection_that_does_not_come_up_after_an_answer_is_given_up_in_a_call_s_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was waited for as long as for news, which nobody had been asked for yet."""
+    monkeypatch.setattr("random.uniform", max)
+
+    def script(exchange: Exchange) -> None:
+        if exchange.connection == 1:
+            exchange.answer(list_reply(8, snapshot=False).replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+        elif len(registry.seen) == 2:
+            exchange.answer(WHOLE)
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        discovery, loop = run.gateway.discovery, asyncio.get_running_loop()
+        connect, tried_s = discovery._connect, list[float]()
+
+        async def late() -> DiscoveryConnection:
+            tried_s.append(loop.time())
+            if len(tried_s) == 2:
+                await loop.create_future()  # never
+            return await connect()
+
+        monkeypatch.setattr(discovery, "_connect", late)
+        await until(lambda: host_id(3) in run.gateway.pools.hosts)
+        assert len(tried_s) == 3 and tried_s[2] - tried_s[1] < CALL_TIMEOUT_S + 1.0  # without a wait for news
