--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -184,6 +184,7 @@
     async def _ask(self, call: DiscoveryConnection, target: bytes) -> None:
         """Raises TimeoutError where it is called off for that, and leaves the call as it is: see `_keep`."""
         call.begun = self.order.begin() if self.order is not None else None
+        call.index = self.index
         answer = call.ask(b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, self.host))
         self._answered(call, await asyncio.shield(answer))
 
@@ -193,6 +194,7 @@
         if not reply.keep_alive:
             call.close()
         raw = json.loads(reply.body)
+        index: int | None
         index, whole, entries = parse_list(raw, self.names)
         self.failures = self.late = 0
         self.has_list, self.moved = True, False
@@ -200,9 +202,22 @@
         if self.order is not None:
             self.order.answered(call.begun, raw, index, whole, entries)
             return
+        if self.index is not None and self.index != call.index:  # another call was answered meanwhile
+            if not (call.index or 0) <= self.index <= index:
+                return  # what it tells is older, or a change of a list that is not the one held
+        elif not whole and call.index is not None and (self.index is None or index < self.index):
+            index = None  # the service counts anew: what else has changed only the whole list tells
         self.index = index
         self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
 
+    def _take_reply(self, call: DiscoveryConnection | None) -> bool:
+        """Take the answer of a call that has run out of time in the very moment in which it came."""
+        reply = call.reply if call is not None else None
+        if call is None or reply is None:
+            return False
+        self._answered(call, reply)
+        return True
+
     async def _fetch(self) -> None:
         call: DiscoveryConnection | None = None
         try:
@@ -210,6 +225,8 @@
                 call = await self._connect()
                 await self._ask(call, LIST)
         except TimeoutError:
+            if self._take_reply(call):
+                return
             self._keep(call)
             call = None
             raise
@@ -222,16 +239,24 @@
         wait_s = listtimes.hold_s() if (waits or call is not None) and self.index is not None else 0.0
         try:
             while True:
+                if self.index is None:
+                    wait_s = 0.0  # the whole list is there already
                 try:
+                    if call is not None and call.is_closing:
+                        call = None
                     async with asyncio.timeout(wait_s + self.timeout_s):
-                        if call is None or call.is_closing:
-                            call = await self._connect()
+                        if call is None:
+                            async with asyncio.timeout(self.timeout_s):
+                                call = await self._connect()
                         target = LIST
                         if self.index is not None:
                             target += b"?from=%d&hold_ms=%d" % (self.index, wait_s * 1000)
                         await self._ask(call, target)
                     wait_s = listtimes.hold_s()
                 except TimeoutError:
+                    if self._take_reply(call):
+                        wait_s = listtimes.hold_s()
+                        continue
                     self._keep(call)
                     call = None
                     if not wait_s:
@@ -269,6 +294,8 @@
                 self.watch(True)
         except Exception as error:  # as in `_guard`
             heard = False
+            if self.spare is call:
+                self.spare = None
             log(f"discovery: a call kept for its answer: {error or type(error).__name__}")
         finally:
             if self.slow is asyncio.current_task():
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -7,12 +7,14 @@
 import math
 import socket
 import struct
+import time
 from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
 
-from cloverkeel.listtimes import TOLD_MOVED_S, TOLD_S
+from cloverkeel.listcall import DiscoveryConnection
+from cloverkeel.listtimes import CALL_TIMEOUT_S, TOLD_MOVED_S, TOLD_S
 from tests.sockets import (
     Exchange,
     Message,
@@ -260,3 +262,135 @@
             await until(lambda: host_id(3) in run.gateway.pools.hosts)
             assert asyncio.get_running_loop().time() - begun_s < TOLD_S - 1.0  # a call may still be lost
             registry.script = silent
+
+
+def named(exchange: Exchange) -> str:
+    """From which version it asks, or for the whole list."""
+    return exchange.message.first.partition("from=")[2].partition("&")[0] or "whole"
+
+
+@pytest.mark.parametrize(
+    ("late", "goes_on_from"),
+    [
+        (list_reply(9, endpoint("s-1", "127.0.0.1:1"), snapshot=False), "12"),  # a change from 7, now of 12
+        (list_reply(9, endpoint("s-1", "127.0.0.1:1")), "12"),
+        (list_reply(14, FRESH | {"status": "DELETED"}, snapshot=False), "14"),  # as good from 12
+    ],
+    ids=["older change", "older list", "newer change"],
+)
+@on_loop
+async def test_an_answer_never_brings_an_older_list_back(late: bytes, goes_on_from: str) -> None:
+    """The watch's older answer took the place of a whole list that was asked for beside it: servers came
+    back that had gone, and what lay between was asked for from there, and never told."""
+
+    def script(exchange: Exchange) -> None:
+        if named(exchange) == "whole":
+            exchange.answer(list_reply(12, FRESH))
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        await until(lambda: registry.seen)  # the watch, from 7
+        run.gateway.discovery.fetch()
+        await until(lambda: host_id(3) in run.gateway.pools.hosts)
+        registry.seen[0].answer(late)
+        await until(lambda: len(registry.seen) == 3)
+        assert named(registry.seen[2]) == goes_on_from
+        assert host_id(1) not in run.gateway.pools.hosts
+        assert (host_id(3) in run.gateway.pools.hosts) == (goes_on_from == "12")
+
+
+@on_loop
+async def test_a_service_that_counts_anew_is_asked_for_the_whole_list() -> None:
+    """Its change was taken, and the watch went on from a version of another list: what that one lacked was
+    never told."""
+
+    def script(exchange: Exchange) -> None:
+        if named(exchange) == "7":
+            drains = endpoint("s-1", "127.0.0.1:1", status="DRAINING")
+            exchange.answer(list_reply(3, drains, snapshot=False))
+        elif named(exchange) == "whole":
+            exchange.answer(list_reply(3, FRESH))
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", "127.0.0.1:2", discovery=registry.address)) as run,
+    ):
+        await until(lambda: len(registry.seen) == 3)
+        assert [named(exchange) for exchange in registry.seen] == ["7", "whole", "3"]
+        assert set(run.gateway.pools.hosts) == {host_id(3)}
+
+
+@pytest.mark.parametrize("call", ["watch", "fetch"])
+@on_loop
+async def test_an_answer_that_comes_as_its_time_ends_is_taken(call: str) -> None:
+    """Both in one poll: the call was ended, its answer, which counts as told, thrown away, and on request the
+    next call made up to 4 s later."""
+
+    def script(exchange: Exchange) -> None:
+        if len(registry.seen) == 1:
+            exchange.answer(WHOLE)
+            time.sleep(CALL_TIMEOUT_S + 0.05)  # what is forced: the loop sees the answer and the end at once
+
+    async with peer(script) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"] |= {"membershipMode": "on_request", "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:
+            discovery = run.gateway.discovery
+            discovery.watch(True) if call == "watch" else discovery.fetch()
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            assert run.gateway.balancer.list_calls_failed == 0 and discovery.slow is None
+            assert registry.opened == 1
+
+
+@on_loop
+async def test_a_kept_call_that_fails_leaves_no_connection_to_go_on_with(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next watch took it for one that had just answered, and its first call waited for news."""
+    monkeypatch.setattr("cloverkeel.listtimes.CALL_TIMEOUT_S", 0.1)
+    async with peer(silent) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"] |= {"membershipMode": "on_request", "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:
+            discovery = run.gateway.discovery
+            discovery.watch(True)
+            await until(lambda: discovery.slow is not None and discovery.watching is None)
+            registry.seen[0].answer(reply(500))
+            await until(lambda: discovery.slow is None)
+            assert discovery.spare is None
+            discovery.watch(True)
+            await until(lambda: len(registry.seen) == 2)
+            assert registry.seen[1].message.first.split(" ")[1].endswith("hold_ms=0")
+
+
+@on_loop
+async def test_a_connection_that_does_not_come_up_after_an_answer_is_given_up_in_a_call_s_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was waited for as long as for news, which nobody had been asked for yet."""
+    monkeypatch.setattr("random.uniform", max)
+
+    def script(exchange: Exchange) -> None:
+        if exchange.connection == 1:
+            exchange.answer(list_reply(8, snapshot=False).replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+        elif len(registry.seen) == 2:
+            exchange.answer(WHOLE)
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        discovery, loop = run.gateway.discovery, asyncio.get_running_loop()
+        connect, tried_s = discovery._connect, list[float]()
+
+        async def late() -> DiscoveryConnection:
+            tried_s.append(loop.time())
+            if len(tried_s) == 2:
+                await loop.create_future()  # never
+            return await connect()
+
+        monkeypatch.setattr(discovery, "_connect", late)
+        await until(lambda: host_id(3) in run.gateway.pools.hosts)
+        assert len(tried_s) == 3 and tried_s[2] - tried_s[1] < CALL_TIMEOUT_S + 1.0  # without a wait for news
