The way out: who was let in is served, and what is owed at its end reaches slow readers

Ruled out, with tests that passed before too: a first request that comes byte by byte over the drain; SIGTERM twice, after a SIGHUP and before one (a reload is one call, a second SIGTERM sets what is set).

Change: the listener closes once a poll finds nobody in it; the answer is the last one only if a poll finds nothing behind it; `fail_rest` ends every connection in a lingering close and waits for clients' ends until 0.04 s before SIGKILL's earliest time; early SIGHUPs are counted and followed once all is set up.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -21,7 +21,7 @@
     os._exit(0)
 
 
-FINAL_WRITE_S = 0.3  # for the last snapshot, where the draining ended in time: the platform's margin is 0.6 s
+FINAL_WRITE_S = 0.3  # at most, for the last snapshot, where the draining ended in time
 
 
 def keep(loop: asyncio.AbstractEventLoop, keeper: Keeper, gateway: Gateway, interval_s: float) -> None:
@@ -42,7 +42,8 @@
         return run(sys.argv[1:])
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what it would change is read below
+    changes: list[int] = []  # SIGHUPs before there is anything to reconfigure
+    signal.signal(signal.SIGHUP, lambda signum, frame: changes.append(signum))
     # Imported late: a signal during the start must find its handler.
     from cloverkeel.config import ConfigError, inherited_listener, load
 
@@ -145,6 +146,8 @@
                 await fleet.leave()
             return 1
         loop.add_signal_handler(signal.SIGHUP, server.reload)
+        if changes:
+            server.reload()  # the file may have changed after it was read
         if keeper is not None:
             keep(loop, keeper, gateway, config.state.snapshot_s)
         gc.collect()
@@ -153,10 +156,11 @@
         leaving = [loop.create_task(part.leave()) for part in (duties, fleet) if part is not None]
         if keeper is not None:
             keeper.offer(gateway.snapshot())  # for a new process that starts beside this one
-        final_write_s = FINAL_WRITE_S
+        end_s = loop.time() + server.end_s
         try:
-            async with asyncio.timeout(server.end_s):
+            async with asyncio.timeout_at(end_s):
                 await server.drain()
+            final_write_s = max(0.0, min(FINAL_WRITE_S, end_s - loop.time()))
         except TimeoutError:
             log(f"time is out: answered as failed on {await server.fail_rest()} connections")
             final_write_s = 0.0  # no time is left: the snapshot of the signal's moment stands
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -231,7 +231,7 @@
             self.answer(504 if timed_out else 502, [], b"")
 
     def fail_rest(self) -> None:
-        """Answer in order, as failed, what is owed here."""
+        """Answer in order, as failed, what is owed here, and end the connection."""
         while self.current is not None or self.waiting:
             if self.current is None:
                 self.current, self.current_id = self.waiting.popleft(), ""
@@ -239,6 +239,7 @@
                 self.on_broken(self.current)
                 return
             self.answer(504, [], b"")
+        self.close()
 
     def answer(self, status: int, headers: list[Header], body: bytes) -> None:
         """Write the whole answer at once, and go on with the next request."""
@@ -252,13 +253,19 @@
 
     def must_end(self, request: Request) -> bool:
         """Whether the connection ends with this request's answer."""
+        server = self.server
         if not request.keep_alive:
             return True
+        if server.is_out_of_time:
+            return not self.waiting
         # What was read is answered, on the way out too; the rest of this one's body is not waited for then.
-        more = bool(self.waiting) or (self.reading is not None and self.reading is not request)
+        if self.waiting or (self.reading is not None and self.reading is not request):
+            return False
         # Guards against a rush of new connections: all too fresh to close, they left none for the hosts.
-        crowded = self.server.spare < RESERVE // 2
-        return (self.server.draining or crowded) and not more
+        if not server.draining and server.spare >= RESERVE // 2:
+            return False
+        # A request sent behind this one may have reached this machine and not yet this program.
+        return not (request.whole and self.poll.poll(0))
 
     def answered(self, last: bool) -> None:
         """The answer is written: go on with the next request, or end."""
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import select
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -16,7 +17,8 @@
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
 LONGEST_S = 3.0
-LAST_MOMENT_S = 0.1  # before that, this process answers what is left and ends by itself
+LAST_MOMENT_S = 0.1  # before that, this process answers what is left ...
+EXIT_S = 0.04  # ... and ends by itself, so long before
 SWEEP_S = 0.2
 REPORT_S = 10.0
 POLL_S = 0.02
@@ -32,6 +34,7 @@
         self.connections: dict[ClientConnection, None] = {}  # the longest without an answer first
         self.lingering: dict[ClientConnection, None] = {}  # shut down, not yet closed; the first one first
         self.draining = False
+        self.is_out_of_time = False  # on the way out: what is owed now is answered as failed
         self.listener: asyncio.Server | None = None
         self.inherited = inherited  # others accept from it too
         self.accepting = False
@@ -82,23 +85,43 @@
                 self.gateway.pools.give_up_idle()
                 await asyncio.sleep(POLL_S)
         else:
-            stop_accepting = loop.time() + ACCEPT_ON_S
-            while loop.time() < stop_accepting:
+            accept_until_s = loop.time() + min(ACCEPT_ON_S, self.end_s - LAST_MOMENT_S)
+            while loop.time() < accept_until_s:
                 self.close_idle()
                 await asyncio.sleep(POLL_S)
-            if self.listener is not None:
-                self.listener.close()
+            await self.stop_accepting()
+        await asyncio.sleep(POLL_S)  # what was accepted last is told of one round of the loop later
         while self.connections or self.lingering:
             self.close_idle()
             await asyncio.sleep(POLL_S)
 
+    async def stop_accepting(self) -> None:
+        """Close the listener once nobody waits in it: whom the system has let in, it would reset."""
+        if self.listener is None:
+            return
+        waiting = select.poll()
+        for listening in self.listener.sockets:
+            waiting.register(listening.fileno(), select.POLLIN)
+        while waiting.poll(0):
+            await asyncio.sleep(0)
+        self.listener.close()
+
     async def fail_rest(self) -> int:
-        """Answer as failed all that is still owed; returns on how many connections."""
-        owed = [c for c in self.connections if c.current is not None or c.waiting]
-        for connection in owed:
+        """Answer as failed all that is still owed, and end every connection; returns on how many it was owed.
+
+        Clients have nearly all of the time that is left to read it.
+        """
+        self.is_out_of_time = True
+        if self.listener is not None:
+            self.listener.close()
+        owed = sum(c.current is not None or bool(c.waiting) for c in self.connections)
+        for connection in list(self.connections):
             connection.fail_rest()
-        await asyncio.sleep(POLL_S)  # for the loop to write it
-        return len(owed)
+        loop = asyncio.get_running_loop()
+        last_s = loop.time() + LAST_MOMENT_S - EXIT_S
+        while (self.connections or self.lingering) and loop.time() < last_s:
+            await asyncio.sleep(POLL_S / 4)
+        return owed
 
     def close_idle(self) -> None:
         for connection in [c for c in self.connections if c.is_idle()]:
