Idle connections: one rests 10 ms after an answer before it carries the next request

Seen by the poll in take(), or while the connection is idle, it ends the connection; but one that came after the next request was written was given to that request, as what no host had made for it: nothing in HTTP/1.1 tells the two apart. Forced by the test. Change: take() passes over connections whose last answer is less than 10 ms old; where only such are there a new one is opened. Ruled out: telling by the time between write and answer (a host may be that quick), and a poll after the write (it sees only what is there at that moment). Tests that are about use again at once set the rest to 0; that it is kept, and that a rested connection is used again, is tested in test_host_crossings: fails without, passes with it.

--- a/cloverkeel/hosts/idle.py
+++ b/cloverkeel/hosts/idle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
+
 from caperdrift.interface import Settings
 
 from cloverkeel.clock import now_us
@@ -11,6 +13,7 @@
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
 SPARE_IDLE_US = 5_000_000  # the same for what only a burst has needed
+REST_US = 10_000  # between an answer and the next request; a second answer may be some milliseconds late
 SPARED = 1  # connections of a host that may stay idle for longer than that
 
 
@@ -55,10 +58,17 @@
             host.idle.pop().close()
 
     def take(self, host: Host) -> HostConnection | None:
-        """The most recently used free connection: those at the bottom of the stack age and are closed."""
-        oldest_us = now_us() - int(self.settings.keepalive_us * IDLE_SHARE)
-        while host.idle:
-            connection = host.idle.pop()
+        """The most recently used free connection that has rested: those at the bottom of the stack age.
+
+        Guards against a second answer that comes late: once the next request is written, nobody could tell
+        it from that one's own.
+        """
+        now = now_us()
+        oldest_us = now - int(self.settings.keepalive_us * IDLE_SHARE)
+        rested = bisect_right(host.idle, now - REST_US, key=lambda connection: connection.idle_since_us)
+        while rested:
+            rested -= 1
+            connection = host.idle.pop(rested)
             if connection.idle_since_us >= oldest_us and connection.is_fresh():
                 return connection
             self.counts.stale += 1
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -217,7 +217,8 @@
 
 
 @on_loop
-async def test_answers_in_chunks_and_interim_answers_are_read() -> None:
+async def test_answers_in_chunks_and_interim_answers_are_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
     data = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     data += b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
     async with peer(answers(data)) as host, running(configuration(host)) as run:
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -31,6 +31,12 @@
 )
 
 
+@pytest.fixture(autouse=True)
+def no_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Connections may be used again at once: that they rest first is tested in test_host_crossings."""
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
+
+
 def idle(run: Running, number: int = 0) -> list[HostConnection]:
     return run.gateway.pools.hosts[host_id(number)].idle
 
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -16,6 +16,7 @@
 from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.hosts.host import Host
+from cloverkeel.hosts.idle import REST_US
 from cloverkeel.hosts.pool import Pools
 from cloverkeel.http1 import Reply
 from cloverkeel.streams import Buffer
@@ -55,6 +56,7 @@
         attempt = Attempt(
             self.known, lambda: data, self.on_end, on_begin=lambda attempt, head: self.pieces.append
         )
+        attempt.left_us = lambda: PATIENCE_US
         self.pools.send(attempt, timeout_us)
         return attempt
 
@@ -81,6 +83,8 @@
         await self.read(taken)
         taken.sendall(b"".join(answer) or reply())
         await until(lambda: self.ended)
+        for connection in self.known.idle:
+            connection.idle_since_us -= REST_US  # as if it had rested
         self.ended.clear()
         self.replies.clear()
         return taken
@@ -147,6 +151,7 @@
         exchange.answer(reply(200, b"mine"))
 
     monkeypatch.setattr(HostConnection, "buffer_updated", counted)
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
     async with peer(script) as host, running(configuration(host)) as run:
         assert len((await run.ask(request())).body) == 100_000
         pools = run.gateway.pools
@@ -396,3 +401,26 @@
         await until(lambda: len(host.ended) == 2)
         assert host.ended == [Outcome.OK] * 2 and coming_up.ended
         assert not again.idle and not host.known.idle and again.open == 0
+
+
+@pytest.mark.parametrize("rested", [False, True])
+@on_loop
+async def test_a_second_answer_that_is_late_is_not_the_next_request_s(rested: bool) -> None:
+    """After that one's last byte nobody could tell: its connection is not used again before."""
+    async with raw_host() as host:
+        first = await host.exchange()
+        if not rested:
+            host.known.idle[0].idle_since_us = now_us()
+        host.send()
+        if rested:
+            assert await host.read(first) == len(ASKED)
+            first.sendall(reply(200, b"mine"))
+        else:
+            second = await host.accept()
+            assert await host.read(second) == len(ASKED)
+            first.sendall(reply(200, b"whose?"))
+            await until(lambda: host.pools.counts.ended_idle == 1)
+            second.sendall(reply(200, b"mine"))
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and host.replies[0] is not None and host.replies[0].body == b"mine"
+        assert host.pools.counts.opened == (1 if rested else 2)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -374,7 +374,10 @@
 
 @pytest.mark.parametrize("form", ["length", "chunked", "extensions and a trailer"])
 @on_loop
-async def test_a_long_body_passes_unchanged_and_the_connection_goes_on(form: str) -> None:
+async def test_a_long_body_passes_unchanged_and_the_connection_goes_on(
+    form: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
     sink = Sink()
     async with raw_host(sink) as host, running(configuration(host)) as gateway:
         client = await gateway.connect()
