Tests: the descriptors of connections to hosts, counted against /proc/self/fd under random ends

Four seeds of 150 rounds: answers, resets, halves, second answers, refused and never-up connections, drains, removals, new addresses and cancels at any turn of the loop. Each attempt ends once, and what is counted is what is open. The scripted raw host has a module of its own.

--- /dev/null
+++ b/tests/raw_host.py
@@ -0,0 +1,105 @@
+"""A host whose every step a test makes itself."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from caperdrift.interface import Outcome, Settings
+from cloverkeel.hosts.attempt import Attempt
+from cloverkeel.hosts.connection import HostConnection
+from cloverkeel.hosts.host import Host
+from cloverkeel.hosts.idle import REST_US
+from cloverkeel.hosts.pool import Pools
+from cloverkeel.http1 import Reply
+from cloverkeel.streams import Buffer
+from cloverkeel.telemetry import Telemetry
+from tests.helpers import SAFE
+from tests.sockets import reply, until
+
+PATIENCE_US = 20_000_000
+ASKED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def reset(taken: socket.socket) -> None:
+    taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    taken.close()
+
+
+def seen_by(connection: HostConnection) -> None:
+    """Wait, without a turn of the loop, until what its host has done has arrived at this side."""
+    assert connection.poll.poll(5_000)
+
+
+@dataclass
+class RawHost:
+    """A host whose every step the test makes itself, and the pool that reaches it."""
+
+    listener: socket.socket
+    pools: Pools
+    known: Host
+    taken: list[socket.socket] = field(default_factory=list)
+    ended: list[Outcome] = field(default_factory=list)
+    replies: list[Reply | None] = field(default_factory=list)
+    pieces: list[bytes] = field(default_factory=list)  # of long answers
+
+    def send(self, data: bytes = ASKED, timeout_us: int = PATIENCE_US) -> Attempt:
+        attempt = Attempt(
+            self.known, lambda: data, self.on_end, on_begin=lambda attempt, head: self.pieces.append
+        )
+        attempt.left_us = lambda: PATIENCE_US
+        self.pools.send(attempt, timeout_us)
+        return attempt
+
+    def on_end(self, attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
+        self.ended.append(outcome)
+        self.replies.append(answer)
+
+    async def accept(self) -> socket.socket:
+        taken, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        self.taken.append(taken)
+        return taken
+
+    async def read(self, taken: socket.socket, size: int = len(ASKED)) -> int:
+        """Bytes that came, up to a size or the end."""
+        got = 0
+        while got < size and (data := await asyncio.get_running_loop().sock_recv(taken, 1 << 20)):
+            got += len(data)
+        return got
+
+    async def exchange(self, *answer: bytes) -> socket.socket:
+        """One request on a new connection, answered: the connection is idle then, if it may be."""
+        self.send()
+        taken = await self.accept()
+        await self.read(taken)
+        taken.sendall(b"".join(answer) or reply())
+        await until(lambda: self.ended)
+        for connection in self.known.idle:
+            connection.idle_since_us -= REST_US  # as if it had rested
+        self.ended.clear()
+        self.replies.clear()
+        return taken
+
+
+@asynccontextmanager
+async def raw_host(receive_buffer: int = 0) -> AsyncIterator[RawHost]:
+    pools = Pools(Settings(classes=(SAFE,), stop_sending_within_us=1_000_000), Telemetry(), Buffer(192))
+    with socket.socket() as listener:
+        if receive_buffer:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        pools.put(1, "h", listener.getsockname(), True)
+        host = RawHost(listener, pools, pools.hosts[1])
+        try:
+            yield host
+            await until(lambda: pools.open == len(host.known.idle) == host.known.open)
+        finally:
+            pools.close()
+            for taken in host.taken:
+                taken.close()
--- /dev/null
+++ b/tests/test_host_descriptors.py
@@ -0,0 +1,129 @@
+"""Connections to hosts are counted once while they are there, whatever ends them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+import pytest
+
+from caperdrift.interface import Outcome, Settings
+from cloverkeel.hosts.attempt import Attempt
+from cloverkeel.hosts.pool import Pools
+from cloverkeel.http1 import Reply
+from cloverkeel.streams import Buffer
+from cloverkeel.telemetry import Telemetry
+from tests.helpers import SAFE
+from tests.sockets import Exchange, on_loop, peer, reply, until
+
+ROUNDS = 150
+REPLY = reply()
+ASKED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def descriptors_to(ports: set[int]) -> int:
+    """This process's own sockets that are connected to one of these ports."""
+    found = 0
+    for name in os.listdir("/proc/self/fd"):
+        with suppress(OSError, IndexError, TypeError):  # no socket, or connected to nobody
+            copy = os.dup(int(name))
+            try:
+                one = socket.socket(fileno=copy)
+            except OSError:
+                os.close(copy)
+                continue
+            with one:
+                found += one.getpeername()[1] in ports
+    return found
+
+
+def serving(rng: random.Random) -> Callable[[Exchange], None]:
+    """A host that does anything with a request."""
+
+    def closing(exchange: Exchange, data: bytes) -> None:
+        exchange.answer(data)
+        exchange.writer.close()
+
+    ways: list[Callable[[Exchange], None]] = [
+        lambda exchange: exchange.answer(REPLY),
+        lambda exchange: exchange.answer(REPLY),
+        lambda exchange: exchange.answer(REPLY + REPLY),
+        lambda exchange: exchange.answer(REPLY + b"HTTP"),
+        lambda exchange: exchange.answer(b"none\r\n\r\n"),
+        lambda exchange: exchange.answer(reply(200, bytes(100_000))),
+        lambda exchange: exchange.answer(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"),
+        lambda exchange: closing(exchange, REPLY),
+        lambda exchange: closing(exchange, b"HTTP/1.1 200 X\r\n\r\nall"),
+        lambda exchange: closing(exchange, REPLY[:-2]),
+        lambda exchange: exchange.reset(),
+        lambda exchange: None,
+    ]
+    return lambda exchange: rng.choice(ways)(exchange)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@on_loop
+async def test_what_is_counted_is_what_is_open(seed: int) -> None:
+    rng = random.Random(seed)
+    pools = Pools(
+        Settings(classes=(SAFE,), connect_timeout_us=30_000, stop_sending_within_us=10_000),
+        Telemetry(),
+        Buffer(192),
+    )
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fill = [socket.socket() for _ in range(4)]
+        for one in fill:  # a backlog that is full lets nothing more come up
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        async with peer(serving(rng)) as first, peer(serving(rng)) as second:
+            served = [("127.0.0.1", int(host.address.rpartition(":")[2])) for host in (first, second)]
+            addresses = [*served, full.getsockname(), ("127.0.0.1", 1)]
+            ports, hosts, out, ended = {port for _, port in served}, set(), list[Attempt](), list[Attempt]()
+
+            def on_end(attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
+                ended.append(attempt)
+
+            def put(id_: int, ready: bool = True) -> None:
+                pools.put(id_, f"h{id_}", rng.choice(addresses), ready, rng.randrange(2))
+                hosts.add(pools.hosts[id_])
+
+            def send() -> None:
+                attempt = Attempt(rng.choice(list(pools.hosts.values())), lambda: ASKED, on_end)
+                if rng.random() < 0.5:
+                    attempt.on_begin = lambda attempt, head: lambda piece: None
+                out.append(attempt)
+                pools.send(attempt, rng.choice((0, 1_000, 20_000, 60_000)))
+
+            for id_ in range(4):
+                put(id_)
+            acts: list[Callable[[], object]] = [
+                lambda: put(rng.randrange(4), rng.random() < 0.8),
+                lambda: pools.remove(rng.randrange(1, 4)),
+                lambda: pools.close_idle(rng.randrange(4)),
+                pools.give_up_idle,
+                lambda: pools.cancel(rng.choice(out)),
+            ]
+            for _ in range(ROUNDS):
+                for _ in range(rng.randrange(1, 6)):
+                    send()
+                if rng.random() < 0.3 and out:
+                    rng.choice(acts)()
+                for _ in range(rng.randrange(4)):
+                    await asyncio.sleep(0)
+                if rng.random() < 0.1:
+                    await until(lambda: len(ended) == len(out))
+                    await until(lambda: pools.open == descriptors_to(ports))
+                    assert pools.open == sum(host.open for host in hosts)
+            await until(lambda: len(ended) == len(out))
+            assert len({id(attempt) for attempt in ended}) == len(out)  # each ended once
+            pools.close()
+            await until(lambda: pools.open == descriptors_to(ports) == 0)
+            assert not any(host.open or host.idle for host in hosts) and not pools.long
+        for one in fill:
+            one.close()
