Attempts: what came in time is taken up before a time-out that is due too

Seen by reading and forced: uvloop (libuv 1.52) fires what is due after one poll and before the next; a loop that was busy for longer than a time-out called off an attempt whose answer was in the kernel, and one whose connection had come up there, as failed to connect, though both had come in time. Change: where something can be read, or the connection has not come up, one more turn of the loop (1 ms) reads first; an answer that is not whole then is timed out as before. Both tests fail without and pass with it.

--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -18,6 +18,7 @@
 
 SWEEP_S = 1.0
 HOLD_S = 0.05  # for a body of unknown length to come whole; else it passes on as a long one
+TURN_S = 0.001  # the shortest time that the loop does not make "at once" of
 RATE_S = 0.1  # between two looks at how much of an answer has come
 STALL_US = 30_000_000  # a long body of which nothing moves for so long, though it is read, has ended
 
@@ -124,13 +125,33 @@
         attempt.on_end(attempt, outcome, reply)
 
     def on_timeout(self, attempt: Attempt) -> None:
+        connection = attempt.connection
+        if connection is not None and connection.transport is not None and not connection.is_fresh():
+            self.take_up(attempt, self.time_out)
+        else:
+            self.time_out(attempt)
+
+    def time_out(self, attempt: Attempt) -> None:
         # What was never written cannot have run, also when the time ended while connecting.
         self.cancel(attempt, Outcome.TIMEOUT if self.is_written(attempt) else Outcome.CONNECT_FAILED)
 
     def on_connect_timeout(self, attempt: Attempt) -> None:
+        if attempt.connection is not None and attempt.connection.transport is None:
+            self.take_up(attempt, self.time_out_connecting)
+
+    def time_out_connecting(self, attempt: Attempt) -> None:
         if attempt.connection is not None and attempt.connection.transport is None:
             self.cancel(attempt, Outcome.CONNECT_FAILED)
 
+    def take_up(self, attempt: Attempt, then: Callable[[Attempt], None]) -> None:
+        """First take up what has arrived here by now, and then do something if the attempt has not ended.
+
+        Guards against throwing away what came in time: after a busy moment the loop fires what is due before
+        it reads. One turn of it reads, and what that has queued comes before what is queued behind it.
+        """
+        soon = self.loop.call_soon
+        attempt.timers.append(self.loop.call_later(TURN_S, soon, then, attempt))
+
     def is_written(self, attempt: Attempt) -> bool:
         connection = attempt.connection
         return connection is not None and connection.transport is not None and connection.is_written
--- a/tests/raw_host.py
+++ b/tests/raw_host.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
 from caperdrift.interface import Outcome, Settings
@@ -25,6 +26,22 @@
 ASKED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
+def descriptors_to(ports: set[int]) -> int:
+    """This process's own sockets that are connected to one of these ports."""
+    found = 0
+    for name in os.listdir("/proc/self/fd"):
+        with suppress(OSError, IndexError, TypeError):  # no socket, or connected to nobody
+            copy = os.dup(int(name))
+            try:
+                one = socket.socket(fileno=copy)
+            except OSError:
+                os.close(copy)
+                continue
+            with one:
+                found += one.getpeername()[1] in ports
+    return found
+
+
 def reset(taken: socket.socket) -> None:
     taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     taken.close()
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
@@ -12,7 +15,7 @@
 from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.hosts.pool import Pools
-from tests.raw_host import ASKED, PATIENCE_US, raw_host, reset, seen_by
+from tests.raw_host import ASKED, PATIENCE_US, descriptors_to, raw_host, reset, seen_by
 from tests.sockets import Exchange, configuration, on_loop, peer, reply, request, running, until
 
 LATE_US = 3_000_000
@@ -333,3 +336,43 @@
         await until(lambda: host.ended)
         assert host.ended == [Outcome.OK] and host.replies[0] is not None and host.replies[0].body == b"mine"
         assert host.pools.counts.opened == (1 if rested else 2)
+
+
+@on_loop
+async def test_an_answer_that_came_in_time_is_taken_though_the_time_out_is_due_too() -> None:
+    """A busy loop has both at once, and fires what is due before it reads."""
+    async with raw_host() as host:
+        host.send(timeout_us=100_000)
+        taken = await host.accept()
+        await host.read(taken)
+        loop = asyncio.get_running_loop()
+        here, there = socket.socketpair()
+
+        def busy() -> None:
+            """While it reads from another socket: what comes meanwhile is read in the next turn only."""
+            loop.remove_reader(here)
+            taken.sendall(reply(200, b"mine"))
+            time.sleep(0.15)
+
+        loop.add_reader(here, busy)
+        there.send(b"x")
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK]
+        here.close()
+        there.close()
+
+
+@on_loop
+async def test_a_connection_that_came_up_in_time_is_taken_though_the_time_out_is_due_too() -> None:
+    async with raw_host() as host:
+        host.pools.settings = replace(host.pools.settings, connect_timeout_us=100_000)
+        attempt = host.send()
+        while not descriptors_to({host.known.address[1]}):
+            await asyncio.sleep(0)
+        assert attempt.connection is not None and attempt.connection.transport is None
+        time.sleep(0.15)
+        taken = await host.accept()
+        assert await host.read(taken) == len(ASKED)
+        taken.sendall(reply())
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK]
--- a/tests/test_host_descriptors.py
+++ b/tests/test_host_descriptors.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 
 import pytest
 
@@ -18,6 +16,7 @@
 from cloverkeel.streams import Buffer
 from cloverkeel.telemetry import Telemetry
 from tests.helpers import SAFE
+from tests.raw_host import descriptors_to
 from tests.sockets import Exchange, on_loop, peer, reply, until
 
 ROUNDS = 150
@@ -25,22 +24,6 @@
 ASKED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-def descriptors_to(ports: set[int]) -> int:
-    """This process's own sockets that are connected to one of these ports."""
-    found = 0
-    for name in os.listdir("/proc/self/fd"):
-        with suppress(OSError, IndexError, TypeError):  # no socket, or connected to nobody
-            copy = os.dup(int(name))
-            try:
-                one = socket.socket(fileno=copy)
-            except OSError:
-                os.close(copy)
-                continue
-            with one:
-                found += one.getpeername()[1] in ports
-    return found
-
-
 def serving(rng: random.Random) -> Callable[[Exchange], None]:
     """A host that does anything with a request."""
 
