--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -4,106 +4,22 @@
 
 import asyncio
 import socket
-import struct
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+import time
+from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
-from caperdrift.interface import Outcome, Settings
+from caperdrift.interface import Outcome
 from cloverkeel.clock import now_us
 from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.hosts.connection import HostConnection
-from cloverkeel.hosts.host import Host
 from cloverkeel.hosts.pool import Pools
-from cloverkeel.http1 import Reply
-from cloverkeel.streams import Buffer
-from cloverkeel.telemetry import Telemetry
-from tests.helpers import SAFE
+from tests.raw_host import ASKED, PATIENCE_US, descriptors_to, raw_host, reset, seen_by
 from tests.sockets import Exchange, configuration, on_loop, peer, reply, request, running, until
 
 LATE_US = 3_000_000
-PATIENCE_US = 20_000_000
 SMALL = 65_536  # a socket's buffer: far less than what is written
-ASKED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-
-
-def reset(taken: socket.socket) -> None:
-    taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    taken.close()
-
-
-def seen_by(connection: HostConnection) -> None:
-    """Wait, without a turn of the loop, until what its host has done has arrived at this side."""
-    assert connection.poll.poll(5_000)
-
-
-@dataclass
-class RawHost:
-    """A host whose every step the test makes itself, and the pool that reaches it."""
-
-    listener: socket.socket
-    pools: Pools
-    known: Host
-    taken: list[socket.socket] = field(default_factory=list)
-    ended: list[Outcome] = field(default_factory=list)
-    replies: list[Reply | None] = field(default_factory=list)
-    pieces: list[bytes] = field(default_factory=list)  # of long answers
-
-    def send(self, data: bytes = ASKED, timeout_us: int = PATIENCE_US) -> Attempt:
-        attempt = Attempt(
-            self.known, lambda: data, self.on_end, on_begin=lambda attempt, head: self.pieces.append
-        )
-        self.pools.send(attempt, timeout_us)
-        return attempt
-
-    def on_end(self, attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
-        self.ended.append(outcome)
-        self.replies.append(answer)
-
-    async def accept(self) -> socket.socket:
-        taken, _ = await asyncio.get_running_loop().sock_accept(self.listener)
-        self.taken.append(taken)
-        return taken
-
-    async def read(self, taken: socket.socket, size: int = len(ASKED)) -> int:
-        """Bytes that came, up to a size or the end."""
-        got = 0
-        while got < size and (data := await asyncio.get_running_loop().sock_recv(taken, 1 << 20)):
-            got += len(data)
-        return got
-
-    async def exchange(self, *answer: bytes) -> socket.socket:
-        """One request on a new connection, answered: the connection is idle then, if it may be."""
-        self.send()
-        taken = await self.accept()
-        await self.read(taken)
-        taken.sendall(b"".join(answer) or reply())
-        await until(lambda: self.ended)
-        self.ended.clear()
-        self.replies.clear()
-        return taken
-
-
-@asynccontextmanager
-async def raw_host(receive_buffer: int = 0) -> AsyncIterator[RawHost]:
-    pools = Pools(Settings(classes=(SAFE,), stop_sending_within_us=1_000_000), Telemetry(), Buffer(192))
-    with socket.socket() as listener:
-        if receive_buffer:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        listener.bind(("127.0.0.1", 0))
-        listener.listen()
-        listener.setblocking(False)
-        pools.put(1, "h", listener.getsockname(), True)
-        host = RawHost(listener, pools, pools.hosts[1])
-        try:
-            yield host
-            await until(lambda: pools.open == len(host.known.idle) == host.known.open)
-        finally:
-            pools.close()
-            for taken in host.taken:
-                taken.close()
 
 
 @on_loop
@@ -147,6 +63,7 @@
         exchange.answer(reply(200, b"mine"))
 
     monkeypatch.setattr(HostConnection, "buffer_updated", counted)
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
     async with peer(script) as host, running(configuration(host)) as run:
         assert len((await run.ask(request())).body) == 100_000
         pools = run.gateway.pools
@@ -396,3 +313,66 @@
         await until(lambda: len(host.ended) == 2)
         assert host.ended == [Outcome.OK] * 2 and coming_up.ended
         assert not again.idle and not host.known.idle and again.open == 0
+
+
+@pytest.mark.parametrize("rested", [False, True])
+@on_loop
+async def test_a_second_answer_that_is_late_is_not_the_next_request_s(rested: bool) -> None:
+    """After that one's last byte nobody could tell: its connection is not used again before."""
+    async with raw_host() as host:
+        first = await host.exchange()
+        if not rested:
+            host.known.idle[0].idle_since_us = now_us()
+        host.send()
+        if rested:
+            assert await host.read(first) == len(ASKED)
+            first.sendall(reply(200, b"mine"))
+        else:
+            second = await host.accept()
+            assert await host.read(second) == len(ASKED)
+            first.sendall(reply(200, b"whose?"))
+            await until(lambda: host.pools.counts.ended_idle == 1)
+            second.sendall(reply(200, b"mine"))
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and host.replies[0] is not None and host.replies[0].body == b"mine"
+        assert host.pools.counts.opened == (1 if rested else 2)
+
+
+@on_loop
+async def test_an_answer_that_came_in_time_is_taken_though_the_time_out_is_due_too() -> None:
+    """A busy loop has both at once, and fires what is due before it reads."""
+    async with raw_host() as host:
+        host.send(timeout_us=100_000)
+        taken = await host.accept()
+        await host.read(taken)
+        loop = asyncio.get_running_loop()
+        here, there = socket.socketpair()
+
+        def busy() -> None:
+            """While it reads from another socket: what comes meanwhile is read in the next turn only."""
+            loop.remove_reader(here)
+            taken.sendall(reply(200, b"mine"))
+            time.sleep(0.15)
+
+        loop.add_reader(here, busy)
+        there.send(b"x")
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK]
+        here.close()
+        there.close()
+
+
+@on_loop
+async def test_a_connection_that_came_up_in_time_is_taken_though_the_time_out_is_due_too() -> None:
+    async with raw_host() as host:
+        host.pools.settings = replace(host.pools.settings, connect_timeout_us=100_000)
+        attempt = host.send()
+        while not descriptors_to({host.known.address[1]}):
+            await asyncio.sleep(0)
+        assert attempt.connection is not None and attempt.connection.transport is None
+        time.sleep(0.15)
+        taken = await host.accept()
+        assert await host.read(taken) == len(ASKED)
+        taken.sendall(reply())
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK]
