--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -31,6 +31,12 @@
 )
 
 
+@pytest.fixture(autouse=True)
+def no_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Connections may be used again at once: that they rest first is tested in test_host_crossings."""
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
+
+
 def idle(run: Running, number: int = 0) -> list[HostConnection]:
     return run.gateway.pools.hosts[host_id(number)].idle
 
@@ -68,7 +74,7 @@
             ended.append(outcome)
 
         data = request("transfer")
-        pool.send(Attempt(pool.hosts[host_id(0)], data, on_end), 20_000_000)
+        pool.send(Attempt(pool.hosts[host_id(0)], lambda: data, on_end), 20_000_000)
         await until(lambda: ended)
         assert ended == [Outcome.OK] and host.opened == 2
 
@@ -124,6 +130,21 @@
         await until(lambda: pools.open == 0 and host.ended == 4)
 
 
+@on_loop
+async def test_none_is_idle_for_longer_than_the_settings_say() -> None:
+    """With a shorter idle time than a spare one's own, spare ones were left for the host to end."""
+    async with peer(silent) as host, running(configuration(host, keepaliveUs=2_000_000)) as run:
+        tasks = [asyncio.create_task(run.ask(request())) for _ in range(3)]
+        await until(lambda: len(host.seen) == 3)
+        for exchange in host.seen:
+            exchange.answer(reply())
+        await asyncio.gather(*tasks)
+        for connection in idle(run):
+            connection.idle_since_us -= 1_700_000
+        run.gateway.pools.sweep()
+        assert not idle(run)
+
+
 @on_loop
 async def test_a_drained_host_keeps_no_idle_connection_and_finishes_what_it_has() -> None:
     async with peer(silent) as host, running(configuration(host)) as run:
@@ -164,11 +185,11 @@
             ended.append(outcome)
 
         known = pools.hosts[host_id(0)]
-        pools.send(Attempt(known, request(), on_end), 20_000_000)
+        pools.send(Attempt(known, lambda: request(), on_end), 20_000_000)
         known.drained_us = now_us() - 1_000_001
         await until(lambda: ended)
         assert ended == [Outcome.CONNECT_FAILED] and not host.seen
-        pools.send(Attempt(known, request(), on_end), 20_000_000)
+        pools.send(Attempt(known, lambda: request(), on_end), 20_000_000)
         assert ended == [Outcome.CONNECT_FAILED] * 2
 
 
@@ -252,14 +273,14 @@
         for turns in range(12):  # of the loop between the call and its end: one of them meets the moment
             for after in range(3):
                 ended.clear()
-                first = Attempt(known, request("transfer"), on_end)
+                first = Attempt(known, lambda: request("transfer"), on_end)
                 pools.send(first, 20_000_000)
                 for _ in range(turns):
                     await asyncio.sleep(0)
                 pools.cancel(first)
                 for _ in range(after):
                     await asyncio.sleep(0)
-                pools.send(Attempt(known, request("transfer"), on_end), 20_000_000)
+                pools.send(Attempt(known, lambda: request("transfer"), on_end), 20_000_000)
                 await until(lambda: len(ended) == 2)
                 assert ended[1] is Outcome.OK
                 pools.close_idle(known.id)
--- /dev/null
+++ b/tests/test_host_crossings.py
@@ -0,0 +1,378 @@
+"""What crosses on a connection to a host: bytes, an end or a reset between two steps of this side."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from caperdrift.interface import Outcome
+from cloverkeel.clock import now_us
+from cloverkeel.hosts.attempt import Attempt
+from cloverkeel.hosts.connection import HostConnection
+from cloverkeel.hosts.pool import Pools
+from tests.raw_host import ASKED, PATIENCE_US, descriptors_to, raw_host, reset, seen_by
+from tests.sockets import Exchange, configuration, on_loop, peer, reply, request, running, until
+
+LATE_US = 3_000_000
+SMALL = 65_536  # a socket's buffer: far less than what is written
+
+
+@on_loop
+async def test_what_a_host_is_told_of_the_time_is_what_is_left_when_it_is_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Where a connection came up late, its host was told of time that had gone meanwhile."""
+    async with peer() as host, running(configuration(host)) as run:
+        pools = run.gateway.pools
+        on_connected = pools.on_connected
+
+        def late(connection: HostConnection) -> None:
+            monkeypatch.setattr("cloverkeel.gateway.now_us", lambda: now_us() + LATE_US)
+            on_connected(connection)
+
+        monkeypatch.setattr(pools, "on_connected", late)
+        assert (await run.ask(request(budget_ms=20_000))).status == 200
+        assert 0 < int(host.seen[0].message.headers["x-budget-ms"]) <= 20_000 - LATE_US // 1000
+
+
+@on_loop
+async def test_a_blank_line_ahead_of_an_answer_does_not_bring_back_the_one_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The head of a long answer went out a second time, to the next request on its connection."""
+    reads = 0
+    buffer_updated = HostConnection.buffer_updated
+
+    def counted(connection: HostConnection, nbytes: int) -> None:
+        nonlocal reads
+        buffer_updated(connection, nbytes)
+        reads += 1
+
+    async def script(exchange: Exchange) -> None:
+        if len(host.seen) == 1:
+            exchange.answer(reply(200, bytes(100_000)))
+            return
+        before = reads
+        exchange.answer(b"\r\n")
+        await until(lambda: reads > before)
+        exchange.answer(reply(200, b"mine"))
+
+    monkeypatch.setattr(HostConnection, "buffer_updated", counted)
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
+    async with peer(script) as host, running(configuration(host)) as run:
+        assert len((await run.ask(request())).body) == 100_000
+        pools = run.gateway.pools
+        await until(lambda: any(known.idle for known in pools.hosts.values()))
+        async with asyncio.timeout(5):
+            assert (await run.ask(request())).body == b"mine"
+        assert host.opened == 1
+
+
+TRICKLES = {
+    "no length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x", "broken"),
+    "chunked": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n", "broken"),
+    "short": (b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", b"x", "504"),
+    "head": (b"HTTP/1.1 200 OK\r\nX: ", b"x", "504"),
+    "interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n", "504"),
+    "chunk's extension": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x", "504"),
+}
+
+
+@pytest.mark.parametrize("form", TRICKLES)
+@on_loop
+async def test_an_answer_that_never_ends_is_over_with_its_client_s_time(form: str) -> None:
+    """One of unknown length passed on for as long as its client stayed: timers end where it begins."""
+    head, piece, ends = TRICKLES[form]
+
+    async def script(exchange: Exchange) -> None:
+        exchange.answer(head)
+        while not exchange.writer.is_closing():
+            exchange.answer(piece)
+            await asyncio.sleep(0.005)
+
+    async with peer(script) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request("transfer", budget_ms=300))
+        async with asyncio.timeout(5):
+            status = int((await client.reader.readuntil(b"\r\n\r\n")).split()[1])
+            assert status == (200 if ends == "broken" else 504)
+            if ends == "broken":
+                with pytest.raises(ConnectionResetError):
+                    await client.reader.read()
+            await until(lambda: run.gateway.pools.open == 0 and not run.gateway.held)
+        client.close()
+
+
+@on_loop
+async def test_a_slow_long_answer_goes_on_when_its_client_s_time_is_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Over 64 KiB the first bytes are timed, also of an answer that is not yet long when the time is out."""
+    looks = 0
+    on_rate = Pools.on_rate
+
+    def counted(pools: Pools, connection: HostConnection, attempt: Attempt) -> None:
+        nonlocal looks
+        looks += 1
+        on_rate(pools, connection, attempt)
+
+    async def script(exchange: Exchange) -> None:
+        exchange.answer(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2710\r\n%s\r\n" % bytes(10_000)
+        )
+        await until(lambda: looks >= 3)
+        exchange.answer(b"15f90\r\n%s\r\n0\r\n\r\n" % bytes(90_000))
+
+    monkeypatch.setattr(Pools, "on_rate", counted)
+    monkeypatch.setattr("cloverkeel.hosts.pool.LEAST_RATE", 1)
+    async with peer(script) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request("transfer", budget_ms=100))
+        data = b""
+        while not data.endswith(b"\r\n0\r\n\r\n"):
+            data += await client.reader.readexactly(1)
+        assert data.count(b"\0") == 100_000 and looks >= 3
+        client.close()
+
+
+def between(monkeypatch: pytest.MonkeyPatch, does: Callable[[HostConnection], None]) -> None:
+    """Have something happen between `take`, which found a connection fresh, and the write to it."""
+    is_fresh = HostConnection.is_fresh
+
+    def crossed(connection: HostConnection) -> bool:
+        if not is_fresh(connection):
+            return False
+        does(connection)
+        seen_by(connection)
+        return True
+
+    monkeypatch.setattr(HostConnection, "is_fresh", crossed)
+
+
+@on_loop
+async def test_a_reset_that_crosses_the_write_leaves_the_request_to_another_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The write itself fails: not a byte of it can have arrived."""
+    async with raw_host() as host:
+        first = await host.exchange()
+        between(monkeypatch, lambda connection: reset(first))
+        host.send()
+        second = await host.accept()
+        assert await host.read(second) == len(ASKED)
+        second.sendall(reply())
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and host.pools.counts.stale == 1
+
+
+@pytest.mark.parametrize("end", ["orderly", "reset after the write"])
+@on_loop
+async def test_an_end_that_the_write_did_not_meet_is_a_reset(
+    end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with raw_host() as host:
+        first = await host.exchange()
+        if end == "orderly":
+            between(monkeypatch, lambda connection: first.close())
+        else:
+            write = HostConnection.write
+
+            def crossed(connection: HostConnection, data: bytes) -> bool:
+                written = write(connection, data)
+                reset(first)
+                seen_by(connection)
+                return written
+
+            monkeypatch.setattr(HostConnection, "write", crossed)
+        host.send()
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.RESET] and host.pools.counts.opened == 1
+
+
+@pytest.mark.parametrize("bytes_", [b"H", b"HTTP/1.", b"HTTP/1.1 200 OK\r\nContent-Le", b"\0", b"0\r\n\r\n"])
+@on_loop
+async def test_half_a_line_that_crosses_the_write_spoils_the_answer(
+    bytes_: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with raw_host() as host:
+        first = await host.exchange()
+        between(monkeypatch, lambda connection: first.sendall(bytes_))
+        host.send()
+        assert await host.read(first) == len(ASKED)
+        if not host.ended:
+            first.sendall(reply(200, b"mine"))
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.ERROR]
+        await until(lambda: host.pools.open == 0)
+
+
+@pytest.mark.parametrize("bytes_", [b"H", b"HTTP/1.1 200", reply(200, b"whose?"), b"\r\n"])
+@pytest.mark.parametrize("in_the_loop", [False, True])
+@on_loop
+async def test_an_idle_connection_that_says_something_is_not_used_again(
+    bytes_: bytes, in_the_loop: bool
+) -> None:
+    async with raw_host() as host:
+        first = await host.exchange()
+        connection = host.known.idle[0]
+        first.sendall(bytes_)
+        seen_by(connection)
+        if in_the_loop:
+            await until(lambda: host.pools.open == 0)
+        host.send()
+        second = await host.accept()
+        assert await host.read(second) == len(ASKED)
+        second.sendall(reply(200, b"mine"))
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and host.replies[0] is not None and host.replies[0].body == b"mine"
+
+
+@pytest.mark.parametrize("then", ["reset", "time-out", "read and reset", "read and end"])
+@on_loop
+async def test_a_request_is_written_once_its_last_byte_is_with_the_kernel(then: str) -> None:
+    data = ASKED + bytes(16_000_000)
+    async with raw_host(SMALL) as host:
+        attempt = host.send(data, PATIENCE_US if then != "time-out" else 200_000)
+        taken = await host.accept()
+        got = await host.read(taken, 10_000)
+        assert attempt.connection is not None and not attempt.connection.is_written
+        if then.startswith("read"):
+            assert got + await host.read(taken, len(data) - got) == len(data)
+        if then == "read and end":
+            taken.close()
+        elif then != "time-out":
+            reset(taken)
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.RESET if then.startswith("read") else Outcome.CONNECT_FAILED]
+        if then == "time-out":
+            assert got + await host.read(taken, len(data)) < len(data)
+
+
+@on_loop
+async def test_a_host_that_moves_while_a_connection_comes_up_gets_the_request_at_its_new_address(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Another host may stand at the old one by now."""
+    async with raw_host() as host, peer() as moved:
+        on_connected = host.pools.on_connected
+
+        def crossed(connection: HostConnection) -> None:
+            name, _, port = moved.address.partition(":")
+            host.pools.put(1, "h", (name, int(port)), True)
+            on_connected(connection)
+
+        monkeypatch.setattr(host.pools, "on_connected", crossed)
+        host.send(request())
+        taken = await host.accept()
+        assert await host.read(taken) == 0
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and len(moved.seen) == 1
+
+
+@pytest.mark.parametrize("size", [3, 50_000, 100_000])
+@pytest.mark.parametrize("passing", [False, True])
+@pytest.mark.parametrize("end", ["orderly", "reset"])
+@on_loop
+async def test_a_reset_is_no_end_of_an_answer_without_a_length(end: str, passing: bool, size: int) -> None:
+    """Its last bytes and what ends it are there in one poll."""
+    async with raw_host() as host:
+        host.send()
+        taken = await host.accept()
+        await host.read(taken)
+        taken.sendall(b"HTTP/1.1 200 OK\r\n\r\nfirst")
+        if passing:
+            await until(lambda: host.pieces)
+        taken.sendall(bytes(size))
+        taken.close() if end == "orderly" else reset(taken)
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK if end == "orderly" else Outcome.RESET]
+        whole = b"".join(host.pieces) or (host.replies[0].body if host.replies[0] is not None else b"")
+        assert end == "reset" or len(whole) == size + len(b"first")
+
+
+@on_loop
+async def test_a_host_that_is_gone_and_listed_again_keeps_nothing_of_its_earlier_life() -> None:
+    async with raw_host() as host:
+        address = host.known.address
+        host.send()
+        taken = await host.accept()
+        await host.read(taken)
+        coming_up = host.send()
+        host.pools.remove(1)
+        host.pools.put(1, "h", address, True)
+        again = host.pools.hosts[1]
+        late = await host.accept()
+        assert await host.read(late) == len(ASKED)  # within the grace
+        taken.sendall(reply())
+        late.sendall(reply())
+        await until(lambda: len(host.ended) == 2)
+        assert host.ended == [Outcome.OK] * 2 and coming_up.ended
+        assert not again.idle and not host.known.idle and again.open == 0
+
+
+@pytest.mark.parametrize("rested", [False, True])
+@on_loop
+async def test_a_second_answer_that_is_late_is_not_the_next_request_s(rested: bool) -> None:
+    """After that one's last byte nobody could tell: its connection is not used again before."""
+    async with raw_host() as host:
+        first = await host.exchange()
+        if not rested:
+            host.known.idle[0].idle_since_us = now_us()
+        host.send()
+        if rested:
+            assert await host.read(first) == len(ASKED)
+            first.sendall(reply(200, b"mine"))
+        else:
+            second = await host.accept()
+            assert await host.read(second) == len(ASKED)
+            first.sendall(reply(200, b"whose?"))
+            await until(lambda: host.pools.counts.ended_idle == 1)
+            second.sendall(reply(200, b"mine"))
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK] and host.replies[0] is not None and host.replies[0].body == b"mine"
+        assert host.pools.counts.opened == (1 if rested else 2)
+
+
+@on_loop
+async def test_an_answer_that_came_in_time_is_taken_though_the_time_out_is_due_too() -> None:
+    """A busy loop has both at once, and fires what is due before it reads."""
+    async with raw_host() as host:
+        host.send(timeout_us=100_000)
+        taken = await host.accept()
+        await host.read(taken)
+        loop = asyncio.get_running_loop()
+        here, there = socket.socketpair()
+
+        def busy() -> None:
+            """While it reads from another socket: what comes meanwhile is read in the next turn only."""
+            loop.remove_reader(here)
+            taken.sendall(reply(200, b"mine"))
+            time.sleep(0.15)
+
+        loop.add_reader(here, busy)
+        there.send(b"x")
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK]
+        here.close()
+        there.close()
+
+
+@on_loop
+async def test_a_connection_that_came_up_in_time_is_taken_though_the_time_out_is_due_too() -> None:
+    async with raw_host() as host:
+        host.pools.settings = replace(host.pools.settings, connect_timeout_us=100_000)
+        attempt = host.send()
+        while not descriptors_to({host.known.address[1]}):
+            await asyncio.sleep(0)
+        assert attempt.connection is not None and attempt.connection.transport is None
+        time.sleep(0.15)
+        taken = await host.accept()
+        assert await host.read(taken) == len(ASKED)
+        taken.sendall(reply())
+        await until(lambda: host.ended)
+        assert host.ended == [Outcome.OK]
