State: what was learned of a class is handed on under its name

Numbers last as long as the process: after a SIGHUP that drops, adds or reorders classes the file's order, by which the next process numbers, is another, and one class's rings and latencies went to another. Neighbours that are asked at a cold start compared their names already; the state store did not.

Only deployments with a state directory were concerned.

The new test fails without it (there was nothing to ask by name).

--- a/cloverkeel/fleet/kept.py
+++ b/cloverkeel/fleet/kept.py
@@ -3,7 +3,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from caperdrift.interface import Learned
@@ -17,6 +18,24 @@
     taken_unix_s: float
     learned: Learned
     known: dict[str, Any] = field(default_factory=dict)
+    classes: tuple[bytes, ...] = ()  # the name behind each number of a class in `learned`
+
+    def learned_for(self, classes: Sequence[bytes]) -> Learned:
+        """What was learned, under the numbers that these names have now. What names are not known to be of a
+        class here is left out: a process that has been reconfigured numbers otherwise than its next start."""
+        now = {number: classes.index(name) for number, name in enumerate(self.classes) if name in classes}
+        was = {new: old for old, new in now.items()}
+
+        def latencies(us: tuple[float, ...]) -> tuple[float, ...]:
+            places = (was.get(number, -1) for number in range(len(classes)))
+            return tuple(us[place] if 0 <= place < len(us) else 0.0 for place in places)  # 0: not taken up
+
+        servers = tuple(
+            replace(s, parts=tuple((now[k], weight, b) for k, weight, b in s.parts if k in now))
+            for s in self.learned.servers
+        )
+        learned = self.learned
+        return Learned(servers, latencies(learned.smoothed_us), latencies(learned.unhindered_us))
 
 
 @dataclass(slots=True)
--- a/cloverkeel/fleet/start.py
+++ b/cloverkeel/fleet/start.py
@@ -147,7 +147,8 @@
         assert self.neighbours is not None
         events.event("warm.restored", neighbours=self.neighbours.answers, hosts=len(learned.servers))
         if self.sharing is None or self.gateway.known.get("endpoints"):
-            self.gateway.warm = Snapshot(time.time(), learned)  # with the list, when the gateway starts
+            classes = self.gateway.names.by_class
+            self.gateway.warm = Snapshot(time.time(), learned, classes=classes)  # with the list, at the start
         else:
             self.restoring = asyncio.get_running_loop().create_task(self._restore_when_listed(learned))
 
--- a/cloverkeel/fleet/state/codec.py
+++ b/cloverkeel/fleet/state/codec.py
@@ -35,6 +35,7 @@
     raw = {
         "v": SCHEMA, "taken_unix_s": snapshot.taken_unix_s, "servers": servers, "known": snapshot.known,
         "smoothed_us": learned.smoothed_us, "unhindered_us": learned.unhindered_us,
+        "classes": [name.decode("latin-1") for name in snapshot.classes],
     }  # fmt: skip
     return json.dumps(raw, separators=(",", ":")).encode()
 
@@ -56,7 +57,8 @@
         known = raw["known"]
         if not isinstance(known, dict):
             raise ValueError("known is not an object")
-        return Snapshot(float(raw["taken_unix_s"]), learned, known)
+        classes = tuple(str(name).encode("latin-1") for name in raw.get("classes", ()))
+        return Snapshot(float(raw["taken_unix_s"]), learned, known, classes)
     except (KeyError, TypeError, ValueError, RecursionError) as error:
         raise ValueError(f"payload does not parse: {error!r:.80}") from None
 
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -97,7 +97,7 @@
         known = {"index": self.discovery.index or 0, "snapshot": True, "endpoints": endpoints}
         if self.discovery.epoch is not None:
             known["epoch"] = self.discovery.epoch
-        return Snapshot(time.time(), self.balancer.learned(), known)
+        return Snapshot(time.time(), self.balancer.learned(), known, self.names.by_class)
 
     def start(self) -> None:
         """Begin with the list from before, and ask for a newer one when the module says so; then take up what
@@ -106,7 +106,7 @@
         self.discovery.take_known(self.known or (warm.known if warm is not None else {}))
         if warm is not None:
             age_us = max(0, int((time.time() - warm.taken_unix_s) * 1e6))
-            restore = Restore(warm.learned, age_us)
+            restore = Restore(warm.learned_for(self.names.by_class), age_us)
             self.post(lambda: restore)
 
     @property
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -12,7 +12,7 @@
 from caperdrift.interface import Learned, LearnedBreaker, LearnedServer, ListedServer, Outcome, Restore
 from caperdrift.policy.breaker import COOLDOWN_US, State
 from cloverkeel.fleet import state
-from cloverkeel.fleet.state import Figures, Snapshot, Store
+from cloverkeel.fleet.state import Figures, Snapshot, Store, codec
 
 
 def learned_driver() -> Driver:
@@ -116,3 +116,24 @@
     assert state.judge(snapshot, 150.0, 60.0) is None
     assert "over the bound" in str(state.judge(snapshot, 161.0, 60.0))
     assert "from now" in str(state.judge(snapshot, 98.0, 60.0))
+
+
+def test_what_was_learned_of_a_class_goes_by_its_name() -> None:
+    """A process that was reconfigured numbers its classes otherwise than the next one, which starts anew."""
+    breaker = LearnedBreaker((True,), "open", 500_000, COOLDOWN_US)
+    learned = Learned(
+        (LearnedServer(0, 0, 0.5, 1.0, breaker, tuple((k, 0.1 * (k + 1), breaker) for k in range(3))),),
+        (11_000.0, 12_000.0, 13_000.0),
+        (1_000.0, 2_000.0, 3_000.0),
+    )
+    then = (b"gone", b"swap", b"view")
+    kept = codec.decode(codec.encode(Snapshot(1.0, learned, {}, then)))
+    taken = kept.learned_for((b"view", b"new", b"swap"))
+    assert taken.smoothed_us == (13_000.0, 0.0, 12_000.0) and taken.unhindered_us == (3_000.0, 0.0, 2_000.0)
+    assert [(k, round(w, 1)) for k, w, _ in taken.servers[0].parts] == [(2, 0.2), (0, 0.3)]
+    driver = Driver(servers=3)
+    driver.handle(Restore(taken))
+    assert driver.balancer.smoothed == [13_000.0, 50_000.0, 12_000.0]
+    assert {k: p.breaker.state for k, p in driver.balancer.servers[0].parts.items()} == {
+        0: State.OPEN, 2: State.OPEN,
+    }  # fmt: skip
