Lists: a zone or kind that the settings do not name keeps its number at SIGHUP

Cause: cloverkeel/entries.py, `number_of`: such a name's number began behind those of the settings, so it was another once a SIGHUP had appended a zone or kind. Hosts listed before and after counted as of two zones until the whole list came anew: a route by zone missed the first, and a keyed request of scope zone was not repeated between them (never wrongly: two zones were not taken for one). The number no longer depends on how many names there are.

Left: a name that the settings begin to name gets its place among them, and hosts listed before that keep the old number until the next list, which is asked for at once.

The new test fails without the change.

--- a/cloverkeel/entries.py
+++ b/cloverkeel/entries.py
@@ -14,6 +14,7 @@
     "DRAINING": ServerStatus.DRAINING,
     "DELETED": ServerStatus.GONE,
 }
+UNNAMED = 1 << 32  # above all places in the settings
 NO_LABELS: frozenset[int] = frozenset()
 
 
@@ -57,9 +58,10 @@
 
 
 def number_of(name: object, known: dict[str, int]) -> int:
-    """The place in the settings; a name that is not there gets a number beyond them, the same everywhere."""
+    """The place in the settings; a name that is not there gets a number beyond them, the same everywhere and
+    however many others a SIGHUP brings."""
     number = known.get(str(name))
-    return number if number is not None else len(known) + stable_id(str(name), 4)
+    return number if number is not None else UNNAMED + stable_id(str(name), 4)
 
 
 def group_numbers(name: str) -> tuple[int, ...]:
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -14,13 +14,15 @@
 import pytest
 
 from caperdrift.interface import Outcome, RequestClass, SettingsChanged
-from cloverkeel.config import REQUIRED
+from cloverkeel.config import REQUIRED, follow, parse
+from cloverkeel.entries import parse_list
 from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE, Driver, finals, sends, trip
 from tests.sockets import (
     Running,
     answers,
     configuration,
     endpoint,
+    hosts_list,
     list_reply,
     on_loop,
     peer,
@@ -247,6 +249,18 @@
         assert gateway.gateway.balancer.settings.zone == 2
 
 
+def test_a_zone_or_kind_that_no_file_names_keeps_its_number() -> None:
+    """Else one zone's hosts count as two until the next list, and a keyed request's scope ends between them."""
+    config = configuration("127.0.0.1:1")
+    before = parse(config)
+    config["settings"] |= {"zones": ["a", "b", "c"], "shapes": ["m", "n"]}
+    after = follow(before, parse(config))
+    host = endpoint("s-1", "127.0.0.1:2", zone="z", type="q")
+    entries = [parse_list(hosts_list(1, host), now.names)[2][0].listed for now in (before, after)]
+    assert entries[0] == entries[1]
+    assert min(entries[0].zone, entries[0].kind) > len(after.names.zones)
+
+
 NEW = RequestClass(aim_us=100_000, give_up_us=200_000, effect=SAFE.effect)
 
 
