Test: a request that waits in line or for its body keeps its rules across SIGHUP

Effect, scope, window, number of tries and deadline are those of the class when the request came, also for one that is sent, or whose body ends, after the signal. It held before; `Request.rules`, `max_attempts` and `deadline_us` are set on arrival (policy/admission.py) and read from there alone.

--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from caperdrift.interface import Outcome, RequestClass, SettingsChanged
+from caperdrift.interface import BodyEnded, Effect, Outcome, RequestClass, SettingsChanged
 from cloverkeel.config import REQUIRED, follow, parse
 from cloverkeel.entries import parse_list
 from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE, Driver, finals, sends, trip
@@ -250,7 +250,7 @@
 
 
 def test_a_zone_or_kind_that_no_file_names_keeps_its_number() -> None:
-    """Else one zone's hosts count as two until the next list, and a keyed request's scope ends between them."""
+    """Else its hosts count as of two zones until the next list: a keyed request is not repeated between."""
     config = configuration("127.0.0.1:1")
     before = parse(config)
     config["settings"] |= {"zones": ["a", "b", "c"], "shapes": ["m", "n"]}
@@ -288,6 +288,31 @@
     assert not sends(driver.end(later, sends(actions)[0].server, Outcome.ERROR))
 
 
+@pytest.mark.parametrize("waits", ["in line", "for its body"])
+def test_a_request_that_has_not_been_sent_yet_keeps_the_rules_that_it_came_under(waits: str) -> None:
+    """Effect, scope, window, tries and deadline are all others by the time at which it goes out whole."""
+    keyed = replace(KEYED, in_order=waits == "in line")
+    driver = Driver(replace(SETTINGS, classes=(keyed,), max_attempts=2), servers=6)
+    first, ahead = driver.arrive(patience_us=800_000, key=7)
+    name, actions = driver.arrive(patience_us=800_000, key=7, open=waits == "for its body")
+    came_us = driver.now_us
+    other = RequestClass(aim_us=5_000, give_up_us=9_000, effect=Effect.UNSAFE, late_worth=0.2)
+    driver.handle(SettingsChanged(replace(SETTINGS, classes=(other,), max_attempts=1)))
+    driver.now_us += 50_000
+    if waits == "in line":
+        assert not sends(actions)
+        actions = driver.end(first, sends(ahead)[0].server)
+        assert sends(actions)[0].timeout_us == came_us + 800_000 - driver.now_us
+    else:
+        driver.handle(BodyEnded(name))
+    sent_us = driver.now_us
+    driver.now_us += 60_000
+    again = driver.end(name, sends(actions)[0].server, Outcome.ERROR)
+    assert sends(again)[0].latest_us == sent_us + KEYED.window_us - 1
+    assert sends(again)[0].server % 2 == sends(actions)[0].server % 2
+    assert not sends(driver.end(name, sends(again)[0].server, Outcome.CONNECT_FAILED, attempt=1))
+
+
 def test_a_dropped_class_takes_nothing_new_and_has_no_part_in_worths_or_shedding() -> None:
     driver = Driver(servers=3)
     balancer = driver.balancer
