Shedding: where no answer tells of a crowd any more, one request tries

Cause: policy/shedding.py changes the shares that are shed with answers alone. At 0.95 only the dearest twentieth of the work passes, of one class; at some ten requests a second none may pass for many seconds, and nothing is learned. Ruled out: breakers (two open of twelve), silent servers (0), descriptors, clients that had gone.

Now an answer's word is old after the time that it may speak for at most (SHED_LONGEST_US, as before); where none is out either, the next request is sent, one at a time, and its answer tells.

--- a/caperdrift/policy/shedding.py
+++ b/caperdrift/policy/shedding.py
@@ -10,7 +10,7 @@
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer
 SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
 SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
-SHED_MOST = 0.95  # what still comes through tells when to shed less
+SHED_MOST = 0.95  # what still comes through tells when to shed less; see is_shed where nothing does
 
 def is_shed(proxy: Proxy, request: Request) -> bool:
     """Whether to refuse a request before it costs a server anything.
@@ -18,8 +18,9 @@
     """
     if request.rules.late_worth <= 0.0 and proxy.now_us >= request.aim_us:
         return True  # a repeat whose aim is over earns nothing
-    if proxy.shed <= 0.0 and proxy.shed_dear <= 0.0:
-        return False
+    untold = proxy.out == 0 and proxy.now_us - proxy.shed_at_us >= SHED_LONGEST_US
+    if untold or (proxy.shed <= 0.0 and proxy.shed_dear <= 0.0):
+        return False  # no answer speaks of a crowd any more and none is to come: this one's will
     if proxy.random.random() < request.excess:
         return True
     gains = worths(proxy)
@@ -37,11 +38,10 @@
     total = sum(proxy.asked) or 1.0
     mean = sum(c.worth * a for c, a in zip(classes, proxy.asked, strict=True)) / total or 1.0
     fractions = [s / a if a else 1.0 for s, a in zip(proxy.served, proxy.asked, strict=True)]
-    worst = min(fractions)
     gains = []
     for index, klass in enumerate(classes):
         gain = (goal.whole + goal.worst_window) * klass.worth / mean
-        if fractions[index] == worst and proxy.asked[index]:
+        if fractions[index] == min(fractions) and proxy.asked[index]:
             gain += goal.worst_class * total / proxy.asked[index]
         gains.append(gain / (1.0 if proxy.settings.worth_by_work else proxy.unhindered[index]))
     return gains
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -250,7 +250,7 @@
 
 
 def test_a_zone_or_kind_that_no_file_names_keeps_its_number() -> None:
-    """Else one zone's hosts count as two until the next list, and a keyed request's scope ends between them."""
+    """Else one zone's hosts count as two until the next list, and a keyed request's scope ends between."""
     config = configuration("127.0.0.1:1")
     before = parse(config)
     config["settings"] |= {"zones": ["a", "b", "c"], "shapes": ["m", "n"]}
