--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -147,10 +147,13 @@
         """First take up what has arrived here by now, and then do something if the attempt has not ended.
 
         Guards against throwing away what came in time: after a busy moment the loop fires what is due before
-        it reads. One turn of it reads, and what that has queued comes before what is queued behind it.
+        it reads. One turn of it reads, and a second one does what that has queued.
         """
-        soon = self.loop.call_soon
-        attempt.timers.append(self.loop.call_later(TURN_S, soon, then, attempt))
+
+        def turn() -> None:
+            attempt.timers.append(self.loop.call_later(TURN_S, then, attempt))
+
+        attempt.timers.append(self.loop.call_later(TURN_S, turn))
 
     def is_written(self, attempt: Attempt) -> bool:
         connection = attempt.connection
