--- a/cloverkeel/listcall.py
+++ b/cloverkeel/listcall.py
@@ -14,24 +14,30 @@
     """A call to discovery has failed."""
 
 
-class Line(asyncio.Protocol):
-    """`answer`: of the call made last; `begun`: what its caller notes of the moment it was made."""
+class DiscoveryConnection(asyncio.Protocol):
+    """`answer`: of the call made last; `begun`, `index`: what its caller notes of the moment it was made."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.replies = ReplyReader(LIST_LIMIT)
         self.answer: asyncio.Future[Reply] | None = None
         self.begun: Any = None
+        self.index: int | None = None  # of the list held then
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
 
     def data_received(self, data: bytes) -> None:
         try:
-            reply = self.replies.feed(data)
+            self._take(self.replies.feed(data))
         except ReplyError as error:
             self.fail(str(error))
-            return
+
+    def eof_received(self) -> None:
+        """A list of which nobody said how long it is ends here; a reset comes without this and ends none."""
+        self._take(self.replies.feed_eof())
+
+    def _take(self, reply: Reply | None) -> None:
         if reply is not None and self.is_waiting:
             assert self.answer is not None
             self.answer.set_result(reply)
@@ -57,6 +63,13 @@
     def is_waiting(self) -> bool:
         return self.answer is not None and not self.answer.done()
 
+    @property
+    def reply(self) -> Reply | None:
+        """The answer to the call made last, once it has come."""
+        answer = self.answer
+        is_here = answer is not None and answer.done() and not answer.cancelled() and not answer.exception()
+        return answer.result() if answer is not None and is_here else None
+
     @property
     def is_closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
