--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -86,7 +86,7 @@
         if data and self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
         if ended:
-            self.pools.on_body_end(self)
+            self.pools.bodies.on_body_end(self)
 
     def pause_reading(self) -> None:
         """Read no more for now: the answer's reader is slower."""
@@ -125,12 +125,12 @@
             return
         if self.attempt is None:
             self.close()
-        elif self.replies.begun is not None and not self.pools.pass_on(self, self.replies.begun):
+        elif self.replies.begun is not None and not self.pools.bodies.pass_on(self, self.replies.begun):
             return
         elif reply is not None:
             self.pools.on_reply(self, reply)
         elif self.replies.is_unsized and self.on_piece is None:
-            self.pools.hold(self)
+            self.pools.bodies.hold(self)
 
     def eof_received(self) -> None:
         reply = self.replies.feed_eof()
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -9,16 +9,15 @@
 
 from cloverkeel.clock import now_us
 from cloverkeel.hosts.attempt import Attempt, outcome_of
+from cloverkeel.hosts.bodies import LongBodies
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.hosts.idle import IdleConnections
 from cloverkeel.http1 import Reply
-from cloverkeel.streams import LEAST_RATE, Buffer
+from cloverkeel.streams import Buffer
 from cloverkeel.telemetry import Telemetry
 
 SWEEP_S = 1.0
-HOLD_S = 0.05  # for a body of unknown length to come whole; else it passes on as a long one
 TURN_S = 0.001  # the shortest time that the loop does not make "at once" of
-RATE_S = 0.1  # between two looks at how much of an answer has come
 STALL_US = 30_000_000  # a long body of which nothing moves for so long, though it is read, has ended
 
 
@@ -34,7 +33,7 @@
     ) -> None:
         super().__init__(settings)
         self.telemetry, self.buffer = telemetry, buffer
-        self.long: set[HostConnection] = set()  # those that long bodies pass over
+        self.bodies = LongBodies(self)
         self.loop = asyncio.get_running_loop()
         self.room = room  # called before a descriptor is taken
         self.open = 0
@@ -117,7 +116,7 @@
         connection.upload = attempt.upload
         if connection.write(attempt.payload()):
             if attempt.upload is not None:
-                self.set_long(connection, True)
+                self.bodies.set_long(connection, True)
                 attempt.on_passing()
                 if connection.attempt is attempt:
                     attempt.upload.attach(connection)
@@ -187,87 +186,6 @@
         connection = attempt.connection
         return connection is not None and connection.transport is not None and connection.is_written
 
-    # Long bodies
-
-    def set_long(self, connection: HostConnection, passes: bool) -> None:
-        connection.moved_us = now_us()
-        (self.long.add if passes else self.long.discard)(connection)
-        self.buffer.long = len(self.long)
-
-    def on_body_end(self, connection: HostConnection) -> None:
-        """The last byte of a long body was written, or waits to be: the request's time begins."""
-        attempt = connection.attempt
-        if attempt is None or attempt.ended:
-            return
-        attempt.sent_us = now_us()
-        if connection.on_piece is None:
-            self.set_long(connection, False)
-            timeout_s = attempt.timeout_us / 1e6
-            attempt.timers.append(self.loop.call_later(timeout_s, self.on_timeout, attempt))
-        if connection.is_written:
-            self.on_written(connection)
-
-    def hold(self, connection: HostConnection) -> None:
-        """Wait a while for the end of an answer that may be short, so that it could still be tried again.
-
-        Guards against holding a long one that comes slowly until its time is out.
-        """
-        attempt = connection.attempt
-        assert attempt is not None
-        if attempt.holding is None:
-            attempt.holding = self.loop.call_later(HOLD_S, self.on_held, connection, attempt)
-            attempt.timers.append(attempt.holding)
-
-    def on_held(self, connection: HostConnection, attempt: Attempt) -> None:
-        attempt.holding = None
-        replies = connection.replies
-        if connection.attempt is attempt and replies.begin() and replies.begun is not None:
-            self.pass_on(connection, replies.begun)
-
-    def pass_on(self, connection: HostConnection, head: Reply) -> bool:
-        """Hand on what has come of a long answer; False if it is of no use."""
-        attempt = connection.attempt
-        assert attempt is not None
-        if connection.on_piece is None:
-            outcome = outcome_of(head)
-            if outcome is Outcome.OK:
-                for timer in attempt.timers:
-                    timer.cancel()
-                connection.on_piece = attempt.on_begin(attempt, head)
-            if connection.on_piece is None:
-                connection.attempt = None
-                connection.close()
-                # A probe's answer is not long; a request's that nobody takes is called off.
-                self.end(attempt, Outcome.CANCELLED if outcome is Outcome.OK else outcome, head)
-                return False
-            self.set_long(connection, True)
-            attempt.begun_us = now_us()
-            if not connection.replies.is_long:
-                self.check_rate(connection, attempt, attempt.left_us() / 1e6)
-        connection.moved_us = now_us()
-        data = connection.replies.take()
-        if data:
-            connection.on_piece(data)
-        return connection.attempt is attempt
-
-    def check_rate(self, connection: HostConnection, attempt: Attempt, delay_s: float) -> None:
-        attempt.timers = [self.loop.call_later(max(0, delay_s), self.on_rate, connection, attempt)]
-
-    def on_rate(self, connection: HostConnection, attempt: Attempt) -> None:
-        """End an answer that passes on, is not long so far, and trickles when its client's time is out.
-
-        Guards against one that never ends: its client waited for an end until it left. What comes faster may
-        be a long one, of which the first bytes are timed, and goes on.
-        """
-        if connection.attempt is not attempt or connection.replies.is_long or connection.transport is None:
-            return
-        least = LEAST_RATE * (now_us() - attempt.begun_us) / 1e6
-        passes = attempt.upload is not None and not attempt.upload.ended
-        if passes or not connection.transport.is_reading() or connection.replies.size >= least:
-            self.check_rate(connection, attempt, RATE_S)
-        else:
-            self.cancel(attempt, Outcome.TIMEOUT)
-
     # Connections
 
     def on_connected(self, connection: HostConnection) -> None:
@@ -317,7 +235,7 @@
         """No long body passes over it any more."""
         if connection.on_piece is not None or connection.upload is not None:
             connection.on_piece = connection.upload = None
-            self.set_long(connection, False)
+            self.bodies.set_long(connection, False)
             connection.resume_reading()
 
     def on_garbage(self, connection: HostConnection) -> None:
@@ -339,7 +257,7 @@
     def count_closed(self, connection: HostConnection) -> None:
         if connection.closed:
             return
-        self.set_long(connection, False)
+        self.bodies.set_long(connection, False)
         connection.closed = True
         connection.host.open -= 1
         self.open -= 1
@@ -348,7 +266,7 @@
         """Close what has stood still, or been idle, for too long."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
         now = now_us()
-        for connection in [c for c in self.long if now - c.moved_us > STALL_US]:
+        for connection in [c for c in self.bodies.passing if now - c.moved_us > STALL_US]:
             if connection.transport is not None and connection.transport.is_reading():
                 connection.close()
         self.close_aged(now)
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -13,8 +13,8 @@
 from caperdrift.interface import Outcome
 from cloverkeel.clock import now_us
 from cloverkeel.hosts.attempt import Attempt
+from cloverkeel.hosts.bodies import LongBodies
 from cloverkeel.hosts.connection import HostConnection
-from cloverkeel.hosts.pool import Pools
 from tests.raw_host import ASKED, PATIENCE_US, descriptors_to, raw_host, reset, seen_by
 from tests.sockets import Exchange, configuration, on_loop, peer, reply, request, running, until
 
@@ -114,12 +114,12 @@
 ) -> None:
     """Over 64 KiB the first bytes are timed, also of an answer that is not yet long when the time is out."""
     looks = 0
-    on_rate = Pools.on_rate
+    on_rate = LongBodies.on_rate
 
-    def counted(pools: Pools, connection: HostConnection, attempt: Attempt) -> None:
+    def counted(bodies: LongBodies, connection: HostConnection, attempt: Attempt) -> None:
         nonlocal looks
         looks += 1
-        on_rate(pools, connection, attempt)
+        on_rate(bodies, connection, attempt)
 
     async def script(exchange: Exchange) -> None:
         exchange.answer(
@@ -128,8 +128,8 @@
         await until(lambda: looks >= 3)
         exchange.answer(b"15f90\r\n%s\r\n0\r\n\r\n" % bytes(90_000))
 
-    monkeypatch.setattr(Pools, "on_rate", counted)
-    monkeypatch.setattr("cloverkeel.hosts.pool.LEAST_RATE", 1)
+    monkeypatch.setattr(LongBodies, "on_rate", counted)
+    monkeypatch.setattr("cloverkeel.hosts.bodies.LEAST_RATE", 1)
     async with peer(script) as host, running(configuration(host)) as run:
         client = await run.connect()
         client.send(request("transfer", budget_ms=100))
--- a/tests/test_host_descriptors.py
+++ b/tests/test_host_descriptors.py
@@ -107,6 +107,6 @@
             assert len({id(attempt) for attempt in ended}) == len(out)  # each ended once
             pools.close()
             await until(lambda: pools.open == descriptors_to(ports) == 0)
-            assert not any(host.open or host.idle for host in hosts) and not pools.long
+            assert not any(host.open or host.idle for host in hosts) and not pools.bodies.passing
         for one in fill:
             one.close()
