Answers: one that trickles has a quarter of a second more before its rate counts

A long answer whose host writes pieces 0.2 s apart could come at less than 32 kB a second on average when its client's time was out, and be broken off.

--- a/cloverkeel/hosts/bodies.py
+++ b/cloverkeel/hosts/bodies.py
@@ -16,6 +16,7 @@
     from cloverkeel.hosts.pool import Pools
 
 HOLD_S = 0.05  # for a body of unknown length to come whole; else it passes on as a long one
+RATE_SLACK_S = 0.25  # for pieces far apart; with the look after it, within half a second of the client's time
 RATE_S = 0.1  # between two looks at how much of an answer has come
 
 
@@ -98,7 +99,7 @@
         """
         if connection.attempt is not attempt or connection.replies.is_long or connection.transport is None:
             return
-        least = LEAST_RATE * (now_us() - attempt.begun_us) / 1e6
+        least = LEAST_RATE * ((now_us() - attempt.begun_us) / 1e6 - RATE_SLACK_S)
         passes = attempt.upload is not None and not attempt.upload.ended
         if passes or not connection.transport.is_reading() or connection.replies.size >= least:
             self.check_rate(connection, attempt, RATE_S)
