Descriptors: idle clients leave half of the reserve to hosts and discovery

Cause: `make_room` gave up a client's connection only after 2 s of rest, and a new one's first request had 0.5 s to come (front/server.py `make_room`, `is_idle`). Idle clients that came faster took every descriptor: at a limit of 200 the process stood at 200, hosts and discovery met EMFILE, and new clients, the front's look at /health/ready among them, were shut by the loop. The account also left out the 20 descriptors that the process has itself (measured at rest).

Change: below half of the reserve a new connection stays only where another gives way: first one that lingers, then the client's that rested longest, be it for ever so short, then a host's idle one; else it is shut unread. Attempts that need a connection may take an idle client's too. `spare` and `RESERVE` are `free_descriptors` and `DESCRIPTOR_RESERVE` now; 24 are counted as the process's own.

Also: 0.06 s instead of 0.04 are kept for the exit itself, since a process with clients that never end left within 0.01 s of SIGKILL's time.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -29,7 +29,6 @@
 READY_PATH = b"/health/ready"
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
 UPLOAD_LINGER_S = 10.0  # for a client to end a body whose answer it has
-RESERVE = 64  # descriptors kept free of pools and idle clients
 
 
 class ClientConnection(RequestReader):
@@ -51,8 +50,10 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
-        self.rest()
-        self.server.make_room()
+        if self.server.admits():
+            self.rest()
+        else:
+            self.abort()  # unread: its client goes elsewhere
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.pop(self, None)
@@ -67,15 +68,16 @@
         self.server.connections.pop(self, None)
         self.server.connections[self] = None
 
-    def is_idle(self) -> bool:
+    def is_idle(self, first_s: float = FIRST_REQUEST_S) -> bool:
         """Whether it may be closed: nothing is owed, nothing has begun, nothing waits to be read.
 
-        Guards against losing a request that has reached this machine and not yet this program, and one that a
-        client sends for the second time, on a new connection, since the first crossed the end of its old one.
+        Guards against losing a request that has reached this machine and not yet this program, and, with
+        `first_s` for the first one to come, one that a client sends for the second time, on a new connection,
+        since it crossed the end of its old one.
         """
         if self.current is not None or self.waiting or self.reading is not None or self.deaf:
             return False
-        if not self.served and asyncio.get_running_loop().time() - self.opened_s < FIRST_REQUEST_S:
+        if not self.served and asyncio.get_running_loop().time() - self.opened_s < first_s:
             return False
         return not self.poll.poll(0)
 
@@ -262,7 +264,7 @@
         if self.waiting or (self.reading is not None and self.reading is not request):
             return False
         # Guards against a rush of new connections: all too fresh to close, they left none for the hosts.
-        if not server.draining and server.spare >= RESERVE // 2:
+        if not server.draining and not server.is_crowded:
             return False
         # A request sent behind this one may have reached this machine and not yet this program.
         return not (request.whole and self.poll.poll(0))
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -10,7 +10,7 @@
 from functools import partial
 
 from cloverkeel.config import Config, ConfigError, follow, load
-from cloverkeel.front.connection import RESERVE, ClientConnection
+from cloverkeel.front.connection import FIRST_REQUEST_S, ClientConnection
 from cloverkeel.gateway import Gateway
 from cloverkeel.http1 import UNREAD_S, log
 
@@ -18,11 +18,13 @@
 KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
 LONGEST_S = 3.0
 LAST_MOMENT_S = 0.1  # before that, this process answers what is left ...
-EXIT_S = 0.04  # ... and ends by itself, so long before
+EXIT_S = 0.06  # ... and ends by itself, so long before
 SWEEP_S = 0.2
 REPORT_S = 10.0
 POLL_S = 0.02
 BACKLOG = 1024
+DESCRIPTOR_RESERVE = 64  # kept free of idle connections; half of it of clients, for hosts and discovery
+OWN_DESCRIPTORS = 24  # of the process itself: standard streams, loop, signals, listeners, discovery, store
 CLIENT_IDLE_S = 2.0  # a client's connection is left alone for so long after an answer
 
 
@@ -163,26 +165,53 @@
         log(f"connections: {len(self.connections)} of clients, {pools.open} to hosts; {pools.counts}")
 
     @property
-    def spare(self) -> int:
-        """Descriptors left, but for the few of the program itself."""
+    def free_descriptors(self) -> int:
         clients = len(self.connections) + len(self.lingering)
-        return self.config.sockets - clients - self.gateway.pools.open - self.others()
+        return self.config.sockets - OWN_DESCRIPTORS - clients - self.gateway.pools.open - self.others()
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether descriptors are too short to wait for a client's end, or for its next request."""
+        return self.free_descriptors < DESCRIPTOR_RESERVE // 2
 
     def make_room(self) -> None:
         """Give up idle connections when descriptors run short: first a client's, which costs no host work."""
-        spare = self.spare
-        if spare > RESERVE:
+        if self.free_descriptors > DESCRIPTOR_RESERVE:
             return
-        if spare < RESERVE // 2:  # too short to wait for a client's end
-            lingering = next((c for c in self.lingering if c.only_lingers), None)
-            if lingering is not None:
-                lingering.abort()
-        elif spare + len(self.lingering) > RESERVE:
-            return  # enough come free soon
-        since_s = asyncio.get_running_loop().time() - CLIENT_IDLE_S
-        rested = itertools.takewhile(lambda c: c.rests_since_s < since_s, self.connections)
-        idle = next((c for c in rested if c.is_idle()), None)
+        self.end_lingering()
+        if not (self.end_idle() or self.gateway.pools.give_up_idle()) and self.is_crowded:
+            self.end_idle(0.0, 0.0)
+
+    def admits(self) -> bool:
+        """Whether a client's new connection may stay. Others are given up for it where these run short.
+
+        Guards against idle clients that come faster than they are closed, and would leave no descriptor for
+        hosts and discovery. Who has sent nothing for the longest gives way to who may have something to send.
+        """
+        if self.free_descriptors > DESCRIPTOR_RESERVE:
+            return True
+        freed = self.end_lingering()
+        if self.end_idle() or not self.is_crowded:
+            return True
+        return self.end_idle(0.0, 0.0) or freed or self.gateway.pools.give_up_idle()
+
+    def end_lingering(self) -> bool:
+        """Where it is crowded, close the connection that lingers the longest; True if there is one."""
+        lingering = next((c for c in self.lingering if c.only_lingers), None) if self.is_crowded else None
+        if lingering is not None:
+            lingering.abort()
+        return lingering is not None
+
+    def end_idle(self, rested_s: float = CLIENT_IDLE_S, first_s: float = FIRST_REQUEST_S) -> bool:
+        """End the client's connection that has rested the longest, and so long; True if one comes free soon.
+
+        A first request has `first_s` to come.
+        """
+        if not self.is_crowded and self.free_descriptors + len(self.lingering) > DESCRIPTOR_RESERVE:
+            return True
+        since_s = asyncio.get_running_loop().time() - rested_s
+        rested = itertools.takewhile(lambda c: c.rests_since_s <= since_s, self.connections)
+        idle = next((c for c in rested if c.is_idle(first_s)), None)
         if idle is not None:
             idle.close()
-        else:
-            self.gateway.pools.give_up_idle()
+        return idle is not None
