--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -11,7 +11,7 @@
 
 from cloverkeel.front.reading import RequestReader
 from cloverkeel.front.requests import Request, RequestError, kept_for, passed_back, read_call
-from cloverkeel.hosts import HostConnection
+from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import (
     LINGER_S,
     Header,
@@ -48,7 +48,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
         if self.server.admits():
             self.rest()
@@ -58,10 +58,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.pop(self, None)
         self.server.lingering.pop(self, None)
-        self.deaf = True
-        self.waiting.clear()
-        if self.current is not None and self.current_id:
-            self.server.gateway.leave(self.current_id)
+        self.leave()
 
     def rest(self) -> None:
         self.rests_since_s = asyncio.get_running_loop().time()
@@ -214,12 +211,12 @@
     def pause_writing(self) -> None:
         self.unread_since_s = asyncio.get_running_loop().time()
         if self.source is not None:
-            self.source.hold()
+            self.source.pause_reading()
 
     def resume_writing(self) -> None:
         self.unread_since_s = math.inf
         if self.source is not None:
-            self.source.go_on()
+            self.source.resume_reading()
 
     def on_refused(self, request: Request, retry_after_us: int) -> None:
         if self.current is request:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -47,7 +47,8 @@
 from cloverkeel.entries import Entry
 from cloverkeel.fleet.kept import Figures, Snapshot
 from cloverkeel.held import Call, Held
-from cloverkeel.hosts import Attempt, Pools, load_of
+from cloverkeel.hosts.attempt import Attempt, load_of
+from cloverkeel.hosts.pool import Pools
 from cloverkeel.http1 import Reply, log
 from cloverkeel.listed import Lists, take_list
 from cloverkeel.probing import probe
@@ -76,7 +77,8 @@
         self.buffer = Buffer(config.memory_mb)
         self.pools = Pools(config.settings, self.telemetry, self.buffer)
         pushed = config.settings.list_is_pushed
-        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
+        stop_sending_s = config.settings.stop_sending_within_us / 1e6
+        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed, stop_sending_s)
         self.lists: Lists = self.discovery  # what the module's own wishes for lists go to
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
@@ -134,6 +136,7 @@
         event = SettingsChanged(config.settings)
         self.post(lambda: event)
         self.discovery.names, self.discovery.pushed = config.names, config.settings.list_is_pushed
+        self.discovery.stop_sending_s = config.settings.stop_sending_within_us / 1e6
         self.discovery.move(config.discovery)
         if self.routes is not None:
             self.routes.follow()
@@ -198,8 +201,13 @@
         self.finish(id_, held, None)
         self.post(lambda: RequestGone(id_))
         for attempt in held.attempts:
-            # Not the module's to say: what has no source or no reader any more cannot go on.
-            if attempt is not None and (attempt is held.begun or attempt.upload is not None):
+            # Not the module's to say, nor the settings': what has not begun is never begun, and what has no
+            # source or no reader any more cannot go on.
+            if attempt is None or attempt.ended:
+                continue
+            if attempt is not held.begun and not self.pools.is_written(attempt):
+                self.pools.cancel(attempt, Outcome.MOOT)
+            elif attempt is held.begun or attempt.upload is not None:
                 self.pools.cancel(attempt)
 
     def body_ended(self, id_: str) -> None:
@@ -275,7 +283,8 @@
         number = len(held.attempts)
         left_us = held.deadline_us - now_us()
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
-        if host is None or held.closed or wait_us <= 0 or number >= held.max_attempts:
+        ends_us = now_us() + wait_us
+        if host is None or not self.may_begin(held) or wait_us <= 0 or number >= held.max_attempts:
             held.attempts.append(None)
             self.post(lambda: self.moot(action, number))
             return
@@ -283,7 +292,9 @@
         def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
             self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
 
-        payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, max(1, wait_us // 1000), held.call.body)
+        def payload() -> bytes:
+            left_ms = max(1, (ends_us - now_us()) // 1000)
+            return b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, left_ms, held.call.body)
 
         def on_begin(attempt: Attempt, reply: Reply) -> Callable[[bytes], None] | None:
             self.post(lambda: self.answer_begun(held, number, attempt, reply))
@@ -294,11 +305,22 @@
             self.post(lambda: BodyPassing(id_, number))
 
         upload = held.call.upload
-        attempt = Attempt(host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing)
+        attempt = Attempt(
+            host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing,
+            is_wanted=lambda: self.may_begin(held), left_us=lambda: held.deadline_us - now_us(),
+        )  # fmt: skip
         held.attempts.append(attempt)
         held.out += 1
+        if action.latest_us:
+            for earlier in held.attempts:  # one whose connection is still coming up would be the repeat
+                if earlier is not None:
+                    self.pools.limit(earlier, action.latest_us)
         self.pools.send(attempt, wait_us)
 
+    def may_begin(self, held: Held) -> bool:
+        """Whether an attempt may still begin: nothing has been answered, and the client is there."""
+        return not held.closed and not held.call.is_gone()
+
     def moot(self, action: Send, number: int) -> Event:
         held = self.held.get(action.request)
         finished = held is None or held.closed
