Discovery: a drain counts, whatever else its entry holds

Cause: an entry with one field that cannot be used (a weight of 0, no address, a bad time) was skipped whole. Among changes a host that drains or is gone then stayed in use for good, though its change had been written and counts as told. A whole list was not affected: what it does not name is gone. Ruled out: entries that serve, which stay skipped; names that are no text. Change: one that says DRAINING or DELETED of a host with a name takes it out of use. Measured: four kinds of entry among changes left the host in use without the change, none does with it.

--- a/cloverkeel/entries.py
+++ b/cloverkeel/entries.py
@@ -49,6 +49,18 @@
     )
 
 
+def _gone(raw: object) -> Entry | None:
+    """What an entry that cannot be used tells all the same: that this host is to get nothing new."""
+    name, status = (raw.get("name"), raw.get("status")) if isinstance(raw, dict) else (None, None)
+    if not isinstance(name, str) or not name or status not in ("DRAINING", "DELETED"):
+        return None
+    try:
+        listed = ListedServer(server=stable_id(name, 4), status=ServerStatus.GONE)
+    except UnicodeEncodeError:
+        return None  # half a character: no list has had such a host
+    return Entry(name, ("", 0), listed, {"name": name, "address": "0.0.0.0:0", "status": "DELETED"})
+
+
 def _weight(value: object) -> float:
     weight = float(value)  # type: ignore[arg-type]
     if not 0.0 < weight < 1e9:
@@ -88,8 +100,12 @@
         try:
             entry = parse_entry(item, names)
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            log(f"an entry of the list of hosts is skipped ({error!r}): {str(item)[:200]}")
-            continue
+            gone = _gone(item)
+            how = "skipped" if gone is None else "taken for one that is gone"
+            log(f"an entry of the list of hosts is {how} ({error!r}): {str(item)[:200]}")
+            if gone is None:
+                continue
+            entry = gone
         other = entries.get(entry.listed.server)
         if other is not None and other.name != entry.name:
             log(f"{entry.name} is skipped: its number is that of {other.name}")
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -318,6 +318,7 @@
             endpoint("s-2", host.address, weight=-1),
             endpoint("s-2", host.address, since_ms="long ago"),
             {**endpoint("s-2", host.address), "name": ["s-2"]},
+            endpoint("\ud800", host.address, status="DRAINING"),
         ]
         text = json.dumps({"index": 9, "snapshot": True, "more": {}, "endpoints": [*bad, good]})
         script = answers(reply(200, text.encode()))
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -394,3 +394,23 @@
         monkeypatch.setattr(discovery, "_connect", late)
         await until(lambda: host_id(3) in run.gateway.pools.hosts)
         assert len(tried_s) == 3 and tried_s[2] - tried_s[1] < CALL_TIMEOUT_S + 1.0  # without a wait for news
+
+
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize(
+    "odd",
+    [{"weight": 0}, {"address": "nowhere"}, {"address": None, "status": "DELETED"}, {"since_ms": "long ago"}],
+)
+@on_loop
+async def test_a_drain_is_told_by_an_entry_that_cannot_be_used_otherwise(
+    odd: dict[str, object], whole: bool
+) -> None:
+    """It was skipped, and a change left the host in use."""
+    entry = endpoint("s-0", "127.0.0.1:1", status="DRAINING") | odd
+    async with (
+        peer(answers(list_reply(9, entry, FRESH, snapshot=whole))) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        await until(lambda: host_id(3) in run.gateway.pools.hosts)
+        registry.script = silent
+        assert set(run.gateway.pools.hosts) == set(run.gateway.balancer.servers) == {host_id(3)}
