Test: an answer that crosses move, and calls for the list with no descriptor left

Neither was at fault: move cancels the call whose answer has been read and not yet taken, and EMFILE at the connection is a failed call like others.

--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import math
+import os
+import resource
 import socket
 import struct
 import time
@@ -13,6 +15,7 @@
 
 import pytest
 
+from cloverkeel.config import parse_address
 from cloverkeel.listcall import DiscoveryConnection
 from cloverkeel.listtimes import CALL_TIMEOUT_S, TOLD_MOVED_S, TOLD_S
 from tests.sockets import (
@@ -414,3 +417,64 @@
         await until(lambda: host_id(3) in run.gateway.pools.hosts)
         registry.script = silent
         assert set(run.gateway.pools.hosts) == set(run.gateway.balancer.servers) == {host_id(3)}
+
+
+@pytest.mark.parametrize("is_read", [False, True])
+@on_loop
+async def test_an_answer_that_crosses_a_move_is_not_heard(
+    monkeypatch: pytest.MonkeyPatch, is_read: bool
+) -> None:
+    """It is of the old address: its version means nothing at the new one."""
+
+    def read_then_move(call: DiscoveryConnection, data: bytes) -> None:
+        read(call, data)
+        if is_read and data == late:
+            run.gateway.discovery.move(parse_address(new.address, "discovery"))
+
+    read, late = DiscoveryConnection.data_received, list_reply(99, endpoint("s-1", "127.0.0.1:1"))
+    monkeypatch.setattr(DiscoveryConnection, "data_received", read_then_move)
+    async with (
+        peer(silent) as old,
+        peer(silent) as new,
+        running(configuration("127.0.0.1:1", discovery=old.address)) as run,
+    ):
+        await until(lambda: old.seen)
+        old.seen[0].answer(late)
+        if not is_read:
+            run.gateway.discovery.move(parse_address(new.address, "discovery"))
+        await until(lambda: new.seen)
+        assert named(new.seen[0]) == "whole" and run.gateway.discovery.index is None
+        new.seen[0].answer(list_reply(3, FRESH))
+        await until(lambda: len(new.seen) == 2)
+        assert named(new.seen[1]) == "3" and set(run.gateway.pools.hosts) == {host_id(3)}
+
+
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+@on_loop
+async def test_no_descriptor_is_a_failed_call_and_no_more(mode: str) -> None:
+    """Idle clients may have them all while discovery is down."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    async with peer(answers(WHOLE)) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"] |= {"membershipMode": mode, "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:
+            discovery = run.gateway.discovery
+            discovery.watch(False)
+            taken: list[int] = []
+            resource.setrlimit(resource.RLIMIT_NOFILE, (256, limits[1]))
+            try:
+                with suppress(OSError):
+                    while True:
+                        taken.append(os.dup(0))
+                discovery.watch(True)
+                await until(lambda: discovery.watching is None)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+                for number in taken:
+                    os.close(number)
+            begun_s = asyncio.get_running_loop().time()
+            assert not registry.opened
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            bound_s = 1.0 if mode == "pushed" else TOLD_S - CALL_TIMEOUT_S
+            assert asyncio.get_running_loop().time() - begun_s < bound_s
+            registry.script = silent
