Answers: one that trickles and is cut off tells of its host, not of a crowd

It is an answer that breaks off, and is judged as one. Measured: the test asks for the outcome, and two of its six forms fail without the change.

--- a/cloverkeel/hosts/bodies.py
+++ b/cloverkeel/hosts/bodies.py
@@ -104,4 +104,5 @@
         if passes or not connection.transport.is_reading() or connection.replies.size >= least:
             self.check_rate(connection, attempt, RATE_S)
         else:
-            self.pools.cancel(attempt, Outcome.TIMEOUT)
+            # Like one that breaks off: its host failed it, but a time-out would tell of a crowd there.
+            self.pools.cancel(attempt, Outcome.RESET)
--- a/tests/test_host_answers.py
+++ b/tests/test_host_answers.py
@@ -5,12 +5,15 @@
 import asyncio
 
 import pytest
+from caperdrift.interface import Outcome
+
 
 from cloverkeel.clock import now_us
 from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.hosts.bodies import LongBodies
 from cloverkeel.hosts.connection import HostConnection
 from tests.sockets import Exchange, configuration, on_loop, peer, reply, request, running, until
+from tests.test_gateway_outcomes import outcomes
 
 LATE_US = 3_000_000
 
@@ -89,7 +92,7 @@
             await asyncio.sleep(0.005)
 
     async with peer(script) as host, running(configuration(host)) as run:
-        client = await run.connect()
+        told, client = outcomes(run), await run.connect()
         client.send(request("transfer", budget_ms=300))
         async with asyncio.timeout(5):
             status = int((await client.reader.readuntil(b"\r\n\r\n")).split()[1])
@@ -98,6 +101,8 @@
                 with pytest.raises(ConnectionResetError):
                     await client.reader.read()
             await until(lambda: run.gateway.pools.open == 0 and not run.gateway.held)
+        # One that has begun and is cut off tells of its host, and of no crowd there: that is for time-outs.
+        assert [event.outcome for event in told] == [Outcome.RESET if ends == "broken" else Outcome.TIMEOUT]
         client.close()
 
 
