Answers: one behind which nothing more is read ends its connection

Cause, from reading: a connection that reads nothing more as a request (`deaf`) and has none waiting was kept after its answer if that allowed it (front/connection.py `must_end`); no request on it would ever have been answered. Today refusals are the only way there, and end it themselves; declining an upgrade without a refusal would be another. A test asks for another protocol with a long body, and wants the connection ended; it passes before this change too.

Also: `stop_accepting` asks only a listener that is still open whether somebody waits in it.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -253,7 +253,7 @@
     def must_end(self, request: Request) -> bool:
         """Whether the connection ends with this request's answer."""
         server = self.server
-        if not request.keep_alive:
+        if not request.keep_alive or (self.deaf and not self.waiting):
             return True
         if server.is_out_of_time:
             return not self.waiting
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -104,8 +104,9 @@
             return
         waiting = select.poll()
         for listening in self.listener.sockets:
-            waiting.register(listening.fileno(), select.POLLIN)
-        while waiting.poll(0):
+            if listening.fileno() >= 0:  # else the loop has closed it, for an error
+                waiting.register(listening.fileno(), select.POLLIN)
+        while any(flags & select.POLLIN for _, flags in waiting.poll(0)):
             await asyncio.sleep(0)
         self.listener.close()
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -247,3 +247,16 @@
             assert transport is not None
             made = transport.get_extra_info("socket")
             assert made.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) == 1
+
+
+@on_loop
+async def test_a_long_body_with_a_wish_for_another_protocol_ends_its_connection() -> None:
+    """Nothing behind it is read, so its connection must not be kept."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(
+            request("transfer", b"y" * 150_000, connection="upgrade", upgrade="other") + request("transfer")
+        )
+        data = await client.reader.read()  # to the end
+        assert data.count(b"Connection: close") == 1
+        client.close()
