--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -60,6 +60,7 @@
 
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
 MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
+TELL_OF_LOAD = frozenset({Outcome.OK, Outcome.TIMEOUT, Outcome.FULL})
 
 
 def _check(settings: object, least: Mapping[str, float], shares: tuple[str, ...] = ()) -> None:
@@ -91,6 +92,10 @@
         least = {"aim_us": 1, "give_up_us": 1, "worth": 0, "window_us": 0, "aim_stretch": 0}
         _check(self, least, shares=("late_worth",))
 
+    def aim_for_us(self, work_us: int) -> int:
+        """The aim of a request that says it is so much work; 0: it does not say."""
+        return min(self.aim_us + int(self.aim_stretch * work_us), max(self.aim_us, self.give_up_us))
+
     @property
     def clients_may_repeat(self) -> bool:
         """Whether it does no harm that a client sends a request again which may have run, to any server."""
@@ -195,6 +200,10 @@
         if self.proxy >= self.proxies:
             raise ValueError("proxy is not below proxies")
 
+    def takes(self, klass: int) -> bool:
+        """Whether there is a class of this number, and it takes new requests."""
+        return 0 <= klass < len(self.classes) and not self.classes[klass].dropped
+
 
 # Events
 
