--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -47,7 +47,8 @@
 from cloverkeel.entries import Entry
 from cloverkeel.fleet.kept import Figures, Snapshot
 from cloverkeel.held import Call, Held
-from cloverkeel.hosts import Attempt, Pools, load_of
+from cloverkeel.hosts.attempt import Attempt, load_of
+from cloverkeel.hosts.pool import Pools
 from cloverkeel.http1 import Reply, log
 from cloverkeel.listed import Lists, take_list
 from cloverkeel.probing import probe
@@ -280,6 +281,7 @@
         number = len(held.attempts)
         left_us = held.deadline_us - now_us()
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
+        ends_us = now_us() + wait_us
         if host is None or not self.may_begin(held) or wait_us <= 0 or number >= held.max_attempts:
             held.attempts.append(None)
             self.post(lambda: self.moot(action, number))
@@ -288,7 +290,9 @@
         def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
             self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
 
-        payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, max(1, wait_us // 1000), held.call.body)
+        def payload() -> bytes:
+            left_ms = max(1, (ends_us - now_us()) // 1000)
+            return b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, left_ms, held.call.body)
 
         def on_begin(attempt: Attempt, reply: Reply) -> Callable[[bytes], None] | None:
             self.post(lambda: self.answer_begun(held, number, attempt, reply))
@@ -299,12 +303,15 @@
             self.post(lambda: BodyPassing(id_, number))
 
         upload = held.call.upload
-        attempt = Attempt(
-            host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing,
-            is_wanted=lambda: self.may_begin(held),
-        )  # fmt: skip
+        attempt = Attempt(host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing)
+        attempt.left_us = lambda: held.deadline_us - now_us()
+        attempt.is_wanted = lambda: self.may_begin(held)
         held.attempts.append(attempt)
         held.out += 1
+        if action.latest_us:
+            for earlier in held.attempts:  # one whose connection is still coming up would be the repeat
+                if earlier is not None:
+                    self.pools.limit(earlier, action.latest_us)
         self.pools.send(attempt, wait_us)
 
     def may_begin(self, held: Held) -> bool:
