--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -77,7 +77,8 @@
         self.buffer = Buffer(config.memory_mb)
         self.pools = Pools(config.settings, self.telemetry, self.buffer)
         pushed = config.settings.list_is_pushed
-        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
+        stop_sending_s = config.settings.stop_sending_within_us / 1e6
+        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed, stop_sending_s)
         self.lists: Lists = self.discovery  # what the module's own wishes for lists go to
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
@@ -135,6 +136,7 @@
         event = SettingsChanged(config.settings)
         self.post(lambda: event)
         self.discovery.names, self.discovery.pushed = config.names, config.settings.list_is_pushed
+        self.discovery.stop_sending_s = config.settings.stop_sending_within_us / 1e6
         self.discovery.move(config.discovery)
         if self.routes is not None:
             self.routes.follow()
@@ -303,9 +305,10 @@
             self.post(lambda: BodyPassing(id_, number))
 
         upload = held.call.upload
-        attempt = Attempt(host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing)
-        attempt.left_us = lambda: held.deadline_us - now_us()
-        attempt.is_wanted = lambda: self.may_begin(held)
+        attempt = Attempt(
+            host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing,
+            is_wanted=lambda: self.may_begin(held), left_us=lambda: held.deadline_us - now_us(),
+        )  # fmt: skip
         held.attempts.append(attempt)
         held.out += 1
         if action.latest_us:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -167,6 +167,7 @@
             attempt = held.attempts[1]
             assert attempt is not None and attempt.connection is not None and not attempt.ended
             connection = attempt.connection
+            attempt.payload = lambda: pytest.fail("it is written")
             gateway.pools.put_on(connection, attempt)  # as if it had come up
             assert attempt.ended
             await until(lambda: len(told) == 2)
