Late requests: a peer of single bytes is late, and time that the gateway took is not counted

A client that waits for `100 Continue`, which is sent once all before it is answered, was late meanwhile.

Ruled out: is_late's False while reading is paused leaves nobody for ever: gone clients are swept, and what pauses reading (requests before it, a host that takes a body) has its own bounds.

Change: a late request is put off once; allow_more gives back both times, after a pause and after the wait for word.

Measured: seven cases of tests/test_bad_input.py, which fail without the change. The eighth, floods of peers that go, passes before and after it.

--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -41,6 +41,7 @@
         self.body_due_s = 0.0  # when the body's first byte is late; the rate gives the rest more
         self.held_at_s = math.inf  # since when nothing is read, as nothing can pass on
         self.awaits_since_s = math.inf  # when the request that is awaited began, or the connection's first
+        self.was_late = False  # it was found late once, and what had come by then has been read since
         self.waiting: deque[Request] = deque()
         self.current: Request | None = None  # read and not yet answered
         self.current_id = ""
@@ -106,15 +107,22 @@
 
     def go_on(self) -> None:
         if self.held_at_s != math.inf:
-            self.body_due_s += asyncio.get_running_loop().time() - self.held_at_s
+            self.allow_more(asyncio.get_running_loop().time() - self.held_at_s)
             self.held_at_s = math.inf
             if self.transport is not None and not self.transport.is_closing():
                 self.transport.resume_reading()
 
+    def allow_more(self, waited_s: float) -> None:
+        """Time in which the client was kept waiting is not its own."""
+        self.awaits_since_s += waited_s
+        self.body_due_s += waited_s
+
     def is_late(self, now_s: float) -> bool:
         """Whether the request that is awaited should be here, or more of its body."""
         if self.held_at_s != math.inf or self.awaits_since_s == math.inf:
             return False
+        if self.reading is not None and self.reading.expects_since_s:
+            return False  # its client waits for word, and that for what is before it
         due_s = self.awaits_since_s + HEAD_S
         if self.reading is not None and not self.in_head:
             due_s = max(due_s, self.body_due_s + self.body_size / BODY_RATE)
@@ -180,8 +188,11 @@
 
     def on_unfinished(self) -> None:
         """The request that was awaited has not come whole in time."""
-        if self.poll.poll(0):
-            return  # more of it is here, not yet read
+        if not self.was_late and self.poll.poll(0):
+            # More of it is here, not yet read, as where this program stood still. Once: a peer that sends
+            # byte by byte has always more to come.
+            self.was_late = True
+            return
         if self.reading is None and not self.head_size:
             self.close()  # unanswered: a request that crosses it is sent once more
             return
@@ -192,6 +203,7 @@
         self.reading = Request()
         self.body_size = self.overhead = 0
         self.in_head = True
+        self.was_late = False
 
     def on_url(self, url: bytes) -> None:
         assert self.reading is not None
@@ -216,14 +228,16 @@
         if coding_of(headers) not in (b"", b"chunked"):
             raise RequestError(501, "the transfer coding is unknown")
         expected = header(headers, b"expect")
-        self.reading.expects = expected is not None and expected.lower() == b"100-continue"
+        if expected is not None and expected.lower() == b"100-continue":
+            self.reading.expects_since_s = asyncio.get_running_loop().time()
         self.ask_for_body()
 
     def ask_for_body(self) -> None:
         """Tell a client that waits for it to send its body: once all before is answered."""
         request = self.reading
-        if request is not None and request.expects and self.current is None and not self.waiting:
-            request.expects = False
+        if request is not None and request.expects_since_s and self.current is None and not self.waiting:
+            self.allow_more(asyncio.get_running_loop().time() - request.expects_since_s)
+            request.expects_since_s = 0.0
             assert self.transport is not None
             if not request.is_old and not self.transport.is_closing():
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -231,7 +245,7 @@
     def on_body(self, data: bytes) -> None:
         request = self.reading
         assert request is not None
-        request.expects = False
+        request.expects_since_s = 0.0
         self.body_size += len(data)
         if self.body_size > BODY_MOST:
             raise RequestError(413, "the body is too long")
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -35,8 +35,8 @@
     """One request as it was read; `fault` tells what is wrong with it."""
 
     __slots__ = (
-        "answered", "body", "compared", "expects", "fault", "headers", "is_old", "keep_alive", "method",
-        "target", "transform", "upload", "whole",
+        "answered", "body", "compared", "expects_since_s", "fault", "headers", "is_old", "keep_alive",
+        "method", "target", "transform", "upload", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -46,7 +46,7 @@
         self.body: list[bytes] = []
         self.keep_alive = False
         self.is_old = False  # HTTP/1.0
-        self.expects = False  # waits for word before it sends its body
+        self.expects_since_s = 0.0  # since when its client waits for word to send its body; 0: it does not
         self.whole = False
         self.answered = False  # before its body had come: the rest is read and dropped
         self.upload: Upload | None = None  # the rest of a body too long to be held
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,134 @@
+"""Bad input: each peer gets an error or a close in its time, and no other client is kept waiting for it."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+
+import pytest
+
+from cloverkeel.front import reading
+from tests.sockets import (
+    Running,
+    answers,
+    configuration,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+HALVES = [
+    request()[:-2],  # a head without end
+    request("transfer", b"x" * 900, content_length="1000"),
+    request("transfer", content_length="", transfer_encoding="chunked") + b"5\r\nab",
+    request("transfer", content_length="", transfer_encoding="chunked") + b"1;" + b"e" * 900,
+    b"\r\n\r\n",  # of nothing at all
+]
+
+
+@pytest.mark.parametrize("data", HALVES, ids=lambda value: repr(value)[-20:])
+@on_loop
+async def test_a_peer_that_always_has_a_byte_more_to_come_is_late_all_the_same(
+    data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Whatever stood unread at the sweep put it off, so that a peer of single bytes was never late."""
+    monkeypatch.setattr(reading, "HEAD_S", 0.3)
+    monkeypatch.setattr(reading, "BODY_SLACK_S", 0.3)
+    async with peer() as host, running(configuration(host)) as run:
+        client = socket.create_connection(("127.0.0.1", run.port))
+        client.sendall(data)
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        found = connection.on_unfinished
+        looked = 0
+
+        def with_a_byte_unread() -> None:
+            nonlocal looked
+            looked += 1
+            client.sendall(b"a" if data.strip() else b"\n")
+            found()
+
+        monkeypatch.setattr(connection, "on_unfinished", with_a_byte_unread)
+        await until(lambda: connection.served)
+        assert client.recv(4096).startswith(b"HTTP/1.1 408 ") and looked == 2
+        assert not host.seen and not run.gateway.held
+        client.close()
+
+
+@on_loop
+async def test_time_in_which_reading_was_paused_is_not_the_client_s() -> None:
+    """The head behind many requests was late as soon as these were answered."""
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        last = request("transfer")
+        client.send(b"".join(request("transfer") for _ in range(20)) + last[:30])
+        await until(lambda: host.seen)
+        (connection,) = run.server.connections
+        assert connection.reading is not None and connection.held_at_s < math.inf
+        connection.awaits_since_s -= 60  # it all lies a minute back
+        connection.held_at_s -= 60
+        host.script = answers(reply())
+        host.seen[0].answer(reply())
+        for _ in range(20):
+            assert (await client.answer()).status == 200
+        assert connection.held_at_s == math.inf
+        assert not connection.is_late(asyncio.get_running_loop().time())
+        client.send(last[30:])
+        assert (await client.answer()).status == 200
+        client.close()
+
+
+@on_loop
+async def test_a_client_that_waits_for_word_is_not_late_while_it_has_none() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client, loop = await run.connect(), asyncio.get_running_loop()
+        waits = request("transfer", b"body", expect="100-continue")[:-4]
+        client.send(request("transfer") + waits)
+        await until(lambda: host.seen)
+        (connection,) = run.server.connections
+        assert connection.reading is not None
+        connection.awaits_since_s -= 60  # the one before takes a minute
+        connection.body_due_s -= 60
+        connection.reading.expects_since_s -= 60
+        assert not connection.is_late(loop.time())
+        host.seen[0].answer(reply())
+        assert (await client.answer()).status == 200
+        assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        assert not connection.is_late(loop.time())
+        assert connection.is_late(loop.time() + 60)  # from here on the time is its own
+        host.script = answers(reply())
+        client.send(b"body")
+        assert (await client.answer()).status == 200
+        client.close()
+
+
+def flood(run: Running, data: bytes) -> socket.socket:
+    """A peer that sends what the kernel takes at once."""
+    one = socket.create_connection(("127.0.0.1", run.port))
+    one.setblocking(False)
+    one.send(data)
+    return one
+
+
+@on_loop
+async def test_peers_that_send_much_at_once_and_go_leave_nothing_and_delay_nobody() -> None:
+    """Rubbish, endless heads, and requests by the hundred, while another's request is out."""
+    floods = [b"\x00rubbish" * 9_000, b"GET /search/1 HTTP/1.1\r\nA: " + b"x" * 200_000]
+    async with peer(silent) as host, running(configuration(host)) as run:
+        other = await run.connect()
+        other.send(request("transfer"))
+        await until(lambda: host.seen)
+        peers = [flood(run, data) for data in floods]
+        peers += [flood(run, b"".join(request("transfer") for _ in range(300)))]
+        for one in peers:
+            one.close()  # and the loop has had no turn since
+        await until(lambda: len(run.server.connections) == 1 and len(run.gateway.held) == 1)
+        assert len(host.seen) == 1
+        host.seen[0].answer(reply())
+        assert (await other.answer()).status == 200
+        other.close()
