Upgrade: a request for another protocol gets one answer, not a second one behind it

One with a body was sent to a host without it: the parser skips the body of a message that names another protocol.

Change: with a body it is answered 400 and sent nowhere; without one it is answered in this protocol, as RFC 9110 7.8 allows, and as the last of its connection, since the parser reads no further.

--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -136,7 +136,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            fault = RequestError(400, "no other protocol is spoken here")
+            self.decline_upgrade()
         except httptools.HttpParserError as error:
             cause = error.__context__
             fault = cause if isinstance(cause, RequestError) else RequestError(400, "malformed")
@@ -159,6 +159,13 @@
             self.hold()
         self.take_next()
 
+    def decline_upgrade(self) -> None:
+        """Answer a request for another protocol in this one, and as the last: the parser reads no further."""
+        request = self.waiting[-1] if self.waiting else self.reading
+        if request is not None:
+            request.keep_alive = False
+        self.deaf = True
+
     def begin_upload(self, request: Request) -> None:
         """A body that has outgrown what is held whole: the request is taken, and the rest passes on."""
         if request.upload is None and self.body_size > BODY_LIMIT and not self.in_head:
@@ -227,6 +234,8 @@
             raise RequestError(413, "the body is too long")
         if coding_of(headers) not in (b"", b"chunked"):
             raise RequestError(501, "the transfer coding is unknown")
+        if self.parser.should_upgrade() and (coding_of(headers) or (length or b"0") != b"0"):
+            raise RequestError(400, "no other protocol is spoken here")  # the parser would leave the body out
         expected = header(headers, b"expect")
         if expected is not None and expected.lower() == b"100-continue":
             self.reading.expects_since_s = asyncio.get_running_loop().time()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -107,6 +107,32 @@
         client.close()
 
 
+@pytest.mark.parametrize("klass", ["search", "transfer"])  # with no body
+@on_loop
+async def test_a_request_for_another_protocol_gets_one_answer_in_this_one(klass: str) -> None:
+    """It got a second one behind that, which a client on a kept connection took for its next request's."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request(klass, connection="upgrade", upgrade="h2c") + request(klass))
+        answer = await client.answer()
+        assert answer.status == 200 and answer.headers["connection"] == "close"
+        assert await client.reader.read() == b"" and len(host.seen) == 1
+        client.close()
+
+
+@on_loop
+async def test_a_body_before_another_protocol_is_not_left_out_of_its_request() -> None:
+    """The parser reads none then, and the request went to a host without it."""
+    async with peer() as host, running(configuration(host)) as run:
+        for coding, length in (("", "4"), ("chunked", "")):
+            data = request(
+                "transfer", b"body", connection="upgrade", upgrade="h2c",
+                transfer_encoding=coding, content_length=length,
+            )  # fmt: skip
+            assert (await run.ask(data)).status == 400
+        assert not host.seen
+
+
 def flood(run: Running, data: bytes) -> socket.socket:
     """A peer that sends what the kernel takes at once."""
     one = socket.create_connection(("127.0.0.1", run.port))
