Clients that take no answers: no further request is begun for them

Seen by reading, proven by the test: take_next went on with requests that wait while the client took nothing, and each answer of up to 64 KiB was kept in the transport, without bound until UNREAD_S (30 s) was over; below the transport's 64 KiB pause_writing told of nothing, so that less than that was held for ever.

Change: pause_writing tells of all that the kernel has not taken (high=0, as for long answers before); while it does, the next request waits, reading stops with 17 of them, and UNREAD_S ends the connection.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -48,6 +48,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self.transport.set_write_buffer_limits(high=0)  # `pause_writing` tells of all that is not taken
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
         self.rest()
@@ -88,7 +89,8 @@
 
     def take_next(self) -> None:
         """Take the next request that was read, once the one before is answered."""
-        while self.current is None and self.waiting:
+        # Guards the memory against a client that asks for more and takes no answer.
+        while self.current is None and self.waiting and self.unread_since_s == math.inf:
             request = self.current = self.waiting.popleft()
             self.current_id = ""
             if not self.waiting and request.upload is None:
@@ -146,7 +148,6 @@
         self.is_chunked = length is None and not request.is_old
         # Without a length, what an old client gets ends with the connection.
         self.is_last = self.must_end(request) or (length is None and request.is_old)
-        transport.set_write_buffer_limits(high=0)
         transport.write(answer_head(200, kept_for(request, headers, self.is_last), self.is_last))
 
     def on_piece(self, request: Request, data: bytes) -> None:
@@ -179,6 +180,8 @@
         self.unread_since_s = math.inf
         if self.source is not None:
             self.source.resume_reading()
+        elif self.waiting:
+            asyncio.get_running_loop().call_soon(self.take_next)
 
     def on_refused(self, request: Request, retry_after_us: int) -> None:
         if self.current is request:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -133,6 +133,35 @@
         assert not host.seen
 
 
+@on_loop
+async def test_a_client_that_takes_no_answers_has_no_further_requests_begun() -> None:
+    """Each answer was kept for it, without bound."""
+    async with peer(answers(reply(200, bytes(60_000)))) as host, running(configuration(host)) as run:
+        reader = socket.socket()
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        reader.connect(("127.0.0.1", run.port))
+        reader.setblocking(False)
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        transport = connection.transport
+        assert transport is not None
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        reader.sendall(b"".join(request() for _ in range(200)))
+        await until(lambda: connection.unread_since_s < math.inf and connection.current is None)
+        other = await run.connect()
+        for _ in range(5):  # of turns that it could have taken
+            assert (await other.ask(request())).status == 200
+        assert len(host.seen) == 6 and transport.get_write_buffer_size() < 61_000
+        assert connection.held_at_s < math.inf  # nor is more of it read
+        taken = 0
+        while taken < 200 * 60_000:  # once it does, all goes on
+            taken += len(await asyncio.get_running_loop().sock_recv(reader, 1 << 20))
+        await until(lambda: connection.current is None and not connection.waiting)
+        assert len(host.seen) == 205
+        reader.close()
+        other.close()
+
+
 def flood(run: Running, data: bytes) -> socket.socket:
     """A peer that sends what the kernel takes at once."""
     one = socket.create_connection(("127.0.0.1", run.port))
