SIGHUP: limits that are no positive numbers change nothing, and the reason is one line

A line break in an effect's or group's name made two lines of the reason.

Change: limits are among the numbers that a file taken up by SIGHUP must have as positive ones (config.POSITIVE); unknown effects and groups are quoted.

--- a/caperdrift/wire.py
+++ b/caperdrift/wire.py
@@ -176,9 +176,9 @@
     effect = str(lane.get("effect", "single_shot"))
     scope = str(lane.get("group", "all"))
     if effect not in EFFECTS:
-        raise ValueError(f"effect '{effect}' is unknown")
+        raise ValueError(f"effect {effect!r} is unknown")
     if scope not in SCOPES:
-        raise ValueError(f"group '{scope}' is unknown")
+        raise ValueError(f"group {scope!r} is unknown")
     return RequestClass(
         aim_us=int(lane.get("aimUs", lane["giveUpUs"])),
         give_up_us=int(lane["giveUpUs"]),
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -98,6 +98,7 @@
     "settings.tenants": ("name", "fraction"),
 }  # fmt: skip
 POSITIVE = {
+    "limits": ("cores", "memory_mb", "sockets"),
     "settings.caps": ("connectTimeoutUs", "keepaliveUs", "maxAttempts"),
     "settings.lanes": ("aimUs", "giveUpUs"),
 }
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -187,3 +189,42 @@
         host.seen[0].answer(reply())
         assert (await other.answer()).status == 200
         other.close()
+
+
+UNUSABLE = [
+    ("limits", "memory_mb", math.inf),
+    ("limits", "memory_mb", math.nan),
+    ("limits", "memory_mb", -1),
+    ("limits", "sockets", 0),
+    ("settings", "lanes", [{"name": "a", "effect": "no\nsuch"}]),
+]
+
+
+@pytest.mark.parametrize(("part", "key", "value"), UNUSABLE)
+@on_loop
+async def test_a_file_that_cannot_be_used_leaves_all_as_it_was_and_one_line(
+    part: str,
+    key: str,
+    value: object,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Some raised halfway: the new configuration was in force, and the gateway went by the old one."""
+    async with peer() as host, running(configuration(host)) as run:
+        raw = configuration(host, discovery="127.0.0.1:10")
+        if key == "lanes":
+            raw[part][key] = [lane | value[0] for lane in raw[part][key][:1]]  # type: ignore[index]
+        else:
+            raw[part][key] = value
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(raw))
+        monkeypatch.setenv("LB_CONFIG", str(file))
+        before, settings = run.server.config, run.gateway.settings
+        capsys.readouterr()
+        run.server.reload()
+        said = [line for line in capsys.readouterr().err.splitlines() if "discovery" not in line]
+        assert len(said) == 1 and said[0].startswith("cloverkeel: not reconfigured: ")
+        assert run.server.config is before and run.gateway.settings is settings
+        assert run.gateway.telemetry.load_errors == 1
+        assert (await run.ask(request())).status == 200
