Pipelined requests: time spent waiting behind others of the connection is spent

Seen by reading: a request that was read and waited behind another on its connection was given its whole X-Budget-Ms from its turn on (requests.read_call), and its hosts were told so, though the client's time runs since it came: more than what is left to the client by as long as it waited, and it was sent on when its time was over.

Change: a request that must wait keeps when it came, and its time is less by the wait. What did not wait is untouched.

Measured: two cases (5 s of 20 s waited: at most 15 s are told; 60 s: refused and not sent), failing before.

--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from cloverkeel.clock import now_us
 from cloverkeel.front.requests import Request, RequestError
 from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, LINGER_S, Header, coding_of, header
 from cloverkeel.streams import Upload
@@ -272,6 +273,8 @@
         self.awaits_since_s = math.inf
         self.passed_end = request.whole = True
         if request.upload is None:
+            if self.current is not None or self.waiting:
+                request.waits_since_us = now_us()
             self.waiting.append(request)
         elif not request.answered:
             self.server.gateway.body_ended(self.current_id)
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -8,6 +8,7 @@
 
 from caperdrift.interface import Effect
 
+from cloverkeel.clock import now_us
 from cloverkeel.config import Config, stable_id
 from cloverkeel.held import Call
 from cloverkeel.hosts.connection import HostConnection
@@ -36,7 +37,7 @@
 
     __slots__ = (
         "answered", "body", "compared", "expects_since_s", "fault", "headers", "is_old", "keep_alive",
-        "method", "target", "transform", "upload", "whole",
+        "method", "target", "transform", "upload", "waits_since_us", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -48,6 +49,7 @@
         self.is_old = False  # HTTP/1.0
         self.expects_since_s = 0.0  # since when its client waits for word to send its body; 0: it does not
         self.whole = False
+        self.waits_since_us = 0  # since when, whole, for others on its connection to be answered; 0: for none
         self.answered = False  # before its body had come: the rest is read and dropped
         self.upload: Upload | None = None  # the rest of a body too long to be held
         self.fault: RequestError | None = None
@@ -106,12 +108,15 @@
             active = active.chained(route.chain)
     if active is not None:
         passing = transformed(request, active, passing, headers, parts[0], path)
+    patience_us = settings.give_up_us if budget_ms is None else budget_ms * 1000
+    if request.waits_since_us:  # its time began when it came
+        patience_us = max(0, patience_us - (now_us() - request.waits_since_us))
     body = b"".join(request.body)
     request.body.clear()
     return Call(
         id=id_.decode("latin-1"),
         klass=klass,
-        patience_us=settings.give_up_us if budget_ms is None else budget_ms * 1000,
+        patience_us=patience_us,
         key=stable_id(parts[-1], 8) if len(parts) > 1 else None,
         work_us=_whole(headers.get(b"x-call-cost"), "X-Call-Cost"),
         is_retry=headers.get(b"x-again") == b"1",
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -164,6 +164,27 @@
         other.close()
 
 
+@pytest.mark.parametrize(("waited_s", "status"), [(5, 200), (60, 503)])
+@on_loop
+async def test_the_time_that_a_request_waits_behind_others_of_its_connection_is_spent(
+    waited_s: int, status: int
+) -> None:
+    """It was given all of its time from its turn on, and its host was told so."""
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request("transfer") + request("transfer", budget_ms=20_000))
+        await until(lambda: host.seen)
+        (connection,) = run.server.connections
+        connection.waiting[0].waits_since_us -= waited_s * 1_000_000
+        host.script = answers(reply())
+        host.seen[0].answer(reply())
+        assert (await client.answer()).status == 200
+        assert (await client.answer()).status == status
+        told = [int(e.message.headers["x-budget-ms"]) for e in host.seen[1:]]
+        assert told == [] if status == 503 else 14_000 < told[0] <= 15_000
+        client.close()
+
+
 def flood(run: Running, data: bytes) -> socket.socket:
     """A peer that sends what the kernel takes at once."""
     one = socket.create_connection(("127.0.0.1", run.port))
