--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -12,7 +12,7 @@
 
 from cloverkeel.clock import now_us
 from cloverkeel.front.requests import Request, RequestError
-from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, LINGER_S, Header, coding_of, header
+from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, UNREAD_S, Header, coding_of, header
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
@@ -97,8 +97,9 @@
             self.server.gateway.leave(self.current_id)
         if self.transport is not None and not self.transport.is_closing():
             self.transport.close()
-            # Guards against a client that takes no more of what is written to it.
-            asyncio.get_running_loop().call_later(LINGER_S, self.transport.abort)
+            if self.transport.get_write_buffer_size():
+                # It ended its sending alone, maybe, and reads on, or does not.
+                asyncio.get_running_loop().call_later(UNREAD_S, self.transport.abort)
 
     def hold(self) -> None:
         """Read no more for now."""
--- a/cloverkeel/listcall.py
+++ b/cloverkeel/listcall.py
@@ -15,13 +15,14 @@
 
 
 class DiscoveryConnection(asyncio.Protocol):
-    """`answer`: of the call made last; `begun`: what its caller notes of the moment it was made."""
+    """`answer`: of the call made last; `begun`, `index`: what its caller notes of the moment it was made."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.replies = ReplyReader(LIST_LIMIT)
         self.answer: asyncio.Future[Reply] | None = None
         self.begun: Any = None
+        self.index: int | None = None  # of the list held then
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -62,6 +63,13 @@
     def is_waiting(self) -> bool:
         return self.answer is not None and not self.answer.done()
 
+    @property
+    def reply(self) -> Reply | None:
+        """The answer to the call made last, once it has come."""
+        answer = self.answer
+        is_here = answer is not None and answer.done() and not answer.cancelled() and not answer.exception()
+        return answer.result() if answer is not None and is_here else None
+
     @property
     def is_closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
