--- a/caperdrift/policy/choice.py
+++ b/caperdrift/policy/choice.py
@@ -90,13 +90,12 @@
     return raised
 
 def draw_weight(proxy: Proxy, server: Server, request: Request) -> float:
-    """A server's weight in the draw; 0 for one that is not eligible."""
+    """A server's weight in the draw, less while cold; 0 for one that is not eligible."""
     if not cold_room(proxy, server, request):
         return 0.0
     free = 1.0 / (1.0 + len(server.out)) ** OWN
-    share = cold_share(proxy, server)  # slow start
     weight = server.weight * server.part(request.klass).weight
-    return server.entry.weight * weight * free * nearness(proxy, server.entry) * share
+    return server.entry.weight * weight * free * nearness(proxy, server.entry) * cold_share(proxy, server)
 
 def is_eligible(proxy: Proxy, server: Server, klass: int) -> bool:
     """Whether it may be used; cooldowns that are over end."""
--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -11,12 +11,13 @@
     share = cold_share(proxy, server)
     if share >= 1.0:
         return True
-    half_us = fall_budget_us(proxy, request.among) * share / 2
-    elapsed_us = proxy.now_us - server.spent_at_us
-    server.spent_us = max(0.0, server.spent_us - half_us * elapsed_us / proxy.settings.fall_us)
+    part_us, cost_us = fall_budget_us(proxy, request.among) * share, cold_cost_us(proxy, request)
+    most_us = max(part_us / 2, cost_us)
+    server.spent_us -= part_us / 2 * (proxy.now_us - server.spent_at_us) / proxy.settings.fall_us
     server.spent_at_us = proxy.now_us
-    cost_us = cold_cost_us(proxy, request)
-    return server.spent_us + cost_us <= max(half_us, cost_us)
+    if server.spent_us < -part_us:  # unused for two windows: saved up by all proxies, it would come at once
+        server.spent_us = proxy.random.random() * max(part_us, cost_us) - part_us
+    return max(0.0, server.spent_us) + cost_us <= most_us
 
 def first_spent_us(proxy: Proxy) -> float:
     """What counts as spent of a server that has just started: a random part of a request's work, or of half
--- a/caperdrift/policy/sending.py
+++ b/caperdrift/policy/sending.py
@@ -26,7 +26,7 @@
     needed = SUBSET + proxy.out * min(1.0, max(LEAST_WIDENING, CROWD / sharers(proxy)))
     proxy.reach = max(needed, SUBSET + (proxy.reach - SUBSET) * REACH_MEMORY)
     if cold_share(proxy, server) < 1.0:
-        server.spent_us += cold_cost_us(proxy, request)
+        server.spent_us = max(0.0, server.spent_us) + cold_cost_us(proxy, request)
     proxy.actions.append(Send(request.id, server.entry.server, max(1, end_us(proxy, request) - proxy.now_us)))
     overdue_us = proxy.now_us + int(OVERDUE * proxy.expected_us(request))
     if request.rules.effect is not Effect.UNSAFE and overdue_us < request.deadline_us:
