--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -11,14 +11,14 @@
 
 from cloverkeel.front.reading import RequestReader
 from cloverkeel.front.requests import Request, RequestError, kept_for, passed_back, read_call
-from cloverkeel.hosts import HostConnection
+from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import (
     LINGER_S,
     Header,
     Reply,
     answer_head,
-    end_writing,
     header,
+    lingering_close,
     write_answer,
 )
 from cloverkeel.streams import LAST_CHUNK, chunk
@@ -29,7 +29,6 @@
 READY_PATH = b"/health/ready"
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
 UPLOAD_LINGER_S = 10.0  # for a client to end a body whose answer it has
-RESERVE = 64  # descriptors kept free of pools and idle clients
 
 
 class ClientConnection(RequestReader):
@@ -43,55 +42,93 @@
         self.opened_s = 0.0
         self.rests_since_s = 0.0  # the last answer, or the connection's beginning
         self.served = False  # has had an answer
+        self.shut = False  # writing is shut down: what is read is discarded
 
     # Connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
-        self.rest()
-        self.server.make_room()
+        if self.server.admits():
+            self.rest()
+        else:
+            self.abort()  # unread: its client goes elsewhere
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.pop(self, None)
-        self.deaf = True
-        self.waiting.clear()
-        if self.current is not None and self.current_id:
-            self.server.gateway.leave(self.current_id)
+        self.server.lingering.pop(self, None)
+        self.leave()
 
     def rest(self) -> None:
         self.rests_since_s = asyncio.get_running_loop().time()
         self.server.connections.pop(self, None)
         self.server.connections[self] = None
 
-    def is_idle(self) -> bool:
+    def is_idle(self, first_s: float = FIRST_REQUEST_S) -> bool:
         """Whether it may be closed: nothing is owed, nothing has begun, nothing waits to be read.
 
-        Guards against losing a request that has reached this machine and not yet this program, and one that a
-        client sends for the second time, on a new connection, since the first crossed the end of its old one.
+        Guards against losing a request that has reached this machine and not yet this program, and, with
+        `first_s` for the first one to come, one that a client sends for the second time, on a new connection,
+        since it crossed the end of its old one.
         """
         if self.current is not None or self.waiting or self.reading is not None or self.deaf:
             return False
-        if not self.served and asyncio.get_running_loop().time() - self.opened_s < FIRST_REQUEST_S:
+        if not self.served and asyncio.get_running_loop().time() - self.opened_s < first_s:
             return False
         return not self.poll.poll(0)
 
-    def close(self) -> None:
-        self.deaf = True
-        if self.transport is not None:
-            self.transport.close()
+    def close(self, linger_s: float = LINGER_S) -> None:
+        """End the connection once all that was written has gone out; nothing that is read later is a request.
+
+        A client that had sent one into this moment sees the end before any answer, and sends it once more.
+        """
+        if self.shut or self.transport is None or self.transport.is_closing():
+            self.deaf = True
+            return
+        self.shut = self.deaf = True
+        self.server.connections.pop(self, None)
+        self.server.lingering[self] = None
+        self.discard()
+        lingering_close(self.transport, linger_s)
+
+    def discard(self) -> None:
+        """Drop what was read and not taken, and go on reading, so that the client's end is seen."""
+        self.waiting.clear()
+        self.awaits_since_s = math.inf
+        self.go_on()
 
     def abort(self) -> None:
         self.deaf = True
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def only_lingers(self) -> bool:
+        """Whether it is shut down and all that was written is with the kernel."""
+        transport = self.transport
+        return (
+            self.shut
+            and transport is not None
+            and not (transport.is_closing() or transport.get_write_buffer_size())
+        )
+
+    def read(self, data: bytes) -> None:
+        super().read(data)
+        if self.shut:  # by an answer to a part of this piece: what followed in it has been read in vain
+            self.discard()
+
+    def ask_for_body(self) -> None:
+        if not self.shut:
+            super().ask_for_body()
+
     # Answering
 
     def take_next(self) -> None:
         """Take the next request that was read, once the one before is answered."""
-        while self.current is None and self.waiting:
+        while self.current is None and self.waiting and not self.shut:
+            if self.unread_since_s < math.inf:
+                return  # it takes no answers: what it asks for must not fill the memory
             request = self.current = self.waiting.popleft()
             self.current_id = ""
             if not self.waiting and request.upload is None:
@@ -176,12 +213,14 @@
     def pause_writing(self) -> None:
         self.unread_since_s = asyncio.get_running_loop().time()
         if self.source is not None:
-            self.source.hold()
+            self.source.pause_reading()
 
     def resume_writing(self) -> None:
         self.unread_since_s = math.inf
         if self.source is not None:
-            self.source.go_on()
+            self.source.resume_reading()
+        elif self.waiting:
+            asyncio.get_running_loop().call_soon(self.take_next)
 
     def on_refused(self, request: Request, retry_after_us: int) -> None:
         if self.current is request:
@@ -195,7 +234,7 @@
             self.answer(504 if timed_out else 502, [], b"")
 
     def fail_rest(self) -> None:
-        """Answer in order, as failed, what is owed here."""
+        """Answer in order, as failed, what is owed here, and end the connection."""
         while self.current is not None or self.waiting:
             if self.current is None:
                 self.current, self.current_id = self.waiting.popleft(), ""
@@ -203,6 +242,7 @@
                 self.on_broken(self.current)
                 return
             self.answer(504, [], b"")
+        self.close()
 
     def answer(self, status: int, headers: list[Header], body: bytes) -> None:
         """Write the whole answer at once, and go on with the next request."""
@@ -216,13 +256,19 @@
 
     def must_end(self, request: Request) -> bool:
         """Whether the connection ends with this request's answer."""
-        if not request.keep_alive:
+        server = self.server
+        if not request.keep_alive or (self.deaf and not self.waiting):
             return True
+        if server.is_out_of_time:
+            return not self.waiting
         # What was read is answered, on the way out too; the rest of this one's body is not waited for then.
-        more = bool(self.waiting) or (self.reading is not None and self.reading is not request)
+        if self.waiting or (self.reading is not None and self.reading is not request):
+            return False
         # Guards against a rush of new connections: all too fresh to close, they left none for the hosts.
-        crowded = self.server.spare < RESERVE // 2
-        return (self.server.draining or crowded) and not more
+        if not server.draining and not server.is_crowded:
+            return False
+        # A request sent behind this one may have reached this machine and not yet this program.
+        return not (request.whole and self.poll.poll(0))
 
     def answered(self, last: bool) -> None:
         """The answer is written: go on with the next request, or end."""
@@ -240,11 +286,5 @@
                 asyncio.get_running_loop().call_soon(self.take_next)
             self.ask_for_body()
             return
-        self.waiting.clear()
-        self.deaf = True
-        self.awaits_since_s = math.inf
-        self.go_on()
-        if not request.whole:
-            end_writing(transport, UPLOAD_LINGER_S if request.upload is not None else LINGER_S)
-        else:
-            transport.close()
+        request.answered = True  # what still comes of its body goes nowhere
+        self.close(UPLOAD_LINGER_S if request.upload is not None and not request.whole else LINGER_S)
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -12,7 +12,8 @@
 
 BODY_LIMIT = 64 * 1024  # of a body that is held whole
 HEAD_LIMIT = 64 * 1024
-LINGER_S = 1.0  # for the other side to read an answer that it did not expect
+LINGER_S = 1.0  # for the other side to read what was written, and to end too
+UNREAD_S = 30.0  # a client that takes nothing of what is written for so long has gone
 BLANK = b" \t"  # may stand round a header's value; the parser leaves what is behind it
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer"
@@ -60,17 +61,33 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def end_writing(transport: asyncio.Transport, linger_s: float = LINGER_S) -> None:
-    """End an answer's connection so that the answer is read.
+def lingering_close(transport: asyncio.Transport, linger_s: float = LINGER_S) -> None:
+    """Shut down writing behind all that was written, go on reading, and close: RFC 9112, section 9.6.
 
-    Guards against a reset that overtakes the answer where the other side has still more to say: then it is
-    left to read first.
+    Guards against a reset that overtakes what was written: a close over bytes that nobody has read is one.
+    What comes in meanwhile is the protocol's to discard. The other side's end closes at once, else `linger_s`
+    does; where not all has gone out by then, its reader has that long again and again, up to `UNREAD_S`.
     """
-    if transport.can_write_eof():
-        transport.write_eof()
-        asyncio.get_running_loop().call_later(linger_s, transport.close)
-    else:
+    if transport.is_closing():
+        return
+    if not transport.can_write_eof():
+        transport.close()
+        return
+    transport.write_eof()
+    loop = asyncio.get_running_loop()
+    loop.call_later(linger_s, _end_linger, transport, linger_s, loop.time() + UNREAD_S)
+
+
+def _end_linger(transport: asyncio.Transport, linger_s: float, abort_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    if transport.is_closing():
+        return
+    if not transport.get_write_buffer_size():
         transport.close()
+    elif loop.time() < abort_s:
+        loop.call_later(linger_s, _end_linger, transport, linger_s, abort_s)
+    else:
+        transport.abort()
 
 
 def log(line: str) -> None:
@@ -105,12 +122,13 @@
 
     __slots__ = (
         "_body", "_headers", "_in_body", "_limit", "_overhead", "_parser", "_replies", "_size",
-        "_to_the_end", "_unsized", "_wants_long", "begun",
+        "_to_the_end", "_unsized", "_wants_long", "begun", "is_long",
     )  # fmt: skip
 
     def __init__(self, limit: int = BODY_LIMIT, wants_long: bool = False) -> None:
         self._limit, self._wants_long = limit, wants_long
         self.begun: Reply | None = None  # the head of a long answer
+        self.is_long = False  # its body is known to be beyond the limit
         self._in_body = False
         self._unsized = False
         self._to_the_end = False  # the body ends with the connection
@@ -124,6 +142,8 @@
     def feed(self, data: bytes) -> Reply | None:
         """The answer that these bytes complete, if they do; bytes beyond it are an error."""
         before = self._size
+        if not self._in_body:
+            self.begun = None  # that of the answer before: a blank line may come ahead of the next one
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -152,6 +172,11 @@
             self._begin()
         return self.begun is not None
 
+    @property
+    def size(self) -> int:
+        """Bytes of the body that has come, or is coming."""
+        return self._size
+
     @property
     def is_unsized(self) -> bool:
         """Whether a body is coming of which nobody has said how long it is."""
@@ -170,7 +195,7 @@
         if self._replies:
             raise ReplyError("more than one answer")
         self._headers, self._body, self._size = [], [], 0
-        self.begun, self._in_body = None, False
+        self.begun, self.is_long, self._in_body = None, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_body:
@@ -188,15 +213,18 @@
         self._unsized = length is None
         self._to_the_end = not coding and length is None
         if self._wants_long and length is not None and int(length) > self._limit:
+            self.is_long = True
             self._begin()
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
         self._body.append(data)
-        if self._size > self._limit and self.begun is None:
+        if self._size > self._limit and not self.is_long:
             if not self._wants_long:
                 raise ReplyError("the body is too long")
-            self._begin()
+            self.is_long = True
+            if self.begun is None:
+                self._begin()
 
     def _begin(self) -> None:
         self.begun = Reply(self._parser.get_status_code(), self._headers, b"", False)
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,253 @@
+"""Bad input: each peer gets an error or a close in its time, and no other client is kept waiting for it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import socket
+from pathlib import Path
+
+import pytest
+
+from cloverkeel.front import reading
+from tests.sockets import (
+    Running,
+    answers,
+    configuration,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+HALVES = [
+    request()[:-2],  # a head without end
+    request("transfer", b"x" * 900, content_length="1000"),
+    request("transfer", content_length="", transfer_encoding="chunked") + b"5\r\nab",
+    request("transfer", content_length="", transfer_encoding="chunked") + b"1;" + b"e" * 900,
+    b"\r\n\r\n",  # of nothing at all
+]
+
+
+@pytest.mark.parametrize("data", HALVES, ids=lambda value: repr(value)[-20:])
+@on_loop
+async def test_a_peer_that_always_has_a_byte_more_to_come_is_late_all_the_same(
+    data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Whatever stood unread at the sweep put it off, so that a peer of single bytes was never late."""
+    monkeypatch.setattr(reading, "HEAD_S", 0.3)
+    monkeypatch.setattr(reading, "BODY_SLACK_S", 0.3)
+    async with peer() as host, running(configuration(host)) as run:
+        client = socket.create_connection(("127.0.0.1", run.port))
+        client.sendall(data)
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        found = connection.on_unfinished
+        looked = 0
+
+        def with_a_byte_unread() -> None:
+            nonlocal looked
+            looked += 1
+            client.sendall(b"a" if data.strip() else b"\n")
+            found()
+
+        monkeypatch.setattr(connection, "on_unfinished", with_a_byte_unread)
+        await until(lambda: connection.served)
+        assert client.recv(4096).startswith(b"HTTP/1.1 408 ") and looked == 2
+        assert not host.seen and not run.gateway.held
+        client.close()
+
+
+@on_loop
+async def test_time_in_which_reading_was_paused_is_not_the_client_s() -> None:
+    """The head behind many requests was late as soon as these were answered."""
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        last = request("transfer")
+        client.send(b"".join(request("transfer") for _ in range(20)) + last[:30])
+        await until(lambda: host.seen)
+        (connection,) = run.server.connections
+        assert connection.reading is not None and connection.held_at_s < math.inf
+        connection.awaits_since_s -= 60  # it all lies a minute back
+        connection.held_at_s -= 60
+        host.script = answers(reply())
+        host.seen[0].answer(reply())
+        for _ in range(20):
+            assert (await client.answer()).status == 200
+        assert connection.held_at_s == math.inf
+        assert not connection.is_late(asyncio.get_running_loop().time())
+        client.send(last[30:])
+        assert (await client.answer()).status == 200
+        client.close()
+
+
+@on_loop
+async def test_a_client_that_waits_for_word_is_not_late_while_it_has_none() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client, loop = await run.connect(), asyncio.get_running_loop()
+        waits = request("transfer", b"body", expect="100-continue")[:-4]
+        client.send(request("transfer") + waits)
+        await until(lambda: host.seen)
+        (connection,) = run.server.connections
+        assert connection.reading is not None
+        connection.awaits_since_s -= 60  # the one before takes a minute
+        connection.body_due_s -= 60
+        connection.reading.expects_since_s -= 60
+        assert not connection.is_late(loop.time())
+        host.seen[0].answer(reply())
+        assert (await client.answer()).status == 200
+        assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        assert not connection.is_late(loop.time())
+        assert connection.is_late(loop.time() + 60)  # from here on the time is its own
+        host.script = answers(reply())
+        client.send(b"body")
+        assert (await client.answer()).status == 200
+        client.close()
+
+
+@pytest.mark.parametrize("klass", ["search", "transfer"])  # with no body
+@on_loop
+async def test_a_request_for_another_protocol_gets_one_answer_in_this_one(klass: str) -> None:
+    """It got a second one behind that, which a client on a kept connection took for its next request's."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request(klass, connection="upgrade", upgrade="h2c") + request(klass))
+        answer = await client.answer()
+        assert answer.status == 200 and answer.headers["connection"] == "close"
+        assert await client.reader.read() == b"" and len(host.seen) == 1
+        client.close()
+
+
+@on_loop
+async def test_a_body_before_another_protocol_is_not_left_out_of_its_request() -> None:
+    """The parser reads none then, and the request went to a host without it."""
+    async with peer() as host, running(configuration(host)) as run:
+        for coding, length in (("", "4"), ("chunked", "")):
+            data = request(
+                "transfer", b"body", connection="upgrade", upgrade="h2c",
+                transfer_encoding=coding, content_length=length,
+            )  # fmt: skip
+            assert (await run.ask(data)).status == 400
+        assert not host.seen
+
+
+@on_loop
+async def test_a_client_that_takes_no_answers_has_no_further_requests_begun() -> None:
+    """Each answer was kept for it, without bound."""
+    async with peer(answers(reply(200, bytes(60_000)))) as host, running(configuration(host)) as run:
+        reader = socket.socket()
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        reader.connect(("127.0.0.1", run.port))
+        reader.setblocking(False)
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        transport = connection.transport
+        assert transport is not None
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        reader.sendall(b"".join(request() for _ in range(200)))
+        await until(lambda: connection.unread_since_s < math.inf and connection.current is None)
+        other = await run.connect()
+        for _ in range(5):  # of turns that it could have taken
+            assert (await other.ask(request())).status == 200
+        # What the transport holds before it says so is 64 KiB, and one answer is more than that allows for.
+        begun = len(host.seen) - 5
+        assert transport.get_write_buffer_size() < 65_536 + 61_000 and begun <= 4  # the kernel takes some
+        assert connection.held_at_s < math.inf  # nor is more of it read
+        taken = 0
+        while taken < 200 * 60_000:  # once it does, all goes on
+            taken += len(await asyncio.get_running_loop().sock_recv(reader, 1 << 20))
+        await until(lambda: connection.current is None and not connection.waiting)
+        assert len(host.seen) == 205
+        reader.close()
+        other.close()
+
+
+@pytest.mark.parametrize(("waited_s", "status"), [(5, 200), (60, 503)])
+@on_loop
+async def test_the_time_that_a_request_waits_behind_others_of_its_connection_is_spent(
+    waited_s: int, status: int
+) -> None:
+    """It was given all of its time from its turn on, and its host was told so."""
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request("transfer") + request("transfer", budget_ms=20_000))
+        await until(lambda: host.seen)
+        (connection,) = run.server.connections
+        connection.waiting[0].waits_since_us -= waited_s * 1_000_000
+        host.script = answers(reply())
+        host.seen[0].answer(reply())
+        assert (await client.answer()).status == 200
+        assert (await client.answer()).status == status
+        told = [int(e.message.headers["x-budget-ms"]) for e in host.seen[1:]]
+        assert told == [] if status == 503 else 14_000 < told[0] <= 15_000
+        client.close()
+
+
+def flood(run: Running, data: bytes) -> socket.socket:
+    """A peer that sends what the kernel takes at once."""
+    one = socket.create_connection(("127.0.0.1", run.port))
+    one.setblocking(False)
+    one.send(data)
+    return one
+
+
+@on_loop
+async def test_peers_that_send_much_at_once_and_go_leave_nothing_and_delay_nobody() -> None:
+    """Rubbish, endless heads, and requests by the hundred, while another's request is out."""
+    floods = [b"\x00rubbish" * 9_000, b"GET /search/1 HTTP/1.1\r\nA: " + b"x" * 200_000]
+    async with peer(silent) as host, running(configuration(host)) as run:
+        other = await run.connect()
+        other.send(request("transfer"))
+        await until(lambda: host.seen)
+        peers = [flood(run, data) for data in floods]
+        peers += [flood(run, b"".join(request("transfer") for _ in range(300)))]
+        for one in peers:
+            one.close()  # and the loop has had no turn since
+        await until(lambda: len(run.server.connections) == 1 and len(run.gateway.held) == 1)
+        assert len(host.seen) == 1
+        host.seen[0].answer(reply())
+        assert (await other.answer()).status == 200
+        other.close()
+
+
+UNUSABLE = [
+    ("limits", "memory_mb", math.inf),
+    ("limits", "memory_mb", math.nan),
+    ("limits", "memory_mb", -1),
+    ("limits", "sockets", 0),
+    ("settings", "lanes", [{"name": "a", "effect": "no\nsuch"}]),
+]
+
+
+@pytest.mark.parametrize(("part", "key", "value"), UNUSABLE)
+@on_loop
+async def test_a_file_that_cannot_be_used_leaves_all_as_it_was_and_one_line(
+    part: str,
+    key: str,
+    value: object,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Some raised halfway: the new configuration was in force, and the gateway went by the old one."""
+    async with peer() as host, running(configuration(host)) as run:
+        raw = configuration(host, discovery="127.0.0.1:10")
+        if key == "lanes":
+            raw[part][key] = [lane | value[0] for lane in raw[part][key][:1]]  # type: ignore[index]
+        else:
+            raw[part][key] = value
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(raw))
+        monkeypatch.setenv("LB_CONFIG", str(file))
+        before, settings = run.server.config, run.gateway.settings
+        capsys.readouterr()
+        run.server.reload()
+        said = [line for line in capsys.readouterr().err.splitlines() if "discovery" not in line]
+        assert len(said) == 1 and said[0].startswith("cloverkeel: not reconfigured: ")
+        assert run.server.config is before and run.gateway.settings is settings
+        assert run.gateway.telemetry.load_errors == 1
+        assert (await run.ask(request())).status == 200
