Settings: a caller that is not named is no tenant's, and a dropped class delays no end

Found by reading the request's path for what leans on one deployment's settings (requests.py, server.py): a caller that the settings do not name, or no X-Caller, counted as the first tenant's, which was over its share then and shed first; the way out went by the longest deadline of all classes ever named, so that after a SIGHUP that drops the longest what is left was answered as failed when SIGKILL may have come.

Now such a caller has no tenant, and the end goes by the classes that the file names.

--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -19,6 +19,7 @@
     from cloverkeel.fleet.routes.serving import Serving
     from cloverkeel.transforms.active import ActiveSet, Refused
 
+NO_TENANT = -1  # a caller that the settings do not name: the first tenant must not answer for it
 NOT_PASSED_ON = frozenset({b"x-budget-ms"})
 NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
 
@@ -120,7 +121,7 @@
         key=stable_id(parts[-1], 8) if len(parts) > 1 else None,
         work_us=_whole(headers.get(b"x-call-cost"), "X-Call-Cost"),
         is_retry=headers.get(b"x-again") == b"1",
-        tenant=names.tenants.get(headers.get(b"x-caller", b""), 0),
+        tenant=names.tenants.get(headers.get(b"x-caller", b""), NO_TENANT),
         head=_head(request, passing, body),
         body=body if request.upload is None else request.upload.framed(body),
         upload=request.upload,
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from functools import partial
 
+from caperdrift.interface import RequestClass
+
 from cloverkeel.config import Config, ConfigError, follow, load
 from cloverkeel.front.connection import FIRST_REQUEST_S, ClientConnection
 from cloverkeel.gateway import Gateway
@@ -66,10 +68,15 @@
     def is_ready(self) -> bool:
         return self.accepting and not self.draining and self.gateway.can_serve
 
+    @property
+    def classes(self) -> list[RequestClass]:
+        """Those that the file names now: the platform goes by their deadlines, not by a dropped one's."""
+        return [klass for klass in self.config.settings.classes if not klass.dropped]
+
     @property
     def end_s(self) -> float:
         """How long after the signal this process may take, before what is left is answered as failed."""
-        longest_s = max(c.give_up_us for c in self.config.settings.classes) / 1e6
+        longest_s = max(c.give_up_us for c in self.classes) / 1e6
         return min(LONGEST_S, longest_s) + KILL_AFTER_S - LAST_MOMENT_S
 
     async def drain(self) -> None:
@@ -81,7 +88,7 @@
             # may cross a request on it, so each is left to its next answer while there is time for that.
             if self.listener is not None:
                 self.listener.close()
-            longest_aim_s = max(c.aim_us for c in self.config.settings.classes) / 1e6
+            longest_aim_s = max(c.aim_us for c in self.classes) / 1e6
             last_s = loop.time() + self.end_s - longest_aim_s
             while self.connections and loop.time() < last_s:
                 # Hosts' connection tables and the descriptors are the new process's too: it needs them now.
--- a/faultlab/lookups.py
+++ b/faultlab/lookups.py
@@ -198,7 +198,8 @@
 
 NONE_BEHIND: dict[str, frozenset[str]] = {}
 ANSWERS = cast(Answers, SimpleNamespace(**dict.fromkeys(
-    ("on_served", "on_begun", "on_piece", "on_ended", "on_broken", "on_refused", "on_failed"), print
+    ("check_gone", "on_served", "on_begun", "on_piece", "on_ended", "on_broken", "on_refused", "on_failed"),
+    print,
 )))  # fmt: skip
 _CLASS = SimpleNamespace(effect=Effect.SAFE, give_up_us=400_000)
 CONFIG = cast(Config, SimpleNamespace(names=NAMES, settings=SimpleNamespace(classes=[_CLASS] * CLASSES)))
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cloverkeel.config import stable_id
+from cloverkeel.held import Call
 from tests.sockets import (
     answers,
     configuration,
@@ -253,3 +254,21 @@
         assert answer.status == 200 and answer.headers["connection"] == "close"
         assert await client.reader.read() == b""
         assert (await run.ask(request())).status == 200
+
+
+@pytest.mark.parametrize(("caller", "tenant"), [("acme", 0), ("zeta", 1), ("nobody", -1), ("", -1)])
+@on_loop
+async def test_a_caller_that_the_settings_do_not_name_is_no_tenant_s(
+    caller: str, tenant: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first tenant answered for all of them, and was shed first."""
+    async with peer() as host, running(configuration(host)) as run:
+        seen, arrive = [], run.gateway.arrive
+
+        def arrived(call: Call) -> bool:
+            seen.append(call.tenant)
+            return arrive(call)
+
+        monkeypatch.setattr(run.gateway, "arrive", arrived)
+        assert (await run.ask(request(x_caller=caller))).status == 200
+        assert seen == [tenant]
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -677,6 +677,7 @@
             driver.end(name, sends(actions)[0].server, latency_us=latency_us)
             driver.now_us += 4_000_000
         refused = []
+        driver.balancer.shed_at_us = driver.now_us  # an old answer tells nothing: see test_shedding
         for klass in (0, 1):
             name, actions = driver.arrive(klass=klass)
             refused.append(bool(finals(actions)))
--- a/tests/test_way_out.py
+++ b/tests/test_way_out.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -228,3 +229,14 @@
         told = [status for status in seen if status]  # 0: no answer
         # The loop may meet the signal and the first question in one round.
         assert 503 in told and 200 not in told[1:]
+
+
+@on_loop
+async def test_a_dropped_class_s_deadline_is_not_waited_for() -> None:
+    """Else what is left would be answered as failed only when the kill has come."""
+    async with peer() as host, running(configuration(host)) as run:
+        settings = run.server.config.settings
+        first, *others = settings.classes
+        classes = (replace(first, give_up_us=500_000), *(replace(c, dropped=True) for c in others))
+        run.server.config = replace(run.server.config, settings=replace(settings, classes=classes))
+        assert others and run.server.end_s == pytest.approx(0.5 + 0.6)
