--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -10,8 +10,9 @@
 
 import httptools
 
+from cloverkeel.clock import now_us
 from cloverkeel.front.requests import Request, RequestError
-from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, Header, coding_of, header
+from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, UNREAD_S, Header, coding_of, header
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 BODY_SLACK_S = 1.0
 BODY_MOST = 32 * 1024 * 1024
 PIPELINED = 16  # requests read ahead on one connection
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what a client's close or reset shows as
 
 
 class RequestReader(asyncio.BufferedProtocol):
@@ -40,10 +42,12 @@
         self.body_due_s = 0.0  # when the body's first byte is late; the rate gives the rest more
         self.held_at_s = math.inf  # since when nothing is read, as nothing can pass on
         self.awaits_since_s = math.inf  # when the request that is awaited began, or the connection's first
+        self.was_late = False  # it was found late once, and what had come by then has been read since
         self.waiting: deque[Request] = deque()
         self.current: Request | None = None  # read and not yet answered
         self.current_id = ""
         self.deaf = False  # nothing more is read as a request
+        self.gone = False  # the client has closed, cancelled, or lost its connection
         self.poll = select.poll()
 
     def take_next(self) -> None:
@@ -67,6 +71,36 @@
         if not self.deaf:  # else it follows a request that can't be read, until the connection ends
             self.read(bytes(self.server.gateway.buffer.view[:nbytes]))
 
+    def eof_received(self) -> None:
+        """The client has closed. Told here, as `connection_lost` comes only once all output is taken."""
+        self.leave()
+
+    def check_gone(self) -> bool:
+        """Whether the client has gone; if so, nothing is held for it any more.
+
+        The kernel is asked: while reading is paused the loop sees no end of it, and an end may come in the
+        same round of the loop as what begins an attempt.
+        """
+        if not self.gone and self.transport is not None:
+            ended = any(flags & GONE for _, flags in self.poll.poll(0))
+            if ended or self.transport.is_closing():
+                self.leave()
+        return self.gone
+
+    def leave(self) -> None:
+        """The client has gone: nothing more is begun for it, and its connection ends."""
+        if self.gone:
+            return
+        self.gone = self.deaf = True
+        self.waiting.clear()
+        if self.current is not None and self.current_id:
+            self.server.gateway.leave(self.current_id)
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.close()
+            if self.transport.get_write_buffer_size():
+                # It ended its sending alone, maybe, and reads on, or does not.
+                asyncio.get_running_loop().call_later(UNREAD_S, self.transport.abort)
+
     def hold(self) -> None:
         """Read no more for now."""
         if self.held_at_s == math.inf and self.transport is not None and not self.transport.is_closing():
@@ -75,15 +109,22 @@
 
     def go_on(self) -> None:
         if self.held_at_s != math.inf:
-            self.body_due_s += asyncio.get_running_loop().time() - self.held_at_s
+            self.allow_more(asyncio.get_running_loop().time() - self.held_at_s)
             self.held_at_s = math.inf
             if self.transport is not None and not self.transport.is_closing():
                 self.transport.resume_reading()
 
+    def allow_more(self, waited_s: float) -> None:
+        """Time in which the client was kept waiting is not its own."""
+        self.awaits_since_s += waited_s
+        self.body_due_s += waited_s
+
     def is_late(self, now_s: float) -> bool:
         """Whether the request that is awaited should be here, or more of its body."""
         if self.held_at_s != math.inf or self.awaits_since_s == math.inf:
             return False
+        if self.reading is not None and self.reading.expects_since_s:
+            return False  # its client waits for word, and that for what is before it
         due_s = self.awaits_since_s + HEAD_S
         if self.reading is not None and not self.in_head:
             due_s = max(due_s, self.body_due_s + self.body_size / BODY_RATE)
@@ -97,7 +138,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            fault = RequestError(400, "no other protocol is spoken here")
+            self.decline_upgrade()
         except httptools.HttpParserError as error:
             cause = error.__context__
             fault = cause if isinstance(cause, RequestError) else RequestError(400, "malformed")
@@ -120,6 +161,13 @@
             self.hold()
         self.take_next()
 
+    def decline_upgrade(self) -> None:
+        """Answer a request for another protocol in this one, and as the last: the parser reads no further."""
+        request = self.waiting[-1] if self.waiting else self.reading
+        if request is not None:
+            request.keep_alive = False
+        self.deaf = True
+
     def begin_upload(self, request: Request) -> None:
         """A body that has outgrown what is held whole: the request is taken, and the rest passes on."""
         if request.upload is None and self.body_size > BODY_LIMIT and not self.in_head:
@@ -149,8 +197,11 @@
 
     def on_unfinished(self) -> None:
         """The request that was awaited has not come whole in time."""
-        if self.poll.poll(0):
-            return  # more of it is here, not yet read
+        if not self.was_late and self.poll.poll(0):
+            # More of it is here, not yet read, as where this program stood still. Once: a peer that sends
+            # byte by byte has always more to come.
+            self.was_late = True
+            return
         if self.reading is None and not self.head_size:
             self.close()  # unanswered: a request that crosses it is sent once more
             return
@@ -161,6 +212,7 @@
         self.reading = Request()
         self.body_size = self.overhead = 0
         self.in_head = True
+        self.was_late = False
 
     def on_url(self, url: bytes) -> None:
         assert self.reading is not None
@@ -184,15 +236,19 @@
             raise RequestError(413, "the body is too long")
         if coding_of(headers) not in (b"", b"chunked"):
             raise RequestError(501, "the transfer coding is unknown")
+        if self.parser.should_upgrade() and (coding_of(headers) or (length or b"0") != b"0"):
+            raise RequestError(400, "no other protocol is spoken here")  # the parser would leave the body out
         expected = header(headers, b"expect")
-        self.reading.expects = expected is not None and expected.lower() == b"100-continue"
+        if expected is not None and expected.lower() == b"100-continue":
+            self.reading.expects_since_s = asyncio.get_running_loop().time()
         self.ask_for_body()
 
     def ask_for_body(self) -> None:
         """Tell a client that waits for it to send its body: once all before is answered."""
         request = self.reading
-        if request is not None and request.expects and self.current is None and not self.waiting:
-            request.expects = False
+        if request is not None and request.expects_since_s and self.current is None and not self.waiting:
+            self.allow_more(asyncio.get_running_loop().time() - request.expects_since_s)
+            request.expects_since_s = 0.0
             assert self.transport is not None
             if not request.is_old and not self.transport.is_closing():
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -200,7 +256,7 @@
     def on_body(self, data: bytes) -> None:
         request = self.reading
         assert request is not None
-        request.expects = False
+        request.expects_since_s = 0.0
         self.body_size += len(data)
         if self.body_size > BODY_MOST:
             raise RequestError(413, "the body is too long")
@@ -218,6 +274,8 @@
         self.awaits_since_s = math.inf
         self.passed_end = request.whole = True
         if request.upload is None:
+            if self.current is not None or self.waiting:
+                request.waits_since_us = now_us()
             self.waiting.append(request)
         elif not request.answered:
             self.server.gateway.body_ended(self.current_id)
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -8,9 +8,10 @@
 
 from caperdrift.interface import Effect
 
+from cloverkeel.clock import now_us
 from cloverkeel.config import Config, stable_id
 from cloverkeel.held import Call
-from cloverkeel.hosts import HostConnection
+from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import Header, Reply, end_to_end, header
 from cloverkeel.streams import Upload
 
@@ -18,6 +19,7 @@
     from cloverkeel.fleet.routes.serving import Serving
     from cloverkeel.transforms.active import ActiveSet, Refused
 
+NO_TENANT = -1  # a caller that the settings do not name: the first tenant must not answer for it
 NOT_PASSED_ON = frozenset({b"x-budget-ms"})
 NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
 
@@ -35,8 +37,8 @@
     """One request as it was read; `fault` tells what is wrong with it."""
 
     __slots__ = (
-        "answered", "body", "compared", "expects", "fault", "headers", "is_old", "keep_alive", "method",
-        "target", "transform", "upload", "whole",
+        "answered", "body", "compared", "expects_since_s", "fault", "headers", "is_old", "keep_alive",
+        "method", "target", "transform", "upload", "waits_since_us", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -46,8 +48,9 @@
         self.body: list[bytes] = []
         self.keep_alive = False
         self.is_old = False  # HTTP/1.0
-        self.expects = False  # waits for word before it sends its body
+        self.expects_since_s = 0.0  # since when its client waits for word to send its body; 0: it does not
         self.whole = False
+        self.waits_since_us = 0  # since when, whole, for others on its connection to be answered; 0: for none
         self.answered = False  # before its body had come: the rest is read and dropped
         self.upload: Upload | None = None  # the rest of a body too long to be held
         self.fault: RequestError | None = None
@@ -65,6 +68,7 @@
     def on_broken(self, request: Request) -> None: ...
     def on_refused(self, request: Request, retry_after_us: int) -> None: ...
     def on_failed(self, request: Request, timed_out: bool) -> None: ...
+    def check_gone(self) -> bool: ...
 
 
 def read_call(
@@ -105,16 +109,19 @@
             active = active.chained(route.chain)
     if active is not None:
         passing = transformed(request, active, passing, headers, parts[0], path)
+    patience_us = settings.give_up_us if budget_ms is None else budget_ms * 1000
+    if request.waits_since_us:  # its time began when it came
+        patience_us = max(0, patience_us - (now_us() - request.waits_since_us))
     body = b"".join(request.body)
     request.body.clear()
     return Call(
         id=id_.decode("latin-1"),
         klass=klass,
-        patience_us=settings.give_up_us if budget_ms is None else budget_ms * 1000,
+        patience_us=patience_us,
         key=stable_id(parts[-1], 8) if len(parts) > 1 else None,
         work_us=_whole(headers.get(b"x-call-cost"), "X-Call-Cost"),
         is_retry=headers.get(b"x-again") == b"1",
-        tenant=names.tenants.get(headers.get(b"x-caller", b""), 0),
+        tenant=names.tenants.get(headers.get(b"x-caller", b""), NO_TENANT),
         head=_head(request, passing, body),
         body=body if request.upload is None else request.upload.framed(body),
         upload=request.upload,
@@ -125,6 +132,7 @@
         on_broken=partial(answers.on_broken, request),
         on_refused=partial(answers.on_refused, request),
         on_failed=partial(answers.on_failed, request),
+        is_gone=answers.check_gone,
         route=route.number if route is not None else 0,
     )
 
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -4,24 +4,30 @@
 
 import asyncio
 import itertools
+import math
+import select
 import socket
 from collections.abc import Callable
 from functools import partial
 
+from caperdrift.interface import RequestClass
+
 from cloverkeel.config import Config, ConfigError, follow, load
-from cloverkeel.front.connection import RESERVE, ClientConnection
+from cloverkeel.front.connection import FIRST_REQUEST_S, ClientConnection
 from cloverkeel.gateway import Gateway
-from cloverkeel.http1 import log
+from cloverkeel.http1 import UNREAD_S, log
 
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_AFTER_S = 0.7  # after SIGTERM and the longest deadline, which counts as LONGEST_S where it is longer
 LONGEST_S = 3.0
-LAST_MOMENT_S = 0.1  # before that, this process answers what is left and ends by itself
-UNREAD_S = 30.0  # a client that takes nothing of a long answer for so long has gone
+LAST_MOMENT_S = 0.1  # before that, this process answers what is left ...
+EXIT_S = 0.06  # ... and ends by itself, so long before
 SWEEP_S = 0.2
 REPORT_S = 10.0
 POLL_S = 0.02
 BACKLOG = 1024
+DESCRIPTOR_RESERVE = 64  # kept free of idle connections; half of it of clients, for hosts and discovery
+OWN_DESCRIPTORS = 24  # of the process itself: standard streams, loop, signals, listeners, discovery, store
 CLIENT_IDLE_S = 2.0  # a client's connection is left alone for so long after an answer
 
 
@@ -31,7 +37,9 @@
     def __init__(self, config: Config, gateway: Gateway, inherited: socket.socket | None = None) -> None:
         self.config, self.gateway = config, gateway
         self.connections: dict[ClientConnection, None] = {}  # the longest without an answer first
+        self.lingering: dict[ClientConnection, None] = {}  # shut down, not yet closed; the first one first
         self.draining = False
+        self.is_out_of_time = False  # on the way out: what is owed now is answered as failed
         self.listener: asyncio.Server | None = None
         self.inherited = inherited  # others accept from it too
         self.accepting = False
@@ -60,10 +68,15 @@
     def is_ready(self) -> bool:
         return self.accepting and not self.draining and self.gateway.can_serve
 
+    @property
+    def classes(self) -> list[RequestClass]:
+        """Those that the file names now: the platform goes by their deadlines, not by a dropped one's."""
+        return [klass for klass in self.config.settings.classes if not klass.dropped]
+
     @property
     def end_s(self) -> float:
         """How long after the signal this process may take, before what is left is answered as failed."""
-        longest_s = max(c.give_up_us for c in self.config.settings.classes) / 1e6
+        longest_s = max(c.give_up_us for c in self.classes) / 1e6
         return min(LONGEST_S, longest_s) + KILL_AFTER_S - LAST_MOMENT_S
 
     async def drain(self) -> None:
@@ -75,37 +88,58 @@
             # may cross a request on it, so each is left to its next answer while there is time for that.
             if self.listener is not None:
                 self.listener.close()
-            longest_aim_s = max(c.aim_us for c in self.config.settings.classes) / 1e6
+            longest_aim_s = max(c.aim_us for c in self.classes) / 1e6
             last_s = loop.time() + self.end_s - longest_aim_s
             while self.connections and loop.time() < last_s:
                 # Hosts' connection tables and the descriptors are the new process's too: it needs them now.
                 self.gateway.pools.give_up_idle()
                 await asyncio.sleep(POLL_S)
         else:
-            stop_accepting = loop.time() + ACCEPT_ON_S
-            while loop.time() < stop_accepting:
+            accept_until_s = loop.time() + min(ACCEPT_ON_S, self.end_s - LAST_MOMENT_S)
+            while loop.time() < accept_until_s:
                 self.close_idle()
                 await asyncio.sleep(POLL_S)
-            if self.listener is not None:
-                self.listener.close()
-        while self.connections:
+            await self.stop_accepting()
+        await asyncio.sleep(POLL_S)  # what was accepted last is told of one round of the loop later
+        while self.connections or self.lingering:
             self.close_idle()
             await asyncio.sleep(POLL_S)
 
+    async def stop_accepting(self) -> None:
+        """Close the listener once nobody waits in it: whom the system has let in, it would reset."""
+        if self.listener is None:
+            return
+        waiting = select.poll()
+        for listening in self.listener.sockets:
+            if listening.fileno() >= 0:  # else the loop has closed it, for an error
+                waiting.register(listening.fileno(), select.POLLIN)
+        while any(flags & select.POLLIN for _, flags in waiting.poll(0)):
+            await asyncio.sleep(0)
+        self.listener.close()
+
     async def fail_rest(self) -> int:
-        """Answer as failed all that is still owed; returns on how many connections."""
-        owed = [c for c in self.connections if c.current is not None or c.waiting]
-        for connection in owed:
+        """Answer as failed all that is still owed, and end every connection; returns on how many it was owed.
+
+        Clients have nearly all of the time that is left to read it.
+        """
+        self.is_out_of_time = True
+        if self.listener is not None:
+            self.listener.close()
+        owed = sum(c.current is not None or bool(c.waiting) for c in self.connections)
+        for connection in list(self.connections):
             connection.fail_rest()
-        await asyncio.sleep(POLL_S)  # for the loop to write it
-        return len(owed)
+        loop = asyncio.get_running_loop()
+        last_s = loop.time() + LAST_MOMENT_S - EXIT_S
+        while (self.connections or self.lingering) and loop.time() < last_s:
+            await asyncio.sleep(POLL_S / 4)
+        return owed
 
     def close_idle(self) -> None:
         for connection in [c for c in self.connections if c.is_idle()]:
             connection.close()
 
     def sweep(self) -> None:
-        """Guards against peers that connect and send nothing, or never end what they began."""
+        """Guards against peers that connect and send nothing, never end what they began, or go unseen."""
         loop = asyncio.get_running_loop()
         loop.call_later(SWEEP_S, self.sweep)
         now_s = loop.time()
@@ -113,6 +147,8 @@
             connection.on_unfinished()
         for connection in [c for c in self.connections if c.unread_since_s < now_s - UNREAD_S]:
             connection.abort()
+        for connection in [c for c in self.connections if c.held_at_s != math.inf]:
+            connection.check_gone()  # the loop tells of no end while reading is paused
 
     def reload(self) -> None:
         """Take up what the configuration's file says now: all of it, or nothing where it cannot be used."""
@@ -140,18 +176,53 @@
         log(f"connections: {len(self.connections)} of clients, {pools.open} to hosts; {pools.counts}")
 
     @property
-    def spare(self) -> int:
-        """Descriptors left, but for the few of the program itself."""
-        return self.config.sockets - len(self.connections) - self.gateway.pools.open - self.others()
+    def free_descriptors(self) -> int:
+        clients = len(self.connections) + len(self.lingering)
+        return self.config.sockets - OWN_DESCRIPTORS - clients - self.gateway.pools.open - self.others()
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether descriptors are too short to wait for a client's end, or for its next request."""
+        return self.free_descriptors < DESCRIPTOR_RESERVE // 2
 
     def make_room(self) -> None:
         """Give up idle connections when descriptors run short: first a client's, which costs no host work."""
-        if self.spare > RESERVE:
+        if self.free_descriptors > DESCRIPTOR_RESERVE:
             return
-        since_s = asyncio.get_running_loop().time() - CLIENT_IDLE_S
-        rested = itertools.takewhile(lambda c: c.rests_since_s < since_s, self.connections)
-        idle = next((c for c in rested if c.is_idle()), None)
+        self.end_lingering()
+        if not (self.end_idle() or self.gateway.pools.give_up_idle()) and self.is_crowded:
+            self.end_idle(0.0, 0.0)
+
+    def admits(self) -> bool:
+        """Whether a client's new connection may stay. Others are given up for it where these run short.
+
+        Guards against idle clients that come faster than they are closed, and would leave no descriptor for
+        hosts and discovery. Who has sent nothing for the longest gives way to who may have something to send.
+        """
+        if self.free_descriptors > DESCRIPTOR_RESERVE:
+            return True
+        freed = self.end_lingering()
+        if self.end_idle() or not self.is_crowded:
+            return True
+        return self.end_idle(0.0, 0.0) or freed or self.gateway.pools.give_up_idle()
+
+    def end_lingering(self) -> bool:
+        """Where it is crowded, close the connection that lingers the longest; True if there is one."""
+        lingering = next((c for c in self.lingering if c.only_lingers), None) if self.is_crowded else None
+        if lingering is not None:
+            lingering.abort()
+        return lingering is not None
+
+    def end_idle(self, rested_s: float = CLIENT_IDLE_S, first_s: float = FIRST_REQUEST_S) -> bool:
+        """End the client's connection that has rested the longest, and so long; True if one comes free soon.
+
+        A first request has `first_s` to come.
+        """
+        if not self.is_crowded and self.free_descriptors + len(self.lingering) > DESCRIPTOR_RESERVE:
+            return True
+        since_s = asyncio.get_running_loop().time() - rested_s
+        rested = itertools.takewhile(lambda c: c.rests_since_s <= since_s, self.connections)
+        idle = next((c for c in rested if c.is_idle(first_s)), None)
         if idle is not None:
             idle.close()
-        else:
-            self.gateway.pools.give_up_idle()
+        return idle is not None
--- a/cloverkeel/probing.py
+++ b/cloverkeel/probing.py
@@ -6,12 +6,14 @@
 
 from caperdrift.interface import Outcome, Probed, Reports
 
-from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, load_of
+from cloverkeel.hosts.attempt import Attempt, load_of
 from cloverkeel.http1 import Reply
 
 if TYPE_CHECKING:
     from cloverkeel.gateway import Gateway
 
+PROBE_TIMEOUT_US = 250_000
+
 
 def probe(gateway: Gateway, id_: int) -> None:
     """Ask a host how it is; the answer, or that there was none, is an event."""
@@ -25,4 +27,4 @@
     path = b"/health/live" if gateway.settings.reports is Reports.NONE else b"/stats"
     address = f"{host.address[0]}:{host.address[1]}".encode()
     payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
-    gateway.pools.send(Attempt(host, payload, on_end, is_probe=True), PROBE_TIMEOUT_US)
+    gateway.pools.send(Attempt(host, lambda: payload, on_end, is_probe=True), PROBE_TIMEOUT_US)
