--- a/caperdrift/policy/weights.py
+++ b/caperdrift/policy/weights.py
@@ -30,7 +30,7 @@
         common = common_share(proxy, server, request.klass) if failed else 0.0
         changed = part.breaker.record(proxy.now_us, failed, attempt.part_trial_of, common)
         log_change(proxy, server, part.breaker, changed, f" for class {request.klass}")
-        others = [p.fine for p in server.parts.values() if p is not part]
+        others = [p.fine for k, p in server.parts.items() if p is not part and proxy.settings.takes(k)]
         if failed and others and all(others):
             server.breaker.forgo_trial(attempt.trial_of)
             return  # it serves others: no verdict on the whole server
@@ -54,9 +54,12 @@
 
 def learn_latency(proxy: Proxy, request: Request, latency_us: int) -> None:
     index, latency = request.klass, latency_us / request.size
-    proxy.smoothed[index] += SMOOTHING * (latency - proxy.smoothed[index])
-    floor = proxy.unhindered[index]
-    proxy.unhindered[index] += min(0.0, proxy.smoothed[index] - floor) + UNHINDERED_UP * floor
+    usual, floor = proxy.smoothed[index], proxy.unhindered[index]
+    proxy.smoothed[index] += SMOOTHING * (latency - usual)
+    if floor == usual < latency:  # no answer was faster yet than the first guess: it was too low for both
+        proxy.unhindered[index] = proxy.smoothed[index]
+    else:
+        proxy.unhindered[index] += min(0.0, proxy.smoothed[index] - floor) + UNHINDERED_UP * floor
 
 def adjust_weight(proxy: Proxy, judged: Server | Part, bad: bool) -> None:
     """The controller: a small step up for a good answer, a cut for a failure or a slow one."""
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -29,7 +29,6 @@
 READY_PATH = b"/health/ready"
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
 UPLOAD_LINGER_S = 10.0  # for a client to end a body whose answer it has
-RESERVE = 64  # descriptors kept free of pools and idle clients
 
 
 class ClientConnection(RequestReader):
@@ -51,8 +50,10 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.opened_s = self.awaits_since_s = asyncio.get_running_loop().time()
-        self.rest()
-        self.server.make_room()
+        if self.server.admits():
+            self.rest()
+        else:
+            self.abort()  # unread: its client goes elsewhere
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.pop(self, None)
@@ -64,15 +65,16 @@
         self.server.connections.pop(self, None)
         self.server.connections[self] = None
 
-    def is_idle(self) -> bool:
+    def is_idle(self, first_s: float = FIRST_REQUEST_S) -> bool:
         """Whether it may be closed: nothing is owed, nothing has begun, nothing waits to be read.
 
-        Guards against losing a request that has reached this machine and not yet this program, and one that a
-        client sends for the second time, on a new connection, since the first crossed the end of its old one.
+        Guards against losing a request that has reached this machine and not yet this program, and, with
+        `first_s` for the first one to come, one that a client sends for the second time, on a new connection,
+        since it crossed the end of its old one.
         """
         if self.current is not None or self.waiting or self.reading is not None or self.deaf:
             return False
-        if not self.served and asyncio.get_running_loop().time() - self.opened_s < FIRST_REQUEST_S:
+        if not self.served and asyncio.get_running_loop().time() - self.opened_s < first_s:
             return False
         return not self.poll.poll(0)
 
@@ -125,6 +127,8 @@
     def take_next(self) -> None:
         """Take the next request that was read, once the one before is answered."""
         while self.current is None and self.waiting and not self.shut:
+            if self.unread_since_s < math.inf:
+                return  # it takes no answers: what it asks for must not fill the memory
             request = self.current = self.waiting.popleft()
             self.current_id = ""
             if not self.waiting and request.upload is None:
@@ -215,6 +219,8 @@
         self.unread_since_s = math.inf
         if self.source is not None:
             self.source.resume_reading()
+        elif self.waiting:
+            asyncio.get_running_loop().call_soon(self.take_next)
 
     def on_refused(self, request: Request, retry_after_us: int) -> None:
         if self.current is request:
@@ -251,7 +257,7 @@
     def must_end(self, request: Request) -> bool:
         """Whether the connection ends with this request's answer."""
         server = self.server
-        if not request.keep_alive:
+        if not request.keep_alive or (self.deaf and not self.waiting):
             return True
         if server.is_out_of_time:
             return not self.waiting
@@ -259,7 +265,7 @@
         if self.waiting or (self.reading is not None and self.reading is not request):
             return False
         # Guards against a rush of new connections: all too fresh to close, they left none for the hosts.
-        if not server.draining and server.spare >= RESERVE // 2:
+        if not server.draining and not server.is_crowded:
             return False
         # A request sent behind this one may have reached this machine and not yet this program.
         return not (request.whole and self.poll.poll(0))
