--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -127,6 +127,8 @@
     def take_next(self) -> None:
         """Take the next request that was read, once the one before is answered."""
         while self.current is None and self.waiting and not self.shut:
+            if self.unread_since_s < math.inf:
+                return  # it takes no answers: what it asks for must not fill the memory
             request = self.current = self.waiting.popleft()
             self.current_id = ""
             if not self.waiting and request.upload is None:
@@ -217,6 +219,8 @@
         self.unread_since_s = math.inf
         if self.source is not None:
             self.source.resume_reading()
+        elif self.waiting:
+            asyncio.get_running_loop().call_soon(self.take_next)
 
     def on_refused(self, request: Request, retry_after_us: int) -> None:
         if self.current is request:
@@ -253,7 +257,7 @@
     def must_end(self, request: Request) -> bool:
         """Whether the connection ends with this request's answer."""
         server = self.server
-        if not request.keep_alive:
+        if not request.keep_alive or (self.deaf and not self.waiting):
             return True
         if server.is_out_of_time:
             return not self.waiting
--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -10,8 +10,9 @@
 
 import httptools
 
+from cloverkeel.clock import now_us
 from cloverkeel.front.requests import Request, RequestError
-from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, LINGER_S, Header, coding_of, header
+from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, UNREAD_S, Header, coding_of, header
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
         self.body_due_s = 0.0  # when the body's first byte is late; the rate gives the rest more
         self.held_at_s = math.inf  # since when nothing is read, as nothing can pass on
         self.awaits_since_s = math.inf  # when the request that is awaited began, or the connection's first
+        self.was_late = False  # it was found late once, and what had come by then has been read since
         self.waiting: deque[Request] = deque()
         self.current: Request | None = None  # read and not yet answered
         self.current_id = ""
@@ -95,8 +97,9 @@
             self.server.gateway.leave(self.current_id)
         if self.transport is not None and not self.transport.is_closing():
             self.transport.close()
-            # Guards against a client that takes no more of what is written to it.
-            asyncio.get_running_loop().call_later(LINGER_S, self.transport.abort)
+            if self.transport.get_write_buffer_size():
+                # It ended its sending alone, maybe, and reads on, or does not.
+                asyncio.get_running_loop().call_later(UNREAD_S, self.transport.abort)
 
     def hold(self) -> None:
         """Read no more for now."""
@@ -106,15 +109,22 @@
 
     def go_on(self) -> None:
         if self.held_at_s != math.inf:
-            self.body_due_s += asyncio.get_running_loop().time() - self.held_at_s
+            self.allow_more(asyncio.get_running_loop().time() - self.held_at_s)
             self.held_at_s = math.inf
             if self.transport is not None and not self.transport.is_closing():
                 self.transport.resume_reading()
 
+    def allow_more(self, waited_s: float) -> None:
+        """Time in which the client was kept waiting is not its own."""
+        self.awaits_since_s += waited_s
+        self.body_due_s += waited_s
+
     def is_late(self, now_s: float) -> bool:
         """Whether the request that is awaited should be here, or more of its body."""
         if self.held_at_s != math.inf or self.awaits_since_s == math.inf:
             return False
+        if self.reading is not None and self.reading.expects_since_s:
+            return False  # its client waits for word, and that for what is before it
         due_s = self.awaits_since_s + HEAD_S
         if self.reading is not None and not self.in_head:
             due_s = max(due_s, self.body_due_s + self.body_size / BODY_RATE)
@@ -128,7 +138,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            fault = RequestError(400, "no other protocol is spoken here")
+            self.decline_upgrade()
         except httptools.HttpParserError as error:
             cause = error.__context__
             fault = cause if isinstance(cause, RequestError) else RequestError(400, "malformed")
@@ -151,6 +161,13 @@
             self.hold()
         self.take_next()
 
+    def decline_upgrade(self) -> None:
+        """Answer a request for another protocol in this one, and as the last: the parser reads no further."""
+        request = self.waiting[-1] if self.waiting else self.reading
+        if request is not None:
+            request.keep_alive = False
+        self.deaf = True
+
     def begin_upload(self, request: Request) -> None:
         """A body that has outgrown what is held whole: the request is taken, and the rest passes on."""
         if request.upload is None and self.body_size > BODY_LIMIT and not self.in_head:
@@ -180,8 +197,11 @@
 
     def on_unfinished(self) -> None:
         """The request that was awaited has not come whole in time."""
-        if self.poll.poll(0):
-            return  # more of it is here, not yet read
+        if not self.was_late and self.poll.poll(0):
+            # More of it is here, not yet read, as where this program stood still. Once: a peer that sends
+            # byte by byte has always more to come.
+            self.was_late = True
+            return
         if self.reading is None and not self.head_size:
             self.close()  # unanswered: a request that crosses it is sent once more
             return
@@ -192,6 +212,7 @@
         self.reading = Request()
         self.body_size = self.overhead = 0
         self.in_head = True
+        self.was_late = False
 
     def on_url(self, url: bytes) -> None:
         assert self.reading is not None
@@ -215,15 +236,19 @@
             raise RequestError(413, "the body is too long")
         if coding_of(headers) not in (b"", b"chunked"):
             raise RequestError(501, "the transfer coding is unknown")
+        if self.parser.should_upgrade() and (coding_of(headers) or (length or b"0") != b"0"):
+            raise RequestError(400, "no other protocol is spoken here")  # the parser would leave the body out
         expected = header(headers, b"expect")
-        self.reading.expects = expected is not None and expected.lower() == b"100-continue"
+        if expected is not None and expected.lower() == b"100-continue":
+            self.reading.expects_since_s = asyncio.get_running_loop().time()
         self.ask_for_body()
 
     def ask_for_body(self) -> None:
         """Tell a client that waits for it to send its body: once all before is answered."""
         request = self.reading
-        if request is not None and request.expects and self.current is None and not self.waiting:
-            request.expects = False
+        if request is not None and request.expects_since_s and self.current is None and not self.waiting:
+            self.allow_more(asyncio.get_running_loop().time() - request.expects_since_s)
+            request.expects_since_s = 0.0
             assert self.transport is not None
             if not request.is_old and not self.transport.is_closing():
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -231,7 +256,7 @@
     def on_body(self, data: bytes) -> None:
         request = self.reading
         assert request is not None
-        request.expects = False
+        request.expects_since_s = 0.0
         self.body_size += len(data)
         if self.body_size > BODY_MOST:
             raise RequestError(413, "the body is too long")
@@ -249,6 +274,8 @@
         self.awaits_since_s = math.inf
         self.passed_end = request.whole = True
         if request.upload is None:
+            if self.current is not None or self.waiting:
+                request.waits_since_us = now_us()
             self.waiting.append(request)
         elif not request.answered:
             self.server.gateway.body_ended(self.current_id)
