A large request takes no more than its part of a cold server's fall window

Cause: a proxy that owed nothing could send one request of any work. The planned rate was kept, but two large requests of two processes met in one window: 19.6 of 21.7 units in the worst window were four sends of 105, 40, 287 and 170 ms. Retries, restarts and the parting by reach were not involved.

Change: a hinted request takes a quarter of the window of all proxies at most (an even part for fewer than four), or its class's mean up to half of it. The same is an invariant of checks/cold.py under random load.

--- a/caperdrift/checks/cold.py
+++ b/caperdrift/checks/cold.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from caperdrift.checks.account import ROUNDING, Account, Spent
-from caperdrift.policy.cold import FALL_MARGIN, cold_cost_us
+from caperdrift.policy.cold import FALL_MARGIN, LARGE_REQUESTS_PER_WINDOW, cold_cost_us
 from caperdrift.policy.servers import Server
 from caperdrift.policy.sharers import sharers
 
@@ -43,5 +43,16 @@
         level_us = max(0.0, spent.level_us - paid_us) + cost_us
         bound_us = max(most_us, cost_us) * (1.0 + ROUNDING)
         number = server.entry.server
+        self.check_size(half_us, number, name)
         self.demand(level_us <= bound_us, f"cold server {number} sent {level_us:.0f} us, of {bound_us:.0f}")
         self.spent[server] = Spent(level_us, now_us, half_us)
+
+    def check_size(self, half_us: float, number: int, name: str) -> None:
+        """No request takes more of the window of all proxies than a few of its size may fill together."""
+        balancer, request = self.balancer, self.balancer.requests[name]
+        reached = min(1.0, balancer.reach / max(1, len(balancer.ranked)))
+        window_us = 2 * half_us * max(1.0, sharers(balancer) * reached) / FALL_MARGIN
+        largest_us = window_us / min(sharers(balancer), LARGE_REQUESTS_PER_WINDOW)
+        usual_us = min(balancer.mean_work[request.klass], window_us / 2)
+        bound_us = max(largest_us, usual_us) * (1.0 + ROUNDING)
+        self.demand(request.work_us <= bound_us, f"cold server {number} sent one of {request.work_us} us")
--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -5,12 +5,15 @@
 from caperdrift.policy.sharers import sharers
 
 FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
+LARGE_REQUESTS_PER_WINDOW = 4  # of the largest size allowed, these fill a fall window
 
 def cold_room(proxy: Proxy, server: Server, request: Request) -> bool:
     """Whether this proxy's part of a cold server's fall budget has room for one more request."""
     share = cold_share(proxy, server)
     if share >= 1.0:
         return True
+    if is_too_large(proxy, share, request):
+        return False
     part_us, cost_us = fall_budget_us(proxy, request.among) * share, cold_cost_us(proxy, request)
     most_us = max(part_us / 2, cost_us)
     server.spent_us -= part_us / 2 * (proxy.now_us - server.spent_at_us) / proxy.settings.fall_us
@@ -19,6 +22,20 @@
         server.spent_us = proxy.random.random() * max(part_us, cost_us) - part_us
     return max(0.0, server.spent_us) + cost_us <= most_us
 
+def is_too_large(proxy: Proxy, capacity: float, request: Request) -> bool:
+    """Whether one request's hinted work takes too much of the fall window that all proxies share.
+
+    A proxy that has paid off what it sent may send one request larger than its own part, and knows nothing
+    of the others': two large ones met in one window and passed its bound. So few proxies may send one of an
+    even part each, and of many no request takes over a quarter. Up to half of the window, requests of their
+    class's mean pass, or that class would be shut out wherever all servers are cold; a process that has just
+    started takes its first request for the mean, which may be of any size.
+    """
+    window_us = proxy.settings.fall_multiple * proxy.settings.fall_us * capacity
+    largest_us = window_us / min(sharers(proxy), LARGE_REQUESTS_PER_WINDOW)
+    usual_us = min(proxy.mean_work[request.klass], window_us / 2)
+    return request.work_us > max(largest_us, usual_us)
+
 def first_spent_us(proxy: Proxy) -> float:
     """What counts as spent of a server that has just started: a random part of a request's work, or of half
     of the budget where that is more.
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from caperdrift.interface import ListedServer, ListKind, RequestArrived, Send, ServerList
 from caperdrift.policy import cold
-from tests.cold_fleet import MEAN_US, SETTINGS, Fleet, World
+from caperdrift.policy.balancer import Balancer
+from tests.cold_fleet import MEAN_US, SETTINGS, START_US, Fleet, World
 
 # Few requests to a window, and many windows to the warming.
 STEEP = replace(SETTINGS, start_capacity=0.2, warm_after_us=12_000_000, fall_multiple=2.0, fall_us=500_000)
@@ -69,8 +71,45 @@
 
 
 def test_requests_of_many_times_the_mean_stay_within_a_budget_of_a_few() -> None:
-    """A window allows seven requests at the start, and each of twenty processes may send one of any size."""
+    """A window allows seven requests at the start, and each of twenty processes may send one of any size.
+
+    The sum passed the bound (1.13) though each process kept to its part: one that owed nothing could send a
+    request of any work, and nothing tied two of these apart. The trace of the worst window shows it: of 21.7
+    requests of mean work in half a second, 19.6 were four sends of 105, 40, 287 and 170 ms by four processes,
+    each free of debt. Seven sends of 11 ms or less were the rest. Now one takes a quarter at most.
+    """
     burst = World(20, 12, 1, load=4.0, cold=1.0, seconds=4.0, settings=STEEP)
     worst, least = worst_and_least(burst)
     assert least > 0.1
     assert worst <= 1.0
+
+
+@pytest.mark.parametrize("gateways", [1, 2, 3, 20, 30])
+def test_large_requests_of_few_and_of_many_processes_stay_within_the_bound(gateways: int) -> None:
+    """Seed 19 of thirty processes had a window of 1.20 of its bound, by the same cause."""
+    for seed in (0, 7, 19):
+        worst, least = worst_and_least(
+            World(gateways, 12, seed, load=4.0, cold=1.0, seconds=4.0, settings=STEEP)
+        )
+        assert worst <= 1.0 and least > 0.01, f"seed {seed}"
+
+
+def test_the_first_request_of_a_new_process_is_not_taken_for_a_usual_one() -> None:
+    """It is its class's mean until another comes: one of 329 ms passed where a window had room for ten."""
+    balancer = Balancer(replace(STEEP, proxies=20), seed=1)
+    balancer.handle(START_US, ServerList(ListKind.FULL, (ListedServer(1, started_us=START_US),)))
+    for number in range(5):
+        window_us = STEEP.fall_multiple * STEEP.fall_us * STEEP.start_capacity
+        large = RequestArrived(str(number), number % 3, 1_800_000, work_us=int(window_us * 0.6))
+        now_us = START_US + 1_000_000 * number // 10
+        actions = balancer.handle(now_us, large)
+        assert not any(isinstance(action, Send) for action in actions)
+
+
+@pytest.mark.parametrize("crowded", [0.33, 0.97])
+def test_a_server_that_more_processes_reach_than_the_mean_stays_within_the_bound(crowded: float) -> None:
+    """One cold server is the idlest of all: by live weights twice as many as the mean reach it."""
+    for seed in (16, 21, 102):
+        world = World(30, 20, seed, load=1.5, cold=0.08, seconds=6.0, settings=STEEP, crowded=crowded)
+        worst, least = worst_and_least(world)
+        assert worst <= 1.0 and least > 0.01, f"seed {seed}"
