The lab gives a port once and counts a start only of the very process it began

Symptom: on 15 errors of tests/test_transforms_faults.py in a whole run: m4 was never seen, 180 s, "'live': 4".

Cause: a port that the system chose is free once its probe is closed; it came twice, to gateways of two fleets. The second ended at its bind, and the lab took the first one's answer at that port for the second's.

Change: faultlab/ports.py, one allocator for labs and tests, below the system's range for outgoing connections, each port once a run. A start counts if the process lives, answers, and is the one that listens there; on an inherited socket its operators' address is asked. Logs of a set-up that fails are printed; a group of cases that fails takes no other along.

--- a/faultlab/coldstart/processes.py
+++ b/faultlab/coldstart/processes.py
@@ -9,10 +9,8 @@
 import contextlib
 import json
 import os
-import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -20,38 +18,6 @@
 
 from faultlab.lab import ROOT
 
-LOWEST_PORT = 15_000
-TRIES = 20_000
-
-
-def free_ports(count: int, taken: set[int] | None = None) -> list[int]:
-    """Ports that are free for TCP and UDP and that the system gives to no outgoing connection meanwhile.
-
-    A port that the system chose would be one of those that hundreds of gateways' connections take before its
-    owner listens. Raises OSError where too few are free.
-    """
-    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
-        highest = int(file.read().split()[0])
-    ports: list[int] = []
-    taken = taken if taken is not None else set()
-    for _ in range(TRIES):
-        if len(ports) == count:
-            break
-        port = random.randrange(LOWEST_PORT, highest)
-        if port in taken:
-            continue
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            try:
-                stream.bind(("127.0.0.1", port))
-                datagram.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        taken.add(port)
-        ports.append(port)
-    if len(ports) < count:
-        raise OSError(f"no {count} free ports under {highest}")
-    return ports
-
 
 class Gateways:
     """The processes by number; each has its configuration and its log in `folder`."""
--- a/faultlab/coldstart/site.py
+++ b/faultlab/coldstart/site.py
@@ -13,8 +13,9 @@
 from faultlab.child import Child
 from faultlab.coldstart import figures
 from faultlab.coldstart.figures import Drain
-from faultlab.coldstart.processes import Gateways, free_ports
+from faultlab.coldstart.processes import Gateways
 from faultlab.coldstart.settings import Plan
+from faultlab.ports import free_port, free_ports
 from faultlab.relay import Relay
 
 FIRST_S = 10.0
@@ -47,8 +48,7 @@
         plan = self.plan
         self.folder.mkdir(parents=True, exist_ok=True)
         hosts = [{"name": f"host-{n}", "fails": plan.fails(n)} for n in range(plan.hosts)]
-        taken: set[int] = set()
-        ports = free_ports(plan.gateways, taken)
+        ports = free_ports(plan.gateways)
         clients = {"ports": ports, "rate_per_s": plan.rate_per_s, "work_us": int(plan.work_s * 1e6),
                    "seed": plan.seed}  # fmt: skip
         service = {"rate_per_s": plan.calls_per_s, "queue": plan.queue, "patience_s": plan.patience_s,
@@ -63,15 +63,14 @@
         self.service, self.hosts, self.clients = self.children
         discovery = await self.service.ask("listen", callers=plan.gateways)
         self.addresses: list[str] = await self.hosts.ask("addresses")
-        clusters = await self.relayed() if relayed else self.clusters(free_ports(plan.seeds, taken))
+        clusters = await self.relayed() if relayed else self.clusters(free_ports(plan.seeds))
         files = [
             plan.configuration(n, ports[n], discovery[n], clusters[n] if self.shared else None)
             for n in range(plan.gateways)
         ]
         if known:
-            (nowhere,) = free_ports(1, taken)
             listed = {"index": 1, "snapshot": True, "endpoints": self.endpoints()}
-            files = [file | {"known": listed, "discovery": f"127.0.0.1:{nowhere}"} for file in files]
+            files = [file | {"known": listed, "discovery": f"127.0.0.1:{free_port()}"} for file in files]
         self.gateways = Gateways(self.folder, files)
         self.gate = self.gateways.prepare(list(range(plan.gateways)))
 
--- a/faultlab/duties/site.py
+++ b/faultlab/duties/site.py
@@ -17,7 +17,8 @@
 from cloverkeel.fleet.state import FILE, Figures, Store
 
 from faultlab.duties.resource import First, Resource
-from faultlab.lab import ROOT, free_port
+from faultlab.lab import ROOT
+from faultlab.ports import free_port
 
 
 COUNT_S = 10.0  # for a worker to say its count
--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -7,13 +7,15 @@
 
 import asyncio
 import signal
+import sys
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Self, cast
 
-from faultlab.lab import Gateway, configuration, free_port
+from faultlab.lab import Gateway, configuration
+from faultlab.ports import free_port
 from faultlab.relay import Relay
 from faultlab.standins import Discovery, endpoint
 from faultlab.standins import Host as Named
@@ -23,6 +25,7 @@
 POLL_S = 0.02
 START_S = 180.0  # for all to find each other, on a machine that may be loaded beside it
 STARTS = 3
+LOG_LINES = 20  # of each gateway, where a set-up fails
 AT_ONCE = 4  # gateways that start at the same time: each is busy for a second
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -130,10 +133,19 @@
                 await asyncio.gather(*map(self.start, self.names[at : at + AT_ONCE]))
             await self.all(self.ready, START_S)
         except BaseException:
+            self.print_logs()
             await self.close()
             raise
         return self
 
+    def print_logs(self) -> None:
+        """What each gateway last said, on standard error: a set-up that fails tells little else."""
+        for name, gateway in self.gateways.items():
+            process = gateway.process
+            code = process.returncode if process is not None else None
+            print(f"{name}: {gateway.config['listen']}, exit code {code}", file=sys.stderr)
+            print(*(f"  {line}" for line in gateway.log[-LOG_LINES:]), sep="\n", file=sys.stderr)
+
     async def __aexit__(self, *_: object) -> None:
         await self.close()
 
--- a/faultlab/lab.py
+++ b/faultlab/lab.py
@@ -11,15 +11,19 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from faultlab.ports import free_port, listens
+
 ROOT = Path(__file__).parent.parent
 READY = b"GET /health/ready HTTP/1.1\r\nHost: lab\r\n\r\n"
+OPERATORS_READY = b"GET /api/ready HTTP/1.1\r\nHost: lab\r\n\r\n"
+START_TIMEOUT_S = 10.0
+READY_TIMEOUT_S = 0.5  # for one call
 POLL_S = 0.005
 CALL_TIMEOUT_S = 2.0
 _ids = itertools.count()
@@ -48,14 +52,6 @@
     }  # fmt: skip
 
 
-def free_port() -> int:
-    """A port that the system chose and that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 @dataclass
 class Gateway:
     """One `python -m cloverkeel` process of the lab, with its configuration file and state directory."""
@@ -77,7 +73,9 @@
         return int(self.config["listen"].rpartition(":")[2])
 
     async def start(self) -> float:
-        """Start the process; returns the seconds until `/health/ready` answered 200 (inf: never, in 10 s)."""
+        """Start the process; returns the seconds until it was ready (inf: it ended, or never in 10 s)."""
+        if self.listener is not None and "operator" not in self.config:
+            self.config = self.config | {"operator": f"127.0.0.1:{free_port()}"}
         file = self.folder / f"{self.name}.json"
         file.write_text(json.dumps(self.config))
         environment = os.environ | self.environment | {"LB_CONFIG": str(file)}
@@ -94,14 +92,25 @@
             pass_fds=() if self.listener is None else (self.listener,),
         )  # fmt: skip
         self.reader = asyncio.create_task(self._read_log(self.process))
-        while time.monotonic() - began < 10.0:
-            if self.process.returncode is not None:
-                return float("inf")
-            if await ask(self.port, READY, 0.5) == 200:
+        while time.monotonic() - began < START_TIMEOUT_S and self.process.returncode is None:
+            if await self.is_ready(self.process):
                 return time.monotonic() - began
             await asyncio.sleep(POLL_S)
         return float("inf")
 
+    async def is_ready(self, process: asyncio.subprocess.Process) -> bool:
+        """Whether this very process says that it serves.
+
+        An answer alone does not tell: another process may have the port, and it was taken for this one. On an
+        inherited socket the process before answers too, so the operators' address is asked, which is its own.
+        """
+        port, call = self.port, READY
+        if self.listener is not None:
+            port, call = int(self.config["operator"].rpartition(":")[2]), OPERATORS_READY
+        if await ask(port, call, READY_TIMEOUT_S) != 200:
+            return False
+        return process.returncode is None and listens(process.pid, port)
+
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
         async for line in process.stderr:
--- /dev/null
+++ b/faultlab/ports.py
@@ -0,0 +1,74 @@
+"""Ports for the processes that labs and tests start, and who listens on one.
+
+A port that the system chooses (`bind` to port 0) is free again once the probe is closed: the system may give
+it to another probe, or lend it to an outgoing connection, before the process that it was meant for binds it.
+So ports are drawn below the system's own range, and none is given twice by one run.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import random
+import socket
+from pathlib import Path
+
+LOOPBACK = "127.0.0.1"
+LOWEST_PORT = 15_000
+TRIES_PER_PORT = 200
+LISTEN_STATE = "0A"  # of a socket in /proc/net/tcp
+_given: set[tuple[str, int]] = set()
+_random = random.SystemRandom()  # runs beside each other must not draw alike
+
+
+def _end_of_range() -> int:
+    """The first port that the system lends to outgoing connections (ip(7), `ip_local_port_range`)."""
+    return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+
+
+def _is_free(host: str, port: int) -> bool:
+    """Whether nobody has the port, for streams and datagrams alike."""
+    with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+        try:
+            stream.bind((host, port))
+            datagram.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_port(host: str = LOOPBACK) -> int:
+    """A port of `host` that is free for streams and datagrams, and that this run gives once.
+
+    Raises OSError where none is found.
+    """
+    end = _end_of_range()
+    for _ in range(TRIES_PER_PORT):
+        port = _random.randrange(LOWEST_PORT, end)
+        if (host, port) not in _given and _is_free(host, port):
+            _given.add((host, port))
+            return port
+    raise OSError(f"no port of {host} from {LOWEST_PORT} to {end} is free")
+
+
+def free_ports(count: int) -> list[int]:
+    """`count` such ports of the loopback address."""
+    return [free_port() for _ in range(count)]
+
+
+def _listening_sockets(host: str, port: int) -> set[str]:
+    """The sockets that listen there, as the links in /proc/PID/fd name them (proc(5))."""
+    address = f"{int.from_bytes(socket.inet_aton(host), 'little'):08X}:{port:04X}"
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return {f"socket:[{row[9]}]" for row in rows if row[1] == address and row[3] == LISTEN_STATE}
+
+
+def listens(pid: int, port: int, host: str = LOOPBACK) -> bool:
+    """Whether process `pid` has a socket that listens at this address; False for one that has ended."""
+    listening = _listening_sockets(host, port)
+    with contextlib.suppress(OSError):
+        for link in Path(f"/proc/{pid}/fd").iterdir():
+            with contextlib.suppress(OSError):
+                if os.readlink(link) in listening:
+                    return True
+    return False
--- a/faultlab/recovery.py
+++ b/faultlab/recovery.py
@@ -27,7 +27,8 @@
 
 from cloverkeel.fleet import state
 from faultlab import writer
-from faultlab.lab import ROOT, Gateway, configuration, free_port, snapshot_after, traffic
+from faultlab.lab import ROOT, Gateway, configuration, snapshot_after, traffic
+from faultlab.ports import free_port
 from faultlab.report import Parts, positive, report
 from faultlab.standins import Discovery, Host, endpoint
 
--- a/faultlab/relay/__init__.py
+++ b/faultlab/relay/__init__.py
@@ -11,12 +11,12 @@
 
 import asyncio
 import itertools
-import socket
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from ipaddress import IPv4Address
 
+from faultlab.ports import free_port
 from faultlab.relay.datagrams import DatagramPort
 from faultlab.relay.rules import Rule, Rules
 from faultlab.relay.streams import StreamPort
@@ -27,20 +27,6 @@
 _hosts = itertools.count(1)
 
 
-def free_pair(host: str) -> int:
-    """A port that the system chose and that is free at `host` for datagrams and streams alike."""
-    for _ in range(50):
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            stream.bind((host, 0))
-            port: int = stream.getsockname()[1]
-            try:
-                datagram.bind((host, port))
-            except OSError:
-                continue
-            return port
-    raise OSError(f"no port at {host} is free for datagrams and streams alike")
-
-
 @dataclass(slots=True)
 class Place:
     """A member's place behind the relay: the address it binds and the one it advertises, both `host:port`."""
@@ -80,13 +66,13 @@
             raise ValueError(f"{name} has its place already")
         host = str(IPv4Address(HOSTS + next(_hosts)))
         loop = asyncio.get_running_loop()
-        relay_port = free_pair("127.0.0.1")
+        relay_port = free_port()
         _, datagrams = await loop.create_datagram_endpoint(
             lambda: DatagramPort(self, name), local_addr=("127.0.0.1", relay_port)
         )
         streams = StreamPort(self, name)
         await streams.start(relay_port)
-        place = Place(name, host, free_pair(host), relay_port, datagrams, streams)
+        place = Place(name, host, free_port(host), relay_port, datagrams, streams)
         self.places[name] = self.by_host[host] = place
         return place
 
--- a/faultlab/rollout/site.py
+++ b/faultlab/rollout/site.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from faultlab.gateways import Gateways
-from faultlab.lab import Tally, ask, free_port, transfer
+from faultlab.lab import Tally, ask, transfer
+from faultlab.ports import free_port
 from faultlab.standins import Host, endpoint
 
 OLD, NEW = "1", "9"  # groups of the list
--- a/faultlab/transforms/engine.py
+++ b/faultlab/transforms/engine.py
@@ -22,7 +22,8 @@
 from cloverkeel.transforms.protocol import Head
 from cloverkeel.transforms.source import parse
 from faultlab.gateways import Host, named
-from faultlab.lab import Gateway, configuration, free_port
+from faultlab.lab import Gateway, configuration
+from faultlab.ports import free_port
 from faultlab.standins import Discovery, endpoint
 
 SOURCE = b"""
--- a/faultlab/transforms/faults/upgrade.py
+++ b/faultlab/transforms/faults/upgrade.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 
-from faultlab.lab import free_port
+from faultlab.ports import free_port
 from faultlab.transforms.faults.field import REST_S, Field
 from faultlab.transforms.faults.hosts import calls
 from faultlab.gateways import Timed
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from faultlab.ports import free_port
 from tests.sockets import (
     Peer,
     answers,
@@ -28,7 +29,7 @@
     until,
 )
 from tests.test_closing import raw_client
-from tests.test_gateway_process import READY, ROOT, ask, free_port
+from tests.test_gateway_process import READY, ROOT, ask
 
 LIMIT = 200  # of the process, in RLIMIT_NOFILE
 
--- a/tests/test_duties_process.py
+++ b/tests/test_duties_process.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 from typing import Any
 
+from faultlab.ports import free_port
 from tests.sockets import configuration, on_loop, peer
-from tests.test_gateway_process import free_port, listening, program
+from tests.test_gateway_process import listening, program
 from tests.test_membership_process import CLUSTER, read
 
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from faultlab.ports import free_port, listens
 from tests.sockets import (
     Client,
     Exchange,
@@ -42,14 +43,6 @@
     )  # fmt: skip
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
-        assert isinstance(port, int)
-        return port
-
-
 @asynccontextmanager
 async def program(
     folder: Path, config: dict[str, Any], operator: int = 0, listener: socket.socket | None = None
@@ -66,10 +59,8 @@
     else:
         process = await start(environment)
     try:
-        while listener is not None and (await ask(operator, OPERATORS_READY)) != 200:
-            assert process.returncode is None
-            await asyncio.sleep(0.01)
-        while listener is None and (await ask(port, READY)) != 200:
+        asked, call = (port, READY) if listener is None else (operator, OPERATORS_READY)
+        while (await ask(asked, call)) != 200 or not listens(process.pid, asked):
             assert process.returncode is None
             await asyncio.sleep(0.01)
         yield process, port
--- /dev/null
+++ b/tests/test_lab_starts.py
@@ -0,0 +1,130 @@
+"""A lab takes a gateway for started only when this very process serves at its address.
+
+Four fleets that started at once had 15 tests fail: the same port was chosen for two gateways, since a probe's
+port is free again before its owner binds it. The second ended at its bind (exit 1, "cannot listen on"), and
+the lab took the first one's answer at that port for the second's: `start` came back, and the fleet waited for
+a member that was not there (180 s, "'live': 4"). Configurations with one `listen` in two fleets showed it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from faultlab.lab import READY, Gateway, ask, configuration
+from faultlab.ports import free_port, free_ports, listens
+from faultlab.standins import Host, endpoint
+from faultlab.transforms.published import Published
+
+
+def with_foreign_gateway(folder: Path, steps: Callable[[Gateway, Host], Awaitable[None]]) -> None:
+    """Run `steps` with a gateway that serves at its port, and a host that both may list."""
+
+    async def run() -> None:
+        host = Host("h0")
+        await host.start()
+        foreign = Gateway(
+            "foreign", folder, configuration("foreign", free_port(), "127.0.0.1:9", [endpoint(host)]), None
+        )
+        try:
+            assert await foreign.start() < float("inf")
+            await steps(foreign, host)
+        finally:
+            await foreign.signal(9)
+            host.close()
+
+    asyncio.run(run())
+
+
+def test_another_gateway_that_answers_at_the_port_is_no_start(tmp_path: Path) -> None:
+    async def steps(foreign: Gateway, host: Host) -> None:
+        config = configuration("late", foreign.port, "127.0.0.1:9", [endpoint(host)])
+        late = Gateway("late", tmp_path, config, None)
+        assert await late.start() == float("inf")
+        assert late.process is not None and await late.process.wait() == 1
+        assert f"cannot listen on 127.0.0.1:{foreign.port}" in await late.line("cannot listen")
+        assert await ask(foreign.port, READY) == 200
+
+    with_foreign_gateway(tmp_path, steps)
+
+
+def test_a_gateway_whose_operators_port_is_taken_says_so_and_ends(tmp_path: Path) -> None:
+    async def steps(foreign: Gateway, host: Host) -> None:
+        config = configuration("late", free_port(), "127.0.0.1:9", [endpoint(host)])
+        late = Gateway("late", tmp_path, config | {"operator": f"127.0.0.1:{foreign.port}"}, None)
+        assert await late.start() == float("inf")
+        assert late.process is not None and await late.process.wait() == 1
+        assert len(late.log) == 1 and f"cannot listen on 127.0.0.1:{foreign.port}" in late.log[0]
+
+    with_foreign_gateway(tmp_path, steps)
+
+
+def test_an_old_process_on_the_inherited_socket_is_no_start_of_the_new_one(tmp_path: Path) -> None:
+    """Both hold the socket; the old one answers there before the new one has begun."""
+
+    async def steps(foreign: Gateway, host: Host) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.set_inheritable(True)
+            port = listener.getsockname()[1]
+            config = configuration("old", port, "127.0.0.1:9", [endpoint(host)])
+            old = Gateway("old", tmp_path, config, None, listener.fileno())
+            new = Gateway("new", tmp_path, dict(config), None, listener.fileno())
+            try:
+                assert await old.start() < float("inf")
+                new.config["operator"] = f"127.0.0.1:{foreign.port}"  # it cannot start
+                assert await new.start() == float("inf")
+            finally:
+                await old.signal(9)
+                await new.signal(9)
+
+    with_foreign_gateway(tmp_path, steps)
+
+
+def test_a_fleet_starts_a_gateway_whose_port_is_taken_at_another(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The crossing of the two fleets, forced: the first port is one at which a foreign gateway answers."""
+
+    async def steps(foreign: Gateway, host: Host) -> None:
+        ports = itertools.chain([foreign.port], iter(free_port, None))
+        monkeypatch.setattr("faultlab.gateways.free_port", lambda: next(ports))
+        async with Published(1, tmp_path, {}) as fleet:
+            assert fleet.gateways["m0"].port != foreign.port
+
+    with_foreign_gateway(tmp_path, steps)
+
+
+def test_the_logs_of_a_fleet_that_does_not_start_are_printed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def steps(foreign: Gateway, host: Host) -> None:
+        monkeypatch.setattr("faultlab.gateways.free_port", lambda: foreign.port)
+        with pytest.raises(RuntimeError, match="m0 did not start"):
+            await Published(1, tmp_path, {}).__aenter__()
+
+    with_foreign_gateway(tmp_path, steps)
+    said = capsys.readouterr().err
+    assert "exit code 1" in said and "cannot listen on" in said
+
+
+def test_a_run_gives_a_port_once_and_none_that_the_system_lends() -> None:
+    ports = free_ports(500)
+    lent = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    assert len(set(ports)) == 500 and max(ports) < lent
+    with socket.create_server(("127.0.0.1", ports[0])), socket.socket(type=socket.SOCK_DGRAM) as datagram:
+        datagram.bind(("127.0.0.1", ports[0]))
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "127.64.0.9"])
+def test_the_process_that_listens_is_told_from_others(host: str) -> None:
+    with socket.create_server((host, free_port(host))) as server:
+        port = server.getsockname()[1]
+        assert listens(os.getpid(), port, host)
+        assert not listens(1, port, host)
+    assert not listens(os.getpid(), port, host)
--- a/tests/test_list_process.py
+++ b/tests/test_list_process.py
@@ -9,9 +9,10 @@
 from typing import Any
 
 from cloverkeel.fleet.lists.relays import Peer, choose
+from faultlab.ports import free_port
 from tests.list_site import CLUSTER, Registry
 from tests.sockets import configuration, on_loop, peer, read_message
-from tests.test_gateway_process import connect, free_port, program
+from tests.test_gateway_process import connect, program
 from tests.test_membership_process import table
 
 NAMES = ("g0", "g1", "g2")
--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -12,8 +12,9 @@
 import pytest
 
 from cloverkeel.config import ConfigError, follow, parse
+from faultlab.ports import free_port
 from tests.sockets import configuration, on_loop, peer, read_message
-from tests.test_gateway_process import ROOT, connect, free_port, listening, program
+from tests.test_gateway_process import ROOT, connect, listening, program
 
 CALL = b"GET /api/%s HTTP/1.1\r\nHost: o\r\n\r\n"
 CLUSTER: dict[str, Any] = {"name": "blue", "bind": "127.0.0.1:0"}
--- a/tests/test_routes_process.py
+++ b/tests/test_routes_process.py
@@ -14,6 +14,7 @@
 import pytest
 
 from cloverkeel.config import ConfigError, load
+from faultlab.ports import free_port
 from tests.sockets import (
     Exchange,
     configuration,
@@ -30,7 +31,6 @@
     ROOT,
     ask,
     connect,
-    free_port,
     listening,
     program,
 )
--- a/tests/test_state_lab.py
+++ b/tests/test_state_lab.py
@@ -10,7 +10,8 @@
 
 from cloverkeel.fleet import state
 from faultlab import recovery
-from faultlab.lab import Gateway, configuration, free_port, snapshot_after, traffic
+from faultlab.lab import Gateway, configuration, snapshot_after, traffic
+from faultlab.ports import free_port
 from faultlab.standins import Host, endpoint
 
 SOUND = {"restored last", "restored in-flight"}
--- a/tests/test_transforms_faults.py
+++ b/tests/test_transforms_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass, field
 
 import pytest
 
@@ -24,10 +25,22 @@
 )
 
 
+@dataclass
+class Played:
+    """Each case's field after it, and why a group's fleet did not come to its end, by the group's cases."""
+
+    fields: dict[str, Field] = field(default_factory=dict)
+    errors: dict[str, str] = field(default_factory=dict)
+
+    def field_of(self, name: str) -> Field:
+        assert name in self.fields, self.errors.get(name, "a case before it did not come to its end")
+        return self.fields[name]
+
+
 @pytest.fixture(scope="module")
-def played(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Field]:
-    """Each case's field after it."""
-    fields: dict[str, Field] = {}
+def played(tmp_path_factory: pytest.TempPathFactory) -> Played:
+    """All groups, side by side; what befalls one fleet is the failure of its own cases alone."""
+    result = Played()
 
     async def group(names: tuple[str, ...]) -> None:
         heads = Heads()
@@ -36,20 +49,26 @@
         made = Published(5, folder, SETTINGS | settings, heads.protocol, QUICK | cluster)
         async with made as fleet:
             for name in names:
-                field = fields[name] = Field(fleet, heads, random.Random(1))
+                case = result.fields[name] = Field(fleet, heads, random.Random(1))
                 try:
                     async with asyncio.timeout(CASE_S):
-                        await field.begin()
-                        await play(name, field)
+                        await case.begin()
+                        await play(name, case)
                 except TimeoutError as error:
-                    field.broken.append(f"{name}: not over in time {error}")
+                    case.broken.append(f"{name}: not over in time {error}")
                     return  # the others of the group have no fleet that is whole
+                except Exception as error:
+                    result.errors[name] = repr(error)
+                    return
 
     async def all_groups() -> None:
-        await asyncio.gather(*map(group, GROUPS))
+        ended = await asyncio.gather(*map(group, GROUPS), return_exceptions=True)
+        for names, error in zip(GROUPS, ended, strict=True):
+            if error is not None:
+                result.errors |= dict.fromkeys(names, f"its fleet did not start: {error!r}")
 
     asyncio.run(all_groups())
-    return fields
+    return result
 
 
 def test_each_case_is_played() -> None:
@@ -57,20 +76,21 @@
 
 
 @pytest.mark.parametrize("name", FAULTS)
-def test_a_hard_case_breaks_nothing(played: dict[str, Field], name: str) -> None:
-    assert name in played, "a case before it did not come to its end"
-    field = played[name]
-    assert (field.broken, field.lost) == ([], [])
-    assert field.injected, "the case has injected nothing"
+def test_a_hard_case_breaks_nothing(played: Played, name: str) -> None:
+    case = played.field_of(name)
+    assert name not in played.errors, played.errors[name]
+    assert (case.broken, case.lost) == ([], [])
+    assert case.injected, "the case has injected nothing"
 
 
-def test_the_judge_finds_what_is_broken(played: dict[str, Field]) -> None:
+def test_the_judge_finds_what_is_broken(played: Played) -> None:
     def status(epoch: int, active: str, last: int) -> dict[str, object]:
         version = {"id": active, "sha256": f"sha-{active}"}
         entry = {"active": version, "candidate": None, "before": None, "last": [last, active], "why": ""}
         return {"epoch": epoch, "versions": {"mark": entry}}
 
-    judged = Field(played["old"].fleet, Heads(), random.Random(1), shas={"v1": "sha-v1", "v2": "other"})
+    fleet = played.field_of("old").fleet
+    judged = Field(fleet, Heads(), random.Random(1), shas={"v1": "sha-v1", "v2": "other"})
     judged.see("m0", status(2, "v1", 1))
     assert not judged.broken
     judged.see("m1", status(2, "v2", 2))
--- a/tests/test_warm_neighbours.py
+++ b/tests/test_warm_neighbours.py
@@ -13,7 +13,7 @@
 from cloverkeel.fleet.membership.service import Membership
 from cloverkeel.fleet.warm.neighbours import NEIGHBOURS, Neighbours
 from cloverkeel.gateway import Gateway
-from faultlab.lab import free_port
+from faultlab.ports import free_port
 from tests.sockets import on_loop
 from tests.test_membership_service import member
 
--- a/tests/test_way_out.py
+++ b/tests/test_way_out.py
@@ -15,6 +15,7 @@
 from cloverkeel.front import server
 from cloverkeel.front.connection import ClientConnection
 from cloverkeel.http1 import Reply
+from faultlab.ports import free_port
 from tests.sockets import (
     answers,
     configuration,
@@ -28,7 +29,7 @@
     until,
 )
 from tests.test_closing import LARGE, connected, raw_client, read_all, small_send_buffers
-from tests.test_gateway_process import READY, ROOT, ask, connect, free_port, program
+from tests.test_gateway_process import READY, ROOT, ask, connect, program
 
 
 @on_loop
