A keyed repeat is called off at its window's end also where the timer fires early

Symptom: a repeat whose last byte was not taken stayed out past the window, up to its request's end, and could still be written: run twice. Seen as a flaky test_a_repeat_whose_last_byte_is_not_written_in_the_window_is_called_off.

Cause: one timer a millisecond after the window's end. The loop counts whole milliseconds from the start of its turn; the timer fired 47 to 278 us early by the clock, found the window not over, and nothing looked again.

Change: a timer that fires early is set again.

The test's new case (50 ms early) fails without the mend.

--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -83,10 +83,18 @@
         if attempt.ended or attempt.upload is not None:
             return
         attempt.latest_us = latest_us
-        left_s = max(0, latest_us - now_us()) / 1e6 + 0.001  # the loop rounds: not before it is due
+        self.wait_for_latest(attempt)
+
+    def wait_for_latest(self, attempt: Attempt) -> None:
+        left_s = max(0, attempt.latest_us - now_us()) / 1e6 + TURN_S
         attempt.timers.append(self.loop.call_later(left_s, self.on_latest, attempt))
 
     def on_latest(self, attempt: Attempt) -> None:
+        if now_us() <= attempt.latest_us:
+            # The loop counts in whole milliseconds from the start of its turn, so a timer may fire some
+            # hundred microseconds early by the clock. Without another one the limit would be lost.
+            self.wait_for_latest(attempt)
+            return
         barred = self.barred(attempt)
         if barred is not None and not self.is_written(attempt):
             self.cancel(attempt, barred)
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -85,11 +85,17 @@
         assert rings == ([0, 1] if late_us > 0 else [1, 1])  # the host is not to blame
 
 
+@pytest.mark.parametrize("early_us", [0, 50_000])
 @on_loop
 async def test_a_repeat_whose_last_byte_is_not_written_in_the_window_is_called_off(
-    monkeypatch: pytest.MonkeyPatch,
+    early_us: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The second host takes a few kilobytes and no more; the window ends a second later."""
+    """The second host takes a few kilobytes and no more; the window ends a second later.
+
+    Flaky, 1 of 100 and more beside load: the repeat ended as could not connect at its request's end, and not
+    as not sent at the window's. The one timer of the window fired 47 to 278 us before the window's end by
+    the clock, found it not over, and nothing looked again. `early_us` has the timer fire that early.
+    """
     clock, partly, ended = Clock(monkeypatch), [], []
     body = b"x" * 60_000
     full = socket.create_server(("127.0.0.1", 0), backlog=5)
@@ -106,6 +112,8 @@
         if connection.getpeername() == full.getsockname():
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         come_up()
+        if connection.getpeername() == full.getsockname():
+            clock.ahead_us -= early_us
         partly.append(any(not c.is_written for c in connections()))
 
     def connections() -> list[HostConnection]:
