Fault lab: a seeded soak of real gateways, judged by the platform's rules

Series of signals (SIGHUP, SIGTERM, both crossing, SIGKILL at PROTOCOL's earliest moment, new configurations in a row), hosts that hang, close, reset, fail, drain and return cold, discovery silent, refused or late, bursts; every third seed has idle clients that fill descriptors. Judged from the outside (lost, duplicate, drain after told, sent after the client went, time told to a host, fall budget, descriptors, ready) and with LB_CHECK=1 from the inside.

--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -14,9 +14,10 @@
 from faultlab.duties import command as duties
 from faultlab.rollout import command as rollout
 from faultlab.routes import command as routes
+from faultlab.soak import command as soak
 from faultlab.storm import command as storm
 
-EXPERIMENTS = (coldstart, duties, lookups, recovery, membership, rollout, storm, transforms, routes)
+EXPERIMENTS = (coldstart, duties, lookups, recovery, membership, rollout, soak, storm, transforms, routes)
 
 
 def main(argv: list[str]) -> int:
--- /dev/null
+++ b/faultlab/soak/gateways.py
@@ -0,0 +1,128 @@
+"""The soak's gateway processes: their lives, signals, configurations, descriptors and memory."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from faultlab.lab import Gateway
+from faultlab.ports import free_port
+from faultlab.soak.records import Broken, Life, Records
+from faultlab.soak.settings import SOCKETS, Settings
+
+FIRST_SECOND_S = 1.0  # no SIGHUP before it is over (TERMS)
+INVARIANT = "invariant"
+
+
+class Process:
+    """One gateway through all its lives, at one address."""
+
+    def __init__(self, number: int, settings: Settings, records: Records, folder: Path) -> None:
+        self.number, self.settings, self.records, self.folder = number, settings, records, folder
+        self.port = free_port()
+        self.lives = 0
+        self.gateway: Gateway | None = None
+        self.life = Life(number, 0, time.monotonic())
+        self.asked_to_end = False
+        self.longest_stop_s = 0.0
+        self.lock = asyncio.Lock()  # one series of signals at a time
+
+    async def start(self, discovery: str, known: list[dict[str, Any]]) -> None:
+        """Begin a new life and wait until it is ready."""
+        self.lives += 1
+        self.asked_to_end = False
+        self.life = Life(self.number, self.lives, time.monotonic())
+        self.records.lives[self.number, self.lives] = self.life
+        config = self.settings.configuration(self.number, self.port, discovery, known)
+        made = Gateway(f"g{self.number}", self.folder, config, None, environment={"LB_CHECK": "1"})
+        self.gateway = made
+        if await made.start() < float("inf"):
+            self.life.ready_s = time.monotonic()
+        else:
+            self.broken("ready", f"g{self.number} did not start: {made.log[-3:]}")
+
+    def broken(self, rule: str, what: str) -> None:
+        self.records.broken.append(Broken(time.monotonic(), rule, what))
+
+    @property
+    def process(self) -> asyncio.subprocess.Process:
+        assert self.gateway is not None and self.gateway.process is not None
+        return self.gateway.process
+
+    def reconfigure(self, discovery: str, known: list[dict[str, Any]]) -> None:
+        """Write a new configuration that moves discovery."""
+        file = self.folder / f"g{self.number}.json"
+        config = self.settings.configuration(self.number, self.port, discovery, known)
+        file.write_text(json.dumps(config))
+
+    async def may_be_told(self) -> None:
+        """Returns once a SIGHUP may come."""
+        await asyncio.sleep(max(0.0, self.life.began_s + FIRST_SECOND_S - time.monotonic()))
+
+    def hang_up(self) -> None:
+        self.process.send_signal(signal.SIGHUP)
+
+    def terminate(self) -> None:
+        self.asked_to_end = True
+        self.life.term_s = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+
+    async def end_by_kill(self) -> None:
+        """SIGKILL at the earliest moment, if it has not ended by then."""
+        left_s = self.life.term_s + self.settings.kill_after_s - time.monotonic()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.process.wait(), max(0.0, left_s))
+        self.longest_stop_s = max(self.longest_stop_s, time.monotonic() - self.life.term_s)
+        if self.process.returncode is None:
+            await self.kill()
+        else:
+            self.life.ended_s = time.monotonic()
+            if self.process.returncode != 0:
+                self.broken("crash", f"g{self.number} ended with {self.process.returncode} after SIGTERM")
+        self.see_log()
+
+    async def kill(self) -> None:
+        self.asked_to_end = True
+        self.life.killed_s = time.monotonic()
+        self.process.kill()
+        await self.process.wait()
+
+    def look(self) -> None:
+        """Whether it runs when it should, and within its descriptors."""
+        if self.gateway is None or self.gateway.process is None:
+            return
+        code = self.process.returncode
+        if code is not None and not self.asked_to_end:
+            self.asked_to_end = True
+            self.broken("crash", f"g{self.number} ended with {code}: {self.gateway.log[-3:]}")
+        with contextlib.suppress(OSError):
+            held = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+            if held > SOCKETS:
+                self.broken("descriptors", f"g{self.number} has {held} of {SOCKETS}")
+
+    def see_log(self) -> None:
+        """Broken invariants that the process told of, and faults in its own code."""
+        assert self.gateway is not None
+        for line in self.gateway.log:
+            if INVARIANT in line or line.startswith("Traceback"):
+                self.broken("invariant", f"g{self.number}: {line}")
+        self.gateway.log.clear()
+
+    def memory_kb(self) -> int:
+        """Resident memory; 0 where it does not run."""
+        with contextlib.suppress(OSError):
+            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1])
+        return 0
+
+    def descriptors(self) -> int:
+        with contextlib.suppress(OSError):
+            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        return 0
--- /dev/null
+++ b/faultlab/soak/hosts.py
@@ -0,0 +1,138 @@
+"""Hosts of the soak: they do work, fail, hang, close, drain and return cold, and write down what came."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from faultlab.coldstart.fall import HostAccount
+from faultlab.soak.records import Arrival, Broken, Records
+from faultlab.soak.settings import Settings
+from faultlab.standins import reply
+
+SERVED, FAILED = reply(200, b"ok", "OK"), reply(500, b"failed")
+REJECTED = b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+QUEUE_S = 0.5  # work that waits longer is turned away
+TOLD_SHARE = 2 / 3  # of a fall's window, from gateways that had been told: over it the rule is broken
+
+
+@dataclass(eq=False)
+class Host:
+    """One host and how it stands."""
+
+    number: int
+    account: HostAccount
+    settings: Settings
+    records: Records
+    since_ms: int = 0
+    status: str = "SERVING"
+    hangs_until_s: float = 0.0
+    errors_until_s: float = 0.0
+    started_s: float = float("-inf")
+    told_s: dict[int, float] = field(default_factory=dict)  # of its start, by gateway
+    senders: deque[tuple[float, int]] = field(default_factory=deque)  # in a window
+    connections: set[HostConnection] = field(default_factory=set)
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: HostConnection(self), "127.0.0.1", 0, backlog=1024)
+
+    @property
+    def address(self) -> str:
+        assert self.server is not None
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    def endpoint(self) -> dict[str, Any]:
+        return {"name": f"h{self.number}", "address": self.address, "zone": "a", "type": "m", "group": 0,
+                "status": self.status, "weight": 1.0, "since_ms": self.since_ms}  # fmt: skip
+
+    def restart(self) -> None:
+        """It comes back cold; what it had is gone."""
+        self.started_s = time.monotonic()
+        self.since_ms = int(time.time() * 1000)
+        self.status = "SERVING"
+        self.account.restart(self.started_s)
+        self.told_s.clear()
+        self.senders.clear()
+        self.reset()
+
+    def reset(self) -> None:
+        for connection in tuple(self.connections):
+            connection.transport.abort()
+
+    def close_idle(self) -> None:
+        for connection in tuple(self.connections):
+            if not connection.busy and not connection.data:
+                connection.transport.close()
+
+    def take(self, now_s: float, work: float, gateway: int) -> None:
+        """Count what came; a fall whose window came from gateways that knew of the start breaks a rule."""
+        self.senders.append((now_s, gateway))
+        while self.senders[0][0] <= now_s - self.settings.fall_s:
+            self.senders.popleft()
+        if not self.account.take(now_s, work):
+            return
+        knew = sum(self.told_s.get(sender, float("inf")) <= at_s for at_s, sender in self.senders)
+        if knew > TOLD_SHARE * len(self.senders):
+            what = f"h{self.number} fell, {knew} of {len(self.senders)} requests from gateways that knew"
+            self.records.broken.append(Broken(now_s, "fall", what))
+        self.senders.clear()
+
+
+class HostConnection(asyncio.Protocol):
+    """One connection to a host: one request at a time."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.data = b""
+        self.first_s = 0.0
+        self.busy = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.host.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.host.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.data:
+            self.first_s = time.monotonic()
+        self.data += data
+        head, mark, rest = self.data.partition(b"\r\n\r\n")
+        if not mark:
+            return
+        lines = head.split(b"\r\n")
+        fields = dict(line.lower().split(b": ", 1) for line in lines[1:] if b": " in line)
+        length = int(fields.get(b"content-length", b"0"))
+        if len(rest) >= length:
+            self.data = rest[length:]
+            self.on_request(fields)
+
+    def on_request(self, fields: dict[bytes, bytes]) -> None:
+        now_s, host = time.monotonic(), self.host
+        id_ = fields.get(b"x-call-id", b"").decode("latin-1")
+        budget_s = int(fields.get(b"x-budget-ms", b"0")) / 1000
+        arrival = Arrival(id_, host.number, self.first_s, now_s, budget_s)
+        host.records.arrivals.setdefault(id_, []).append(arrival)
+        host.take(now_s, 1.0, int(id_[:2] or "0", 16))
+        if now_s < host.hangs_until_s:
+            self.busy = True
+        elif now_s < host.errors_until_s:
+            self.answer(FAILED)
+        elif host.account.free_s - now_s > QUEUE_S:
+            arrival.ran = False
+            self.answer(REJECTED)
+        else:
+            self.busy = True
+            done_s = host.account.finish(now_s, 1.0)
+            asyncio.get_running_loop().call_later(done_s - now_s, self.answer, SERVED)
+
+    def answer(self, data: bytes) -> None:
+        self.busy = False
+        if not self.transport.is_closing():
+            self.transport.write(data)
--- /dev/null
+++ b/faultlab/soak/judge.py
@@ -0,0 +1,143 @@
+"""The platform's rules (PROTOCOL, STANDING) on what clients and hosts saw of a soak; pure.
+
+Each limit has the protocol's 50 ms on top, and the lab's own delay near that moment.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import defaultdict
+from collections.abc import Iterator
+
+from faultlab.soak.records import Arrival, Broken, End, Exchange, Life, Records
+from faultlab.soak.settings import KILL_AFTER_S, Settings
+
+SLACK_S = 0.05
+LATE_ANSWER_S = 0.5  # an answer up to so long after its time only earns nothing
+AFTER_CLOSE_S = 0.1  # an attempt may begin so long after its client's close
+BUDGET_SLACK_S = 0.15  # of the time that a host is told
+READ_WITHIN_S = 0.25  # a connection that closes later than this after a request's last byte had read it
+READY_S = 10.0
+REFUSED = (429, 503)
+SIGNAL_GAP_S = 0.05  # between a signal's moment in the lab and at the process
+
+
+class Judge:
+    """The rules of one soak, on all that was recorded."""
+
+    def __init__(self, settings: Settings, records: Records) -> None:
+        self.settings, self.records = settings, records
+        self.sent = {exchange.id: exchange for exchange in records.exchanges}
+
+    def broken(self) -> list[Broken]:
+        """Everything that went against a rule, in order of time."""
+        by_rule = self.lost(), self.runs(), self.drained(), self.times(), self.lives()
+        found = [*self.records.broken, *itertools.chain(*by_rule)]
+        return sorted(found, key=lambda each: each.at_s)
+
+    def slack_s(self, at_s: float) -> float:
+        return SLACK_S + self.records.lags.around(at_s)
+
+    def life_of(self, exchange: Exchange) -> Life:
+        return self.records.lives[exchange.gateway, exchange.life]
+
+    def lost(self) -> Iterator[Broken]:
+        """Requests that were taken and have no final answer."""
+        for exchange in self.records.exchanges:
+            why = self.why_lost(exchange)
+            if why:
+                yield Broken(exchange.sent_s, "lost", f"{exchange.id} at g{exchange.gateway}: {why}")
+
+    def why_lost(self, exchange: Exchange) -> str:
+        latest_s = exchange.deadline_s + LATE_ANSWER_S + self.slack_s(exchange.deadline_s + LATE_ANSWER_S)
+        if exchange.end is End.ANSWERED:
+            late_s = exchange.ended_s - latest_s
+            return f"answered {late_s + LATE_ANSWER_S:.2f} s after its time" if late_s > 0 else ""
+        if exchange.end is End.GONE:
+            return ""
+        life = self.life_of(exchange)
+        if exchange.ended_s >= life.killed_s - SIGNAL_GAP_S:
+            after_term_s = exchange.sent_s - life.term_s
+            owed = after_term_s > KILL_AFTER_S + self.slack_s(exchange.sent_s)
+            return f"unanswered at SIGKILL, sent {after_term_s:.2f} s after SIGTERM" if owed else ""
+        if exchange.end is End.SILENT:
+            return "nothing came"
+        if self.records.arrivals.get(exchange.id):
+            return "forwarded, and its connection closed with no answer"
+        read_s = exchange.ended_s - exchange.sent_s
+        if read_s > READ_WITHIN_S + self.slack_s(exchange.ended_s):
+            return f"its connection closed with no answer {read_s:.2f} s after its last byte"
+        return "closed under it on a new connection too" if exchange.is_repeat else ""
+
+    def runs(self) -> Iterator[Broken]:
+        """Attempts that no client asked for, or that may have run twice."""
+        for id_, arrivals in self.records.arrivals.items():
+            first = arrivals[0]
+            if id_ not in self.sent:
+                what = f"{id_} came to h{first.host}, and no client sent it"
+                yield Broken(first.first_s, "duplicate", what)
+                continue
+            klass = self.sent[id_].klass
+            ran = [each for each in arrivals if each.ran]
+            if klass == "transfer":
+                yield from self.unsafe(id_, ran)
+            if klass == "hold":
+                yield from self.keyed(id_, ran)
+
+    def unsafe(self, id_: str, ran: list[Arrival]) -> Iterator[Broken]:
+        if len(ran) > 1:
+            yield Broken(ran[1].first_s, "duplicate", f"{id_} may have run at {[each.host for each in ran]}")
+        if ran and self.sent[id_].status in REFUSED:
+            what = f"{id_} was refused, and had come to h{ran[0].host}"
+            yield Broken(self.sent[id_].ended_s, "duplicate", what)
+
+    def keyed(self, id_: str, ran: list[Arrival]) -> Iterator[Broken]:
+        for each in ran[1:]:
+            after_s = each.last_s - ran[0].last_s
+            if after_s > self.settings.window_s + self.slack_s(each.last_s):
+                yield Broken(each.last_s, "duplicate", f"{id_} was repeated {after_s:.2f} s after the first")
+
+    def drained(self) -> Iterator[Broken]:
+        """Attempts begun at a host that drains, once its gateway had been told for too long."""
+        by_host = defaultdict(list)
+        for drain in self.records.drains:
+            by_host[drain.host].append(drain)
+        for id_, arrivals in self.records.arrivals.items():
+            sender = self.sent.get(id_)
+            for arrival in arrivals if sender is not None else ():
+                assert sender is not None
+                of = sender.gateway, sender.life
+                for drain in by_host[arrival.host]:
+                    told_s = drain.told_s.get(of, float("inf"))
+                    late_s = arrival.first_s - told_s - self.settings.stop_sending_s
+                    if arrival.first_s < drain.until_s and late_s > self.slack_s(arrival.first_s):
+                        what = f"{id_} from g{of[0]} to h{arrival.host}, {late_s:.2f} s late"
+                        yield Broken(arrival.first_s, "drain", what)
+
+    def times(self) -> Iterator[Broken]:
+        """Attempts begun for clients that had left, and times that hosts were told."""
+        for id_, arrivals in self.records.arrivals.items():
+            sender = self.sent.get(id_)
+            for arrival in arrivals if sender is not None else ():
+                assert sender is not None
+                yield from self.in_time(sender, arrival)
+
+    def in_time(self, sender: Exchange, arrival: Arrival) -> Iterator[Broken]:
+        slack_s = self.slack_s(arrival.first_s)
+        if sender.end is End.GONE:
+            after_s = arrival.first_s - sender.ended_s
+            if after_s > AFTER_CLOSE_S + slack_s + self.records.lags.around(sender.ended_s):
+                what = f"{sender.id} came to h{arrival.host} {after_s:.2f} s after its client's close"
+                yield Broken(arrival.first_s, "lost", what)
+        over_s = arrival.budget_s - (sender.deadline_s - arrival.first_s)
+        if over_s > BUDGET_SLACK_S + slack_s:
+            what = f"h{arrival.host} was told {over_s:.2f} s more than {sender.id} had left"
+            yield Broken(arrival.first_s, "budget", what)
+
+    def lives(self) -> Iterator[Broken]:
+        """Processes that were ready late, or not at all."""
+        for life in self.records.lives.values():
+            ended_s = min(life.term_s, life.killed_s, life.ended_s)
+            took_s = min(life.ready_s, ended_s) - life.began_s
+            if took_s > READY_S and took_s != float("inf"):
+                yield Broken(life.began_s, "ready", f"g{life.gateway} was not ready for {took_s:.1f} s")
--- /dev/null
+++ b/faultlab/soak/schedule.py
@@ -0,0 +1,70 @@
+"""What happens in one soak, and when: drawn from the seed alone, before anything starts."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from faultlab.soak.settings import Settings
+
+FIRST_S = 2.0  # of quiet after the start
+GATEWAY_GAP_S = (1.5, 4.0)  # between two events of that kind, evenly drawn
+HOST_GAP_S = (1.0, 3.0)
+DISCOVERY_GAP_S = (6.0, 12.0)
+CROWD_GAP_S = (2.0, 5.0)
+
+
+class Kind(Enum):
+    """What may happen."""
+
+    RESTART = "SIGTERM, SIGKILL at the earliest moment"
+    RELOAD_RESTART = "SIGHUP, then SIGTERM at once, SIGKILL"
+    RESTART_RELOAD = "SIGTERM, then SIGHUP at once, SIGKILL"
+    RELOADS = "new configurations in a row, a SIGHUP each"
+    KILL = "SIGKILL"
+    HANG = "a host answers nothing"
+    CLOSE = "a host closes its idle connections"
+    RESET = "a host resets all its connections"
+    ERRORS = "a host answers 500"
+    DRAIN = "a host drains, is deleted, and returns cold"
+    SILENT = "discovery says nothing"
+    REFUSED = "discovery refuses connections"
+    LATE = "discovery answers late"
+    IDLE_CLIENTS = "idle clients fill descriptors"
+    BURST = "a burst of requests"
+
+
+GATEWAY_KINDS = (Kind.RESTART, Kind.RELOAD_RESTART, Kind.RESTART_RELOAD, Kind.RELOADS, Kind.KILL)
+HOST_KINDS = (Kind.HANG, Kind.CLOSE, Kind.RESET, Kind.ERRORS, Kind.DRAIN, Kind.BURST)
+DISCOVERY_KINDS = (Kind.SILENT, Kind.REFUSED, Kind.LATE)
+CROWD_KINDS = (Kind.IDLE_CLIENTS,)
+
+
+@dataclass(frozen=True)
+class Planned:
+    """One event: `target` is a gateway's or a host's number, `seconds` how long it lasts."""
+
+    at_s: float
+    kind: Kind
+    target: int
+    seconds: float
+
+
+def schedule(settings: Settings) -> list[Planned]:
+    """All events of a soak, in order of time."""
+    rng = random.Random(f"schedule {settings.seed}")
+    lines = [
+        (GATEWAY_KINDS, GATEWAY_GAP_S, settings.gateways),
+        (HOST_KINDS, HOST_GAP_S, settings.hosts),
+        (DISCOVERY_KINDS, DISCOVERY_GAP_S, settings.gateways),
+    ]
+    if settings.crowd:
+        lines.append((CROWD_KINDS, CROWD_GAP_S, settings.gateways))
+    planned = []
+    for kinds, gap_s, targets in lines:
+        at_s = FIRST_S + rng.uniform(*gap_s)
+        while at_s < settings.duration_s:
+            planned.append(Planned(at_s, rng.choice(kinds), rng.randrange(targets), rng.uniform(1.0, 4.0)))
+            at_s += rng.uniform(*gap_s)
+    return sorted(planned, key=lambda each: each.at_s)
--- /dev/null
+++ b/faultlab/soak/settings.py
@@ -0,0 +1,83 @@
+"""What one soak is made of: sizes, deadlines and limits, and a gateway's configuration file."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from faultlab.coldstart.fall import HostAccount
+from faultlab.lab import configuration
+
+CLASSES = ("search", "hold", "transfer")
+EFFECTS = {"search": "free", "hold": "guarded", "transfer": "single_shot"}
+CLASS_SHARES = (0.6, 0.2, 0.2)
+SOCKETS = 256  # descriptors of a gateway
+KILL_AFTER_S = 0.7  # beyond the longest deadline, after SIGTERM (PROTOCOL)
+LONGEST_COUNTED_S = 3.0  # a longer deadline counts as this (PROTOCOL)
+CROWD_EVERY = 3  # one seed in so many has a crowd
+
+
+@dataclass(frozen=True)
+class Settings:
+    """One seed's site. Times in seconds, rates per second over all gateways."""
+
+    seed: int
+    duration_s: float
+    gateways: int = 3
+    hosts: int = 6
+    rate: float = 90.0
+    aim_s: float = 0.3
+    deadline_s: float = 1.0
+    window_s: float = 1.0  # of a keyed request's repeats
+    stop_sending_s: float = 1.0  # after a drain was told
+    work_s: float = 0.03  # of a request, for a warm host
+    start_capacity: float = 0.15
+    warm_s: float = 6.0
+    fall_multiple: float = 2.0
+    fall_s: float = 1.0
+    pushed: bool = True
+    crowd: bool = False
+
+    @property
+    def kill_after_s(self) -> float:
+        """The earliest moment of SIGKILL after SIGTERM."""
+        return min(LONGEST_COUNTED_S, self.deadline_s) + KILL_AFTER_S
+
+    def account(self) -> HostAccount:
+        """What one host can carry."""
+        return HostAccount(self.work_s, self.start_capacity, self.warm_s, self.fall_multiple, self.fall_s)
+
+    def configuration(
+        self, gateway: int, port: int, discovery: str, known: list[dict[str, Any]]
+    ) -> dict[str, Any]:
+        """A gateway's file."""
+        file = configuration(f"g{gateway}", port, discovery, known)
+        lane = {"aimUs": int(self.aim_s * 1e6), "giveUpUs": int(self.deadline_s * 1e6), "lateValue": 0.2,
+                "value": 1.0, "group": "all", "windowUs": int(self.window_s * 1e6)}  # fmt: skip
+        settings = file["settings"] | {
+            "balancers": self.gateways, "index": gateway,
+            "membershipMode": "pushed" if self.pushed else "on_request",
+            "lanes": [lane | {"name": name, "effect": EFFECTS[name]} for name in CLASSES],
+        }  # fmt: skip
+        settings["caps"] = settings["caps"] | {
+            "maxAttempts": 3, "connectTimeoutUs": 300_000, "keepaliveUs": 10_000_000, "secondCopies": True,
+        }  # fmt: skip
+        settings["contract"] = settings["contract"] | {
+            "stopSendingWithinUs": int(self.stop_sending_s * 1e6), "startCapacity": self.start_capacity,
+            "warmAfterUs": int(self.warm_s * 1e6), "tipMultiple": self.fall_multiple,
+            "fallUs": int(self.fall_s * 1e6),
+        }  # fmt: skip
+        limits = file["limits"] | {"sockets": SOCKETS}
+        return file | {"settings": settings, "limits": limits}
+
+
+def drawn(seed: int, duration_s: float) -> Settings:
+    """The settings of one seed."""
+    rng = random.Random(f"settings {seed}")
+    return Settings(
+        seed, duration_s,
+        gateways=rng.choice((2, 3, 4)), hosts=rng.choice((5, 6, 8)), rate=rng.uniform(60.0, 120.0),
+        deadline_s=rng.choice((0.5, 1.0, 1.5)), window_s=rng.choice((0.6, 1.0)), pushed=rng.random() < 0.5,
+        crowd=seed % CROWD_EVERY == 0,
+    )  # fmt: skip
--- /dev/null
+++ b/faultlab/soak/site.py
@@ -0,0 +1,283 @@
+"""One seed played from start to end: all parts, the events of its schedule, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Self
+
+from faultlab.soak.clients import Front
+from faultlab.soak.discovery import TOLD_WITHIN_S, Agent, Registry
+from faultlab.soak.gateways import Process
+from faultlab.soak.hosts import Host
+from faultlab.soak.judge import Judge
+from faultlab.soak.records import Broken, Drain, End, Records
+from faultlab.soak.schedule import Kind, Planned, schedule
+from faultlab.soak.settings import SOCKETS, Settings
+
+ACCEPT_S = 0.3  # new connections come for so long after SIGTERM (PROTOCOL)
+OLD_AGENT_S = 1.5  # the old address of discovery is kept so long after SIGHUP (TERMS)
+DRAIN_S = 3.0  # a host drains for so long, and is away for as long
+LAG_POLL_S = 0.005
+LAG_S = 0.002  # a shorter delay is not kept
+LOOK_S = 1.0
+FIRST_MINUTE_S = 60.0
+IDLE_CLIENTS = SOCKETS  # more than a gateway has descriptors
+BURST_S = 1.0
+
+
+@dataclass
+class Result:
+    """What one seed came to."""
+
+    seed: int
+    broken: list[Broken] = field(default_factory=list)
+    events: list[tuple[float, str]] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)  # requests, answered, refused, kills, signals
+    longest_stop_s: float = 0.0
+    memory_kb: tuple[int, int] = (0, 0)  # the most of a gateway after the first minute, and at the end
+    descriptors: tuple[int, int] = (0, 0)
+    began_s: float = 0.0
+
+
+class Site:
+    """`async with Site(settings, folder) as site: result = await site.play()`."""
+
+    def __init__(self, settings: Settings, folder: Path) -> None:
+        self.settings = settings
+        self.records = Records()
+        self.counts: Counter[str] = Counter()
+        self.hosts = [
+            Host(number, settings.account(), settings, self.records) for number in range(settings.hosts)
+        ]
+        self.registry = Registry(self.listed)
+        self.processes = [
+            Process(number, settings, self.records, folder) for number in range(settings.gateways)
+        ]
+        self.agents = [self.agent(number) for number in range(settings.gateways)]
+        self.front = Front(settings, self.records, [each.port for each in self.processes])
+        self.drains: dict[int, Drain] = {}  # under way, by host
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.began_s = 0.0
+
+    def agent(self, gateway: int) -> Agent:
+        return Agent(self.registry, lambda snapshot: self.on_told(gateway, snapshot))
+
+    def listed(self) -> list[dict[str, Any]]:
+        return [host.endpoint() for host in self.hosts if host.status != "DELETED"]
+
+    def on_told(self, gateway: int, snapshot: dict[str, Any]) -> None:
+        """A whole list was written to a gateway: what it says counts as told from now on."""
+        now_s, told = time.monotonic(), {entry["name"]: entry for entry in snapshot["endpoints"]}
+        for host in self.hosts:
+            entry = told.get(f"h{host.number}")
+            if entry is not None and entry["since_ms"] == host.since_ms:
+                host.told_s.setdefault(gateway, now_s)
+        of = gateway, self.processes[gateway].lives
+        for drain in self.drains.values():
+            drain.told_s[of] = min(now_s, drain.told_s.get(of, now_s))
+
+    async def __aenter__(self) -> Self:
+        for host in self.hosts:
+            await host.start()
+        for agent in self.agents:
+            await agent.start()
+        await asyncio.gather(*(self.begin(number) for number in range(self.settings.gateways)))
+        self.began_s = time.monotonic()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for process in self.processes:
+            if process.gateway is not None and process.process.returncode is None:
+                await process.kill()
+        for agent in self.agents:
+            agent.close()
+        for host in self.hosts:
+            if host.server is not None:
+                host.server.close()
+            host.reset()
+
+    async def begin(self, gateway: int) -> None:
+        """Start a process; clients come once it is ready."""
+        process = self.processes[gateway]
+        self.front.lives[gateway] = process.lives + 1
+        await process.start(self.agents[gateway].address, self.listed())
+        self.front.open[gateway] = True
+
+    def spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def note(self, text: str) -> None:
+        self.records.events.append((time.monotonic(), text))
+
+    async def play(self) -> Result:
+        """The whole schedule; what the rules say of it."""
+        result = Result(self.settings.seed, began_s=self.began_s)
+        self.spawn(self.measure_lag())
+        self.spawn(self.look(result))
+        sending = asyncio.get_running_loop().create_task(self.front.run())
+        for planned in schedule(self.settings):
+            await asyncio.sleep(max(0.0, self.began_s + planned.at_s - time.monotonic()))
+            self.note(f"{planned.kind.name} {planned.target} for {planned.seconds:.1f} s")
+            self.spawn(self.happen(planned))
+        await asyncio.sleep(max(0.0, self.began_s + self.settings.duration_s - time.monotonic()))
+        result.memory_kb = result.memory_kb[0], max(process.memory_kb() for process in self.processes)
+        result.descriptors = result.descriptors[0], max(each.descriptors() for each in self.processes)
+        self.front.ended = True
+        await sending
+        await self.front.finish()
+        self.conclude(result)
+        return result
+
+    def conclude(self, result: Result) -> None:
+        for process in self.processes:
+            process.see_log()
+        for drain in self.records.drains:
+            self.count_as_told(drain)
+        result.broken = Judge(self.settings, self.records).broken()
+        result.events = self.records.events
+        statuses = Counter(exchange.status for exchange in self.records.exchanges)
+        ends = Counter(exchange.end for exchange in self.records.exchanges)
+        self.counts |= Counter(
+            requests=len(self.records.exchanges), answered=ends[End.ANSWERED], served=statuses[200],
+            refused=statuses[503] + statuses[429],
+        )  # fmt: skip
+        result.counts = self.counts
+        result.longest_stop_s = max(process.longest_stop_s for process in self.processes)
+
+    def count_as_told(self, drain: Drain) -> None:
+        """What discovery had counts as told a while later, whether or not it arrived."""
+        for of, life in self.records.lives.items():
+            told_s = max(drain.since_s, life.began_s, self.agents[of[0]].reachable_since_s)
+            told_s += TOLD_WITHIN_S
+            drain.told_s[of] = min(drain.told_s.get(of, float("inf")), told_s)
+
+    async def measure_lag(self) -> None:
+        """How late this loop itself is: the judge allows for it."""
+        last_s = time.monotonic()
+        while True:
+            await asyncio.sleep(LAG_POLL_S)
+            now_s = time.monotonic()
+            late_s = now_s - last_s - LAG_POLL_S
+            if late_s > LAG_S:
+                self.records.lags.seen.append((now_s, late_s))
+            last_s = now_s
+
+    async def look(self, result: Result) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            for process in self.processes:
+                process.look()
+            if not result.memory_kb[0] and time.monotonic() - self.began_s > FIRST_MINUTE_S:
+                result.memory_kb = max(process.memory_kb() for process in self.processes), 0
+                result.descriptors = max(each.descriptors() for each in self.processes), 0
+
+    # Events
+
+    async def happen(self, planned: Planned) -> None:
+        """Carry out one event of the schedule."""
+        target, seconds = planned.target, planned.seconds
+        match planned.kind:
+            case Kind.RESTART | Kind.RELOAD_RESTART | Kind.RESTART_RELOAD | Kind.KILL | Kind.RELOADS:
+                if not self.processes[target].lock.locked():
+                    async with self.processes[target].lock:
+                        await self.signal(target, planned.kind)
+            case Kind.DRAIN:
+                await self.drain(target)
+            case Kind.SILENT:
+                self.agents[target].fall_silent(seconds)
+            case Kind.LATE:
+                self.agents[target].fall_late(seconds)
+            case Kind.REFUSED:
+                await self.agents[target].refuse(seconds)
+            case Kind.IDLE_CLIENTS:
+                await self.front.fill(target, IDLE_CLIENTS)
+                await asyncio.sleep(seconds)
+                self.front.end_idlers()
+            case Kind.BURST:
+                self.front.boost_until_s = time.monotonic() + BURST_S
+            case _:
+                self.trouble(self.hosts[target], planned.kind, seconds)
+
+    def trouble(self, host: Host, kind: Kind, seconds: float) -> None:
+        until_s = time.monotonic() + seconds
+        if kind is Kind.HANG:
+            host.hangs_until_s = until_s
+        elif kind is Kind.ERRORS:
+            host.errors_until_s = until_s
+        elif kind is Kind.CLOSE:
+            host.close_idle()
+        else:
+            host.reset()
+
+    async def drain(self, number: int) -> None:
+        """A host drains, is gone, and comes back cold."""
+        if number in self.drains:
+            return
+        host = self.hosts[number]
+        drain = self.drains[number] = Drain(number, time.monotonic())
+        self.records.drains.append(drain)
+        host.status = "DRAINING"
+        self.registry.change()
+        await asyncio.sleep(DRAIN_S)
+        host.status = "DELETED"
+        self.registry.change()
+        await asyncio.sleep(DRAIN_S)
+        drain.until_s = time.monotonic()
+        del self.drains[number]
+        host.restart()
+        self.registry.change()
+
+    async def signal(self, gateway: int, kind: Kind) -> None:
+        """One series of signals to one gateway, and its start anew where it ends."""
+        process = self.processes[gateway]
+        if process.process.returncode is not None:
+            return
+        if kind is Kind.RELOADS:
+            for _ in range(2):
+                await self.move_discovery(gateway)
+            return
+        if kind is Kind.RELOAD_RESTART:
+            await self.move_discovery(gateway)
+        if kind is Kind.KILL:
+            self.front.open[gateway] = False
+            self.counts["kills"] += 1
+            await process.kill()
+        else:
+            await self.restart(gateway, kind)
+        process.see_log()
+        await self.begin(gateway)
+
+    async def restart(self, gateway: int, kind: Kind) -> None:
+        process = self.processes[gateway]
+        process.terminate()
+        self.counts["signals"] += 1
+        if kind is Kind.RESTART_RELOAD:
+            process.hang_up()
+            self.counts["signals"] += 1
+        asyncio.get_running_loop().call_later(ACCEPT_S, self.stop_coming, gateway, process.lives)
+        await process.end_by_kill()
+        self.counts["kills"] += process.life.killed_s < float("inf")
+        self.front.open[gateway] = False
+
+    def stop_coming(self, gateway: int, life: int) -> None:
+        if self.processes[gateway].lives == life:
+            self.front.open[gateway] = False
+
+    async def move_discovery(self, gateway: int) -> None:
+        """A new configuration that names discovery at another address, and SIGHUP."""
+        process, old = self.processes[gateway], self.agents[gateway]
+        await process.may_be_told()
+        agent = self.agents[gateway] = self.agent(gateway)
+        await agent.start()
+        process.reconfigure(agent.address, self.listed())
+        process.hang_up()
+        self.counts["signals"] += 1
+        asyncio.get_running_loop().call_later(OLD_AGENT_S, old.close)
--- /dev/null
+++ b/tests/test_soak_lab.py
@@ -0,0 +1,93 @@
+"""The soak's rules, each on records that break it and on such that do not; and three seeds played short."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from faultlab.__main__ import main
+from faultlab.soak.command import total
+from faultlab.soak.judge import Judge
+from faultlab.soak.records import Arrival, Drain, End, Exchange, Life, Records
+from faultlab.soak.schedule import Kind, schedule
+from faultlab.soak.settings import Settings, drawn
+from faultlab.soak.site import Result
+
+SETTINGS = Settings(seed=1, duration_s=60.0)
+SERVED = Exchange("a", "transfer", 0, 1, 100.0, 101.0, end=End.ANSWERED, ended_s=100.1, status=200)
+CLOSED = replace(SERVED, end=End.CLOSED, ended_s=100.1, status=0)
+LEFT = replace(SERVED, end=End.GONE, ended_s=100.0, status=0)
+FIRST = Arrival("a", 0, 100.01, 100.01, 0.9)
+
+
+def rules(*exchanges: Exchange, arrivals: list[Arrival] | None = None, life: Life | None = None) -> set[str]:
+    """The rules that these records break."""
+    records = Records(list(exchanges), lives={(0, 1): life or Life(0, 1, 0.0, ready_s=1.0)})
+    for arrival in arrivals or ():
+        records.arrivals.setdefault(arrival.id, []).append(arrival)
+    records.drains.append(Drain(7, 50.0, told_s={(0, 1): 50.0}))
+    return {broken.rule for broken in Judge(SETTINGS, records).broken()}
+
+
+@pytest.mark.parametrize(
+    ("exchange", "arrivals", "broken"),
+    [
+        (SERVED, [FIRST], set()),
+        (replace(SERVED, ended_s=101.4), [FIRST], set()),
+        (replace(SERVED, ended_s=101.6), [FIRST], {"lost"}),
+        (replace(SERVED, end=End.SILENT, ended_s=102.5), [FIRST], {"lost"}),
+        (CLOSED, [], set()),
+        (CLOSED, [FIRST], {"lost"}),
+        (replace(CLOSED, ended_s=100.4), [], {"lost"}),
+        (replace(CLOSED, is_repeat=True), [], {"lost"}),
+        (SERVED, [FIRST, replace(FIRST, host=1)], {"duplicate"}),
+        (SERVED, [replace(FIRST, ran=False), replace(FIRST, host=1)], set()),
+        (replace(SERVED, status=503), [FIRST], {"duplicate"}),
+        (replace(SERVED, status=503), [replace(FIRST, ran=False)], set()),
+        (SERVED, [FIRST, replace(FIRST, id="b")], {"duplicate"}),
+        (replace(SERVED, klass="hold"), [FIRST, replace(FIRST, host=1, last_s=100.9)], set()),
+        (replace(SERVED, klass="hold"), [FIRST, replace(FIRST, host=1, last_s=101.1)], {"duplicate"}),
+        (SERVED, [replace(FIRST, host=7)], {"drain"}),
+        (SERVED, [replace(FIRST, budget_s=1.3)], {"budget"}),
+        (LEFT, [replace(FIRST, first_s=100.2, budget_s=0.8)], {"lost"}),
+        (LEFT, [FIRST], set()),
+    ],
+)  # fmt: skip
+def test_a_rule_is_broken_by_just_what_breaks_it(
+    exchange: Exchange, arrivals: list[Arrival], broken: set[str]
+) -> None:
+    assert rules(exchange, arrivals=arrivals) == broken
+
+
+@pytest.mark.parametrize(("sent_s", "broken"), [(100.0, set()), (100.9, {"lost"})])
+def test_what_sigkill_finds_is_owed_if_it_came_late_after_sigterm(sent_s: float, broken: set[str]) -> None:
+    life = Life(0, 1, 0.0, ready_s=1.0, term_s=100.0, killed_s=101.7)
+    late = replace(CLOSED, sent_s=sent_s, deadline_s=sent_s + 1.0, ended_s=101.7)
+    assert rules(late, arrivals=[replace(FIRST, first_s=sent_s, budget_s=1.0)], life=life) == broken
+
+
+def test_a_process_that_is_not_ready_in_time_is_found() -> None:
+    assert rules(life=Life(0, 1, 0.0, ready_s=10.1)) == {"ready"}
+
+
+def test_a_seed_draws_the_same_schedule_again_and_all_kinds_come() -> None:
+    assert schedule(drawn(5, 60.0)) == schedule(drawn(5, 60.0))
+    kinds = {planned.kind for seed in range(6) for planned in schedule(drawn(seed, 60.0))}
+    assert kinds == set(Kind)
+
+
+def test_the_last_line_has_the_figures_that_are_asked_for() -> None:
+    assert {"seeds", "requests", "kills", "signals", "broken"} <= total([Result(1)]).keys()
+
+
+@pytest.mark.parametrize("arguments", [["--seeds", "x"], ["--seeds", "3-1"], ["--minutes", "0"]])
+def test_bad_arguments_are_one_line(arguments: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as ended:
+        main(["soak", *arguments])
+    assert ended.value.code == 2 and "not a" in capsys.readouterr().err
+
+
+def test_short_seeds_break_no_rule(capsys: pytest.CaptureFixture[str]) -> None:
+    """Three seeds, the last with a crowd: more of them, and longer, by hand."""
+    assert main(["soak", "--seeds", "1-3", "--minutes", "0.4", "--json"]) == 0, capsys.readouterr().out
