--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -14,6 +14,7 @@
 
 from caperdrift.plan import Plan
 
+
 class Effect(Enum):
     """What running a request a second time would do."""
 
--- a/caperdrift/policy/admission.py
+++ b/caperdrift/policy/admission.py
@@ -14,6 +14,7 @@
 NEWEST_TRY = 0.02  # weight of the newest in tenants' parts of the tries, if that remembers six of each tenant
 OVER_SHARE = 1.5  # times its share: a tenant's tries beyond are more than chance
 
+
 def admit(proxy: Proxy, event: RequestArrived, route: Route) -> Request:
     klass = proxy.settings.classes[event.klass]
     gone_us = used_us(proxy, event)
@@ -32,11 +33,23 @@
     aim_us = max(0, klass.aim_for_us(event.work_us or 0) - gone_us)
     most, patience_us, aim_us = capped(proxy, route, event.patience_us, aim_us)
     return Request(
-        event.request, event.klass, klass, most, event.key, event.work_us or 0, proxy.now_us + patience_us,
-        proxy.now_us + aim_us, size, first_try, excess(proxy, event.tenant), event.route,
-        targets(proxy, route), opened_us=proxy.now_us if event.open else 0,
+        event.request,
+        event.klass,
+        klass,
+        most,
+        event.key,
+        event.work_us or 0,
+        proxy.now_us + patience_us,
+        proxy.now_us + aim_us,
+        size,
+        first_try,
+        excess(proxy, event.tenant),
+        event.route,
+        targets(proxy, route),
+        opened_us=proxy.now_us if event.open else 0,
     )
 
+
 def excess(proxy: Proxy, tenant: int) -> float:
     """Part of a tenant's tries of late beyond its share; 0 where none is stated.
     Guards against a tenant's clients that repeat without limit: while anything is shed they yield first.
@@ -48,6 +61,7 @@
     fair = OVER_SHARE * proxy.settings.tenants[tenant].share * sum(proxy.tries)
     return (1.0 - proxy.settings.over_share_worth) * (1.0 - fair / proxy.tries[tenant])
 
+
 def used_us(proxy: Proxy, event: RequestArrived) -> int:
     """How much of its time a request's earlier tries have used; a first try has used none.
     First tries of a class are all given the same time, found by majority vote; another time marks a
--- a/caperdrift/policy/answers.py
+++ b/caperdrift/policy/answers.py
@@ -8,6 +8,7 @@
 from caperdrift.policy.sending import end_us, try_send
 from caperdrift.policy.servers import Request
 
+
 def answer_unserved(proxy: Proxy, request: Request) -> None:
     """The final answer when no attempt is out and none is to come."""
     if request.done:
@@ -19,6 +20,7 @@
         proxy.actions.append(Fail(request.id))
     finish(proxy, request)
 
+
 def retry_after_us(proxy: Proxy) -> int:
     """The shortest cooldown left where every server is open, else none."""
     breakers = [s.breaker for s in proxy.servers.values()]
@@ -27,6 +29,7 @@
     wait_us = min(b.open_until_us for b in breakers) - proxy.now_us
     return max(0, min(wait_us, proxy.settings.max_retry_after_us))
 
+
 def finish(proxy: Proxy, request: Request, goes_on: bool = False) -> None:
     request.done = True
     if request.out == 0:
@@ -34,12 +37,14 @@
     elif not request.streaming and not goes_on:
         call_off(proxy, request)
 
+
 def call_off(proxy: Proxy, request: Request, spared: int | None = None) -> None:
     """Cancel what is still out, but for one attempt that is wanted."""
     for number, attempt in enumerate(request.attempts if proxy.settings.may_cancel else ()):
         if not attempt.ended and number != spared:
             proxy.actions.append(Cancel(request.id, number))
 
+
 def on_gone(proxy: Proxy, event: RequestGone) -> None:
     request = proxy.requests.get(event.request)
     if request is None or request.done:
@@ -49,6 +54,7 @@
     costly = proxy.settings.attempts_per_connection == 1
     finish(proxy, request, goes_on=costly and not any(a.overdue for a in request.attempts))
 
+
 def waits_its_turn(proxy: Proxy, request: Request) -> bool:
     """Put a request of an in-order class in its key's line; True unless its turn is now.
     A line grows no longer than can be served from: who would come too late is refused when that is clear.
@@ -65,6 +71,7 @@
         proxy.set_timer(last_us, request)
     return line[0] is not request
 
+
 def free(proxy: Proxy, request: Request) -> None:
     """Forget a request that is over; in order, the next of its key has its turn once the key rested."""
     if proxy.requests.get(request.id) is request:  # while it rested in line its client may have come again
--- a/caperdrift/policy/balancer.py
+++ b/caperdrift/policy/balancer.py
@@ -4,8 +4,23 @@
 from typing import Any
 
 from caperdrift.interface import (
-    Action, AttemptEnded, BodyEnded, BodyPassing, Event, Fail, Fleet, Refuse, RequestArrived, RequestGone,
-    Restore, ServerList, SettingsChanged, SetTimer, StreamStarted, TimerFired, WatchList,
+    Action,
+    AttemptEnded,
+    BodyEnded,
+    BodyPassing,
+    Event,
+    Fail,
+    Fleet,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Restore,
+    ServerList,
+    SettingsChanged,
+    SetTimer,
+    StreamStarted,
+    TimerFired,
+    WatchList,
 )
 from caperdrift.plan import Plan
 from caperdrift.policy.admission import admit, used_us
@@ -21,6 +36,7 @@
 from caperdrift.policy.shedding import is_shed
 from caperdrift.policy.streams import on_body_ended, on_stream, tie
 
+
 class Balancer(Proxy):
     """Decides for one proxy. Feed it events in order; carry out the actions that each returns."""
 
@@ -86,6 +102,7 @@
             self.actions.append(SetTimer(self.now_us, LIST_TOKEN))
         rank_servers(self)
 
+
 HANDLERS: dict[type, Callable[[Any, Any], object]] = {
     AttemptEnded: on_attempt_ended,
     RequestArrived: Balancer.on_request,
--- a/caperdrift/policy/breaker.py
+++ b/caperdrift/policy/breaker.py
@@ -14,11 +14,13 @@
 COOLDOWN_US = 1_000_000  # first cooldown; doubles with each reopening from half-open
 LONGEST_COOLDOWN_US = 8_000_000
 
+
 class State(Enum):
     CLOSED = "closed"
     OPEN = "open"
     HALF_OPEN = "half-open"
 
+
 @dataclass(slots=True, eq=False)
 class Breaker:
     """Ring of the last outcomes of one server, or of one class at it, and what follows from it."""
--- a/caperdrift/policy/choice.py
+++ b/caperdrift/policy/choice.py
@@ -13,6 +13,7 @@
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
 HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
 
+
 def rendezvous(key: int, server: int, weight: float) -> float:
     """Lowest at the server that a key belongs to: weighted rendezvous hashing.
     Everyone ranks alike without a word, and a server that comes or goes moves only what ranks it first.
@@ -21,6 +22,7 @@
     mixed = (mixed ^ (mixed >> 29)) * HASH_FACTOR & HASH_MASK
     return -math.log((mixed + 1) / (HASH_MASK + 1)) / weight
 
+
 def subset(proxy: Proxy, klass: int, ranked: list[Server]) -> list[Server]:
     """The servers that this proxy spreads over: the first in rank that may be used.
     Guards against full connection tables, a handshake for each request, and thin evidence. A proxy with
@@ -35,6 +37,7 @@
             found.append(server)
     return found
 
+
 def allowed_servers(proxy: Proxy, request: Request, ranked: list[Server]) -> list[Server]:
     """Servers that another attempt may go to."""
     tried = [a.server for a in request.attempts]
@@ -55,6 +58,7 @@
             servers = [s for s in servers if all(s.entry.group == a.server.entry.group for a in ran)]
     return servers
 
+
 def pick(proxy: Proxy, request: Request) -> Server | None:
     """Weighted random choice among the servers that may take this request now."""
     weighings = (weighed(proxy, request, ranked) for ranked in pools(proxy, request))
@@ -71,6 +75,7 @@
             return server
     return weights[-1][1]
 
+
 def weighed(proxy: Proxy, request: Request, ranked: list[Server]) -> list[tuple[float, Server]]:
     """The servers of one pool that may take this request now, with their weights in the draw."""
     request.among = len(ranked)
@@ -81,6 +86,7 @@
     # Trials risk their request, so one that could not be repeated goes to closed servers.
     return [(w, s) for w, s in weights if w > 0.0 and (repeatable or s.breaker.state is State.CLOSED)]
 
+
 def favour_home(key: int, weights: list[tuple[float, Server]]) -> float:
     """Raise the weight of the key's home among the candidates; returns by how much."""
     ranks = [rendezvous(key, server.entry.server, 1.0) for _, server in weights]
@@ -89,6 +95,7 @@
     weights[home] = (weights[home][0] + raised, weights[home][1])
     return raised
 
+
 def draw_weight(proxy: Proxy, server: Server, request: Request) -> float:
     """A server's weight in the draw, less while cold; 0 for one that is not eligible."""
     if not cold_room(proxy, server, request):
@@ -97,23 +104,27 @@
     weight = server.weight * server.part(request.klass).weight
     return server.entry.weight * weight * free * nearness(proxy, server.entry) * cold_share(proxy, server)
 
+
 def is_eligible(proxy: Proxy, server: Server, klass: int) -> bool:
     """Whether it may be used; cooldowns that are over end."""
     breakers = server.breaker, server.part(klass).breaker
     return may_use(proxy, server, klass) and all(b.lets_through(proxy.now_us) for b in breakers)
 
+
 def may_use(proxy: Proxy, server: Server, klass: int) -> bool:
     if not server.ready or not server.breaker.may_pass(proxy.now_us):
         return False
     part = server.parts.get(klass)
     return (part is None or part.breaker.may_pass(proxy.now_us)) and not is_silent(proxy, server)
 
+
 def skipped(proxy: Proxy, now_us: int) -> int:
     """How many listed servers may not be used for any class now."""
     proxy.now_us = max(now_us, proxy.now_us)
     classes = [index for index, klass in enumerate(proxy.settings.classes) if not klass.dropped]
     return sum(not any(may_use(proxy, s, klass) for klass in classes) for s in proxy.servers.values())
 
+
 def is_silent(proxy: Proxy, server: Server) -> bool:
     """True while the oldest attempt out is overdue: nothing more until it is answered or times out."""
     sent_us = next(iter(server.out.values()), proxy.now_us)
--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -7,6 +7,7 @@
 FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
 LARGE_REQUESTS_PER_WINDOW = 4  # of the largest size allowed, these fill a fall window
 
+
 def cold_room(proxy: Proxy, server: Server, request: Request) -> bool:
     """Whether this proxy's part of a cold server's fall budget has room for one more request."""
     share = cold_share(proxy, server)
@@ -22,6 +23,7 @@
         server.spent_us = proxy.random.random() * max(part_us, cost_us) - part_us
     return max(0.0, server.spent_us) + cost_us <= most_us
 
+
 def is_too_large(proxy: Proxy, capacity: float, request: Request) -> bool:
     """Whether one request's hinted work takes too much of the fall window that all proxies share.
 
@@ -36,6 +38,7 @@
     usual_us = min(proxy.mean_work[request.klass], window_us / 2)
     return request.work_us > max(largest_us, usual_us)
 
+
 def first_spent_us(proxy: Proxy) -> float:
     """What counts as spent of a server that has just started: a random part of a request's work, or of half
     of the budget where that is more.
@@ -48,6 +51,7 @@
     costs = [proxy.mean_work[klass] or between_us(proxy, klass) for klass in classes]
     return proxy.random.random() * max([*costs, fall_budget_us(proxy) / 2])
 
+
 def fall_budget_us(proxy: Proxy, among: int = 0) -> float:
     """This proxy's part of the work that a server of one core may be sent in a fall window when warm.
     `among`: servers that the work is spread over, 0 for all. Of a route's few, more proxies use each.
@@ -56,14 +60,17 @@
     users = max(1.0, sharers(proxy) * min(1.0, proxy.reach / max(1, among or len(proxy.ranked))))
     return FALL_MARGIN * proxy.settings.fall_multiple * proxy.settings.fall_us / users
 
+
 def cold_cost_us(proxy: Proxy, request: Request) -> float:
     """Work of a request: hinted, else between the fastest and the usual replies, which waited too."""
     return request.work_us or between_us(proxy, request.klass) * request.size
 
+
 def between_us(proxy: Proxy, klass: int) -> float:
     """Latency halfway between the fastest and the usual replies."""
     return (proxy.unhindered[klass] + proxy.smoothed[klass]) / 2
 
+
 def cold_share(proxy: Proxy, server: Server) -> float:
     """Share of its capacity that a server surely has by now."""
     age_us = max(0, proxy.now_us - server.entry.started_us)  # a start that lies ahead is just now
--- a/caperdrift/policy/learned.py
+++ b/caperdrift/policy/learned.py
@@ -5,6 +5,7 @@
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.servers import CEILING, FLOOR
 
+
 def learned(proxy: Proxy) -> Learned:
     """What this proxy has learned, for a process after it (see Restore); changes nothing."""
     servers = tuple(
@@ -16,6 +17,7 @@
     )  # fmt: skip
     return Learned(servers, tuple(proxy.smoothed), tuple(proxy.unhindered))
 
+
 def on_restore(proxy: Proxy, event: Restore) -> None:
     learned, age_us, classes = event.learned, max(0, event.age_us), proxy.settings.classes
     latencies = zip(classes, learned.smoothed_us, learned.unhindered_us, strict=False)
--- a/caperdrift/policy/lists.py
+++ b/caperdrift/policy/lists.py
@@ -10,6 +10,7 @@
 IDLE_SMOOTHING = 0.15  # share of the newest list in how idle a server is: all hear the same, none must swarm
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
 
+
 def on_list(proxy: Proxy, event: ServerList) -> None:
     if event.kind is ListKind.ERROR:
         proxy.list_calls_failed += 1
@@ -34,10 +35,12 @@
         server.idle += IDLE_SMOOTHING * (server.entry.weight / (server.size or 1.0) - server.idle)
     rank_servers(proxy)
 
+
 def rank_servers(proxy: Proxy) -> None:
     proxy.ranked = ranking(proxy, list(proxy.servers.values()))
     proxy.narrowed = {}
 
+
 def list_server(proxy: Proxy, entry: ListedServer) -> None:
     known = proxy.servers.get(entry.server)
     if entry.status is ServerStatus.GONE:
--- a/caperdrift/policy/proxy.py
+++ b/caperdrift/policy/proxy.py
@@ -14,6 +14,7 @@
 LOG_GAP_US = 100_000  # between two log lines
 LIST_TOKEN = 0  # the timer that belongs to no request
 
+
 class Proxy:
     """What one proxy knows and holds. Times are readings of the caller's clock and durations, in us."""
 
--- a/caperdrift/policy/retries.py
+++ b/caperdrift/policy/retries.py
@@ -7,6 +7,7 @@
 from caperdrift.policy.servers import Request
 from caperdrift.policy.weights import judge
 
+
 def on_attempt_ended(proxy: Proxy, event: AttemptEnded) -> None:
     request = proxy.requests.get(event.request)
     if request is None or not 0 <= event.attempt < len(request.attempts):
@@ -33,6 +34,7 @@
     elif request.out == 0:
         try_again(proxy, request)
 
+
 def try_again(proxy: Proxy, request: Request) -> None:
     """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
     ran = any(a.may_have_run for a in request.attempts)
@@ -44,6 +46,7 @@
     else:
         answer_unserved(proxy, request)
 
+
 def on_overdue(proxy: Proxy, request: Request) -> None:
     """An attempt should have been answered by now: where the class allows, try another server too."""
     late = [a for a in request.attempts if not a.ended]
@@ -54,12 +57,14 @@
     if len(request.attempts) < request.max_attempts and try_send(proxy, request):
         proxy.retry_tokens -= 1
 
+
 def may_repeat(proxy: Proxy) -> bool:
     """Whether a retry or a second copy of what may have run can be afforded.
     Guards against an overload that feeds itself: none while anything is shed.
     """
     return proxy.retry_tokens >= 1 and proxy.shed <= 0.0
 
+
 def count_served(proxy: Proxy, request: Request) -> None:
     if request.first_try and proxy.now_us <= request.aim_us and proxy.settings.takes(request.klass):
         proxy.served[request.klass] += 1
--- a/caperdrift/policy/routes.py
+++ b/caperdrift/policy/routes.py
@@ -12,10 +12,12 @@
 GOLDEN = 0.6180339887  # of the ring from one proxy's start to the next: any few of them lie evenly spread
 NO_ROUTE = Route()
 
+
 def nearness(proxy: Proxy, entry: ListedServer) -> float:
     """1 in this proxy's zone, less in others the more a crossing costs."""
     return 1.0 / (1.0 + AWAY * proxy.settings.prices.cross_zone * (entry.zone != proxy.settings.zone))
 
+
 def ranking(proxy: Proxy, servers: list[Server]) -> list[Server]:
     """Those of the servers that may be sent to, by steps on the ring from this proxy's start.
     Guards against a run of servers that are drained, or not a route's: they take no steps, else all whose
@@ -29,20 +31,24 @@
         server.rank = steps / max(FLOOR, fit)
     return sorted(ring, key=attrgetter("rank"))
 
+
 def on_plan(proxy: Proxy, event: Plan) -> None:
     proxy.routes, proxy.routed = event.routes, +proxy.routed  # without those of which none is held
     if len(proxy.narrowed) > len(event.routes):  # else kept: an edit of one route must not rank for all anew
         proxy.narrowed = {}
 
+
 def route_of(proxy: Proxy, number: int) -> Route:
     if number and number not in proxy.routes:
         proxy.log(f"route {number} is not in the plan; its requests go as if there were none")
     return proxy.routes.get(number, NO_ROUTE)
 
+
 def is_full(proxy: Proxy, number: int, route: Route) -> bool:
     """Whether this proxy holds its part of the route's limit already."""
     return route.limit > 0 and proxy.routed[number] >= -(-route.limit // sharers(proxy))  # rounded up
 
+
 def capped(proxy: Proxy, route: Route, patience_us: int, aim_us: int) -> tuple[int, int, int]:
     """Most attempts, deadline and aim, from now, of a request that has this much of each by the settings."""
     if route.deadline_us:
@@ -51,6 +57,7 @@
     attempts = proxy.settings.max_attempts
     return min(attempts, route.max_attempts or attempts), patience_us, aim_us
 
+
 def targets(proxy: Proxy, route: Route) -> tuple[Hosts, ...]:
     """The target that a request is meant for, drawn by share, then the greatest; empty: all servers."""
     if len(route.targets) < 2:
@@ -59,6 +66,7 @@
     drawn, greatest = proxy.random.choices(route.targets, shares)[0], route.targets[shares.index(max(shares))]
     return (drawn.hosts,) if drawn is greatest else (drawn.hosts, greatest.hosts)
 
+
 def pools(proxy: Proxy, request: Request) -> list[list[Server]]:
     """The servers that a request may go to, by rank; the first pool is used where any of it may be."""
     found = []
@@ -69,6 +77,7 @@
         found.append(ranked)
     return found or [proxy.ranked]
 
+
 def names(hosts: Hosts, entry: ListedServer) -> bool:
     return (
         (not hosts.kinds or entry.kind in hosts.kinds)
--- a/caperdrift/policy/sending.py
+++ b/caperdrift/policy/sending.py
@@ -12,6 +12,7 @@
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
 AIM_SHARE = 0.98  # of the time to the aim that is waited for an answer that is worth nothing later
 
+
 def try_send(proxy: Proxy, request: Request) -> bool:
     """Send an attempt, if a server may take one now."""
     server = pick(proxy, request)
@@ -34,14 +35,17 @@
         proxy.set_timer(overdue_us, request)
     return True
 
+
 def start_work(proxy: Proxy, attempt: Attempt) -> None:
     attempt.sent_us = attempt.server.out[attempt] = proxy.now_us
     proxy.out += 1
 
+
 def stop_work(proxy: Proxy, attempt: Attempt) -> None:
     if attempt.server.out.pop(attempt, None) is not None:
         proxy.out -= 1
 
+
 def end_us(proxy: Proxy, request: Request) -> int:
     """When an attempt stops being worth waiting for."""
     if request.rules.late_worth > 0.0:
--- a/caperdrift/policy/servers.py
+++ b/caperdrift/policy/servers.py
@@ -10,6 +10,7 @@
 
 FLOOR, CEILING = 0.05, 1.0  # of the controller's weight
 
+
 @dataclass(slots=True, eq=False)
 class Part:
     """One class's requests at one server: ring, states and weight, lest one bad class condemn all of it."""
@@ -18,6 +19,7 @@
     weight: float = CEILING
     fine: bool = False  # the last answer was good
 
+
 @dataclass(slots=True, eq=False)
 class Server:
     """What this proxy knows of one server since it last started."""
@@ -45,6 +47,7 @@
             self.parts[klass] = Part(Breaker(PART_MINIMUM))
         return self.parts[klass]
 
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     server: Server
@@ -56,6 +59,7 @@
     overdue: bool = False
     streaming: bool = False  # its answer has begun, and was judged by that
 
+
 @dataclass(slots=True, eq=False)
 class Request:
     id: str
--- a/caperdrift/policy/sharers.py
+++ b/caperdrift/policy/sharers.py
@@ -5,6 +5,7 @@
 
 BELIEVED_US = 10_000_000  # a number that falls counts after this: proxies cut off from this one still send
 
+
 def on_fleet(proxy: Proxy, event: Fleet) -> None:
     """Go by what is seen; the settings' number at the first word counts as seen just before it."""
     live, seen = sum(event.gateways), proxy.sharers_seen
@@ -18,6 +19,7 @@
         since_us = seen.pop()[0]  # since then no more than this many
     seen.append((since_us, live))
 
+
 def sharers(proxy: Proxy) -> int:
     """The most proxies that were seen within the last `BELIEVED_US`, at least 1."""
     seen = proxy.sharers_seen
--- a/caperdrift/policy/shedding.py
+++ b/caperdrift/policy/shedding.py
@@ -13,6 +13,7 @@
 SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
 SHED_MOST = 0.95  # what still comes through tells when to shed less; see is_shed where nothing does
 
+
 def is_shed(proxy: Proxy, request: Request) -> bool:
     """Whether to refuse a request before it costs a server anything.
     Guards against queues that grow past every aim: what gains the goal least for its work goes first.
@@ -33,6 +34,7 @@
     mean = sum(share * worth for share, worth in zip(shares, gains, strict=True)) / total
     return point < (proxy.shed if mine < CHEAP * mean else proxy.shed_dear)
 
+
 def worths(proxy: Proxy) -> list[float]:
     """What the goal gains from each unit of server time, by class."""
     goal, classes = proxy.settings.goal, proxy.settings.classes
@@ -47,6 +49,7 @@
         gains.append(gain / (1.0 if proxy.settings.worth_by_work else proxy.unhindered[index]))
     return gains
 
+
 def adjust_shed(proxy: Proxy, request: Request, event: AttemptEnded) -> None:
     """Feedback like the weights': more after an answer that waited too long, less after a prompt one."""
     klass, unhindered_us = request.rules, proxy.unhindered[request.klass]
--- a/caperdrift/policy/streams.py
+++ b/caperdrift/policy/streams.py
@@ -8,6 +8,7 @@
 from caperdrift.policy.servers import Request
 from caperdrift.policy.weights import judge
 
+
 def on_stream(proxy: Proxy, event: StreamStarted) -> None:
     """The answer's first bytes are here: they tell of the server, the rest of the line and the client."""
     request = tie(proxy, event)
@@ -23,6 +24,7 @@
     attempt.trial_of = attempt.part_trial_of = 0  # it has had its say
     count_served(proxy, request)
 
+
 def tie(proxy: Proxy, event: StreamStarted | BodyPassing) -> Request | None:
     """Leave a request to one attempt of it: what is out besides is called off."""
     request, number = proxy.requests.get(event.request), event.attempt
@@ -32,6 +34,7 @@
     call_off(proxy, request, spared=number)
     return None if request.attempts[number].ended or request.streaming else request
 
+
 def on_body_ended(proxy: Proxy, event: BodyEnded) -> None:
     """The last byte has come: the request's time, and that of the attempt that carries it, begin."""
     request = proxy.requests.get(event.request)
--- a/caperdrift/policy/weights.py
+++ b/caperdrift/policy/weights.py
@@ -12,6 +12,7 @@
 SMOOTHING = 0.05  # share of the newest sample in smoothed values
 UNHINDERED_UP = 0.0005  # relative rise of the unhindered latency with each answer: no jam is usual at once
 
+
 def judge(proxy: Proxy, request: Request, attempt: Attempt, event: AttemptEnded) -> None:
     server, outcome = attempt.server, event.outcome
     part = server.part(request.klass)
@@ -46,12 +47,14 @@
         changed = server.breaker.reopen(proxy.now_us)
     log_change(proxy, server, server.breaker, changed)
 
+
 def log_change(proxy: Proxy, server: Server, breaker: Breaker, changed: State | None, of: str = "") -> None:
     if changed is State.OPEN:
         proxy.log(f"server {server.entry.server}: breaker{of} open for {breaker.cooldown_us / 1e6:g} s")
     elif changed is State.CLOSED:
         proxy.log(f"server {server.entry.server}: breaker{of} closed")
 
+
 def learn_latency(proxy: Proxy, request: Request, latency_us: int) -> None:
     index, latency = request.klass, latency_us / request.size
     usual, floor = proxy.smoothed[index], proxy.unhindered[index]
@@ -61,12 +64,14 @@
     else:
         proxy.unhindered[index] += min(0.0, proxy.smoothed[index] - floor) + UNHINDERED_UP * floor
 
+
 def adjust_weight(proxy: Proxy, judged: Server | Part, bad: bool) -> None:
     """The controller: a small step up for a good answer, a cut for a failure or a slow one."""
     if judged.breaker.state is not State.CLOSED:
         return  # it keeps the weight it had when it tripped
     judged.weight = max(FLOOR, judged.weight * CUT) if bad else min(CEILING, judged.weight + STEP)
 
+
 def common_share(proxy: Proxy, server: Server, klass: int | None) -> float:
     """Failure share of the other servers' rings: what no single server is to blame for."""
     servers = [s for s in proxy.servers.values() if s is not server]
--- a/cloverkeel/transforms/activation/records.py
+++ b/cloverkeel/transforms/activation/records.py
@@ -167,8 +167,10 @@
         raise ValueError("the order's name and id are not its key's")
     if isinstance(body, Proposal) and (body.ballot[1] != owner_of(key) or _differ(body.epoch, body.value)):
         raise ValueError("the proposal is another member's, or its value another epoch's")
-    if isinstance(body, Vote) and disk_of(key) >= 0 and (
-        (body.accepted is None) != (body.value is None) or _differ(body.epoch, body.value)
+    if (
+        isinstance(body, Vote)
+        and disk_of(key) >= 0
+        and ((body.accepted is None) != (body.value is None) or _differ(body.epoch, body.value))
     ):
         raise ValueError("the vote accepts no value, or another epoch's")
     epoch = body if isinstance(body, Epoch) else getattr(body, "value", None)
--- a/cloverkeel/transforms/activation/shell.py
+++ b/cloverkeel/transforms/activation/shell.py
@@ -50,9 +50,7 @@
         shown = [
             _recorded(kind, key, ledger.read(kind, key)[0]) for kind in KINDS for key in ledger.keys(kind)
         ]
-        self.core = Activation(
-            self.membership.name, life, ledger.disk, settings, random.Random(), shown
-        )
+        self.core = Activation(self.membership.name, life, ledger.disk, settings, random.Random(), shown)
         # What the process followed before it took the file over runs on, without a gap.
         self.core.staged |= dict.fromkeys(engine.staged, "")
         self.loop = asyncio.get_running_loop()
--- a/faultlab/gateways.py
+++ b/faultlab/gateways.py
@@ -65,7 +65,6 @@
         pairs = zip(reversed(self.log), reversed(self.times), strict=False)
         return next((at_s for line, at_s in pairs if all(word in line.split() for word in words)), None)
 
-
     def first_s(self, seen: int, after_s: float, *words: str) -> float | None:
         """When it first wrote such a line after `after_s`, of the lines from number `seen` on."""
         pairs = zip(self.log[seen:], self.times[seen:], strict=False)
--- a/faultlab/transforms/__init__.py
+++ b/faultlab/transforms/__init__.py
@@ -32,7 +32,9 @@
         "--before", type=Path, metavar="DIR", help="a checkout from before the feature, as a variant"
     )
     lab.add_argument(
-        "--faults", metavar="NAME,...", type=faults.named,
+        "--faults",
+        metavar="NAME,...",
+        type=faults.named,
         help=f"hard cases in place of a part: {', '.join(faults.FAULTS)}, or all",
     )
     lab.add_argument("--json", action="store_true", help="one JSON object instead of a table")
--- a/faultlab/transforms/activation.py
+++ b/faultlab/transforms/activation.py
@@ -55,8 +55,11 @@
                 tried = await said(fleet, "event=transforms.epoch", f"candidate={id}")
                 ends = await said(fleet, "event=transforms.quarantined", after_s=began)
                 stopped.append(max(ends) - began)
-                trips = [at_s for gateway in fleet.gateways.values()
-                         if (at_s := gateway.first_s(0, began, f"version={id}", "open=True")) is not None]
+                trips = [
+                    at_s
+                    for gateway in fleet.gateways.values()
+                    if (at_s := gateway.first_s(0, began, f"version={id}", "open=True")) is not None
+                ]
                 marks = [began, min(tried), min(trips), min(ends), max(ends)]  # one after the other
                 for step, (since, until) in zip(STEPS, itertools.pairwise(marks), strict=True):
                     steps[step].append(until - since)
--- a/faultlab/transforms/faults/mixed.py
+++ b/faultlab/transforms/faults/mixed.py
@@ -67,4 +67,3 @@
     else:
         field.count("lossy network")
         fleet.relay.set(LOSSY)
-
--- a/test.sh
+++ b/test.sh
@@ -10,5 +10,6 @@
     cat requirements.txt requirements-dev.txt >.venv-dev/built
 fi
 $python -m ruff check .
+$python -m ruff format --check .
 $python -m mypy
 $python -m pytest
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -207,9 +207,7 @@
 
 @settings(max_examples=150, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 @given(st.integers(0, 3), st.sampled_from(VARIANTS), st.lists(STEPS, min_size=10, max_size=150))
-def test_rules_hold_on_any_sequence(
-    seed: int, rules: Settings, steps: list[tuple[str, int, int]]
-) -> None:
+def test_rules_hold_on_any_sequence(seed: int, rules: Settings, steps: list[tuple[str, int, int]]) -> None:
     world = World(seed, rules)
     for what, first, second in steps:
         if what == "arrive":
--- a/tests/test_state_lab.py
+++ b/tests/test_state_lab.py
@@ -113,7 +113,7 @@
             await traffic(port, 20, 200.0)
             await snapshot_after(tmp_path / "state", time.time())
             await new.start()
-            assert "writer=\"after the process before ends\"" in await new.line("event=state.opened")
+            assert 'writer="after the process before ends"' in await new.line("event=state.opened")
             assert "restored 2 of 2" in await new.line("servers learned before")
             await old.signal(signal.SIGTERM)
             await new.line("event=state.taken_over")
