Cold servers: names and docstrings of policy/cold.py in ordinary terms

cold_room is has_cold_capacity, between_us estimated_work_us, among pool_size, FALL_MARGIN PLANNED_SHARE; docstrings say what a function returns and why, units and source stand at the module.

--- a/caperdrift/checks/cold.py
+++ b/caperdrift/checks/cold.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from caperdrift.checks.account import ROUNDING, Account, Spent
-from caperdrift.policy.cold import FALL_MARGIN, LARGE_REQUESTS_PER_WINDOW, cold_cost_us
+from caperdrift.policy.cold import PLANNED_SHARE, LARGE_REQUESTS_PER_WINDOW, cold_cost_us
 from caperdrift.policy.servers import Server
 from caperdrift.policy.sharers import sharers
 
@@ -21,7 +21,7 @@
             return None
         reached = min(1.0, balancer.reach / max(1, len(balancer.ranked)))
         users = max(1.0, sharers(balancer) * reached)
-        return FALL_MARGIN * settings.fall_multiple * settings.fall_us / users * share / 2
+        return PLANNED_SHARE * settings.fall_multiple * settings.fall_us / users * share / 2
 
     def watch_parts(self, now_us: int) -> None:
         """Keep the most that each cold server's part was: the balancer may have paid off by that."""
@@ -51,7 +51,7 @@
         """No request takes more of the window of all proxies than a few of its size may fill together."""
         balancer, request = self.balancer, self.balancer.requests[name]
         reached = min(1.0, balancer.reach / max(1, len(balancer.ranked)))
-        window_us = 2 * half_us * max(1.0, sharers(balancer) * reached) / FALL_MARGIN
+        window_us = 2 * half_us * max(1.0, sharers(balancer) * reached) / PLANNED_SHARE
         largest_us = window_us / min(sharers(balancer), LARGE_REQUESTS_PER_WINDOW)
         usual_us = min(balancer.mean_work[request.klass], window_us / 2)
         bound_us = max(largest_us, usual_us) * (1.0 + ROUNDING)
--- a/caperdrift/policy/choice.py
+++ b/caperdrift/policy/choice.py
@@ -4,7 +4,7 @@
 
 from caperdrift.interface import Effect, Scope
 from caperdrift.policy.breaker import State
-from caperdrift.policy.cold import cold_room, cold_share
+from caperdrift.policy.cold import has_cold_capacity, cold_share
 from caperdrift.policy.proxy import OVERDUE, Proxy
 from caperdrift.policy.routes import nearness, pools
 from caperdrift.policy.servers import Request, Server
@@ -78,7 +78,7 @@
 
 def weighed(proxy: Proxy, request: Request, ranked: list[Server]) -> list[tuple[float, Server]]:
     """The servers of one pool that may take this request now, with their weights in the draw."""
-    request.among = len(ranked)
+    request.pool_size = len(ranked)
     repeated, klass = request.attempts, request.klass
     candidates = allowed_servers(proxy, request, ranked) if repeated else subset(proxy, klass, ranked)
     repeatable = request.rules.effect is not Effect.UNSAFE
@@ -98,7 +98,7 @@
 
 def draw_weight(proxy: Proxy, server: Server, request: Request) -> float:
     """A server's weight in the draw, less while cold; 0 for one that is not eligible."""
-    if not cold_room(proxy, server, request):
+    if not has_cold_capacity(proxy, server, request):
         return 0.0
     free = 1.0 / (1.0 + len(server.out)) ** OWN
     weight = server.weight * server.part(request.klass).weight
--- a/caperdrift/policy/cold.py
+++ b/caperdrift/policy/cold.py
@@ -1,27 +1,37 @@
-"""Cold servers: how much of one that has just started may be used."""
+"""Cold servers: how much of one that has just started may be used.
+
+A server that started stands so much work in each fall window (`Settings.fall_us`), growing with its capacity.
+That budget is shared by all proxies without a word between them: each spends its own part. Times and work are
+in microseconds; the bound is that of the operators' standing test.
+"""
 
 from caperdrift.policy.proxy import Proxy
 from caperdrift.policy.servers import Request, Server
 from caperdrift.policy.sharers import sharers
 
-FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
+PLANNED_SHARE = 0.5  # of the fall budget; the rest is for misjudged work and chance
 LARGE_REQUESTS_PER_WINDOW = 4  # of the largest size allowed, these fill a fall window
 
 
-def cold_room(proxy: Proxy, server: Server, request: Request) -> bool:
-    """Whether this proxy's part of a cold server's fall budget has room for one more request."""
-    share = cold_share(proxy, server)
-    if share >= 1.0:
+def has_cold_capacity(proxy: Proxy, server: Server, request: Request) -> bool:
+    """Whether this proxy's part of the fall budget of a cold server lets it send one more request.
+
+    True for a warm server. Pays off what was sent before, by the time that has passed.
+    """
+    capacity = cold_share(proxy, server)
+    if capacity >= 1.0:
         return True
-    if is_too_large(proxy, share, request):
+    if is_too_large(proxy, capacity, request):
         return False
-    part_us, cost_us = fall_budget_us(proxy, request.among) * share, cold_cost_us(proxy, request)
-    most_us = max(part_us / 2, cost_us)
+    part_us = fall_budget_us(proxy, request.pool_size) * capacity
+    cost_us = cold_cost_us(proxy, request)
+    limit_us = max(part_us / 2, cost_us)
     server.spent_us -= part_us / 2 * (proxy.now_us - server.spent_at_us) / proxy.settings.fall_us
     server.spent_at_us = proxy.now_us
-    if server.spent_us < -part_us:  # unused for two windows: saved up by all proxies, it would come at once
+    if server.spent_us < -part_us:
+        # Unused for two windows: what all proxies saved up would come at once with the next burst.
         server.spent_us = proxy.random.random() * max(part_us, cost_us) - part_us
-    return max(0.0, server.spent_us) + cost_us <= most_us
+    return max(0.0, server.spent_us) + cost_us <= limit_us
 
 
 def is_too_large(proxy: Proxy, capacity: float, request: Request) -> bool:
@@ -40,39 +50,41 @@
 
 
 def first_spent_us(proxy: Proxy) -> float:
-    """What counts as spent of a server that has just started: a random part of a request's work, or of half
-    of the budget where that is more.
+    """What counts as spent of a server that has just started.
 
-    Hundreds of proxies hear of a cold server at once and each may send one request at the least: these firsts
-    come at the planned rate then, and not together. Guards against counting the time that answers wait as
-    work: in a crowd, which a new server could relieve, it stood idle for the first half of its warming.
+    It is a random part of the most expensive class's work, or of half of the budget where that is more.
+    Hundreds of proxies hear of a start at once, and each may send at least one request: these first requests
+    come spread over time. Hinted work is used where it is known: latencies include waiting, which in a crowd
+    kept a new server idle for half of its warming.
     """
     classes = [index for index, klass in enumerate(proxy.settings.classes) if not klass.dropped]
-    costs = [proxy.mean_work[klass] or between_us(proxy, klass) for klass in classes]
+    costs = [proxy.mean_work[klass] or estimated_work_us(proxy, klass) for klass in classes]
     return proxy.random.random() * max([*costs, fall_budget_us(proxy) / 2])
 
 
-def fall_budget_us(proxy: Proxy, among: int = 0) -> float:
-    """This proxy's part of the work that a server of one core may be sent in a fall window when warm.
-    `among`: servers that the work is spread over, 0 for all. Of a route's few, more proxies use each.
-    The parts of all add up to the whole; half of it, drained by half in each window, never passes it.
+def fall_budget_us(proxy: Proxy, pool_size: int = 0) -> float:
+    """This proxy's part of the work that a warm server of one core may be sent in a fall window.
+
+    `pool_size`: servers that the work is spread over, 0 for all; of a route's few, more proxies use each.
+    The parts of all proxies add up to the planned share of the budget.
     """
-    users = max(1.0, sharers(proxy) * min(1.0, proxy.reach / max(1, among or len(proxy.ranked))))
-    return FALL_MARGIN * proxy.settings.fall_multiple * proxy.settings.fall_us / users
+    reached = min(1.0, proxy.reach / max(1, pool_size or len(proxy.ranked)))
+    users = max(1.0, sharers(proxy) * reached)
+    return PLANNED_SHARE * proxy.settings.fall_multiple * proxy.settings.fall_us / users
 
 
 def cold_cost_us(proxy: Proxy, request: Request) -> float:
-    """Work of a request: hinted, else between the fastest and the usual replies, which waited too."""
-    return request.work_us or between_us(proxy, request.klass) * request.size
+    """Work of a request: as hinted, else estimated from its class's latencies."""
+    return request.work_us or estimated_work_us(proxy, request.klass) * request.size
 
 
-def between_us(proxy: Proxy, klass: int) -> float:
-    """Latency halfway between the fastest and the usual replies."""
+def estimated_work_us(proxy: Proxy, klass: int) -> float:
+    """Work of a class's request where no hint tells: between its fastest and its usual latency."""
     return (proxy.unhindered[klass] + proxy.smoothed[klass]) / 2
 
 
 def cold_share(proxy: Proxy, server: Server) -> float:
-    """Share of its capacity that a server surely has by now."""
+    """Share of its whole capacity that a server has by now, from `start_capacity` to 1."""
     age_us = max(0, proxy.now_us - server.entry.started_us)  # a start that lies ahead is just now
     if server.entry.started_us == 0 or age_us >= proxy.settings.warm_after_us:
         return 1.0
--- a/caperdrift/policy/servers.py
+++ b/caperdrift/policy/servers.py
@@ -75,7 +75,7 @@
     excess: float  # part of its tenant's tries that is beyond the tenant's share
     route: int  # its number; 0: none
     targets: tuple[Hosts, ...]  # of its route, the one drawn first; empty: all servers
-    among: int = 0  # servers that its last attempt was chosen from
+    pool_size: int = 0  # servers that its last attempt was chosen from
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
     done: bool = False
--- a/faultlab/storm/cluster/budget.py
+++ b/faultlab/storm/cluster/budget.py
@@ -6,7 +6,7 @@
 
 from caperdrift import Balancer, Effect, RequestClass, Settings
 from caperdrift.interface import Fleet
-from caperdrift.policy.cold import FALL_MARGIN, fall_budget_us
+from caperdrift.policy.cold import PLANNED_SHARE, fall_budget_us
 
 from cloverkeel.fleet.invariants import check
 from cloverkeel.fleet.sharers import by_zone
@@ -14,7 +14,7 @@
 ZONES = {"z0": 0, "z1": 1, "z2": 2}
 VIEW = RequestClass(aim_us=250_000, give_up_us=500_000, effect=Effect.SAFE)
 SETTINGS = Settings(classes=(VIEW,), proxies=3)
-WHOLE_US = FALL_MARGIN * SETTINGS.fall_multiple * SETTINGS.fall_us
+WHOLE_US = PLANNED_SHARE * SETTINGS.fall_multiple * SETTINGS.fall_us
 ROUNDING = 1e-9
 
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -116,7 +116,7 @@
     ("open", Breaker, "may_pass", lambda breaker, now_us: True),
     ("not ready", Server, "ready", True),
     ("has the weight", weights, "FLOOR", 0.01),
-    ("cold server", choice, "cold_room", lambda proxy, server, request: True),
+    ("cold server", choice, "has_cold_capacity", lambda proxy, server, request: True),
     ("half-open", Breaker, "take_trial", lambda breaker: breaker.episode),
     ("out by its count", retries, "stop_work", lambda proxy, attempt: None),
     ("of a target that it was not meant for", routes, "names", lambda hosts, entry: True),
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -59,7 +59,7 @@
 
 def test_a_margin_taken_away_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     assert worst_and_least(ALONE)[0] <= 1.0
-    monkeypatch.setattr(cold, "FALL_MARGIN", 4 * cold.FALL_MARGIN)
+    monkeypatch.setattr(cold, "PLANNED_SHARE", 4 * cold.PLANNED_SHARE)
     assert worst_and_least(ALONE)[0] > 1.0
 
 
--- a/tests/test_routes_module.py
+++ b/tests/test_routes_module.py
@@ -177,7 +177,7 @@
     of_all_us, of_few_us = fall_budget_us(driver.balancer), fall_budget_us(driver.balancer, 3)
     assert of_all_us / of_few_us == pytest.approx(60 / SUBSET)
     (routed, _), (plain, _) = driver.arrive(route=1), driver.arrive()
-    assert driver.balancer.requests[routed].among == 3 and driver.balancer.requests[plain].among == 60
+    assert driver.balancer.requests[routed].pool_size == 3 and driver.balancer.requests[plain].pool_size == 60
 
 
 def test_a_class_that_is_not_there_fails_whatever_its_route() -> None:
