A request that waits behind others keeps the settings that it came under

Symptom: of two requests sent at once on one connection the second was answered 400 "unknown class", or got another deadline, where SIGHUP came in between.

Cause: a request that waits for its turn on its connection was read with the configuration in force at that turn; one that is out keeps its rules.

Change: the configuration is noted when the wait begins; the request is read by it, and its class's rules go along to the module where another is in force by then. Numbers of classes and tenants last as long as the process.

Measured: the new test gave `assert 400 == 200` before the mend.

--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -238,6 +238,7 @@
     tenant: int = 0  # its place in the settings
     open: bool = False  # its body is still coming: its time begins with BodyEnded
     route: int = 0  # its number in the plan in force (plan.py); 0: none
+    rules: RequestClass | None = None  # its class as it was when the request came; None: as the settings say
 
 
 @dataclass(slots=True, frozen=True)
--- a/caperdrift/policy/admission.py
+++ b/caperdrift/policy/admission.py
@@ -16,9 +16,9 @@
 
 
 def admit(proxy: Proxy, event: RequestArrived, route: Route) -> Request:
-    klass = proxy.settings.classes[event.klass]
-    gone_us = used_us(proxy, event)
-    first_try = not event.is_retry and gone_us == 0
+    klass = event.rules or proxy.settings.classes[event.klass]
+    gone_us = used_us(proxy, event) if event.rules is None else 0  # its time is not what first tries have now
+    first_try = not event.is_retry and gone_us == 0 and event.rules is None
     size = 1.0
     if event.work_us:
         mean = proxy.mean_work[event.klass] or float(event.work_us)
--- a/caperdrift/policy/balancer.py
+++ b/caperdrift/policy/balancer.py
@@ -56,7 +56,7 @@
         if event.request in self.requests:
             self.log(f"request {event.request} came twice; the second is ignored")
             return
-        if not self.settings.takes(event.klass):
+        if event.rules is None and not self.settings.takes(event.klass):
             self.log(f"request {event.request} is of unknown class {event.klass}")
             self.actions.append(Fail(event.request))
             return
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -147,8 +147,11 @@
                 raise RequestError(405, "GET it", (b"Allow", b"GET, HEAD"))
             self.answer(200 if self.server.is_ready else 503, [], b"")
             return
-        gateway = self.server.gateway
-        call = read_call(self.server.config, request, path, self, gateway.transforms, gateway.routes)
+        gateway, config = self.server.gateway, request.came_under or self.server.config
+        call = read_call(config, request, path, self, gateway.transforms, gateway.routes)
+        if config is not self.server.config:
+            # SIGHUP came while it waited: its class may be gone by now, or have other rules.
+            call.rules = config.settings.classes[call.klass]
         self.current_id = call.id
         if not gateway.arrive(call):
             self.current_id = ""
--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -276,6 +276,7 @@
         if request.upload is None:
             if self.current is not None or self.waiting:
                 request.waits_since_us = now_us()
+                request.came_under = self.server.config
             self.waiting.append(request)
         elif not request.answered:
             self.server.gateway.body_ended(self.current_id)
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -37,8 +37,8 @@
     """One request as it was read; `fault` tells what is wrong with it."""
 
     __slots__ = (
-        "answered", "body", "compared", "expects_since_s", "fault", "headers", "is_old", "keep_alive",
-        "method", "target", "transform", "upload", "waits_since_us", "whole",
+        "answered", "body", "came_under", "compared", "expects_since_s", "fault", "headers",
+        "is_old", "keep_alive", "method", "target", "transform", "upload", "waits_since_us", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -51,6 +51,7 @@
         self.expects_since_s = 0.0  # since when its client waits for word to send its body; 0: it does not
         self.whole = False
         self.waits_since_us = 0  # since when, whole, for others on its connection to be answered; 0: for none
+        self.came_under: Config | None = None  # in force when it began to wait; None: it did not
         self.answered = False  # before its body had come: the rest is read and dropped
         self.upload: Upload | None = None  # the rest of a body too long to be held
         self.fault: RequestError | None = None
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -189,6 +189,7 @@
             call.tenant,
             held.is_open,
             call.route,
+            call.rules,
         )
         self.post(lambda: event)
         return True
--- a/cloverkeel/held.py
+++ b/cloverkeel/held.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from caperdrift.interface import RequestClass
+
 from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import Reply
@@ -34,6 +36,7 @@
     on_failed: Callable[[bool], None]  # with whether time ran out
     is_gone: Callable[[], bool]  # its client has closed or cancelled, seen by the loop or not yet
     route: int = 0  # its number in the plan; 0: none
+    rules: RequestClass | None = None  # of its class, where it came under an earlier configuration
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -343,3 +343,32 @@
             retune(other)
             await until(lambda: found.seen)
             await asyncio.sleep(0)
+
+
+@on_loop
+async def test_a_request_that_waits_behind_others_keeps_the_settings_that_it_came_under(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A client sends two requests at once, and SIGHUP comes while the first is out.
+
+    The second was taken by the file in force at its turn: its class is dropped there, so it was answered 400,
+    though it had come, whole and valid, before the signal. One that is out at the signal keeps its rules.
+    """
+    async with peer(silent) as host:
+        config = configuration(host)
+        async with retuned(tmp_path, monkeypatch, config) as (gateway, retune):
+            client = await gateway.connect()
+            client.send(request("search") + request("hold"))
+            await until(lambda: host.seen)
+            (connection,) = gateway.server.connections
+            await until(lambda: connection.waiting and connection.waiting[0].whole)
+            changed = copied(config)
+            changed["settings"]["lanes"] = [
+                each for each in changed["settings"]["lanes"] if each["name"] != "hold"
+            ]
+            retune(changed)
+            host.script = answers(reply())
+            host.seen[0].answer(reply())
+            assert (await client.answer()).status == 200
+            assert (await client.answer()).status == 200
+            client.close()
