One module for ConfigError, one figure for the least rate of bodies

Change: cloverkeel/errors.py has ConfigError; the circle is down to config.py and fleet/needs.py, for a type. front/reading.py uses streams.LEAST_RATE. No behaviour changes.

Measured: 210 tests of nine files on configuration, streams and processes passed.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -45,7 +45,8 @@
     changes: list[int] = []  # SIGHUPs before there is anything to reconfigure
     signal.signal(signal.SIGHUP, lambda signum, frame: changes.append(signum))
     # Imported late: a signal during the start must find its handler.
-    from cloverkeel.config import ConfigError, inherited_listener, load
+    from cloverkeel.config import inherited_listener, load
+    from cloverkeel.errors import ConfigError
 
     try:
         config, inherited = load(), inherited_listener()
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -13,6 +13,7 @@
 
 from caperdrift.interface import Settings, Tenant
 from caperdrift.wire import WireError, parse_settings
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet import needs
 
 if TYPE_CHECKING:
@@ -25,10 +26,6 @@
 Address = tuple[str, int]
 
 
-class ConfigError(ValueError):
-    """The configuration cannot be used; the message says why, in one line."""
-
-
 @dataclass(slots=True, frozen=True)
 class Names:
     """The names behind the module's numbers: each list is in the order of the settings."""
--- a/cloverkeel/fleet/asking.py
+++ b/cloverkeel/fleet/asking.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet.membership.command import CommandError, address_of, ask
 from cloverkeel.operator import POST_LIMIT, POST_S
 
--- a/cloverkeel/fleet/cluster.py
+++ b/cloverkeel/fleet/cluster.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet.membership.codec import NAME_BYTES, head_of, parse_address
 from cloverkeel.fleet.membership.messages import Timing
 
--- a/cloverkeel/fleet/duties/settings.py
+++ b/cloverkeel/fleet/duties/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet.duties.interface import Duty
 from cloverkeel.fleet.membership.codec import parse_address
 
--- a/cloverkeel/fleet/membership/command.py
+++ b/cloverkeel/fleet/membership/command.py
@@ -10,7 +10,8 @@
 from types import FrameType
 from typing import Any
 
-from cloverkeel.config import ConfigError, load, parse_address
+from cloverkeel.config import load, parse_address
+from cloverkeel.errors import ConfigError
 
 ANSWER_S = 5.0  # for all of it
 ANSWER_BYTES = 8 * 1024 * 1024
--- a/cloverkeel/fleet/rollout/settings.py
+++ b/cloverkeel/fleet/rollout/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 
 DUTY = "rollout-conductor"
 
--- a/cloverkeel/fleet/routes/settings.py
+++ b/cloverkeel/fleet/routes/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 
 Kind = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Room = Annotated[int, msgspec.Meta(ge=1, le=10**9)]
--- a/cloverkeel/front/reading.py
+++ b/cloverkeel/front/reading.py
@@ -13,13 +13,12 @@
 from cloverkeel.clock import now_us
 from cloverkeel.front.requests import Request, RequestError
 from cloverkeel.http1 import BLANK, BODY_LIMIT, HEAD_LIMIT, UNREAD_S, Header, coding_of, header
-from cloverkeel.streams import Upload
+from cloverkeel.streams import LEAST_RATE, Upload
 
 if TYPE_CHECKING:
     from cloverkeel.front.server import Server
 
 HEAD_S = 2.5  # for a head, and for a short body with it, from the connection's beginning or from its own
-BODY_RATE = 32_000  # bytes a second that a body comes at, but for what follows
 BODY_SLACK_S = 1.0
 BODY_MOST = 32 * 1024 * 1024
 PIPELINED = 16  # requests read ahead on one connection
@@ -127,7 +126,7 @@
             return False  # its client waits for word, and that for what is before it
         due_s = self.awaits_since_s + HEAD_S
         if self.reading is not None and not self.in_head:
-            due_s = max(due_s, self.body_due_s + self.body_size / BODY_RATE)
+            due_s = max(due_s, self.body_due_s + self.body_size / LEAST_RATE)
         return due_s < now_s
 
     def read(self, data: bytes) -> None:
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -12,7 +12,8 @@
 
 from caperdrift.interface import RequestClass
 
-from cloverkeel.config import Config, ConfigError, follow, load
+from cloverkeel.config import Config, follow, load
+from cloverkeel.errors import ConfigError
 from cloverkeel.front.connection import FIRST_REQUEST_S, ClientConnection
 from cloverkeel.gateway import Gateway
 from cloverkeel.http1 import UNREAD_S, log
--- a/cloverkeel/transforms/activation/configuration.py
+++ b/cloverkeel/transforms/activation/configuration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 from cloverkeel.transforms.activation.interface import Settings
 
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=3600)]
--- a/cloverkeel/transforms/local.py
+++ b/cloverkeel/transforms/local.py
@@ -4,7 +4,7 @@
 
 from importlib.metadata import entry_points
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet import events
 from cloverkeel.transforms.active import ActiveSet, Installed
 from cloverkeel.transforms.protocol import GROUP, Manifest, Transform
--- a/cloverkeel/transforms/settings.py
+++ b/cloverkeel/transforms/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 
 if TYPE_CHECKING:
     from cloverkeel.transforms.activation.configuration import FleetSettings
--- a/faultlab/member.py
+++ b/faultlab/member.py
@@ -25,7 +25,7 @@
 
 import uvloop
 
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet import events
 from cloverkeel.fleet.cluster import ClusterSettings, parse_cluster
 from cloverkeel.fleet.membership.rumours import Rumour
--- a/tests/test_activation_parts.py
+++ b/tests/test_activation_parts.py
@@ -9,7 +9,8 @@
 import pytest
 
 from caperdrift.policy.breaker import State
-from cloverkeel.config import ConfigError, load, parse
+from cloverkeel.config import load, parse
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet import needs
 from cloverkeel.gateway import Gateway
 from cloverkeel.transforms.activation.command import lines
--- a/tests/test_duties_parts.py
+++ b/tests/test_duties_parts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cloverkeel.commands import run
-from cloverkeel.config import ConfigError
+from cloverkeel.errors import ConfigError
 from cloverkeel.fleet.duties.chores import compact
 from cloverkeel.fleet.duties.founding import Founding
 from cloverkeel.fleet.duties.interface import Ask, Duty, Granted
--- a/tests/test_membership_process.py
+++ b/tests/test_membership_process.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from cloverkeel.config import ConfigError, follow, parse
+from cloverkeel.config import follow, parse
+from cloverkeel.errors import ConfigError
 from faultlab.ports import free_port
 from tests.sockets import configuration, on_loop, peer, read_message
 from tests.test_gateway_process import ROOT, connect, listening, program
--- a/tests/test_routes_process.py
+++ b/tests/test_routes_process.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from cloverkeel.config import ConfigError, load
+from cloverkeel.config import load
+from cloverkeel.errors import ConfigError
 from faultlab.ports import free_port
 from tests.sockets import (
     Exchange,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -16,7 +16,7 @@
 from caperdrift.policy.choice import is_silent
 from cloverkeel.front import reading as front
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
-from cloverkeel.streams import LEAST_PIECE, PIECE, Buffer
+from cloverkeel.streams import LEAST_PIECE, LEAST_RATE, PIECE, Buffer
 from tests.helpers import SETTINGS, Driver, finals, sends
 from tests.sockets import Client, configuration, on_loop, peer, reply, request, running, silent, until
 from tests.test_gateway_process import program
@@ -565,7 +565,7 @@
         assert connection.is_late(began + front.HEAD_S + 0.01)
         client.send(request("transfer", BODY[:60_000])[:-1])
         await until(lambda: connection.body_size == 59_999)
-        due = connection.body_due_s + 59_999 / front.BODY_RATE
+        due = connection.body_due_s + 59_999 / LEAST_RATE
         assert due > began + front.HEAD_S
         assert not connection.is_late(due - 0.01) and connection.is_late(due + 0.01)
         client.send(BODY[59_999:60_000])
@@ -578,7 +578,7 @@
 async def test_a_body_below_the_least_rate_is_answered_408(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(front, "HEAD_S", 0.1)
     monkeypatch.setattr(front, "BODY_SLACK_S", 0.1)
-    monkeypatch.setattr(front, "BODY_RATE", 10_000_000)
+    monkeypatch.setattr(front, "LEAST_RATE", 10_000_000)
     sink = Sink()
     async with raw_host(sink) as host, running(configuration(host)) as gateway:
         answer = await gateway.ask(request("transfer", BODY)[:100_000])
--- a/tests/test_transforms_active.py
+++ b/tests/test_transforms_active.py
@@ -12,7 +12,8 @@
 
 from caperdrift.policy.breaker import COOLDOWN_US, MINIMUM, TRIALS, State
 from cloverkeel.commands import run as command
-from cloverkeel.config import ConfigError, parse
+from cloverkeel.config import parse
+from cloverkeel.errors import ConfigError
 from cloverkeel.http1 import Header
 from cloverkeel.fleet import events, invariants
 from cloverkeel.transforms import guard, local
