Lab: runs beside each other are not given the same port; the soak's hosts can fall

Symptom: of five soaks beside each other, a suite and three more, one had 529 broken rules ("came to h2, and no client sent it") and one a crash ("cannot listen on 127.0.0.1:25687: address already in use").

Cause: the allocator knew what its own process had given. Two processes drew one port between the look whether it is free and the gateway's bind.

Change: each port that is given is locked, a byte of one file by a record lock that ends with its process.

Besides: a burst meets each host that returns cold, and the fall budget is tighter, so that the soak's rule on falls can be broken from the outside.

--- a/faultlab/ports.py
+++ b/faultlab/ports.py
@@ -2,22 +2,29 @@
 
 A port that the system chooses (`bind` to port 0) is free again once the probe is closed: the system may give
 it to another probe, or lend it to an outgoing connection, before the process that it was meant for binds it.
-So ports are drawn below the system's own range, and none is given twice by one run.
+So ports are drawn below the system's own range, and none is given twice, by one run or by runs beside each
+other: each process of a lab or of tests locks a byte of one file for every port that it gives, until it ends.
 """
 
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import os
 import random
 import socket
+import tempfile
 from pathlib import Path
 
 LOOPBACK = "127.0.0.1"
 LOWEST_PORT = 15_000
 TRIES_PER_PORT = 200
 LISTEN_STATE = "0A"  # of a socket in /proc/net/tcp
+LOCK_FILE = Path(tempfile.gettempdir()) / f"firledge-ports-{os.getuid()}"
 _given: set[tuple[str, int]] = set()
+_lock_files: dict[
+    int, int
+] = {}  # this process's descriptor of the file, by process: a fork has its own locks
 _random = random.SystemRandom()  # runs beside each other must not draw alike
 
 
@@ -37,15 +44,30 @@
     return True
 
 
+def _is_ours(port: int) -> bool:
+    """Whether this process has the port's lock now; False where another process of a lab has it.
+
+    The locks are the process's own and end with it (fcntl(2), record locks).
+    """
+    file = _lock_files.get(os.getpid())
+    if file is None:
+        file = _lock_files[os.getpid()] = os.open(LOCK_FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    try:
+        fcntl.lockf(file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
 def free_port(host: str = LOOPBACK) -> int:
-    """A port of `host` that is free for streams and datagrams, and that this run gives once.
+    """A port of `host` that is free for streams and datagrams, and that no other call is given.
 
     Raises OSError where none is found.
     """
     end = _end_of_range()
     for _ in range(TRIES_PER_PORT):
         port = _random.randrange(LOWEST_PORT, end)
-        if (host, port) not in _given and _is_free(host, port):
+        if (host, port) not in _given and _is_ours(port) and _is_free(host, port):
             _given.add((host, port))
             return port
     raise OSError(f"no port of {host} from {LOWEST_PORT} to {end} is free")
--- a/faultlab/soak/settings.py
+++ b/faultlab/soak/settings.py
@@ -34,7 +34,7 @@
     work_s: float = 0.03  # of a request, for a warm host
     start_capacity: float = 0.15
     warm_s: float = 6.0
-    fall_multiple: float = 2.0
+    fall_multiple: float = 1.2
     fall_s: float = 1.0
     pushed: bool = True
     crowd: bool = False
--- a/faultlab/soak/site.py
+++ b/faultlab/soak/site.py
@@ -234,6 +234,7 @@
         del self.drains[number]
         host.restart()
         self.registry.change()
+        self.front.boost_until_s = time.monotonic() + BURST_S  # a burst meets it while it is cold
 
     async def signal(self, gateway: int, kind: Kind) -> None:
         """One series of signals to one gateway, and its start anew where it ends."""
--- a/tests/test_lab_starts.py
+++ b/tests/test_lab_starts.py
@@ -12,12 +12,15 @@
 import itertools
 import os
 import socket
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
-from faultlab.lab import READY, Gateway, ask, configuration
+from faultlab import ports
+from faultlab.lab import READY, ROOT, Gateway, ask, configuration
 from faultlab.ports import free_port, free_ports, listens
 from faultlab.standins import Host, endpoint
 from faultlab.transforms.published import Published
@@ -92,8 +95,8 @@
     """The crossing of the two fleets, forced: the first port is one at which a foreign gateway answers."""
 
     async def steps(foreign: Gateway, host: Host) -> None:
-        ports = itertools.chain([foreign.port], iter(free_port, None))
-        monkeypatch.setattr("faultlab.gateways.free_port", lambda: next(ports))
+        given = itertools.chain([foreign.port], iter(free_port, None))
+        monkeypatch.setattr("faultlab.gateways.free_port", lambda: next(given))
         async with Published(1, tmp_path, {}) as fleet:
             assert fleet.gateways["m0"].port != foreign.port
 
@@ -114,11 +117,30 @@
 
 
 def test_a_run_gives_a_port_once_and_none_that_the_system_lends() -> None:
-    ports = free_ports(500)
+    given = free_ports(500)
     lent = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
-    assert len(set(ports)) == 500 and max(ports) < lent
-    with socket.create_server(("127.0.0.1", ports[0])), socket.socket(type=socket.SOCK_DGRAM) as datagram:
-        datagram.bind(("127.0.0.1", ports[0]))
+    assert len(set(given)) == 500 and max(given) < lent
+    with socket.create_server(("127.0.0.1", given[0])), socket.socket(type=socket.SOCK_DGRAM) as datagram:
+        datagram.bind(("127.0.0.1", given[0]))
+
+
+def test_runs_beside_each_other_are_not_given_the_same_port(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of five soaks beside each other one had another's gateway at its port, and one ended at its bind."""
+    code = (
+        "import sys; from faultlab.ports import free_port; print(free_port(), flush=True); sys.stdin.read()"
+    )
+    with subprocess.Popen(
+        [sys.executable, "-c", code], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    ) as other:
+        assert other.stdout is not None and other.stdin is not None
+        port = int(other.stdout.readline())
+        monkeypatch.setattr(ports, "TRIES_PER_PORT", 3)
+        monkeypatch.setattr(ports._random, "randrange", lambda first, end: port)
+        with pytest.raises(OSError, match="no port of"):
+            free_port()
+        other.stdin.close()
+        other.wait(10.0)
+        assert free_port() == port
 
 
 @pytest.mark.parametrize("host", ["127.0.0.1", "127.64.0.9"])
