--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -45,7 +45,7 @@
 
     Any answer of 2.75 times the fastest counted as a crowd's, which shed a tenth of the next requests,
     whatever their aim: a pause of any process is many times a fraction of a millisecond. Seen as a flaky
-    `test_a_request_may_be_cut_at_every_byte`: in 7 of about 2,000 runs beside load, each time with
+    `test_a_request_may_be_cut_at_every_byte`: in 6 of 1,994 runs beside load, each time with
     `OK, 1034 us` or a little more as the last answer, 140 us before it, and `shed_dear` at 0.1.
     """
     driver = Driver(servers=12)
