Soak: a seed may end while a gateway is being started

Cause: a process that is started anew has no operating system process until create_subprocess_exec returns; seed 3 kills g1 at its very end, and the readers of memory and descriptors took a process for granted.

Change: Process.pid is None in between; cancelled events are waited for before the processes are ended. look() no longer lists descriptors beside descriptors().

Measured: the forced crossing raises the same AssertionError on the code as found, and passes now.

--- a/faultlab/soak/gateways.py
+++ b/faultlab/soak/gateways.py
@@ -55,6 +55,16 @@
         assert self.gateway is not None and self.gateway.process is not None
         return self.gateway.process
 
+    @property
+    def pid(self) -> int | None:
+        """Of the process that runs; None between two of them.
+
+        A new one has no id until the system has made it, and a seed may end just then.
+        """
+        if self.gateway is None or self.gateway.process is None:
+            return None
+        return self.process.pid if self.process.returncode is None else None
+
     def reconfigure(self, discovery: str, known: list[dict[str, Any]]) -> None:
         """Write a new configuration that moves discovery."""
         file = self.folder / f"g{self.number}.json"
@@ -101,10 +111,9 @@
         if code is not None and not self.asked_to_end:
             self.asked_to_end = True
             self.broken("crash", f"g{self.number} ended with {code}: {self.gateway.log[-3:]}")
-        with contextlib.suppress(OSError):
-            held = len(os.listdir(f"/proc/{self.process.pid}/fd"))
-            if held > SOCKETS:
-                self.broken("descriptors", f"g{self.number} has {held} of {SOCKETS}")
+        count = self.descriptors()
+        if count > SOCKETS:
+            self.broken("descriptors", f"g{self.number} has {count} of {SOCKETS}")
 
     def see_log(self) -> None:
         """Broken invariants that the process told of, and faults in its own code."""
@@ -117,12 +126,13 @@
     def memory_kb(self) -> int:
         """Resident memory; 0 where it does not run."""
         with contextlib.suppress(OSError):
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
                 if line.startswith("VmRSS:"):
                     return int(line.split()[1])
         return 0
 
     def descriptors(self) -> int:
+        """Open ones; 0 where it does not run."""
         with contextlib.suppress(OSError):
-            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+            return len(os.listdir(f"/proc/{self.pid}/fd"))
         return 0
--- a/faultlab/soak/site.py
+++ b/faultlab/soak/site.py
@@ -90,10 +90,12 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        # Those that start a process are waited for: it is then made and can be ended, or was never made.
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for process in self.processes:
-            if process.gateway is not None and process.process.returncode is None:
+            if process.pid is not None:
                 await process.kill()
         for agent in self.agents:
             agent.close()
--- a/tests/test_soak_lab.py
+++ b/tests/test_soak_lab.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
 from faultlab.__main__ import main
+from faultlab.lab import Gateway
 from faultlab.soak.command import total
+from faultlab.soak.gateways import Process
 from faultlab.soak.judge import Judge
 from faultlab.soak.records import Arrival, Drain, End, Exchange, Life, Records
 from faultlab.soak.schedule import Kind, schedule
 from faultlab.soak.settings import Settings, drawn
-from faultlab.soak.site import Result
+from faultlab.soak.site import Result, Site
 
 SETTINGS = Settings(seed=1, duration_s=60.0)
 SERVED = Exchange("a", "transfer", 0, 1, 100.0, 101.0, end=End.ANSWERED, ended_s=100.1, status=200)
@@ -88,6 +92,32 @@
     assert ended.value.code == 2 and "not a" in capsys.readouterr().err
 
 
+def test_a_process_that_the_system_has_not_made_yet_has_no_figures(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A seed that ended while a killed process was being started again broke off with an AssertionError."""
+
+    async def crossing() -> None:
+        being_made = asyncio.Event()
+
+        async def start(gateway: Gateway) -> float:
+            being_made.set()
+            await asyncio.Event().wait()  # until it is cancelled
+            return 0.0
+
+        monkeypatch.setattr(Gateway, "start", start)
+        async with Site(replace(SETTINGS, gateways=0), tmp_path) as site:
+            process = Process(0, SETTINGS, site.records, tmp_path)
+            site.processes.append(process)
+            site.spawn(process.start("127.0.0.1:1", []))
+            await being_made.wait()
+            process.look()
+            assert (process.pid, process.memory_kb(), process.descriptors()) == (None, 0, 0)
+        assert not site.tasks and not site.records.broken
+
+    asyncio.run(crossing())
+
+
 def test_short_seeds_break_no_rule(capsys: pytest.CaptureFixture[str]) -> None:
     """Three seeds, the last with a crowd: more of them, and longer, by hand."""
     assert main(["soak", "--seeds", "1-3", "--minutes", "0.4", "--json"]) == 0, capsys.readouterr().out
