Operators' calls: a fault of the program is answered with 500 and reported

Seen by operators: a call whose work raised anything but its time's end got no answer, and its connection stayed open.

Cause: the call's timer was off by then, and the task's exception ended in a set of tasks from which it was dropped; asyncio told of it when the task was collected.

Change: such a call is answered with 500, the exception goes to the event loop's handler at once. BackgroundTasks keeps tasks that nobody awaits and reports what ends them.

Measured: the new test of tests/test_operator.py runs into its time on the code as found, and passes now.

--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -24,7 +24,8 @@
     200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
     408: b"Request Timeout", 413: b"Content Too Large", 415: b"Unsupported Media Type",
     431: b"Request Header Fields Too Large",
-    501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+    500: b"Internal Server Error", 501: b"Not Implemented",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 
 
--- a/cloverkeel/operator.py
+++ b/cloverkeel/operator.py
@@ -10,6 +10,7 @@
 
 from cloverkeel.config import Address
 from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, lingering_close, write_answer
+from cloverkeel.tasks import BackgroundTasks, report
 
 CALL_S = 3.0  # for a call to come whole
 MOST = 32  # connections at once; beyond, the oldest gives way
@@ -44,7 +45,7 @@
         asks: Mapping[bytes, Ask] | None = None,
     ) -> None:
         self.address, self.calls, self.posts, self.asks = address, calls, posts or {}, asks or {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.connections: dict[OperatorConnection, None] = {}  # the oldest first
         self.listener: asyncio.Server | None = None
 
@@ -57,8 +58,7 @@
             self.listener.close()
         for connection in list(self.connections):
             connection.abort()
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
 
 
 class OperatorConnection(asyncio.Protocol):
@@ -148,9 +148,7 @@
         """It goes on where its caller has gone: what is begun is not left half done."""
         if self.timer is not None:
             self.timer.cancel()
-        task = asyncio.get_running_loop().create_task(self._answered(work, head_only))
-        self.operator.tasks.add(task)
-        task.add_done_callback(self.operator.tasks.discard)
+        self.operator.tasks.spawn(self._answered(work, head_only))
 
     async def _answered(self, work: Awaitable[Answer], head_only: bool) -> None:
         try:
@@ -158,6 +156,9 @@
                 answer = await work
         except TimeoutError:
             answer = Answer(504, b"no answer in time: not known how far it came\n")
+        except Exception as error:  # a fault of the program: its caller would wait for ever
+            report(error)
+            answer = Answer(500, b"failed: not known how far it came\n")
         self.answer(answer, head_only)
 
     def answer(self, answer: Answer, head_only: bool = False) -> None:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -20,6 +20,8 @@
     async def take(query: bytes, body: bytes) -> Answer:
         if query == b"never":
             await asyncio.Event().wait()
+        if query == b"faulty":
+            raise LookupError("a fault of the program")
         return Answer(200, query + b" %d" % len(body))
 
     async def tell(query: bytes) -> Answer:
@@ -116,6 +118,16 @@
         assert (await call(port, post(1, "never"))).status == 504 and not made.tasks
 
 
+@on_loop
+async def test_a_call_that_ends_in_a_fault_of_the_program_is_answered_and_reported() -> None:
+    """Its caller was left without an answer, on a connection that stayed open."""
+    faults: list[dict[str, object]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: faults.append(context))
+    async with operators() as (made, port):
+        assert (await call(port, post(1, "faulty"))).status == 500 and not made.tasks
+        assert [type(fault["exception"]) for fault in faults] == [LookupError]
+
+
 @on_loop
 async def test_one_call_to_a_connection() -> None:
     async with operators() as (_, port):
