Soak: an event that fails, or a client that does, fails its seed

Seen: by reading; an agent that could not bind its port again, say, was seen by nobody, and the seed went on without the event.

Cause: spawned tasks were dropped from their set as they ended, with what ended them. The same six lines stood in the program's membership, lists, rollout and transforms parts, in the soak's clients, and in coldstart's clients and liar.

Change: all of them use BackgroundTasks, which reports a failure at once. The soak makes it a broken rule "lab" with its events and replay command; coldstart's and the program's go to the event loop's handler. An agent's port comes from the lab's allocator: the system lends it to nobody while the agent refuses connections.

--- a/cloverkeel/fleet/lists/sharing.py
+++ b/cloverkeel/fleet/lists/sharing.py
@@ -10,7 +10,6 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Coroutine
 from typing import Any
 
 from cloverkeel.discovery import Discovery, OnList
@@ -28,6 +27,7 @@
 from cloverkeel.fleet.membership.calls import CallFailed
 from cloverkeel.fleet.membership.feeds import Feed
 from cloverkeel.fleet.membership.service import Membership
+from cloverkeel.tasks import BackgroundTasks
 
 GET, HAVE = "list.get", "list.have"
 TICK_S = 0.1
@@ -73,7 +73,7 @@
         self.counts: Counter[str] = Counter()
         self.listed = asyncio.Event()  # there is a list with hosts in it
         self.asked = asyncio.Event()  # and this: whom the start asked has answered, or will not
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.loop = asyncio.get_running_loop()
         self.view_due: asyncio.TimerHandle | None = None
         self.ticking: asyncio.TimerHandle | None = None
@@ -85,7 +85,7 @@
         self.calls.serve_feed(FEED, self._on_feed)
         self.discovery.order = self.intake
         self.membership.on_change(lambda rumour, before: self._view_changes())
-        self._spawn(self._join())
+        self.tasks.spawn(self._join())
         self._tick()
 
     def close(self) -> None:
@@ -93,8 +93,7 @@
         for timer in (self.view_due, self.ticking):
             if timer is not None:
                 timer.cancel()
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         self.links.close()
 
     async def first(self, wait_s: float) -> None:
@@ -229,24 +228,19 @@
             self._on_service(False)  # it ended without a word
         self._do(self.core.tick(self.loop.time(), self.held.version))
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def _do(self, wanted: list[actions.Action]) -> None:
         if self.closed:
             return
         for action in wanted:
             match action:
                 case actions.Subscribe(peer):
-                    self._spawn(self.links.follow(peer, self.held.version))
+                    self.tasks.spawn(self.links.follow(peer, self.held.version))
                 case actions.Unsubscribe(name):
                     self.links.drop(name)
                 case actions.Ask(peer):
-                    self._spawn(self._ask(peer))
+                    self.tasks.spawn(self._ask(peer))
                 case actions.Have(peer):
-                    self._spawn(self._have(peer))
+                    self.tasks.spawn(self._have(peer))
                 case actions.Watch(on, is_fed):
                     self.discovery.watch(on, is_fed)
                 case actions.Depth(depth):
--- a/cloverkeel/fleet/membership/service.py
+++ b/cloverkeel/fleet/membership/service.py
@@ -27,6 +27,7 @@
 from cloverkeel.fleet.membership.messages import Action, Alone, Changed, Exchange, Push, Refused
 from cloverkeel.fleet.membership.roster import PRESENT
 from cloverkeel.fleet.membership.rumours import Rumour, Status
+from cloverkeel.tasks import BackgroundTasks
 
 VIEW = "members.view"  # the call that swaps whole views
 VIEW_S = 2.0  # for it to be answered
@@ -72,7 +73,7 @@
         self.counts: Counter[str] = Counter()
         self.changed_s: dict[str, float] = {}
         self.holder = ""  # the address that held this member's name, as last logged
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.rejoin: asyncio.TimerHandle | None = None
         self.lines, self.line_s = 0, 0.0
         self.loop = asyncio.get_running_loop()
@@ -92,7 +93,7 @@
         await self.gossip.open(udp)
         if elsewhere:  # its view is the fleet's
             self.seeds = tuple(dict.fromkeys((*self.seeds, self.settings.bind)))
-            self._spawn(self._hear_at(host, port))
+            self.tasks.spawn(self._hear_at(host, port))
         self._join()
 
     async def _hear_at(self, host: str, port: int) -> None:
@@ -125,7 +126,7 @@
                 self._changed(action)
             case Exchange():
                 if len(self.tasks) < MOST_EXCHANGES:
-                    self._spawn(self._exchange(action.address))
+                    self.tasks.spawn(self._exchange(action.address))
             case Alone():
                 self._alone(f"no answer from {len(action.seeds)} seeds")
             case Refused():
@@ -173,7 +174,7 @@
             self.state = "superseded"
             event("members.superseded", member=by.name, by=by.address, incarnation=by.incarnation)
             return
-        self._spawn(self._ask_holder(by))
+        self.tasks.spawn(self._ask_holder(by))
 
     async def _ask_holder(self, by: Rumour) -> None:
         """A killed process holds its name until the others miss it, and is back before: where its address
@@ -206,11 +207,6 @@
 
     # Whole views over a stream
 
-    def _spawn(self, work: Any) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     async def _exchange(self, address: str) -> None:
         self.counts["views_swapped"] += 1
         try:
@@ -308,7 +304,6 @@
         """End everything; may be called at any time, more than once."""
         if self.rejoin is not None:
             self.rejoin.cancel()
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         self.gossip.close()
         self.calls.close()
--- a/cloverkeel/fleet/rollout/conducting.py
+++ b/cloverkeel/fleet/rollout/conducting.py
@@ -28,6 +28,7 @@
 )
 from cloverkeel.fleet.rollout.records import ORDER, PROGRESS, PROGRESS_KEY, Order, Progress, encode
 from cloverkeel.fleet.rollout.settings import DUTY
+from cloverkeel.tasks import BackgroundTasks
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.membership.service import Membership
@@ -45,7 +46,7 @@
         self.token, self.part, self.duties, self.membership = token, part, duties, membership
         self.core = Conductor(token, part.progress)
         self.loop = asyncio.get_running_loop()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.asked: set[str] = set()  # members that have not answered yet
         self.ticker = self.loop.call_soon(self._tick)
         self.asker = self.loop.call_soon(self._ask_all)
@@ -61,8 +62,7 @@
         self.closed = True
         self.ticker.cancel()
         self.asker.cancel()
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
 
     def _give(self, what: Event) -> None:
         if self.closed:
@@ -70,17 +70,12 @@
         for action in self.core.handle(self.loop.time(), what):
             match action:
                 case Write(progress):
-                    self._spawn(self._write(progress))
+                    self.tasks.spawn(self._write(progress))
                 case Drop(id):
-                    self._spawn(self._drop(id))
+                    self.tasks.spawn(self._drop(id))
                 case Note(name, fields):
                     event(name, **dict(fields))
 
-    def _spawn(self, work: asyncio._CoroutineLike[None]) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def _tick(self) -> None:
         self.ticker = self.loop.call_later(TICK_S, self._tick)
         self._give(Tick())
@@ -123,7 +118,7 @@
         for member, address in live.items():
             if member not in self.asked:
                 self.asked.add(member)
-                self._spawn(self._ask(member, address))
+                self.tasks.spawn(self._ask(member, address))
 
     async def _ask(self, member: str, address: str) -> None:
         from cloverkeel.fleet.rollout.part import KIND
--- a/cloverkeel/transforms/activation/shell.py
+++ b/cloverkeel/transforms/activation/shell.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Coroutine
 from typing import Any, Literal
 
 from caperdrift.policy.breaker import State
@@ -15,6 +14,7 @@
 from cloverkeel.fleet.ledger.shell import Answer, Service, Shown, WriteRefused
 from cloverkeel.fleet.membership.roster import PRESENT
 from cloverkeel.fleet.membership.rumours import Status
+from cloverkeel.tasks import BackgroundTasks
 from cloverkeel.transforms.activation.core import Activation
 from cloverkeel.transforms.activation.engine import Engine, candidates, vetted
 from cloverkeel.transforms.activation.interface import (
@@ -54,7 +54,7 @@
         # What the process followed before it took the file over runs on, without a gap.
         self.core.staged |= dict.fromkeys(engine.staged, "")
         self.loop = asyncio.get_running_loop()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.ticker: asyncio.TimerHandle | None = None
         self.view: ViewChanged | None = None
         self.closed = False
@@ -72,8 +72,7 @@
         self.closed = True
         if self.ticker is not None:
             self.ticker.cancel()
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
 
     # For developers.
 
@@ -136,9 +135,9 @@
     def _act(self, action: Action) -> None:
         match action:
             case Put() | Drop():
-                self._spawn(self._write(action))
+                self.tasks.spawn(self._write(action))
             case Stage():
-                self._spawn(self._stage(action))
+                self.tasks.spawn(self._stage(action))
             case Activate(epoch, versions):
                 self._run()
                 shown = ",".join(f"{name}:{id}" for name, id in versions.items())
@@ -146,11 +145,6 @@
             case Note(name, fields):
                 event(name, **dict(fields))
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     async def _write(self, action: Put | Drop) -> None:
         """What is refused the core writes again: it is not shown."""
         kind, key = action.kind, action.key
--- a/faultlab/coldstart/client.py
+++ b/faultlab/coldstart/client.py
@@ -14,6 +14,7 @@
 import time
 from typing import Any, cast
 
+from cloverkeel.tasks import BackgroundTasks
 from faultlab import child
 from faultlab.coldstart.hosts import call_id
 from faultlab.lab import READY
@@ -88,12 +89,7 @@
         self.results: list[tuple[float, int, int, float]] = []  # (sent, gateway, status, seconds taken)
         self.sending = False
         self.count = 0
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    def spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks = BackgroundTasks()
 
     async def connect(self, gateway: int, timeout_s: float) -> Connection | None:
         loop = asyncio.get_running_loop()
@@ -126,7 +122,7 @@
                 await asyncio.sleep(wait_s)
             gateway = self.random.randrange(len(self.ports))
             if gateway in self.ready:
-                self.spawn(self.one(gateway))
+                self.tasks.spawn(self.one(gateway))
 
     async def one(self, gateway: int) -> None:
         began_s = time.monotonic()
@@ -134,7 +130,7 @@
         self.results.append((began_s, gateway, status, time.monotonic() - began_s))
         self.fails[gateway] = 0 if status else self.fails[gateway] + 1
         if self.fails[gateway] >= FAILS_TO_LEAVE and self.ready.pop(gateway, None) is not None:
-            self.spawn(self.poll(gateway))
+            self.tasks.spawn(self.poll(gateway))
 
     async def exchange(self, gateway: int) -> int:
         self.count += 1
@@ -166,11 +162,11 @@
             case "poll":  # these gateways, from now on
                 for gateway in order["gateways"]:
                     self.ready.pop(gateway, None)
-                    self.spawn(self.poll(gateway))
+                    self.tasks.spawn(self.poll(gateway))
                 return None
             case "send":
                 if order["on"] and not self.sending:
-                    self.spawn(self.send())
+                    self.tasks.spawn(self.send())
                 self.sending = order["on"]
                 return None
             case "ready":
--- a/faultlab/coldstart/liar.py
+++ b/faultlab/coldstart/liar.py
@@ -21,6 +21,7 @@
 from cloverkeel.fleet.membership.feeds import Feed
 from cloverkeel.fleet.membership.frames import FRAME_BYTES
 from cloverkeel.fleet.membership.service import Membership
+from cloverkeel.tasks import BackgroundTasks
 from faultlab import child
 
 SAY_S = 0.2
@@ -62,15 +63,9 @@
             feed.send({"depth": 0, "list": lie()})
             await asyncio.sleep(SAY_S)
 
-    tasks: set[asyncio.Task[None]] = set()
-
-    def follow(feed: Feed, body: Any) -> None:
-        task = asyncio.get_running_loop().create_task(shout(feed))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-
+    tasks = BackgroundTasks()
     membership.calls.serve(GET, lambda peer, body: {"list": lie()})
-    membership.calls.serve_feed(FEED, follow)
+    membership.calls.serve_feed(FEED, lambda feed, body: tasks.spawn(shout(feed)))
     await membership.start()
 
     async def obey(do: str, order: dict[str, Any]) -> Any:
--- a/faultlab/soak/clients.py
+++ b/faultlab/soak/clients.py
@@ -5,8 +5,10 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from typing import cast
 
+from cloverkeel.tasks import BackgroundTasks
 from faultlab.soak.records import End, Exchange, Records
 from faultlab.soak.settings import CLASS_SHARES, CLASSES, Settings
 
@@ -60,7 +62,13 @@
 class Front:
     """All clients, by the gateway that they send to."""
 
-    def __init__(self, settings: Settings, records: Records, ports: list[int]) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        records: Records,
+        ports: list[int],
+        on_failure: Callable[[BaseException], None],
+    ) -> None:
         self.settings, self.records, self.ports = settings, records, ports
         self.random = random.Random(f"clients {settings.seed}")
         self.lives = [0] * len(ports)
@@ -71,7 +79,7 @@
         self.boost_until_s = 0.0
         self.count = 0
         self.ended = False
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks(on_failure)
 
     async def run(self) -> None:
         """Send at the settings' rate, in random moments, until `ended`."""
@@ -83,13 +91,11 @@
             gateway = self.random.randrange(len(self.ports))
             klass = self.random.choices(CLASSES, CLASS_SHARES)[0]
             leaves_s = self.random.uniform(0.0, 0.1) if self.random.random() < LEAVE_SHARE else None
-            task = asyncio.get_running_loop().create_task(self.one(gateway, klass, leaves_s))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.tasks.spawn(self.one(gateway, klass, leaves_s))
 
     async def finish(self) -> None:
         self.ended = True
-        await asyncio.gather(*self.tasks)
+        await self.tasks.wait()
         for connection in (each for idle in self.idle for each in idle):
             connection.transport.abort()
         self.end_idlers()
--- a/faultlab/soak/discovery.py
+++ b/faultlab/soak/discovery.py
@@ -14,6 +14,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from faultlab.ports import free_port
 from faultlab.standins import read_request, reply
 
 TOLD_WITHIN_S = 6.0
@@ -46,12 +47,11 @@
         self.silent_until_s = self.late_until_s = 0.0
         self.reachable_since_s = 0.0
         self.server: asyncio.Server | None = None
-        self.port = 0
+        self.port = free_port()  # of its own also while it refuses: the system lends it to nobody
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
         self.reachable_since_s = time.monotonic()
 
     @property
--- a/faultlab/soak/site.py
+++ b/faultlab/soak/site.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import time
+import traceback
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Self
 
+from cloverkeel.tasks import BackgroundTasks
 from faultlab.soak.clients import Front
 from faultlab.soak.discovery import TOLD_WITHIN_S, Agent, Registry
 from faultlab.soak.gateways import Process
@@ -58,9 +60,10 @@
             Process(number, settings, self.records, folder) for number in range(settings.gateways)
         ]
         self.agents = [self.agent(number) for number in range(settings.gateways)]
-        self.front = Front(settings, self.records, [each.port for each in self.processes])
+        ports = [process.port for process in self.processes]
+        self.front = Front(settings, self.records, ports, self.on_failure)
         self.drains: dict[int, Drain] = {}  # under way, by host
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks(self.on_failure)
         self.began_s = 0.0
 
     def agent(self, gateway: int) -> Agent:
@@ -91,9 +94,8 @@
 
     async def __aexit__(self, *_: object) -> None:
         # Those that start a process are waited for: it is then made and can be ended, or was never made.
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.cancel()
+        await self.tasks.wait()
         for process in self.processes:
             if process.pid is not None:
                 await process.kill()
@@ -111,10 +113,11 @@
         await process.start(self.agents[gateway].address, self.listed())
         self.front.open[gateway] = True
 
-    def spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+    def on_failure(self, error: BaseException) -> None:
+        """The lab itself failed: an event of the schedule or a client did not do what it should."""
+        where = traceback.extract_tb(error.__traceback__)[-1]
+        what = f"{type(error).__name__}: {error} ({Path(where.filename).name}:{where.lineno})"
+        self.records.broken.append(Broken(time.monotonic(), "lab", what))
 
     def note(self, text: str) -> None:
         self.records.events.append((time.monotonic(), text))
@@ -122,16 +125,16 @@
     async def play(self) -> Result:
         """The whole schedule; what the rules say of it."""
         result = Result(self.settings.seed, began_s=self.began_s)
-        self.spawn(self.measure_lag())
-        self.spawn(self.look(result))
+        self.tasks.spawn(self.measure_lag())
+        self.tasks.spawn(self.look(result))
         sending = asyncio.get_running_loop().create_task(self.front.run())
         for planned in schedule(self.settings):
             await asyncio.sleep(max(0.0, self.began_s + planned.at_s - time.monotonic()))
             self.note(f"{planned.kind.name} {planned.target} for {planned.seconds:.1f} s")
-            self.spawn(self.happen(planned))
+            self.tasks.spawn(self.happen(planned))
         await asyncio.sleep(max(0.0, self.began_s + self.settings.duration_s - time.monotonic()))
-        result.memory_kb = result.memory_kb[0], max(process.memory_kb() for process in self.processes)
-        result.descriptors = result.descriptors[0], max(each.descriptors() for each in self.processes)
+        result.memory_kb = result.memory_kb[0], self.most_memory_kb()
+        result.descriptors = result.descriptors[0], self.most_descriptors()
         self.front.ended = True
         await sending
         await self.front.finish()
@@ -152,7 +155,7 @@
             refused=statuses[503] + statuses[429],
         )  # fmt: skip
         result.counts = self.counts
-        result.longest_stop_s = max(process.longest_stop_s for process in self.processes)
+        result.longest_stop_s = max((process.longest_stop_s for process in self.processes), default=0.0)
 
     def count_as_told(self, drain: Drain) -> None:
         """What discovery had counts as told a while later, whether or not it arrived."""
@@ -178,8 +181,16 @@
             for process in self.processes:
                 process.look()
             if not result.memory_kb[0] and time.monotonic() - self.began_s > FIRST_MINUTE_S:
-                result.memory_kb = max(process.memory_kb() for process in self.processes), 0
-                result.descriptors = max(each.descriptors() for each in self.processes), 0
+                result.memory_kb = self.most_memory_kb(), 0
+                result.descriptors = self.most_descriptors(), 0
+
+    def most_memory_kb(self) -> int:
+        """Of one gateway; 0 where none runs."""
+        return max((process.memory_kb() for process in self.processes), default=0)
+
+    def most_descriptors(self) -> int:
+        """Of one gateway; 0 where none runs."""
+        return max((process.descriptors() for process in self.processes), default=0)
 
     # Events
 
--- a/tests/test_soak_lab.py
+++ b/tests/test_soak_lab.py
@@ -10,11 +10,12 @@
 
 from faultlab.__main__ import main
 from faultlab.lab import Gateway
+from faultlab.soak.clients import Front
 from faultlab.soak.command import total
 from faultlab.soak.gateways import Process
 from faultlab.soak.judge import Judge
 from faultlab.soak.records import Arrival, Drain, End, Exchange, Life, Records
-from faultlab.soak.schedule import Kind, schedule
+from faultlab.soak.schedule import Kind, Planned, schedule
 from faultlab.soak.settings import Settings, drawn
 from faultlab.soak.site import Result, Site
 
@@ -109,7 +110,7 @@
         async with Site(replace(SETTINGS, gateways=0), tmp_path) as site:
             process = Process(0, SETTINGS, site.records, tmp_path)
             site.processes.append(process)
-            site.spawn(process.start("127.0.0.1:1", []))
+            site.tasks.spawn(process.start("127.0.0.1:1", []))
             await being_made.wait()
             process.look()
             assert (process.pid, process.memory_kb(), process.descriptors()) == (None, 0, 0)
@@ -118,6 +119,26 @@
     asyncio.run(crossing())
 
 
+def test_an_event_that_does_not_happen_fails_its_seed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What its task raised was seen by nobody, and the seed went on without the event."""
+
+    async def fail(*_: object) -> None:
+        raise OSError("address already in use")
+
+    async def play() -> Result:
+        monkeypatch.setattr(Site, "happen", fail)
+        monkeypatch.setattr(Front, "one", fail)
+        async with Site(replace(SETTINGS, gateways=0, duration_s=0.1), tmp_path) as site:
+            site.front.ports.append(1)
+            return await site.play()
+
+    monkeypatch.setattr("faultlab.soak.site.schedule", lambda _: [Planned(0.0, Kind.DRAIN, 0, 1.0)])
+    rules = {broken.rule for broken in asyncio.run(play()).broken}
+    assert rules == {"lab"}
+
+
 def test_short_seeds_break_no_rule(capsys: pytest.CaptureFixture[str]) -> None:
     """Three seeds, the last with a crowd: more of them, and longer, by hand."""
     assert main(["soak", "--seeds", "1-3", "--minutes", "0.4", "--json"]) == 0, capsys.readouterr().out
