Soak: from when a change counts as known is worked out for each change and process

Seen: by reading; a drain that began before an agent's last outage or SIGHUP was judged by the end of that outage, up to the whole soak late, and a cold host's fall only by the lists that had been written.

Cause: count_as_told went by the one reachable_since_s of the agent that a gateway had at the soak's end.

A list counts for the process that asked, not for the one that runs when it is written. An agent that was replaced while it refused connections no longer comes back.

--- a/faultlab/soak/discovery.py
+++ b/faultlab/soak/discovery.py
@@ -1,7 +1,7 @@
 """Discovery as each gateway sees it: an agent of its own, which may be silent, refused or late.
 
-It follows PROTOCOL's page: the whole list, or a watch that waits for a newer version. What is written to a
-gateway counts as told, and at the latest 6 s after discovery had it and could be reached.
+It follows PROTOCOL's page: the whole list, or a watch that waits for a newer version. Its outages and the
+watches that it gets are written down for `notification`.
 """
 
 from __future__ import annotations
@@ -15,9 +15,9 @@
 from urllib.parse import parse_qs, urlsplit
 
 from faultlab.ports import free_port
+from faultlab.soak.records import DiscoveryAddress, Outage, Watch
 from faultlab.standins import read_request, reply
 
-TOLD_WITHIN_S = 6.0
 HOLD_CAP_S = 20.0
 LATE_S = 0.8  # an answer that is late
 
@@ -40,19 +40,27 @@
 
 
 class Agent:
-    """One gateway's way to discovery. `on_told` gets each list's index as it is written."""
-
-    def __init__(self, registry: Registry, on_told: Callable[[dict[str, Any]], None]) -> None:
-        self.registry, self.on_told = registry, on_told
+    """One gateway's way to discovery.
+
+    `life` tells which of the gateway's processes runs; `on_written` gets that and each list as it is written.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        life: Callable[[], int],
+        on_written: Callable[[int, dict[str, Any]], None],
+    ) -> None:
+        self.registry, self.life, self.on_written = registry, life, on_written
+        self.record = DiscoveryAddress(float("-inf"))
         self.silent_until_s = self.late_until_s = 0.0
-        self.reachable_since_s = 0.0
+        self.has_ended = False
         self.server: asyncio.Server | None = None
         self.port = free_port()  # of its own also while it refuses: the system lends it to nobody
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-        self.reachable_since_s = time.monotonic()
 
     @property
     def address(self) -> str:
@@ -66,30 +74,45 @@
         for writer in self.writers:
             writer.close()
 
+    def end(self) -> None:
+        """Close for good: the gateway asks at another address."""
+        self.has_ended = True
+        self.close()
+
     async def refuse(self, seconds: float) -> None:
         """Be refused for so long, at the same address after."""
+        outage = Outage(time.monotonic(), float("inf"), is_silent=False)
+        self.record.outages.append(outage)
         self.close()
         await asyncio.sleep(seconds)
-        await self.start()
+        if not self.has_ended:
+            await self.start()
+        outage.until_s = time.monotonic()
 
     def fall_silent(self, seconds: float) -> None:
-        self.silent_until_s = time.monotonic() + seconds
-        self.reachable_since_s = self.silent_until_s
+        now_s = time.monotonic()
+        self.silent_until_s = max(self.silent_until_s, now_s + seconds)
+        self.record.outages.append(Outage(now_s, self.silent_until_s, is_silent=True))
 
     def fall_late(self, seconds: float) -> None:
         self.late_until_s = time.monotonic() + seconds
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
+        life = self.life()
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while (request := await read_request(reader)) is not None:
                 query = parse_qs(urlsplit(request[0]).query)
-                await self.wait(int(query.get("from", ["0"])[0]), int(query.get("hold_ms", ["0"])[0]) / 1000)
+                hold_s = int(query.get("hold_ms", ["0"])[0]) / 1000
+                watch = Watch(life, time.monotonic(), hold_s)
+                self.record.watches.append(watch)
+                await self.wait(int(query.get("from", ["0"])[0]), hold_s)
+                watch.until_s = time.monotonic()
                 if writer.is_closing():
                     break  # nothing is told on a connection that was ended meanwhile
                 snapshot = self.registry.snapshot()
                 writer.write(reply(200, json.dumps(snapshot).encode(), "OK"))
-                self.on_told(snapshot)
+                self.on_written(life, snapshot)
                 await writer.drain()
         self.writers.discard(writer)
         writer.close()
--- a/faultlab/soak/hosts.py
+++ b/faultlab/soak/hosts.py
@@ -9,14 +9,13 @@
 from typing import Any, cast
 
 from faultlab.coldstart.fall import HostAccount
-from faultlab.soak.records import Arrival, Broken, Records
+from faultlab.soak.records import Arrival, Change, Fall, Records
 from faultlab.soak.settings import Settings
 from faultlab.standins import reply
 
 SERVED, FAILED = reply(200, b"ok", "OK"), reply(500, b"failed")
 REJECTED = b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 QUEUE_S = 0.5  # work that waits longer is turned away
-TOLD_SHARE = 2 / 3  # of a fall's window, from gateways that had been told: over it the rule is broken
 
 
 @dataclass(eq=False)
@@ -31,9 +30,8 @@
     status: str = "SERVING"
     hangs_until_s: float = 0.0
     errors_until_s: float = 0.0
-    started_s: float = float("-inf")
-    told_s: dict[int, float] = field(default_factory=dict)  # of its start, by gateway
-    senders: deque[tuple[float, int]] = field(default_factory=deque)  # in a window
+    started: Change | None = None  # since it came back cold
+    requests: deque[tuple[float, str]] = field(default_factory=deque)  # of the last window
     connections: set[HostConnection] = field(default_factory=set)
     server: asyncio.Server | None = None
 
@@ -52,12 +50,11 @@
 
     def restart(self) -> None:
         """It comes back cold; what it had is gone."""
-        self.started_s = time.monotonic()
+        self.started = Change(self.number, time.monotonic())
         self.since_ms = int(time.time() * 1000)
         self.status = "SERVING"
-        self.account.restart(self.started_s)
-        self.told_s.clear()
-        self.senders.clear()
+        self.account.restart(self.started.since_s)
+        self.requests.clear()
         self.reset()
 
     def reset(self) -> None:
@@ -69,18 +66,15 @@
             if not connection.busy and not connection.data:
                 connection.transport.close()
 
-    def take(self, now_s: float, work: float, gateway: int) -> None:
-        """Count what came; a fall whose window came from gateways that knew of the start breaks a rule."""
-        self.senders.append((now_s, gateway))
-        while self.senders[0][0] <= now_s - self.settings.fall_s:
-            self.senders.popleft()
-        if not self.account.take(now_s, work):
-            return
-        knew = sum(self.told_s.get(sender, float("inf")) <= at_s for at_s, sender in self.senders)
-        if knew > TOLD_SHARE * len(self.senders):
-            what = f"h{self.number} fell, {knew} of {len(self.senders)} requests from gateways that knew"
-            self.records.broken.append(Broken(now_s, "fall", what))
-        self.senders.clear()
+    def take(self, now_s: float, work: float, id_: str) -> None:
+        """Count what came; write a fall down with its window."""
+        self.requests.append((now_s, id_))
+        while self.requests[0][0] <= now_s - self.settings.fall_s:
+            self.requests.popleft()
+        if self.account.take(now_s, work):
+            if self.started is not None:
+                self.records.falls.append(Fall(now_s, self.started, list(self.requests)))
+            self.requests.clear()
 
 
 class HostConnection(asyncio.Protocol):
@@ -119,7 +113,7 @@
         budget_s = int(fields.get(b"x-budget-ms", b"0")) / 1000
         arrival = Arrival(id_, host.number, self.first_s, now_s, budget_s)
         host.records.arrivals.setdefault(id_, []).append(arrival)
-        host.take(now_s, 1.0, int(id_[:2] or "0", 16))
+        host.take(now_s, 1.0, id_)
         if now_s < host.hangs_until_s:
             self.busy = True
         elif now_s < host.errors_until_s:
--- a/faultlab/soak/judge.py
+++ b/faultlab/soak/judge.py
@@ -9,7 +9,8 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from faultlab.soak.records import Arrival, Broken, End, Exchange, Life, Records
+from faultlab.soak.notification import NotificationClock
+from faultlab.soak.records import Arrival, Broken, End, Exchange, Fall, Life, Records
 from faultlab.soak.settings import KILL_AFTER_S, Settings
 
 SLACK_S = 0.05
@@ -19,6 +20,7 @@
 READ_WITHIN_S = 0.25  # a connection that closes later than this after a request's last byte had read it
 READY_S = 10.0
 REFUSED = (429, 503)
+KNOWING_SHARE = 2 / 3  # of a fall's requests, from gateways that knew of the start: over it a rule is broken
 SIGNAL_GAP_S = 0.05  # between a signal's moment in the lab and at the process
 
 
@@ -28,10 +30,11 @@
     def __init__(self, settings: Settings, records: Records) -> None:
         self.settings, self.records = settings, records
         self.sent = {exchange.id: exchange for exchange in records.exchanges}
+        self.clock = NotificationClock(records, settings.pushed)
 
     def broken(self) -> list[Broken]:
         """Everything that went against a rule, in order of time."""
-        by_rule = self.lost(), self.runs(), self.drained(), self.times(), self.lives()
+        by_rule = self.lost(), self.runs(), self.drained(), self.falls(), self.times(), self.lives()
         found = [*self.records.broken, *itertools.chain(*by_rule)]
         return sorted(found, key=lambda each: each.at_s)
 
@@ -98,7 +101,7 @@
                 yield Broken(each.last_s, "duplicate", f"{id_} was repeated {after_s:.2f} s after the first")
 
     def drained(self) -> Iterator[Broken]:
-        """Attempts begun at a host that drains, once its gateway had been told for too long."""
+        """Attempts begun at a host that drains, once its gateway knew for too long."""
         by_host = defaultdict(list)
         for drain in self.records.drains:
             by_host[drain.host].append(drain)
@@ -106,14 +109,27 @@
             sender = self.sent.get(id_)
             for arrival in arrivals if sender is not None else ():
                 assert sender is not None
-                of = sender.gateway, sender.life
                 for drain in by_host[arrival.host]:
-                    told_s = drain.told_s.get(of, float("inf"))
-                    late_s = arrival.first_s - told_s - self.settings.stop_sending_s
+                    known_s = self.clock.known_s(drain, sender.gateway, sender.life)
+                    late_s = arrival.first_s - known_s - self.settings.stop_sending_s
                     if arrival.first_s < drain.until_s and late_s > self.slack_s(arrival.first_s):
-                        what = f"{id_} from g{of[0]} to h{arrival.host}, {late_s:.2f} s late"
+                        what = f"{id_} from g{sender.gateway} to h{arrival.host}, {late_s:.2f} s late"
                         yield Broken(arrival.first_s, "drain", what)
 
+    def falls(self) -> Iterator[Broken]:
+        """Falls of cold hosts by requests from gateways that knew of the start."""
+        for fall in self.records.falls:
+            knew = sum(self.knew(fall, at_s, id_) for at_s, id_ in fall.requests)
+            if knew > KNOWING_SHARE * len(fall.requests):
+                share = f"{knew} of {len(fall.requests)}"
+                what = f"h{fall.start.host} fell, {share} requests from gateways that knew of its start"
+                yield Broken(fall.at_s, "fall", what)
+
+    def knew(self, fall: Fall, at_s: float, id_: str) -> bool:
+        """Whether the gateway of a request that came then knew of the host's start."""
+        sender = self.sent.get(id_)
+        return sender is not None and self.clock.known_s(fall.start, sender.gateway, sender.life) <= at_s
+
     def times(self) -> Iterator[Broken]:
         """Attempts begun for clients that had left, and times that hosts were told."""
         for id_, arrivals in self.records.arrivals.items():
--- a/faultlab/soak/records.py
+++ b/faultlab/soak/records.py
@@ -45,13 +45,57 @@
 
 
 @dataclass(slots=True)
-class Drain:
-    """A host that drained, from when until it returned; `told_s` by (gateway, life)."""
+class Change:
+    """A host that drains or has started, since discovery has it; `written_s` by (gateway, life)."""
 
     host: int
     since_s: float
     until_s: float = float("inf")
-    told_s: dict[tuple[int, int], float] = field(default_factory=dict)
+    written_s: dict[tuple[int, int], float] = field(default_factory=dict)  # first in a list for that process
+
+
+@dataclass(slots=True)
+class Fall:
+    """A cold host that got more than it bears, and the requests of that window: when each came, its id."""
+
+    at_s: float
+    start: Change
+    requests: list[tuple[float, str]]
+
+
+@dataclass(slots=True)
+class Outage:
+    """A time in which discovery says nothing at an address, or refuses connections there."""
+
+    since_s: float
+    until_s: float
+    is_silent: bool
+
+
+@dataclass(slots=True)
+class Watch:
+    """A call for a newer list from one process of the gateway, until it is answered or broken."""
+
+    life: int
+    since_s: float
+    hold_s: float
+    until_s: float = float("inf")
+
+
+@dataclass(slots=True)
+class DiscoveryAddress:
+    """One address of discovery, which a gateway asks since a SIGHUP or from its first process on."""
+
+    since_s: float
+    outages: list[Outage] = field(default_factory=list)  # in order
+    watches: list[Watch] = field(default_factory=list)
+
+    def reachable_s(self, from_s: float) -> float:
+        """The first moment from then on that no outage covers."""
+        for outage in self.outages:
+            if outage.since_s <= from_s < outage.until_s:
+                from_s = outage.until_s
+        return from_s
 
 
 @dataclass(slots=True)
@@ -98,7 +142,9 @@
 
     exchanges: list[Exchange] = field(default_factory=list)
     arrivals: dict[str, list[Arrival]] = field(default_factory=dict)  # by request
-    drains: list[Drain] = field(default_factory=list)
+    drains: list[Change] = field(default_factory=list)
+    falls: list[Fall] = field(default_factory=list)
+    addresses: dict[int, list[DiscoveryAddress]] = field(default_factory=dict)  # by gateway, in order
     lives: dict[tuple[int, int], Life] = field(default_factory=dict)
     lags: Lags = field(default_factory=Lags)
     broken: list[Broken] = field(default_factory=list)  # seen at once, not by the judge
--- a/faultlab/soak/site.py
+++ b/faultlab/soak/site.py
@@ -7,16 +7,17 @@
 import traceback
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any, Self
 
 from cloverkeel.tasks import BackgroundTasks
 from faultlab.soak.clients import Front
-from faultlab.soak.discovery import TOLD_WITHIN_S, Agent, Registry
+from faultlab.soak.discovery import Agent, Registry
 from faultlab.soak.gateways import Process
 from faultlab.soak.hosts import Host
 from faultlab.soak.judge import Judge
-from faultlab.soak.records import Broken, Drain, End, Records
+from faultlab.soak.records import Broken, Change, End, Records
 from faultlab.soak.schedule import Kind, Planned, schedule
 from faultlab.soak.settings import SOCKETS, Settings
 
@@ -59,34 +60,41 @@
         self.processes = [
             Process(number, settings, self.records, folder) for number in range(settings.gateways)
         ]
-        self.agents = [self.agent(number) for number in range(settings.gateways)]
+        self.agents: dict[int, Agent] = {}  # in use, by gateway
+        for number in range(settings.gateways):
+            self.use(number, self.agent(number))
         ports = [process.port for process in self.processes]
         self.front = Front(settings, self.records, ports, self.on_failure)
-        self.drains: dict[int, Drain] = {}  # under way, by host
+        self.drains: dict[int, Change] = {}  # under way, by host
         self.tasks = BackgroundTasks(self.on_failure)
         self.began_s = 0.0
 
     def agent(self, gateway: int) -> Agent:
-        return Agent(self.registry, lambda snapshot: self.on_told(gateway, snapshot))
+        process = self.processes[gateway]
+        return Agent(self.registry, lambda: process.lives, partial(self.on_written, gateway))
+
+    def use(self, gateway: int, agent: Agent) -> None:
+        """The gateway asks at this address from now on."""
+        self.agents[gateway] = agent
+        self.records.addresses.setdefault(gateway, []).append(agent.record)
 
     def listed(self) -> list[dict[str, Any]]:
         return [host.endpoint() for host in self.hosts if host.status != "DELETED"]
 
-    def on_told(self, gateway: int, snapshot: dict[str, Any]) -> None:
-        """A whole list was written to a gateway: what it says counts as told from now on."""
-        now_s, told = time.monotonic(), {entry["name"]: entry for entry in snapshot["endpoints"]}
+    def on_written(self, gateway: int, life: int, snapshot: dict[str, Any]) -> None:
+        """A whole list was written to a process: what it says is known there from now on."""
+        now_s, listed = time.monotonic(), {entry["name"]: entry for entry in snapshot["endpoints"]}
         for host in self.hosts:
-            entry = told.get(f"h{host.number}")
-            if entry is not None and entry["since_ms"] == host.since_ms:
-                host.told_s.setdefault(gateway, now_s)
-        of = gateway, self.processes[gateway].lives
+            entry = listed.get(f"h{host.number}")
+            if host.started is not None and entry is not None and entry["since_ms"] == host.since_ms:
+                host.started.written_s.setdefault((gateway, life), now_s)
         for drain in self.drains.values():
-            drain.told_s[of] = min(now_s, drain.told_s.get(of, now_s))
+            drain.written_s.setdefault((gateway, life), now_s)
 
     async def __aenter__(self) -> Self:
         for host in self.hosts:
             await host.start()
-        for agent in self.agents:
+        for agent in self.agents.values():
             await agent.start()
         await asyncio.gather(*(self.begin(number) for number in range(self.settings.gateways)))
         self.began_s = time.monotonic()
@@ -99,8 +107,8 @@
         for process in self.processes:
             if process.pid is not None:
                 await process.kill()
-        for agent in self.agents:
-            agent.close()
+        for agent in self.agents.values():
+            agent.end()
         for host in self.hosts:
             if host.server is not None:
                 host.server.close()
@@ -144,8 +152,6 @@
     def conclude(self, result: Result) -> None:
         for process in self.processes:
             process.see_log()
-        for drain in self.records.drains:
-            self.count_as_told(drain)
         result.broken = Judge(self.settings, self.records).broken()
         result.events = self.records.events
         statuses = Counter(exchange.status for exchange in self.records.exchanges)
@@ -157,13 +163,6 @@
         result.counts = self.counts
         result.longest_stop_s = max((process.longest_stop_s for process in self.processes), default=0.0)
 
-    def count_as_told(self, drain: Drain) -> None:
-        """What discovery had counts as told a while later, whether or not it arrived."""
-        for of, life in self.records.lives.items():
-            told_s = max(drain.since_s, life.began_s, self.agents[of[0]].reachable_since_s)
-            told_s += TOLD_WITHIN_S
-            drain.told_s[of] = min(drain.told_s.get(of, float("inf")), told_s)
-
     async def measure_lag(self) -> None:
         """How late this loop itself is: the judge allows for it."""
         last_s = time.monotonic()
@@ -235,7 +234,7 @@
         if number in self.drains:
             return
         host = self.hosts[number]
-        drain = self.drains[number] = Drain(number, time.monotonic())
+        drain = self.drains[number] = Change(number, time.monotonic())
         self.records.drains.append(drain)
         host.status = "DRAINING"
         self.registry.change()
@@ -289,9 +288,11 @@
         """A new configuration that names discovery at another address, and SIGHUP."""
         process, old = self.processes[gateway], self.agents[gateway]
         await process.may_be_told()
-        agent = self.agents[gateway] = self.agent(gateway)
+        agent = self.agent(gateway)
         await agent.start()
         process.reconfigure(agent.address, self.listed())
+        agent.record.since_s = time.monotonic()
+        self.use(gateway, agent)
         process.hang_up()
         self.counts["signals"] += 1
-        asyncio.get_running_loop().call_later(OLD_AGENT_S, old.close)
+        asyncio.get_running_loop().call_later(OLD_AGENT_S, old.end)
--- a/tests/test_soak_lab.py
+++ b/tests/test_soak_lab.py
@@ -14,7 +14,19 @@
 from faultlab.soak.command import total
 from faultlab.soak.gateways import Process
 from faultlab.soak.judge import Judge
-from faultlab.soak.records import Arrival, Drain, End, Exchange, Life, Records
+from faultlab.soak.notification import NotificationClock
+from faultlab.soak.records import (
+    Arrival,
+    Change,
+    DiscoveryAddress,
+    End,
+    Exchange,
+    Fall,
+    Life,
+    Outage,
+    Records,
+    Watch,
+)
 from faultlab.soak.schedule import Kind, Planned, schedule
 from faultlab.soak.settings import Settings, drawn
 from faultlab.soak.site import Result, Site
@@ -31,7 +43,7 @@
     records = Records(list(exchanges), lives={(0, 1): life or Life(0, 1, 0.0, ready_s=1.0)})
     for arrival in arrivals or ():
         records.arrivals.setdefault(arrival.id, []).append(arrival)
-    records.drains.append(Drain(7, 50.0, told_s={(0, 1): 50.0}))
+    records.drains.append(Change(7, 50.0, written_s={(0, 1): 50.0}))
     return {broken.rule for broken in Judge(SETTINGS, records).broken()}
 
 
@@ -76,6 +88,68 @@
     assert rules(life=Life(0, 1, 0.0, ready_s=10.1)) == {"ready"}
 
 
+SILENT = Outage(20.0, 23.0, is_silent=True)
+REFUSED = Outage(20.0, 23.0, is_silent=False)
+WATCH = Watch(1, 19.0, hold_s=4.0, until_s=23.0)
+
+
+@pytest.mark.parametrize(
+    ("since_s", "outages", "watches", "moved_s", "asked_s", "pushed_s"),
+    [
+        (10.0, [], [], None, 16.0, 10.0),
+        (3.0, [], [], None, 11.0, 5.0),  # before the process began
+        (19.0, [REFUSED], [], None, 25.0, 19.0),  # an outage that comes later puts nothing off
+        (21.0, [REFUSED], [], None, 29.0, 23.0),
+        (21.0, [SILENT], [WATCH], None, 26.0, 23.0),
+        (21.0, [SILENT], [replace(WATCH, hold_s=6.0)], None, 27.0, 23.0),
+        (21.0, [SILENT], [replace(WATCH, until_s=19.5)], None, 29.0, 23.0),
+        (21.0, [SILENT], [replace(WATCH, life=2)], None, 29.0, 23.0),
+        (26.0, [SILENT], [WATCH], None, 32.0, 26.0),
+        (29.0, [], [], 30.0, 34.0, 29.0),
+        (31.0, [], [], 30.0, 34.0, 34.0),
+        (35.0, [], [], 30.0, 41.0, 35.0),
+        (21.0, [SILENT], [], 22.0, 26.0, 26.0),  # asked at another address before the outage was over
+    ],
+)
+def test_a_change_counts_as_known_by_the_rules_of_its_time(
+    since_s: float,
+    outages: list[Outage],
+    watches: list[Watch],
+    moved_s: float | None,
+    asked_s: float,
+    pushed_s: float,
+) -> None:
+    """One process, begun at 5 s; the drains before an agent's last outage were judged too laxly."""
+    addresses = [DiscoveryAddress(float("-inf"), outages, watches)]
+    if moved_s is not None:
+        addresses.append(DiscoveryAddress(moved_s))
+    records = Records(lives={(0, 1): Life(0, 1, 5.0)}, addresses={0: addresses})
+    change = Change(7, since_s)
+    assert NotificationClock(records, pushed=False).known_s(change, 0, 1) == asked_s
+    assert NotificationClock(records, pushed=True).known_s(change, 0, 1) == pushed_s
+    change.written_s[0, 1] = since_s + 0.1
+    assert NotificationClock(records, pushed=False).known_s(change, 0, 1) == since_s + 0.1
+
+
+def test_an_outage_of_the_new_address_puts_off_what_is_known_after_a_sighup() -> None:
+    moved = DiscoveryAddress(19.0, [SILENT])
+    records = Records(lives={(0, 1): Life(0, 1, 5.0)}, addresses={0: [DiscoveryAddress(0.0), moved]})
+    assert NotificationClock(records, pushed=False).known_s(Change(7, 21.0), 0, 1) == 27.0
+    assert NotificationClock(records, pushed=True).known_s(Change(7, 21.0), 0, 1) == 23.0
+
+
+@pytest.mark.parametrize(("knowing", "broken"), [(2, set()), (3, {"fall"})])
+def test_a_fall_breaks_a_rule_if_over_two_thirds_came_from_gateways_that_knew(
+    knowing: int, broken: set[str]
+) -> None:
+    start = Change(0, 10.0, written_s={(0, 1): 20.0})
+    requests = [(19.0 if index >= knowing else 21.0, f"{index}") for index in range(3)]
+    exchanges = [replace(SERVED, id=id_, sent_s=at_s) for at_s, id_ in requests]
+    records = Records(exchanges, lives={(0, 1): Life(0, 1, 5.0, ready_s=6.0)})
+    records.falls.append(Fall(21.0, start, requests))
+    assert {each.rule for each in Judge(SETTINGS, records).broken()} == broken
+
+
 def test_a_seed_draws_the_same_schedule_again_and_all_kinds_come() -> None:
     assert schedule(drawn(5, 60.0)) == schedule(drawn(5, 60.0))
     kinds = {planned.kind for seed in range(6) for planned in schedule(drawn(seed, 60.0))}
