Labs: one reader of messages for their protocols, one descriptor for the ports' locks

Cause: the labs' host and client protocols read a message's head four times over, and the ports' descriptor was kept by process although record locks are the process's own and no lab forks without exec.

Change: faultlab/messages.py takes a whole message off the bytes of a connection; both hosts and both clients use it. A functools.cache holds the one descriptor.

--- a/faultlab/coldstart/client.py
+++ b/faultlab/coldstart/client.py
@@ -18,6 +18,7 @@
 from faultlab import child
 from faultlab.coldstart.hosts import call_id
 from faultlab.lab import READY
+from faultlab.messages import take_message
 
 POLL_S = 0.1
 PATIENCE_S = 1.0  # as the requests' budget says
@@ -43,18 +44,12 @@
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        self.data += data
-        head, mark, rest = self.data.partition(b"\r\n\r\n")
-        if not mark:
+        message, self.data = take_message(self.data + data)
+        if message is None:
             return
-        lower = head.lower()
-        length = int(lower.partition(b"content-length: ")[2].partition(b"\r\n")[0] or 0)
-        if len(rest) < length:
-            return
-        self.data = b""
-        if b"connection: close" in lower:
+        if message.closes:
             self.transport.close()
-        self.settle(int(head[9:12]))
+        self.settle(message.status)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.settle(0)
--- a/faultlab/coldstart/hosts.py
+++ b/faultlab/coldstart/hosts.py
@@ -14,6 +14,7 @@
 
 from faultlab import child
 from faultlab.coldstart.fall import HostAccount
+from faultlab.messages import take_message
 from faultlab.standins import reply
 
 HANDSHAKE = 0.2  # of a request's work, for a new connection
@@ -70,17 +71,9 @@
         self.host.connections -= 1
 
     def data_received(self, data: bytes) -> None:
-        self.data += data
-        head, mark, rest = self.data.partition(b"\r\n\r\n")
-        if not mark:
-            return
-        lines = head.split(b"\r\n")
-        fields = dict(line.lower().split(b": ", 1) for line in lines[1:] if b": " in line)
-        length = int(fields.get(b"content-length", b"0"))
-        if len(rest) < length:
-            return
-        self.data = rest[length:]
-        self.request(lines[0].split(b" ")[1], fields.get(b"x-call-id", b""))
+        message, self.data = take_message(self.data + data)
+        if message is not None:
+            self.request(message.target, message.headers.get(b"x-call-id", b""))
 
     def request(self, target: bytes, call: bytes) -> None:
         now_s, host = time.monotonic(), self.host
--- a/faultlab/ports.py
+++ b/faultlab/ports.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import fcntl
+import functools
 import os
 import random
 import socket
@@ -22,9 +23,6 @@
 LISTEN_STATE = "0A"  # of a socket in /proc/net/tcp
 LOCK_FILE = Path(tempfile.gettempdir()) / f"firledge-ports-{os.getuid()}"
 _given: set[tuple[str, int]] = set()
-_lock_files: dict[
-    int, int
-] = {}  # this process's descriptor of the file, by process: a fork has its own locks
 _random = random.SystemRandom()  # runs beside each other must not draw alike
 
 
@@ -44,16 +42,19 @@
     return True
 
 
+@functools.cache
+def _lock_file() -> int:
+    """This process's descriptor of the file, open until it ends: a close would give up its locks."""
+    return os.open(LOCK_FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+
+
 def _is_ours(port: int) -> bool:
     """Whether this process has the port's lock now; False where another process of a lab has it.
 
     The locks are the process's own and end with it (fcntl(2), record locks).
     """
-    file = _lock_files.get(os.getpid())
-    if file is None:
-        file = _lock_files[os.getpid()] = os.open(LOCK_FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     try:
-        fcntl.lockf(file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+        fcntl.lockf(_lock_file(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
     except OSError:
         return False
     return True
--- a/faultlab/soak/clients.py
+++ b/faultlab/soak/clients.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from cloverkeel.tasks import BackgroundTasks
+from faultlab.messages import take_message
 from faultlab.soak.records import End, Exchange, Records
 from faultlab.soak.settings import CLASS_SHARES, CLASSES, Settings
 
@@ -36,16 +37,13 @@
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        self.data += data
-        head, mark, rest = self.data.partition(b"\r\n\r\n")
-        lower = head.lower()
-        length = int(lower.partition(b"content-length: ")[2].partition(b"\r\n")[0] or 0)
-        if mark and len(rest) >= length:
-            self.data = b""
-            if b"connection: close" in lower:
-                self.lost = True
-                self.transport.close()
-            self.settle(int(head[9:12]))
+        message, self.data = take_message(self.data + data)
+        if message is None:
+            return
+        if message.closes:
+            self.lost = True
+            self.transport.close()
+        self.settle(message.status)
 
     def eof_received(self) -> bool:
         return False  # close this side too
--- a/faultlab/soak/hosts.py
+++ b/faultlab/soak/hosts.py
@@ -9,6 +9,7 @@
 from typing import Any, cast
 
 from faultlab.coldstart.fall import HostAccount
+from faultlab.messages import Message, take_message
 from faultlab.soak.records import Arrival, Change, Fall, Records
 from faultlab.soak.settings import Settings
 from faultlab.standins import reply
@@ -96,21 +97,14 @@
     def data_received(self, data: bytes) -> None:
         if not self.data:
             self.first_s = time.monotonic()
-        self.data += data
-        head, mark, rest = self.data.partition(b"\r\n\r\n")
-        if not mark:
-            return
-        lines = head.split(b"\r\n")
-        fields = dict(line.lower().split(b": ", 1) for line in lines[1:] if b": " in line)
-        length = int(fields.get(b"content-length", b"0"))
-        if len(rest) >= length:
-            self.data = rest[length:]
-            self.on_request(fields)
-
-    def on_request(self, fields: dict[bytes, bytes]) -> None:
+        message, self.data = take_message(self.data + data)
+        if message is not None:
+            self.on_request(message)
+
+    def on_request(self, request: Message) -> None:
         now_s, host = time.monotonic(), self.host
-        id_ = fields.get(b"x-call-id", b"").decode("latin-1")
-        budget_s = int(fields.get(b"x-budget-ms", b"0")) / 1000
+        id_ = request.headers.get(b"x-call-id", b"").decode("latin-1")
+        budget_s = int(request.headers.get(b"x-budget-ms", b"0")) / 1000
         arrival = Arrival(id_, host.number, self.first_s, now_s, budget_s)
         host.records.arrivals.setdefault(id_, []).append(arrival)
         host.take(now_s, 1.0, id_)
