--- a/faultlab/soak/command.py
+++ b/faultlab/soak/command.py
@@ -14,7 +14,8 @@
 from faultlab.soak.settings import drawn
 from faultlab.soak.site import Result, Site
 
-AROUND_S = 3.0  # events before a broken rule that are printed with it
+BEFORE_S = 10.0  # events that are printed with a broken rule: a drain may count as known only 6 s later
+AFTER_S = 1.5
 SHOWN = 10  # broken rules of a seed that are printed
 
 
@@ -67,7 +68,7 @@
 def show_broken(result: Result, broken: Broken) -> None:
     print(f"  {broken.rule} at {broken.at_s - result.began_s:.2f} s: {broken.what}")
     for at_s, text in result.events:
-        if broken.at_s - AROUND_S <= at_s <= broken.at_s + AROUND_S / 2:
+        if broken.at_s - BEFORE_S <= at_s <= broken.at_s + AFTER_S:
             print(f"    {at_s - result.began_s:7.2f} s  {text}")
 
 
--- a/faultlab/soak/schedule.py
+++ b/faultlab/soak/schedule.py
@@ -13,6 +13,7 @@
 HOST_GAP_S = (1.0, 3.0)
 DISCOVERY_GAP_S = (6.0, 12.0)
 CROWD_GAP_S = (2.0, 5.0)
+DRAIN_IN_OUTAGE = 0.5  # share of discovery's outages in whose first second a host begins to drain
 
 
 class Kind(Enum):
@@ -67,4 +68,9 @@
         while at_s < settings.duration_s:
             planned.append(Planned(at_s, rng.choice(kinds), rng.randrange(targets), rng.uniform(1.0, 4.0)))
             at_s += rng.uniform(*gap_s)
+    outages = [event for event in planned if event.kind in (Kind.SILENT, Kind.REFUSED)]
+    for outage in outages:
+        if rng.random() < DRAIN_IN_OUTAGE:
+            at_s = outage.at_s + rng.uniform(0.0, 1.0)
+            planned.append(Planned(at_s, Kind.DRAIN, rng.randrange(settings.hosts), 0.0))
     return sorted(planned, key=lambda each: each.at_s)
--- a/faultlab/soak/site.py
+++ b/faultlab/soak/site.py
@@ -23,7 +23,10 @@
 
 ACCEPT_S = 0.3  # new connections come for so long after SIGTERM (PROTOCOL)
 OLD_AGENT_S = 1.5  # the old address of discovery is kept so long after SIGHUP (TERMS)
-DRAIN_S = 3.0  # a host drains for so long, and is away for as long
+DRAIN_S = 4.0
+# Away for longer than the rules give a gateway to know of the drain, behind the longest outage, and to stop
+# sending: whoever goes on is seen.
+AWAY_S = 8.0
 LAG_POLL_S = 0.005
 LAG_S = 0.002  # a shorter delay is not kept
 LOOK_S = 1.0
@@ -241,7 +244,7 @@
         await asyncio.sleep(DRAIN_S)
         host.status = "DELETED"
         self.registry.change()
-        await asyncio.sleep(DRAIN_S)
+        await asyncio.sleep(AWAY_S)
         drain.until_s = time.monotonic()
         del self.drains[number]
         host.restart()
