Rollout: the conductor knows its part by an interface, not by an import in a circle

Cause: conducting.py imported part.py (for a type, and inside a function for the name of the members' call), which imports conducting.py.

Change: conducting.py names what it needs of its gateway (ServedRollout) and the call (COUNTS_CALL); the ledger is handed over, so it is never looked for while it is None.

Measured: the tests of the rollout pass; one circle of imports less.

--- a/cloverkeel/fleet/rollout/conducting.py
+++ b/cloverkeel/fleet/rollout/conducting.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, Protocol
 
 from cloverkeel.fleet.duties.shell import NotHeldError
 from cloverkeel.fleet.duties.shell import Service as Duties
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.ledger.interface import Acknowledged, Level
 from cloverkeel.fleet.ledger.shell import Answer, WriteRefused
+from cloverkeel.fleet.ledger.shell import Service as Ledger
 from cloverkeel.fleet.membership.calls import CallFailed
 from cloverkeel.fleet.rollout.analysis import counts_of
 from cloverkeel.fleet.rollout.core import (
@@ -32,19 +33,30 @@
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.membership.service import Membership
-    from cloverkeel.fleet.rollout.part import RolloutPart
 
 TICK_S = 0.1
 ASK_S = 0.5  # between two questions to a member
+COUNTS_CALL = "rollout.counts"  # of a member, to each other
 WRITE_S = 5.0  # for a step to be held by a quorum
 
 
+class ServedRollout(Protocol):
+    """What this gateway itself serves of the rollout."""
+
+    progress: Progress
+
+    def report(self) -> list[Any]:
+        """The answer to `COUNTS_CALL`."""
+
+
 class Conducting:
     """From the duty's begin to its end, under its `token`."""
 
-    def __init__(self, token: int, part: RolloutPart, duties: Duties, membership: Membership) -> None:
-        self.token, self.part, self.duties, self.membership = token, part, duties, membership
-        self.core = Conductor(token, part.progress)
+    def __init__(
+        self, token: int, served: ServedRollout, ledger: Ledger, duties: Duties, membership: Membership
+    ) -> None:
+        self.served, self.ledger, self.duties, self.membership = served, ledger, duties, membership
+        self.core = Conductor(token, served.progress)
         self.loop = asyncio.get_running_loop()
         self.tasks = BackgroundTasks()
         self.asked: set[str] = set()  # members that have not answered yet
@@ -94,20 +106,16 @@
     def _begin_write(self, token: int, progress: Progress) -> asyncio.Task[Answer]:
         """Under the duty's token, over what the ledger shows now: nothing newer may be there, or this process
         has been outrun. Raises NotHeldError."""
-        if token != progress.token or self.part.progress.place >= progress.place:
+        if token != progress.token or self.served.progress.place >= progress.place:
             raise NotHeldError("another conductor's step is newer")
-        ledger = self.part.ledger
-        assert ledger is not None
-        _, context = ledger.read(PROGRESS, PROGRESS_KEY)
-        write = ledger.write(PROGRESS, PROGRESS_KEY, encode(progress), context, Level.QUORUM, WRITE_S)
+        _, context = self.ledger.read(PROGRESS, PROGRESS_KEY)
+        write = self.ledger.write(PROGRESS, PROGRESS_KEY, encode(progress), context, Level.QUORUM, WRITE_S)
         return self.loop.create_task(write)
 
     async def _drop(self, id: str) -> None:
-        ledger = self.part.ledger
-        assert ledger is not None
-        _, context = ledger.read(ORDER, id)
+        _, context = self.ledger.read(ORDER, id)
         with contextlib.suppress(WriteRefused):  # it stays, told as it is: the next conductor drops it
-            await ledger.delete(ORDER, id, context)
+            await self.ledger.delete(ORDER, id, context)
 
     # Members
 
@@ -121,13 +129,11 @@
                 self.tasks.spawn(self._ask(member, address))
 
     async def _ask(self, member: str, address: str) -> None:
-        from cloverkeel.fleet.rollout.part import KIND
-
         try:
             if member == self.membership.name:
-                answer = self.part.report()
+                answer = self.served.report()
             else:
-                answer = await self.membership.calls.call(address, KIND, None, ASK_S * 2)
+                answer = await self.membership.calls.call(address, COUNTS_CALL, None, ASK_S * 2)
             life, place, new, base = answer
             token, step = place
             reported = Reported(member, int(life), (int(token), int(step)), counts_of(new), counts_of(base))
--- a/cloverkeel/fleet/rollout/part.py
+++ b/cloverkeel/fleet/rollout/part.py
@@ -16,7 +16,7 @@
 from cloverkeel.fleet.events import event
 from cloverkeel.fleet.ledger.interface import Acknowledged, Expose
 from cloverkeel.fleet.ledger.shell import Service, WriteRefused
-from cloverkeel.fleet.rollout.conducting import Conducting
+from cloverkeel.fleet.rollout.conducting import COUNTS_CALL, Conducting
 from cloverkeel.fleet.rollout.counting import Counting
 from cloverkeel.fleet.rollout.records import (
     ORDER,
@@ -41,7 +41,6 @@
     from cloverkeel.fleet.membership.service import Membership
     from cloverkeel.gateway import Gateway
 
-KIND = "rollout.counts"
 TAKEN_S = 8.0  # for the conductor to say what becomes of an order
 VERBS = ("start", "pause", "resume", "abort", "undo")
 
@@ -71,7 +70,7 @@
     async def _begin(self, membership: Membership) -> None:
         self.ledger = await self.part.ready()
         self.ledger.on_expose(self._exposed)
-        membership.calls.serve(KIND, lambda _member, _body: self.report())
+        membership.calls.serve(COUNTS_CALL, lambda _member, _body: self.report())
         self._read()
         self._duty_changed(self._token())
 
@@ -143,7 +142,7 @@
             return
         service = self.duties.service
         assert service is not None
-        self.conducting = Conducting(token, self, service, self.membership)
+        self.conducting = Conducting(token, self, self.ledger, service, self.membership)
         self.conducting.ordered(self.orders())
 
     def orders(self) -> tuple[Order, ...]:
