--- a/faultlab/__main__.py
+++ b/faultlab/__main__.py
@@ -9,9 +9,10 @@
 import argparse
 import sys
 
-from faultlab import lookups, membership, recovery, transforms
+from faultlab import lookups, membership, transforms
 from faultlab.coldstart import command as coldstart
 from faultlab.duties import command as duties
+from faultlab.recovery import command as recovery
 from faultlab.rollout import command as rollout
 from faultlab.routes import command as routes
 from faultlab.soak import command as soak
--- /dev/null
+++ b/faultlab/recovery/damage.py
@@ -0,0 +1,103 @@
+"""Gateways that start on damaged files."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import sqlite3
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+from cloverkeel.fleet import state
+from faultlab.lab import Gateway, configuration
+from faultlab.ports import free_port
+from faultlab.recovery.files import Figures, good_file, open_copy, with_wal
+from faultlab.standins import Host, endpoint
+
+
+def damages(rng: random.Random) -> dict[str, Callable[[Path], None]]:
+    """Each damage, done to a directory that holds a good file."""
+    path = state.FILE
+
+    def truncate(at: Callable[[int], int]) -> Callable[[Path], None]:
+        def damage(d: Path) -> None:
+            size = (d / path).stat().st_size
+            os.truncate(d / path, at(size))
+
+        return damage
+
+    def flip(d: Path) -> None:
+        data = bytearray((d / path).read_bytes())
+        data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+        (d / path).write_bytes(bytes(data))
+
+    def torn_wal(d: Path) -> None:
+        wal = d / (path + "-wal")
+        size = wal.stat().st_size
+        os.truncate(wal, rng.randrange(32, max(33, size - 1)))
+
+    def schema(d: Path) -> None:
+        with sqlite3.connect(d / path) as connection:
+            connection.execute("UPDATE meta SET value = '0' WHERE key = 'schema'")
+
+    def replace_with(data: bytes) -> Callable[[Path], None]:
+        def damage(d: Path) -> None:
+            (d / path).write_bytes(data)
+
+        return damage
+
+    def directory(d: Path) -> None:
+        (d / path).unlink()
+        (d / path).mkdir()
+
+    return {
+        "truncated in the header": truncate(lambda size: rng.randrange(1, 100)),
+        "truncated at a page boundary": truncate(lambda size: 4096 * rng.randrange(1, max(2, size // 4096))),
+        "truncated inside a page": truncate(lambda size: rng.randrange(4097, size)),
+        "one byte flipped": flip,
+        "WAL torn mid-frame": torn_wal,
+        "old schema": schema,
+        "not SQLite": replace_with(b"this is no database " * 300),
+        "empty file": replace_with(b""),
+        "a directory in its place": directory,
+    }
+
+
+async def damaged_starts(folder: Path, rounds: int, seed: int) -> Figures:
+    """Real gateways started on damaged files: ready, and each damage seen, counted and logged once, or the
+    file's damage not reaching what is restored."""
+    rng = random.Random(seed)
+    hosts = [Host(f"d{n}") for n in range(2)]
+    for host in hosts:
+        await host.start()
+    results: dict[str, Counter[str]] = {}
+    not_ready = 0
+    try:
+        for kind, damage in damages(rng).items():
+            results[kind] = Counter()
+            for round_ in range(rounds if kind in ("one byte flipped", "WAL torn mid-frame") else 1):
+                directory = folder / f"damage-{len(results)}-{round_}"
+                (with_wal if kind == "WAL torn mid-frame" else lambda d: good_file(d, 3))(directory)
+                damage(directory)
+                gateway = Gateway(f"g{len(results)}", folder, configuration(
+                    "dmg", free_port(), "127.0.0.1:9", [endpoint(h) for h in hosts]), directory)  # fmt: skip
+                ready_s = await gateway.start()
+                not_ready += ready_s == float("inf")
+                await gateway.signal(signal.SIGKILL)
+                verdict = (
+                    "moved aside" if gateway.events("state.corrupt")
+                    else "ran without a store" if gateway.events("state.unusable")
+                    else "restored" if "warm=True" in " ".join(gateway.events("state.opened"))
+                    else "cold"
+                )  # fmt: skip
+                if len(gateway.events("state.corrupt")) > 1:
+                    verdict = "logged twice"
+                results[kind][verdict] += 1
+                if verdict == "restored":
+                    results[kind]["restored wrong"] += open_copy(directory)[1] < 0
+    finally:
+        for host in hosts:
+            host.close()
+    return {"damaged_starts": {kind: dict(c) for kind, c in results.items()}, "damaged_not_ready": not_ready}
--- /dev/null
+++ b/faultlab/recovery/files.py
@@ -0,0 +1,64 @@
+"""State files of the recovery experiments: good ones, copies as after a power loss, and how they open."""
+
+from __future__ import annotations
+
+import hashlib
+import shutil
+import sqlite3
+import time
+from pathlib import Path
+from typing import Any
+
+from cloverkeel.fleet import state
+from faultlab.recovery import writer
+
+Figures = dict[str, Any]  # by name, as an experiment prints them
+
+
+def copy_as_after_power_loss(source: Path, target: Path) -> None:
+    """What a disk could hold: the database file, then its WAL, each read at its own moment."""
+    target.mkdir()
+    for suffix in ("", "-wal"):
+        with open(source / (state.FILE + suffix), "rb") as file:
+            data = file.read()
+        (target / (state.FILE + suffix)).write_bytes(data)
+
+
+def open_copy(directory: Path) -> tuple[str, int]:
+    """How a start treats a copy: 'restored', 'cold' or 'moved aside', and the sequence it restored."""
+    fd = state.Store.take_lock(str(directory))
+    assert fd is not None
+    figures = state.Figures()
+    store, found = state.Store.open(str(directory), fd, figures, time.time())
+    store.close()
+    if figures.corrupt:
+        return "moved aside", -1
+    if not found:
+        return "cold", -1
+    seq = writer.sequence(found[0])
+    return ("restored" if seq >= 0 else "accepted wrong"), seq
+
+
+def good_file(directory: Path, snapshots: int) -> None:
+    directory.mkdir()
+    fd = state.Store.take_lock(str(directory))
+    assert fd is not None
+    store, _ = state.Store.open(str(directory), fd, state.Figures(), time.time())
+    store.prepare()
+    for seq in range(snapshots):
+        store.write(writer.synthetic(seq, time.time()))
+    store.close()
+
+
+def with_wal(directory: Path) -> None:
+    """A good file whose newest snapshot is still in the WAL: copied while the writer holds it open."""
+    source = directory.with_name(directory.name + "-source")
+    good_file(source, 2)
+    connection = sqlite3.connect(source / state.FILE, isolation_level=None)
+    connection.execute("PRAGMA wal_autocheckpoint=0")
+    payload = state.encode(writer.synthetic(2, time.time()))
+    connection.execute("INSERT INTO snapshot (taken_unix_s, payload, sha256) VALUES (?, ?, ?)",
+                       (time.time(), payload, hashlib.sha256(payload).hexdigest()))  # fmt: skip
+    copy_as_after_power_loss(source, directory)
+    connection.close()
+    shutil.rmtree(source)
--- a/tests/test_state_lab.py
+++ b/tests/test_state_lab.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from cloverkeel.fleet import state
-from faultlab import recovery
+from faultlab.recovery import damage, gateways, writers
 from faultlab.lab import Gateway, configuration, snapshot_after, traffic
 from faultlab.ports import free_port
 from faultlab.standins import Host, endpoint
@@ -18,7 +18,7 @@
 
 
 def test_kills_during_writes_leave_the_last_complete_snapshot(tmp_path: Path) -> None:
-    figures = asyncio.run(recovery.kills(tmp_path, rounds=200, processes=4, seed=11))
+    figures = asyncio.run(writers.kills(tmp_path, rounds=200, processes=4, seed=11))
     assert figures["kills"] == 200
     assert set(figures["kill_outcomes"]) <= SOUND | {"moved aside"}
     assert figures["kill_outcomes"].get("moved aside", 0) == 0 and figures["lost_commits"] == 0
@@ -26,7 +26,7 @@
 
 
 def test_every_damage_is_caught_or_harmless_and_the_gateway_serves(tmp_path: Path) -> None:
-    figures = asyncio.run(recovery.damaged_starts(tmp_path, rounds=4, seed=3))
+    figures = asyncio.run(damage.damaged_starts(tmp_path, rounds=4, seed=3))
     assert figures["damaged_not_ready"] == 0
     verdicts = figures["damaged_starts"]
     for kind in ("truncated in the header", "old schema", "not SQLite", "empty file"):
@@ -37,23 +37,23 @@
 
 
 def test_a_full_disk_fails_writes_without_losing_the_last(tmp_path: Path) -> None:
-    figures = asyncio.run(recovery.full_disk(tmp_path))
+    figures = asyncio.run(writers.full_disk(tmp_path))
     assert figures["full_disk_failed_writes"] > 0 and figures["full_disk_exit"] == 0
     assert figures["full_disk_reopened"] == "restored" and figures["full_disk_kept_last"]
 
 
 def test_a_gateway_stopped_and_continued_mid_write_keeps_a_sound_file_and_writes_on(tmp_path: Path) -> None:
-    figures = asyncio.run(recovery.stopped(tmp_path, rounds=10, seed=5))
+    figures = asyncio.run(gateways.stopped(tmp_path, rounds=10, seed=5))
     assert figures == {"stops": 10, "stopped_file_sound": 10, "stopped_exit": 0, "stopped_write_failures": 0}
 
 
 def test_a_directory_that_cannot_be_made_leaves_the_gateway_serving(tmp_path: Path) -> None:
-    figures = asyncio.run(recovery.unmakeable(tmp_path))
+    figures = asyncio.run(gateways.unmakeable(tmp_path))
     assert figures == {"unmakeable_ready": True, "unmakeable_lines": 1}
 
 
 def test_a_second_process_on_one_directory_runs_without_the_store(tmp_path: Path) -> None:
-    figures = asyncio.run(recovery.two_on_one(tmp_path))
+    figures = asyncio.run(gateways.two_on_one(tmp_path))
     assert figures == {"two_ready": True, "two_second_locked_lines": 1, "two_file_after": "sound"}
 
 
