Gateway: a request that waits for its answer is called pending

Cause: held.py, Held and held were the earlier house style's word for it.

Change: pending.py, PendingRequest, pending; whether one is in progress is its own property. Nothing else changes.

--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -10,7 +10,7 @@
 
 from cloverkeel.clock import now_us
 from cloverkeel.config import Config, stable_id
-from cloverkeel.held import Call
+from cloverkeel.pending import Call
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import Header, Reply, end_to_end, header
 from cloverkeel.streams import Upload
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -1,4 +1,4 @@
-"""The one Balancer and the world round it: events in, actions out, timers, and the requests that are held.
+"""The one Balancer and the world round it: events in, actions out, timers, and the requests that are pending.
 
 Nothing is chosen here. One event is handled and its actions are carried out before the next: what is found
 out meanwhile waits its turn.
@@ -46,7 +46,7 @@
 from cloverkeel.discovery import Discovery
 from cloverkeel.entries import Entry
 from cloverkeel.fleet.kept import Figures, Snapshot
-from cloverkeel.held import Call, Held
+from cloverkeel.pending import Call, PendingRequest
 from cloverkeel.hosts.attempt import Attempt, load_of
 from cloverkeel.hosts.pool import Pools
 from cloverkeel.http1 import Reply, log
@@ -82,7 +82,7 @@
         self.lists: Lists = self.discovery  # what the module's own wishes for lists go to
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
-        self.held: dict[str, Held] = {}
+        self.pending: dict[str, PendingRequest] = {}
         self.closed = False
         self.known = config.known
         self.warm, self.kept = warm, kept  # what the state store had, and what it has done
@@ -118,7 +118,7 @@
         """What operators read, as it is now, with figures of other parts."""
         return self.telemetry.render(
             {
-                "in_progress": sum(not held.closed and not held.is_open for held in self.held.values()),
+                "in_progress": sum(each.is_in_progress for each in self.pending.values()),
                 "known_hosts": len(self.pools.hosts),
                 "skipped_hosts": self.balancer.skipped(now_us()),
                 **gauges,
@@ -173,12 +173,12 @@
             self.carry_out(action)
 
     def arrive(self, call: Call) -> bool:
-        """Take a request; False if one with its id is held already."""
-        if call.id in self.held:
+        """Take a request; False if one with its id is pending already."""
+        if call.id in self.pending:
             return False
-        held = Held(call, now_us() + call.patience_us, self.settings.max_attempts)
-        held.is_open = call.upload is not None
-        self.held[call.id] = held
+        pending = PendingRequest(call, now_us() + call.patience_us, self.settings.max_attempts)
+        pending.is_open = call.upload is not None
+        self.pending[call.id] = pending
         event = RequestArrived(
             call.id,
             call.klass,
@@ -187,7 +187,7 @@
             call.work_us,
             call.is_retry,
             call.tenant,
-            held.is_open,
+            pending.is_open,
             call.route,
             call.rules,
         )
@@ -196,31 +196,31 @@
 
     def leave(self, id_: str) -> None:
         """The client has gone; nothing is owed to it."""
-        held = self.held.get(id_)
-        if held is None or held.closed:
+        pending = self.pending.get(id_)
+        if pending is None or pending.closed:
             return
-        self.finish(id_, held, None)
+        self.finish(id_, pending, None)
         self.post(lambda: RequestGone(id_))
-        for attempt in held.attempts:
+        for attempt in pending.attempts:
             # Not the module's to say, nor the settings': what has not begun is never begun, and what has no
             # source or no reader any more cannot go on.
             if attempt is None or attempt.ended:
                 continue
-            if attempt is not held.begun and not self.pools.is_written(attempt):
+            if attempt is not pending.begun and not self.pools.is_written(attempt):
                 self.pools.cancel(attempt, Outcome.MOOT)
-            elif attempt is held.begun or attempt.upload is not None:
+            elif attempt is pending.begun or attempt.upload is not None:
                 self.pools.cancel(attempt)
 
     def body_ended(self, id_: str) -> None:
         """The last byte of a long body has come."""
-        held = self.held.get(id_)
-        if held is None or not held.is_open:
+        pending = self.pending.get(id_)
+        if pending is None or not pending.is_open:
             return
-        held.is_open = False
-        held.deadline_us = now_us() + held.call.patience_us
-        if held.call.upload is not None:
-            held.call.upload.end()
-        if not held.closed:
+        pending.is_open = False
+        pending.deadline_us = now_us() + pending.call.patience_us
+        if pending.call.upload is not None:
+            pending.call.upload.end()
+        if not pending.closed:
             self.post(lambda: BodyEnded(id_))
 
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
@@ -238,13 +238,13 @@
                 event = TimerFired(action.token)
                 self.loop.call_later(delay_s, self.post, lambda: event)
             case Refuse():
-                held = self.owed(action.request, Result.DROPPED)
-                if held is not None:
-                    held.call.on_refused(action.retry_after_us)
+                pending = self.owed(action.request, Result.DROPPED)
+                if pending is not None:
+                    pending.call.on_refused(action.retry_after_us)
             case Fail():
-                held = self.owed(action.request, Result.BAD_GATEWAY)
-                if held is not None:
-                    held.call.on_failed(held.timed_out)
+                pending = self.owed(action.request, Result.BAD_GATEWAY)
+                if pending is not None:
+                    pending.call.on_failed(pending.timed_out)
             case Cancel():
                 self.cancel(action)
             case WatchList():
@@ -260,103 +260,105 @@
             case _:
                 log(f"not carried out: {action!r}")
 
-    def owed(self, id_: str, result: Result) -> Held | None:
+    def owed(self, id_: str, result: Result) -> PendingRequest | None:
         """The request, if it still waits for its final answer, which it has from now on."""
-        held = self.held.get(id_)
-        if held is None or held.closed:
+        pending = self.pending.get(id_)
+        if pending is None or pending.closed:
             return None
-        self.finish(id_, held, result)
-        return held
+        self.finish(id_, pending, result)
+        return pending
 
-    def finish(self, id_: str, held: Held, result: Result | None) -> None:
+    def finish(self, id_: str, pending: PendingRequest, result: Result | None) -> None:
         """Nothing is owed from now on; None: the client has gone, and nothing is counted."""
-        held.closed = True
+        pending.closed = True
         if result is not None:
-            self.telemetry.count(self.names.by_class[held.call.klass], result)
-        if held.out == 0:
-            del self.held[id_]
+            self.telemetry.count(self.names.by_class[pending.call.klass], result)
+        if pending.out == 0:
+            del self.pending[id_]
 
     def send(self, action: Send) -> None:
         id_ = action.request
-        held, host = self.held.get(id_), self.pools.hosts.get(action.server)
-        if held is None:
+        pending, host = self.pending.get(id_), self.pools.hosts.get(action.server)
+        if pending is None:
             return
-        number = len(held.attempts)
-        left_us = held.deadline_us - now_us()
+        number = len(pending.attempts)
+        left_us = pending.deadline_us - now_us()
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
         ends_us = now_us() + wait_us
-        if host is None or not self.may_begin(held) or wait_us <= 0 or number >= held.max_attempts:
-            held.attempts.append(None)
+        if host is None or not self.may_begin(pending) or wait_us <= 0 or number >= pending.max_attempts:
+            pending.attempts.append(None)
             self.post(lambda: self.moot(action, number))
             return
 
         def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
-            self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
+            self.post(lambda: self.attempt_ended(pending, number, attempt, outcome, reply))
 
         def payload() -> bytes:
             left_ms = max(1, (ends_us - now_us()) // 1000)
-            return b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, left_ms, held.call.body)
+            return b"%sX-Budget-Ms: %d\r\n\r\n%s" % (pending.call.head, left_ms, pending.call.body)
 
         def on_begin(attempt: Attempt, reply: Reply) -> Callable[[bytes], None] | None:
-            self.post(lambda: self.answer_begun(held, number, attempt, reply))
-            return held.call.on_piece if held.begun is attempt else None
+            self.post(lambda: self.answer_begun(pending, number, attempt, reply))
+            return pending.call.on_piece if pending.begun is attempt else None
 
         def on_passing() -> None:
-            held.call.body = b""  # no further attempt will need it
+            pending.call.body = b""  # no further attempt will need it
             self.post(lambda: BodyPassing(id_, number))
 
-        upload = held.call.upload
+        upload = pending.call.upload
         attempt = Attempt(
             host, payload, on_end, on_begin=on_begin, upload=upload, on_passing=on_passing,
-            is_wanted=lambda: self.may_begin(held), left_us=lambda: held.deadline_us - now_us(),
+            is_wanted=lambda: self.may_begin(pending), left_us=lambda: pending.deadline_us - now_us(),
         )  # fmt: skip
-        held.attempts.append(attempt)
-        held.out += 1
+        pending.attempts.append(attempt)
+        pending.out += 1
         if action.latest_us:
-            for earlier in held.attempts:  # one whose connection is still coming up would be the repeat
+            for earlier in pending.attempts:  # one whose connection is still coming up would be the repeat
                 if earlier is not None:
                     self.pools.limit(earlier, action.latest_us)
         self.pools.send(attempt, wait_us)
 
-    def may_begin(self, held: Held) -> bool:
+    def may_begin(self, pending: PendingRequest) -> bool:
         """Whether an attempt may still begin: nothing has been answered, and the client is there."""
-        return not held.closed and not held.call.is_gone()
+        return not pending.closed and not pending.call.is_gone()
 
     def moot(self, action: Send, number: int) -> Event:
-        held = self.held.get(action.request)
-        finished = held is None or held.closed
+        pending = self.pending.get(action.request)
+        finished = pending is None or pending.closed
         return AttemptEnded(action.request, number, action.server, Outcome.MOOT, 0, finished)
 
-    def answer_begun(self, held: Held, number: int, attempt: Attempt, reply: Reply) -> Event | None:
-        if held.closed or held.begun is not None or attempt.connection is None:
+    def answer_begun(
+        self, pending: PendingRequest, number: int, attempt: Attempt, reply: Reply
+    ) -> Event | None:
+        if pending.closed or pending.begun is not None or attempt.connection is None:
             return None
-        held.begun = attempt
-        held.call.on_begun(reply, attempt.connection)
-        return StreamStarted(held.call.id, number)
+        pending.begun = attempt
+        pending.call.on_begun(reply, attempt.connection)
+        return StreamStarted(pending.call.id, number)
 
     def attempt_ended(
-        self, held: Held, number: int, attempt: Attempt, outcome: Outcome, reply: Reply | None
+        self, pending: PendingRequest, number: int, attempt: Attempt, outcome: Outcome, reply: Reply | None
     ) -> Event:
-        id_ = held.call.id
-        held.out -= 1
-        held.timed_out = outcome is Outcome.TIMEOUT
-        if held.begun is attempt and not held.closed:
-            self.finish(id_, held, Result.PASSED if outcome is Outcome.OK else Result.BAD_GATEWAY)
-            (held.call.on_ended if outcome is Outcome.OK else held.call.on_broken)()
-        elif not held.closed and outcome is Outcome.OK and reply is not None:
-            self.finish(id_, held, Result.PASSED)
-            held.call.on_served(reply)
-        elif held.closed and held.out == 0:
-            self.held.pop(id_, None)
+        id_ = pending.call.id
+        pending.out -= 1
+        pending.timed_out = outcome is Outcome.TIMEOUT
+        if pending.begun is attempt and not pending.closed:
+            self.finish(id_, pending, Result.PASSED if outcome is Outcome.OK else Result.BAD_GATEWAY)
+            (pending.call.on_ended if outcome is Outcome.OK else pending.call.on_broken)()
+        elif not pending.closed and outcome is Outcome.OK and reply is not None:
+            self.finish(id_, pending, Result.PASSED)
+            pending.call.on_served(reply)
+        elif pending.closed and pending.out == 0:
+            self.pending.pop(id_, None)
         if self.on_attempt is not None:
             self.on_attempt(attempt.host.id, outcome, attempt.latency_us)
         return AttemptEnded(
-            id_, number, attempt.host.id, outcome, attempt.latency_us, held.closed, load_of(reply)
+            id_, number, attempt.host.id, outcome, attempt.latency_us, pending.closed, load_of(reply)
         )
 
     def cancel(self, action: Cancel) -> None:
-        held = self.held.get(action.request)
-        if held is not None and 0 <= action.attempt < len(held.attempts):
-            attempt = held.attempts[action.attempt]
+        pending = self.pending.get(action.request)
+        if pending is not None and 0 <= action.attempt < len(pending.attempts):
+            attempt = pending.attempts[action.attempt]
             if attempt is not None:
                 self.pools.cancel(attempt)
--- a/cloverkeel/held.py
+++ b/cloverkeel/pending.py
@@ -1,4 +1,4 @@
-"""A client's request, as the gateway takes and holds it."""
+"""A client's request as the gateway takes it, and what becomes of it until all its attempts are over."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
     is_retry: bool
     tenant: int
     head: bytes  # request line and headers to pass on, all but the budget and the end
-    body: bytes  # all of it, or what is held of a long one
+    body: bytes  # all of it, or the first part of a long one
     upload: Upload | None  # the rest of a long one
     on_served: Callable[[Reply], None]
     on_begun: Callable[[Reply, HostConnection], None]  # a long answer's head, and where its body comes from
@@ -40,7 +40,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Held:
+class PendingRequest:
     """A request that is owed an answer, or whose attempts are not all over."""
 
     call: Call
@@ -52,3 +52,8 @@
     is_open: bool = False  # its body is still coming
     begun: Attempt | None = None  # whose long answer is passing to the client
     timed_out: bool = False
+
+    @property
+    def is_in_progress(self) -> bool:
+        """Whether it has come whole and waits for its answer."""
+        return not self.closed and not self.is_open
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -58,7 +58,7 @@
         monkeypatch.setattr(connection, "on_unfinished", with_a_byte_unread)
         await until(lambda: connection.served)
         assert client.recv(4096).startswith(b"HTTP/1.1 408 ") and looked == 2
-        assert not host.seen and not run.gateway.held
+        assert not host.seen and not run.gateway.pending
         client.close()
 
 
@@ -207,7 +207,7 @@
         peers += [flood(run, b"".join(request("transfer") for _ in range(300)))]
         for one in peers:
             one.close()  # and the loop has had no turn since
-        await until(lambda: len(run.server.connections) == 1 and len(run.gateway.held) == 1)
+        await until(lambda: len(run.server.connections) == 1 and len(run.gateway.pending) == 1)
         assert len(host.seen) == 1
         host.seen[0].answer(reply())
         assert (await other.answer()).status == 200
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -106,7 +106,7 @@
             client.leave()
             await until(lambda: not run.server.connections and not run.gateway.pools.open)
             assert [event.outcome for event in told] == [Outcome.MOOT] and told[0].finished
-            assert not run.gateway.held and not run.gateway.balancer.requests
+            assert not run.gateway.pending and not run.gateway.balancer.requests
 
 
 @pytest.mark.parametrize("may_cancel", [False, True])
@@ -129,7 +129,7 @@
         await until(lambda: told)
         await until(lambda: not run.server.connections)
         assert [event.outcome for event in told] == [Outcome.MOOT] and told[0].finished
-        assert not host.seen and not run.gateway.held and not run.gateway.balancer.requests
+        assert not host.seen and not run.gateway.pending and not run.gateway.balancer.requests
         assert not any(server.out for server in run.gateway.balancer.servers.values())
 
 
@@ -149,7 +149,7 @@
         client.send(request())
         await until(lambda: told and not run.server.connections)
         assert len(one.seen) + len(two.seen) == 1
-        assert not run.gateway.held and not run.gateway.balancer.requests
+        assert not run.gateway.pending and not run.gateway.balancer.requests
 
 
 @on_loop
@@ -163,7 +163,7 @@
             client = await run.connect()
             client.send(request())
             await until(lambda: host.seen)
-            (held,) = gateway.held.values()
+            (held,) = gateway.pending.values()
             gateway.send(Send(held.call.id, 1, 20_000_000))
             host.seen[0].answer(reply())
             assert (await client.answer()).status == 200
@@ -174,7 +174,7 @@
             gateway.pools.put_on(connection, attempt)  # as if it had come up
             assert attempt.ended
             await until(lambda: len(told) == 2)
-            assert told[1].outcome is Outcome.MOOT and not gateway.held
+            assert told[1].outcome is Outcome.MOOT and not gateway.pending
             client.close()
 
 
@@ -199,7 +199,7 @@
         await until(lambda: not run.server.connections)
         if swept:
             host.seen[0].answer(reply())  # to one that was out before
-        await until(lambda: not run.gateway.held)
+        await until(lambda: not run.gateway.pending)
         assert len(host.seen) == 1 and not connection.waiting
 
 
@@ -221,7 +221,7 @@
         client.send(b"".join(request("transfer") for _ in range(3)))
         await until(lambda: len(connection.waiting) == 3)
         client.leave("end")
-        await until(lambda: not run.gateway.held)  # its output still waits, or has been given up
+        await until(lambda: not run.gateway.pending)  # its output still waits, or has been given up
         await until(lambda: not run.server.connections)
         assert len(host.seen) == 1 and not connection.waiting
         client.leave()
@@ -236,13 +236,13 @@
             first, second, third = Leaver(run), Leaver(run), Leaver(run)
             for count, client in enumerate((first, second, third), 1):
                 client.send(request("transfer", x_call_id=f"in-line-{count}"))
-                await until(lambda n=count: len(run.gateway.held) == n)  # type: ignore[misc]
+                await until(lambda n=count: len(run.gateway.pending) == n)  # type: ignore[misc]
             await until(lambda: host.seen)
             second.leave()
             host.seen[0].answer(reply())  # both are ready in the loop's next poll
             await until(lambda: len(host.seen) == 2)
             host.seen[1].answer(reply())
-            await until(lambda: not run.gateway.held)
+            await until(lambda: not run.gateway.pending)
             assert [e.message.headers["x-call-id"] for e in host.seen] == ["in-line-1", "in-line-3"]
             first.leave()
             third.leave()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -202,7 +202,9 @@
             client.sendall(long[:-5])
             client.setblocking(False)
             connection = await connected(run)
-            await until(lambda: connection.current is not None and connection.current_id in run.gateway.held)
+            await until(
+                lambda: connection.current is not None and connection.current_id in run.gateway.pending
+            )
             await until(lambda: not connection.poll.poll(0))
             run.server.draining = True
 
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cloverkeel.config import stable_id
-from cloverkeel.held import Call
+from cloverkeel.pending import Call
 from tests.sockets import (
     answers,
     configuration,
@@ -84,7 +84,7 @@
         assert answer.status == status
         assert answer.status not in (429, 503)
         assert ("allow" in answer.headers) is (status == 405)
-        assert not host.seen and not run.gateway.held
+        assert not host.seen and not run.gateway.pending
         assert (await run.ask(request())).status == 200
 
 
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -76,7 +76,7 @@
         assert [event.outcome for event in told] == [outcome]
         assert told[0].server == host_id(0) and told[0].finished is (outcome is Outcome.OK)
         assert len(host.seen) == 1  # an unsafe request goes out once
-        assert not run.gateway.held
+        assert not run.gateway.pending
 
 
 @on_loop
@@ -116,7 +116,7 @@
         assert (await run.ask(request("transfer", budget_ms=60))).status == 504
         assert [event.outcome for event in told] == [Outcome.TIMEOUT]
         await until(lambda: host.ended == 1)  # the host can tell that nobody waits
-        assert run.gateway.pools.open == 0 and not run.gateway.held
+        assert run.gateway.pools.open == 0 and not run.gateway.pending
 
 
 @on_loop
@@ -238,7 +238,7 @@
         await until(lambda: host.ended == 1)
         await until(lambda: told)
         assert told[0].outcome is Outcome.CANCELLED and told[0].finished
-        assert not run.gateway.held and not run.gateway.balancer.requests
+        assert not run.gateway.pending and not run.gateway.balancer.requests
 
 
 @on_loop
--- a/tests/test_host_answers.py
+++ b/tests/test_host_answers.py
@@ -100,7 +100,7 @@
             if ends == "broken":
                 with pytest.raises(ConnectionResetError):
                     await client.reader.read()
-            await until(lambda: run.gateway.pools.open == 0 and not run.gateway.held)
+            await until(lambda: run.gateway.pools.open == 0 and not run.gateway.pending)
         # One that has begun and is cut off tells of its host, and of no crowd there: that is for time-outs.
         assert [event.outcome for event in told] == [Outcome.RESET if ends == "broken" else Outcome.TIMEOUT]
         client.close()
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -117,7 +117,7 @@
         partly.append(any(not c.is_written for c in connections()))
 
     def connections() -> list[HostConnection]:
-        attempts = [a for held in run.gateway.held.values() for a in held.attempts if a is not None]
+        attempts = [a for held in run.gateway.pending.values() for a in held.attempts if a is not None]
         return [a.connection for a in attempts if a.connection is not None]
 
     end = pool.Pools.end
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -194,7 +194,7 @@
             else:
                 await read_chunked(client.reader)
         assert handled(read(gateway), "transfer") == [0, 0, 1]
-        assert not gateway.gateway.held and gateway.gateway.buffer.long == 0
+        assert not gateway.gateway.pending and gateway.gateway.buffer.long == 0
         client.close()
 
 
@@ -275,7 +275,7 @@
         await read_head(client.reader)
         client.close()
         await ended.wait()
-        await until(lambda: not gateway.gateway.held)
+        await until(lambda: not gateway.gateway.pending)
         assert gateway.gateway.buffer.long == 0
 
 
@@ -440,7 +440,7 @@
         answer = await client.answer()
         assert (answer.status, answer.headers["connection"]) == (400, "close")
         await until(lambda: sink.broken)
-        assert not sink.bodies and not gateway.gateway.held
+        assert not sink.bodies and not gateway.gateway.pending
         assert read(gateway)["lb_upstream_tries"] == 0
         client.close()
 
@@ -456,7 +456,7 @@
         assert read(gateway)["lb_in_progress"] == 0  # not yet taken
         client.close()
         await until(lambda: sink.broken)
-        assert not sink.bodies and not gateway.gateway.held and gateway.gateway.buffer.long == 0
+        assert not sink.bodies and not gateway.gateway.pending and gateway.gateway.buffer.long == 0
 
 
 @on_loop
@@ -465,7 +465,7 @@
     sink = Sink()
     async with raw_host(sink) as host, running(configuration(host)) as gateway:
         assert (await gateway.ask(in_chunks(chunked(BODY)))).status == 413
-        await until(lambda: not gateway.gateway.held)
+        await until(lambda: not gateway.gateway.pending)
         assert not sink.bodies
 
 
@@ -583,7 +583,7 @@
     async with raw_host(sink) as host, running(configuration(host)) as gateway:
         answer = await gateway.ask(request("transfer", BODY)[:100_000])
         assert (answer.status, answer.headers["connection"]) == (408, "close")
-        await until(lambda: not gateway.gateway.held)
+        await until(lambda: not gateway.gateway.pending)
         assert not sink.bodies
 
 
@@ -789,7 +789,7 @@
         client = await gateway.connect()
         client.send(request("transfer", BODY, content_length="1000000"))
         await until(lambda: gateway.gateway.buffer.long == 1)
-        held = next(iter(gateway.gateway.held.values()))
+        held = next(iter(gateway.gateway.pending.values()))
         attempt = held.attempts[0]
         assert attempt is not None and held.call.body == b"" and BODY[:100] not in attempt.payload()
         client.close()
--- a/tests/test_transforms_active.py
+++ b/tests/test_transforms_active.py
@@ -140,7 +140,7 @@
             run.gateway.transforms = ActiveSet(installed('fail "no"', "on_error refuse"))
             seen = len(host.seen)
             assert (await run.ask(request("transfer"))).status == 502
-            assert len(host.seen) == seen and not run.gateway.held
+            assert len(host.seen) == seen and not run.gateway.pending
 
 
 def test_check_names_each_fault_and_its_exit_code(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
