Tests: long answers, long requests and the rest of streams in a file each

Change: its hosts and readers are in tests/streaming.py, answers and requests in files of their own; moved as they were.

--- /dev/null
+++ b/tests/test_streamed_requests.py
@@ -0,0 +1,259 @@
+"""Long and slow bodies of requests: framing, back-pressure, ends, breaks and rates."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+import pytest
+
+from cloverkeel.front import reading as front
+from cloverkeel.http1 import BODY_LIMIT
+from cloverkeel.streams import LEAST_RATE
+from tests.sockets import configuration, on_loop, peer, reply, request, running, silent, until
+from tests.test_telemetry import read
+from tests.streaming import BODY, chunked, in_chunks, raw_host, read_chunked
+
+
+class Sink:
+    """A host that takes bodies of any form and answers with what it took."""
+
+    def __init__(self) -> None:
+        self.heads: list[dict[str, str]] = []
+        self.bodies: list[bytes] = []
+        self.broken = 0
+
+    async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            lines = (await reader.readuntil(b"\r\n\r\n")).decode().lower().split("\r\n")[1:-2]
+            headers = dict(line.split(": ", 1) for line in lines)
+            self.heads.append(headers)
+            try:
+                if "content-length" in headers:
+                    body = await reader.readexactly(int(headers["content-length"]))
+                else:
+                    body = await read_chunked(reader)
+            except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+                self.broken += 1
+                raise
+            self.bodies.append(body)
+            writer.write(reply(200, hashlib.sha256(body).hexdigest().encode()))
+
+
+def digest(body: bytes) -> bytes:
+    return hashlib.sha256(body).hexdigest().encode()
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "extensions and a trailer"])
+@on_loop
+async def test_a_long_body_passes_unchanged_and_the_connection_goes_on(
+    form: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("cloverkeel.hosts.idle.REST_US", 0)
+    sink = Sink()
+    async with raw_host(sink) as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        for length in (BODY_LIMIT, BODY_LIMIT + 1, 100_000, len(BODY)):
+            body = BODY[:length]
+            data = request("transfer", body) if form == "length" else in_chunks(chunked(body))
+            if form.startswith("ext"):
+                data = in_chunks(chunked(body, 9_999, b';q="r"', b"X-Call-Class: hold\r\n"))
+            for at in range(0, len(data), 20_000):
+                client.send(data[at : at + 20_000])
+                await asyncio.sleep(0)
+            answer = await client.answer()
+            assert (answer.status, answer.body) == (200, digest(body))
+        assert [len(body) for body in sink.bodies] == [BODY_LIMIT, BODY_LIMIT + 1, 100_000, len(BODY)]
+        assert read(gateway)["lb_upstream_tries"] == 4
+        assert gateway.gateway.buffer.long == 0 and gateway.gateway.pools.open == 1
+        client.close()
+
+
+@on_loop
+async def test_long_and_short_requests_in_a_row_are_answered_in_turn() -> None:
+    sink = Sink()
+    async with raw_host(sink) as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        bodies = [b"a", BODY, b"b", BODY[:70_000], b"c"]
+        expects = [in_chunks(chunked(b)) if n % 2 else request("transfer", b) for n, b in enumerate(bodies)]
+        client.send(b"".join(expects))
+        for body in bodies:
+            assert (await client.answer()).body == digest(body)
+        client.close()
+
+
+@on_loop
+async def test_a_client_that_waits_for_word_is_told_to_go_on_in_its_turn() -> None:
+    async with peer(silent) as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        body = BODY[:5]
+        head = request("transfer", body, expect="100-continue")[: -len(body)]
+        client.send(request("search") + head)
+        await until(lambda: host.seen)
+        host.seen[0].answer(reply(200, b"first"))
+        assert (await client.answer()).body == b"first"
+        assert (await client.answer()).status == 100
+        client.send(body)
+        await until(lambda: len(host.seen) == 2)
+        assert host.seen[1].message.body == body
+        host.seen[1].answer(reply())
+        assert (await client.answer()).status == 200
+        client.close()
+
+
+@on_loop
+async def test_a_body_that_turns_out_bad_never_ends_at_the_host() -> None:
+    sink = Sink()
+    async with raw_host(sink) as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        client.send(in_chunks(chunked(BODY)[:-5]))
+        await until(lambda: sink.heads)
+        client.send(b"zz\r\n")
+        answer = await client.answer()
+        assert (answer.status, answer.headers["connection"]) == (400, "close")
+        await until(lambda: sink.broken)
+        assert not sink.bodies and not gateway.gateway.pending
+        assert read(gateway)["lb_upstream_tries"] == 0
+        client.close()
+
+
+@pytest.mark.parametrize("may_cancel", [False, True])
+@on_loop
+async def test_a_client_that_leaves_in_its_body_ends_the_attempt(may_cancel: bool) -> None:
+    sink = Sink()
+    async with raw_host(sink) as host, running(configuration(host, mayCancel=may_cancel)) as gateway:
+        client = await gateway.connect()
+        client.send(request("transfer", BODY)[:200_000])
+        await until(lambda: sink.heads)
+        assert read(gateway)["lb_in_progress"] == 0  # not yet taken
+        client.close()
+        await until(lambda: sink.broken)
+        assert not sink.bodies and not gateway.gateway.pending and gateway.gateway.buffer.long == 0
+
+
+@on_loop
+async def test_a_body_beyond_the_limit_is_cut_where_it_passes_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "BODY_MOST", 200_000)
+    sink = Sink()
+    async with raw_host(sink) as host, running(configuration(host)) as gateway:
+        assert (await gateway.ask(in_chunks(chunked(BODY)))).status == 413
+        await until(lambda: not gateway.gateway.pending)
+        assert not sink.bodies
+
+
+@on_loop
+async def test_a_host_that_breaks_off_a_body_fails_it_and_nothing_is_sent_twice() -> None:
+    heads = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal heads
+        heads += 1
+        await reader.readexactly(100_000)
+        writer.transport.abort()
+
+    async with raw_host(serve) as one, raw_host(serve) as two, running(configuration(one, two)) as gateway:
+        client = await gateway.connect()
+        client.send(request("transfer", BODY, content_length="1000000"))  # the rest is still to come
+        assert (await client.answer()).status == 503  # never whole: it has not run
+        assert heads == 1
+        client.close()
+
+
+@on_loop
+async def test_a_body_that_is_answered_early_is_read_to_its_end_and_the_connection_goes_on() -> None:
+    """Its connection was ended under the client, which was still sending."""
+    async with running(configuration("127.0.0.1:1")) as gateway:
+        client = await gateway.connect()
+        data = request("transfer", BODY)
+        client.send(data[:100_000])
+        early = await client.answer()
+        assert early.status == 503 and "connection" not in early.headers
+        client.send(data[100_000:])
+        for _ in range(2):
+            assert (await client.ask(request("transfer"))).status == 503
+        connection = next(iter(gateway.server.connections))
+        assert not connection.is_late(1e9) and connection.is_idle()
+        client.close()
+
+
+@on_loop
+async def test_a_body_that_is_answered_early_and_turns_out_bad_gets_no_second_answer() -> None:
+    async with running(configuration("127.0.0.1:1")) as gateway:
+        client = await gateway.connect()
+        client.send(in_chunks(chunked(BODY)[:-5]))
+        assert (await client.answer()).status == 503
+        client.send(b"zz\r\n")
+        assert await client.reader.read() == b""
+        client.close()
+
+
+@on_loop
+async def test_a_long_body_goes_elsewhere_while_none_of_it_has_gone_on() -> None:
+    sink = Sink()
+    async with raw_host(sink) as good, running(configuration("127.0.0.1:1", good)) as gateway:
+        for _ in range(6):
+            answer = await gateway.ask(request("transfer", BODY))
+            assert (answer.status, answer.body) == (200, digest(BODY))
+
+
+@on_loop
+async def test_a_host_that_reads_slowly_slows_the_client() -> None:
+    going = asyncio.Event()
+    taken = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal taken
+        await reader.readuntil(b"\r\n\r\n")
+        await going.wait()
+        while taken < 16_000_000:
+            taken += len(await reader.read(1 << 20))
+        writer.write(reply(200, b"all"))
+        await reader.read()
+
+    async with raw_host(serve, receive_buffer=8_192) as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        client.send(request("transfer", bytes(16_000_000)))
+        await until(lambda: any(c.held_at_s < 1e300 for c in gateway.server.connections))
+        connection = next(iter(gateway.server.connections))
+        await until(lambda: connection.body_size > 200_000 and connection.held_at_s < 1e300)
+        assert connection.body_size < 16_000_000
+        assert not connection.is_late(1e9)  # the client is not to blame
+        going.set()
+        assert (await client.answer()).body == b"all"
+        client.close()
+
+
+# Rates
+
+
+@on_loop
+async def test_a_body_is_late_by_its_rate_and_a_head_by_its_time() -> None:
+    async with peer() as host, running(configuration(host)) as gateway:
+        client = await gateway.connect()
+        await until(lambda: gateway.server.connections)
+        connection = next(iter(gateway.server.connections))
+        began = connection.opened_s
+        assert not connection.is_late(began + front.HEAD_S - 0.01)
+        assert connection.is_late(began + front.HEAD_S + 0.01)
+        client.send(request("transfer", BODY[:60_000])[:-1])
+        await until(lambda: connection.body_size == 59_999)
+        due = connection.body_due_s + 59_999 / LEAST_RATE
+        assert due > began + front.HEAD_S
+        assert not connection.is_late(due - 0.01) and connection.is_late(due + 0.01)
+        client.send(BODY[59_999:60_000])
+        assert (await client.answer()).status == 200
+        assert not connection.is_late(1e9)
+        client.close()
+
+
+@on_loop
+async def test_a_body_below_the_least_rate_is_answered_408(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "HEAD_S", 0.1)
+    monkeypatch.setattr(front, "BODY_SLACK_S", 0.1)
+    monkeypatch.setattr(front, "LEAST_RATE", 10_000_000)
+    sink = Sink()
+    async with raw_host(sink) as host, running(configuration(host)) as gateway:
+        answer = await gateway.ask(request("transfer", BODY)[:100_000])
+        assert (answer.status, answer.headers["connection"]) == (408, "close")
+        await until(lambda: not gateway.gateway.pending)
+        assert not sink.bodies
