--- a/review/harness2.py
+++ b/review/harness2.py
@@ -160,6 +160,50 @@
         return {"index": 1, "snapshot": True, "endpoints": self.entries}
 
 
+class Agent(Server):
+    """Discovery's agent on one gateway's machine: it answers with what it has been sent."""
+
+    def __init__(self, entries: list[dict[str, Any]], record: Record, name: str) -> None:
+        super().__init__()
+        self.record, self.name = record, name
+        self.entries = {entry["name"]: entry for entry in entries}
+        self.index = 1
+        self.changed_at = dict.fromkeys(self.entries, 1)  # index of the last change, by host
+        self.changed = asyncio.Event()
+        self.told_s: dict[str, float] = {}  # when it first wrote to the gateway that a host drains, by host
+
+    def get_change(self, host: str, status: str) -> None:
+        """Discovery sends it a change."""
+        self.index += 1
+        self.entries[host] = self.entries[host] | {"status": status}
+        self.changed_at[host] = self.index
+        self.record(f"agent of {self.name} has index {self.index}: {host} is {status}")
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def answer(self, target: str, headers: dict[str, str], body: bytes) -> bytes | None:
+        known, hold_s = None, 0.0
+        for field in target.partition("?")[2].split("&"):
+            key, _, value = field.partition("=")
+            known = int(value) if key == "from" else known
+            hold_s = min(60.0, int(value) / 1000) if key == "hold_ms" else hold_s
+        until_s = time.monotonic() + hold_s
+        while known is not None and self.index <= known and (left_s := until_s - time.monotonic()) > 0:
+            try:
+                await asyncio.wait_for(self.changed.wait(), left_s)
+            except TimeoutError:
+                break
+        full = known is None
+        listed = [e for n, e in self.entries.items() if known is None or self.changed_at[n] > known]
+        self.record(f"agent of {self.name}: from {known}: index {self.index}, {len(listed)} of the hosts")
+        for entry in listed:
+            if entry["status"] == "DRAINING":
+                self.told_s.setdefault(entry["name"], time.monotonic())
+        return response(
+            200, json.dumps({"index": self.index, "snapshot": full, "endpoints": listed}).encode()
+        )
+
+
 def settings(gateways: int, index: int) -> dict[str, Any]:
     """Settings of a small deployment, after the example of the wire page."""
     return {
@@ -283,10 +327,10 @@
         self.port, self.record = port, record
         self.stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def request(self, id_: str, budget_ms: int = 1200) -> tuple[int, bytes]:
+    async def request(self, id_: str, budget_ms: int = 1200, path: str = "") -> tuple[int, bytes]:
         """One `swap`; status 0 where the connection ended or no answer came in time."""
         head = (
-            f"POST /swap/{id_} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id_}\r\n"
+            f"POST {path or f'/swap/{id_}'} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id_}\r\n"
             f"X-Call-Class: swap\r\nX-Caller: tamme-pagarid\r\nX-Budget-Ms: {budget_ms}\r\n"
             "Content-Length: 0\r\n\r\n"
         )
