Answers whose bodies come after their heads, late or slowly, are not cut off

Cause: an answer of unknown length begins with its first body byte; until then the attempt's time-out stands, which for a class without late worth is the aim. Change: at the attempt's time-out an answer whose 200 head has come begins to be passed on. Its body may begin up to 0.45 s after the client's deadline, and has to keep 8 kB/s from its first byte on. Nothing else could answer in time then, so no retry is lost; an answer that goes on with framing alone still times out, and one that trickles still ends within half a second of the deadline.

--- a/cloverkeel/hosts/attempt.py
+++ b/cloverkeel/hosts/attempt.py
@@ -38,7 +38,8 @@
     timeout_us: int = 0
     sent_us: int = 0  # start of the attempt; for a streamed body, when its last byte was sent
     latency_us: int = 0
-    response_begun_us: int = 0  # when a streamed response began
+    body_due_us: int = 0  # when the body of a streamed response has to begin
+    body_begun_us: int = 0  # when the first byte of a streamed response's body came
     connection: HostConnection | None = None
     connect_task: asyncio.Task[object] | None = None
     timers: list[asyncio.TimerHandle] = field(default_factory=list)  # cancelled at the end of the attempt
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -172,7 +172,9 @@
             self.time_out(attempt)
 
     def time_out(self, attempt: Attempt) -> None:
-        """Ends an attempt with the outcome of a time-out."""
+        """Ends an attempt with the outcome of a time-out, unless its response has begun."""
+        if self.bodies.begin_late_body(attempt):
+            return
         # A request that was not fully written cannot have been processed, nor can one still connecting.
         self.cancel(attempt, Outcome.TIMEOUT if self.is_written(attempt) else Outcome.CONNECT_FAILED)
 
--- a/cloverkeel/hosts/streamed_bodies.py
+++ b/cloverkeel/hosts/streamed_bodies.py
@@ -9,17 +9,23 @@
 from cloverkeel.clock import now_us
 from cloverkeel.hosts.attempt import Attempt, outcome_of
 from cloverkeel.http1 import Reply
-from cloverkeel.streams import MIN_BYTES_PER_S
 
 if TYPE_CHECKING:
     from cloverkeel.hosts.connection import HostConnection
     from cloverkeel.hosts.pool import Pools
 
 UNSIZED_WAIT_S = 0.05  # for the end of a response of unknown length, before it is streamed
+# Rate that a response of unknown length has to keep after its client's deadline, from its first byte on. A
+# sound host that writes slowly is faster, and a response that never ends is slower.
+MIN_RESPONSE_BYTES_PER_S = 8_000
 # Allows for pauses between pieces; with the time to the next check, a response that trickles ends within half
 # a second of its client's deadline.
 RATE_GRACE_S = 0.25
 RATE_CHECK_INTERVAL_S = 0.1
+CHUNK_LINE_BYTES = 32  # of a chunk's size, which may precede its data
+# After the client's deadline, for the first byte of a body whose head came before it. A final answer may come
+# half a second late.
+LATE_BODY_WAIT_S = 0.45
 
 
 class StreamedBodies:
@@ -68,6 +74,25 @@
         if connection.attempt is attempt and replies.begin_streaming() and replies.streamed_head is not None:
             self.forward_response(connection, replies.streamed_head)
 
+    def begin_late_body(self, attempt: Attempt) -> bool:
+        """Starts streaming a response of unknown length whose head has come, although its body has not.
+
+        Returns False if the attempt has no such response. At the attempt's time-out no other host could
+        answer in time, and the body of a sound response may still come.
+        """
+        connection = attempt.connection
+        if connection is None or connection.on_piece is not None:
+            return False
+        replies = connection.replies
+        if replies.framing_bytes > CHUNK_LINE_BYTES:
+            return False  # it goes on, but not with a body
+        if not replies.begin_streaming(needs_body=False) or replies.streamed_head is None:
+            return False
+        if outcome_of(replies.streamed_head) is not Outcome.OK:
+            return False
+        self.forward_response(connection, replies.streamed_head)
+        return True
+
     def forward_response(self, connection: HostConnection, head: Reply) -> bool:
         """Passes received data of a streamed response to its consumer; False if the attempt has ended."""
         attempt = connection.attempt
@@ -85,12 +110,14 @@
                 self.pools.end(attempt, Outcome.CANCELLED if outcome is Outcome.OK else outcome, head)
                 return False
             self.set_streaming(connection, True)
-            attempt.response_begun_us = now_us()
             if not connection.replies.is_over_limit:
-                self.schedule_rate_check(connection, attempt, attempt.remaining_us() / 1e6)
+                remaining_s = max(0, attempt.remaining_us()) / 1e6
+                attempt.body_due_us = now_us() + int((remaining_s + LATE_BODY_WAIT_S) * 1e6)
+                self.schedule_rate_check(connection, attempt, remaining_s)
         connection.last_progress_us = now_us()
         data = connection.replies.take_body()
         if data:
+            attempt.body_begun_us = attempt.body_begun_us or now_us()
             connection.on_piece(data)
         return connection.attempt is attempt
 
@@ -101,7 +128,7 @@
         ]
 
     def on_rate_check(self, connection: HostConnection, attempt: Attempt) -> None:
-        """Ends a streamed response below BODY_LIMIT that is slower than the minimum rate at the deadline.
+        """Ends a streamed response below BODY_LIMIT that is too slow, or has no body yet, after the deadline.
 
         Without this check a response that never ends would keep its client waiting. One that comes faster may
         become a long response, whose first bytes alone count for its latency, and goes on.
@@ -112,10 +139,20 @@
             or connection.transport is None
         ):
             return
-        min_bytes = MIN_BYTES_PER_S * ((now_us() - attempt.response_begun_us) / 1e6 - RATE_GRACE_S)
         uploading = attempt.upload is not None and not attempt.upload.ended
-        if uploading or not connection.transport.is_reading() or connection.replies.size >= min_bytes:
+        body_due_s = (attempt.body_due_us - now_us()) / 1e6
+        if not attempt.body_begun_us and body_due_s > 0:
+            self.schedule_rate_check(connection, attempt, min(RATE_CHECK_INTERVAL_S, body_due_s))
+        elif uploading or not connection.transport.is_reading() or keeps_min_rate(connection, attempt):
             self.schedule_rate_check(connection, attempt, RATE_CHECK_INTERVAL_S)
         else:
             # Ends as if the host had broken it off: a TIMEOUT would indicate that the host is overloaded.
             self.pools.cancel(attempt, Outcome.RESET)
+
+
+def keeps_min_rate(connection: HostConnection, attempt: Attempt) -> bool:
+    """Whether a response of unknown length has kept MIN_RESPONSE_BYTES_PER_S since its first byte."""
+    if not attempt.body_begun_us:
+        return False
+    elapsed_s = (now_us() - attempt.body_begun_us) / 1e6 - RATE_GRACE_S
+    return connection.replies.size >= MIN_RESPONSE_BYTES_PER_S * elapsed_s
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -127,8 +127,9 @@
     """
 
     __slots__ = (
-        "_allows_streaming", "_body", "_ends_with_connection", "_framing_bytes", "_headers", "_in_body",
-        "_length_unknown", "_limit", "_parser", "_replies", "_size", "is_over_limit", "streamed_head",
+        "_allows_streaming", "_body", "_ends_with_connection", "_headers", "_in_body",
+        "_length_unknown", "_limit", "_parser", "_replies", "_size", "framing_bytes",
+        "is_over_limit", "streamed_head",
     )  # fmt: skip
 
     def __init__(self, limit: int = BODY_LIMIT, allows_streaming: bool = False) -> None:
@@ -138,7 +139,7 @@
         self._in_body = False
         self._length_unknown = False  # no Content-Length
         self._ends_with_connection = False  # neither a length nor chunked: the end of the connection ends it
-        self._framing_bytes = 0  # received since the last byte of a header or of the body
+        self.framing_bytes = 0  # received since the last byte of a header or of the body
         self._parser = httptools.HttpResponseParser(self)
         self._replies: list[Reply] = []
         self._headers: list[Header] = []
@@ -150,7 +151,7 @@
 
         If there is data beyond its end, its `keep_alive` is False.
         """
-        before = self._size
+        before, was_in_body = self._size, self._in_body
         if not self._in_body:
             self.streamed_head = None  # of the previous response; there may be a blank line before the next
         try:
@@ -161,11 +162,13 @@
             self._replies[0].keep_alive = False  # a complete response, followed by unexpected data
         if not self._replies:
             # Against an endless header, chunk extension or trailer.
-            self._framing_bytes = self._framing_bytes + len(data) if self._size == before else 0
-            if self._framing_bytes > HEAD_LIMIT:
+            self.framing_bytes = self.framing_bytes + len(data) if self._size == before else 0
+            if self._in_body and not was_in_body:
+                self.framing_bytes = 0  # those of the head do not count
+            if self.framing_bytes > HEAD_LIMIT:
                 raise ReplyError("the response has too much framing without data")
             return None
-        reply, self._framing_bytes = self._replies[0], 0
+        reply, self.framing_bytes = self._replies[0], 0
         self._replies = []
         return reply
 
@@ -175,9 +178,12 @@
         self._body.clear()
         return data
 
-    def begin_streaming(self) -> bool:
-        """Start to stream a body of unknown length of which part was received; False if there is none."""
-        if self.streamed_head is None and self.is_length_unknown and self._size:
+    def begin_streaming(self, needs_body: bool = True) -> bool:
+        """Start to stream a body of unknown length, part of which was received unless `needs_body` is False.
+
+        Returns False if there is none.
+        """
+        if self.streamed_head is None and self.is_length_unknown and (self._size or not needs_body):
             self._set_streamed_head()
         return self.streamed_head is not None
 
