Memory that peers take is counted against the limit, in one budget

Cause: heads, fields, bodies, queued requests and output each had a limit of a connection, in bytes on the wire. Nothing limited the sum, and a field of 4 bytes or a chunk of 2 is held as 60 to 180 bytes. Change: MemoryBudget (cloverkeel/memory.py) has what the limit leaves beside the process itself, as measured after its start; each connection has an account, charged with what things take in memory. What is denied is refused with 503, or streamed if it is an answer. Heads have 128 fields at most. One read takes 2 KiB outside of bodies, so that it holds few requests; bodies are bytearrays, one piece of a streamed body is passed on at once; output is buffered up to 4 KiB before no further request starts; one handle is scheduled for the next request, not one for each response; finished requests and closed connections leave no cycles for the collector.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -65,6 +65,7 @@
     from cloverkeel.fleet.snapshot import StoreCounters
     from cloverkeel.gateway import Gateway
     from cloverkeel.http1 import log
+    from cloverkeel.memory import resident_bytes
     from cloverkeel.operator import Answer, OperatorServer
     from cloverkeel.front.server import Server
     from cloverkeel.telemetry import CONTENT_TYPE
@@ -165,6 +166,7 @@
             schedule_snapshots(loop, keeper, gateway, config.state.snapshot_s)
         gc.collect()
         gc.freeze()  # objects made at start-up live as long as the process
+        gateway.memory.set_own_bytes(resident_bytes())
         await stop.wait()
         leaving = [loop.create_task(part.leave()) for part in (duties, fleet) if part is not None]
         if keeper is not None:
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -10,7 +10,14 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverkeel.front.request_reader import RequestReader
-from cloverkeel.front.requests import Request, RequestError, build_call, response_headers, with_keep_alive
+from cloverkeel.front.requests import (
+    RETRY_SOON,
+    Request,
+    RequestError,
+    build_call,
+    response_headers,
+    with_keep_alive,
+)
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import (
     LINGER_S,
@@ -21,6 +28,7 @@
     lingering_close,
     write_response,
 )
+from cloverkeel.memory import CLIENT_CONNECTION_BYTES, PENDING_BYTES, REQUEST_BYTES
 from cloverkeel.streams import LAST_CHUNK, encode_chunk
 
 if TYPE_CHECKING:
@@ -28,6 +36,7 @@
 
 READY_PATH = b"/health/ready"
 FIRST_REQUEST_GRACE_S = 0.5  # after its opening, a connection awaits a first request and is not idle
+OUTPUT_LIMIT_BYTES = 4 * 1024  # buffered output beyond which no further request is started
 UPLOAD_LINGER_S = 10.0  # for a client to finish sending a body that has already been answered
 
 
@@ -42,14 +51,18 @@
         self.opened_s = 0.0
         self.idle_since_s = 0.0  # loop time of the last response, or of the opening of the connection
         self.has_responded = False
+        self.output_charged = 0  # to the account: bytes of output that the kernel has not taken
+        self.start_scheduled = False  # `start_next` runs, or will in the loop's next iteration
         self.write_shut = False  # lingering close has begun: input is discarded
 
     # Connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self.transport.set_write_buffer_limits(high=OUTPUT_LIMIT_BYTES)
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.opened_s = self.awaiting_since_s = asyncio.get_running_loop().time()
+        self.account.add(CLIENT_CONNECTION_BYTES)
         if self.server.admit_connection():
             self.restart_idle_time()
         else:
@@ -59,6 +72,9 @@
         self.server.connections.pop(self, None)
         self.server.lingering.pop(self, None)
         self.on_disconnect()
+        self.account.close()
+        self.output_charged = 0
+        del self.parser  # which refers to this object: only the garbage collector would free the two
 
     def restart_idle_time(self) -> None:
         """Restarts the idle time, which moves the connection to the end of the server's idle order."""
@@ -96,9 +112,10 @@
 
     def discard_input(self) -> None:
         """Drops queued requests, and resumes reading so that the client's close is noticed."""
-        self.queue.clear()
+        self.clear_queue()
         self.awaiting_since_s = math.inf
         self.resume_input()
+        self.apply_pause()
 
     def abort(self) -> None:
         """Closes the connection at once and drops unsent output."""
@@ -128,7 +145,21 @@
     # Answering
 
     def start_next(self) -> None:
-        """Dispatches queued requests until one waits for its response."""
+        """Dispatches the queued requests that can be dispatched now."""
+        self.start_scheduled = True  # responses that are written meanwhile need not schedule the next one
+        try:
+            self.start_queued()
+        finally:
+            self.start_scheduled = False
+
+    def schedule_start(self) -> None:
+        """Lets the next queued request be dispatched in the loop's next iteration, once."""
+        if self.queue and not self.start_scheduled:
+            self.start_scheduled = True
+            asyncio.get_running_loop().call_soon(self.start_next)
+
+    def start_queued(self) -> None:
+        """Dispatches queued requests until one waits for its response, or the connection has to wait."""
         while self.current is None and self.queue and not self.write_shut:
             if self.write_blocked_since_s < math.inf:
                 return  # the client reads no responses; more of them would fill the memory
@@ -136,18 +167,23 @@
             self.current_id = ""
             if not self.queue and request.upload is None:
                 self.resume_input()
+            if request.error is not None:
+                self.respond_error(request.error)
+                continue
             try:
                 self.dispatch(request)
             except RequestError as error:
-                self.respond(error.status, error.headers, f"{error}\n".encode())
+                self.respond_error(error)
+
+    def respond_error(self, error: RequestError) -> None:
+        """Answers the current request with an error."""
+        self.respond(error.status, error.headers, error.body)
 
     def dispatch(self, request: Request) -> None:
         """Answers a readiness check, or passes the request to the gateway.
 
         Raises RequestError if the request is to be answered with an error.
         """
-        if request.error is not None:
-            raise request.error
         path = request.target.partition(b"?")[0]
         if path == READY_PATH:
             if request.method not in (b"GET", b"HEAD"):
@@ -155,11 +191,15 @@
             self.respond(200 if self.server.is_ready else 503, [], b"")
             return
         gateway, config = self.server.gateway, request.arrival_config or self.server.config
+        if not self.account.grow(PENDING_BYTES):
+            raise RequestError(503, "", RETRY_SOON)
+        request.charged += PENDING_BYTES
         call = build_call(config, request, path, self, gateway.transforms, gateway.routes)
         if config is not self.server.config:
             # The configuration was reloaded while the request was queued: its class may be gone or changed.
             call.class_settings = config.settings.classes[call.klass]
         self.current_id = call.id
+        self.charge(request, REQUEST_BYTES + PENDING_BYTES + len(call.head) + len(call.body))
         if not gateway.accept(call):
             self.current_id = ""
             raise RequestError(400, "this X-Call-Id is in use")
@@ -197,7 +237,6 @@
         self.is_chunked = length is None and not request.is_http10
         # For HTTP/1.0, a response without a length ends with the connection.
         self.closes_after = self.must_close_after(request) or (length is None and request.is_http10)
-        transport.set_write_buffer_limits(high=0)
         transport.write(
             encode_response_head(200, with_keep_alive(request, headers, self.closes_after), self.closes_after)
         )
@@ -227,16 +266,24 @@
 
     def pause_writing(self) -> None:
         """Stops reading from the host while the client does not read (backpressure)."""
+        self.charge_output()
         self.write_blocked_since_s = asyncio.get_running_loop().time()
         if self.body_source is not None:
             self.body_source.pause_reading()
 
+    def charge_output(self) -> None:
+        """Charges the output that the client has not read yet."""
+        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        self.account.add(unsent - self.output_charged)
+        self.output_charged = unsent
+
     def resume_writing(self) -> None:
         self.write_blocked_since_s = math.inf
+        self.charge_output()
         if self.body_source is not None:
             self.body_source.resume_reading()
-        elif self.queue:
-            asyncio.get_running_loop().call_soon(self.start_next)
+        else:
+            self.schedule_start()
 
     def on_refused(self, request: Request, retry_after_us: int) -> None:
         """Writes a 503 for a request that was shed."""
@@ -294,6 +341,7 @@
         request, transport = self.current, self.transport
         assert request is not None and transport is not None
         self.current, self.current_id = None, ""
+        self.release(request)
         self.has_responded = True
         if not transport.is_closing():
             self.restart_idle_time()
@@ -301,8 +349,7 @@
             if not request.complete and request.error is None:
                 request.answered = True
                 self.resume_input()
-            if self.queue:
-                asyncio.get_running_loop().call_soon(self.start_next)
+            self.schedule_start()
             self.maybe_send_continue()
             return
         request.answered = True  # the rest of its body is discarded
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -6,21 +6,24 @@
 import math
 import select
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 import httptools
 
 from cloverkeel.clock import now_us
-from cloverkeel.front.requests import Request, RequestError
+from cloverkeel.front.requests import OVERLOADED, RETRY_SOON, Request, RequestError
 from cloverkeel.http1 import (
     BODY_LIMIT,
     HEAD_LIMIT,
+    MAX_FIELDS,
     OPTIONAL_WHITESPACE,
     WRITE_STALL_S,
     Header,
     header,
     transfer_coding,
 )
+from cloverkeel.memory import FIELD_BYTES, PENDING_BYTES, REQUEST_BYTES
 from cloverkeel.streams import MIN_BYTES_PER_S, Upload
 
 if TYPE_CHECKING:
@@ -32,6 +35,8 @@
 BODY_GRACE_S = 1.0  # after the head, before the minimum rate applies to the body
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_PIPELINED = 16  # parsed requests that may wait on one connection before reading pauses
+HEAD_READ_BYTES = 2 * 1024  # read at a time outside of a body: bounds how many requests one read holds
+BODY_READ_BYTES = 16 * 1024  # read at a time of a body that is held whole
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # poll flags of a close or reset
 
 
@@ -50,6 +55,7 @@
         self.message_ended = False  # the last read contained the end of a request
         self.body_due_s = 0.0  # loop time by which the body must begin; the minimum rate extends it
         self.paused_since_s = math.inf  # loop time at which reading was paused; inf: it is not paused
+        self.account = server.gateway.memory.open_account()
         # Loop time from which the request being received, or the connection's first one, is timed; inf: none.
         self.awaiting_since_s = math.inf
         self.timeout_deferred = False  # a time-out was put off once, to read bytes that had already arrived
@@ -73,13 +79,21 @@
         raise NotImplementedError
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        buffer = self.server.gateway.buffer
-        is_streamed = self.incoming is not None and self.incoming.upload is not None
-        return buffer.streamed_view() if is_streamed else buffer.view
+        return self.server.gateway.buffer.view[: self.read_size()]
+
+    def read_size(self) -> int:
+        """The most that is read at a time."""
+        incoming = self.incoming
+        if incoming is None or self.in_head:
+            return HEAD_READ_BYTES
+        if incoming.upload is not None:
+            return self.server.gateway.buffer.piece_bytes()
+        return BODY_READ_BYTES
 
     def buffer_updated(self, nbytes: int) -> None:
-        if not self.ignores_input:  # set, for example, after a request that could not be parsed
-            self.feed(bytes(self.server.gateway.buffer.view[:nbytes]))
+        if self.ignores_input:  # set, for example, after a request that could not be parsed
+            return
+        self.feed(bytes(self.server.gateway.buffer.view[:nbytes]))
 
     def eof_received(self) -> None:
         """Handles the client's close at once: `connection_lost` is called only after all output is sent."""
@@ -102,7 +116,7 @@
         if self.client_gone:
             return
         self.client_gone = self.ignores_input = True
-        self.queue.clear()
+        self.clear_queue()
         if self.current is not None and self.current_id:
             self.server.gateway.client_gone(self.current_id)
         if self.transport is not None and not self.transport.is_closing():
@@ -111,19 +125,33 @@
                 # The client may have shut down only its sending side, and may or may not still read.
                 asyncio.get_running_loop().call_later(WRITE_STALL_S, self.transport.abort)
 
+    def clear_queue(self) -> None:
+        """Drops the requests that wait."""
+        for request in self.queue:
+            self.release(request)
+        self.queue.clear()
+
     def pause_input(self) -> None:
         """Pauses reading from the client."""
         if self.paused_since_s == math.inf and self.transport is not None and not self.transport.is_closing():
             self.paused_since_s = asyncio.get_running_loop().time()
-            self.transport.pause_reading()
+            self.apply_pause()
 
     def resume_input(self) -> None:
         """Resumes reading; the pause does not count against the client's deadlines."""
         if self.paused_since_s != math.inf:
             self.extend_deadlines(asyncio.get_running_loop().time() - self.paused_since_s)
             self.paused_since_s = math.inf
-            if self.transport is not None and not self.transport.is_closing():
-                self.transport.resume_reading()
+            self.apply_pause()
+
+    def apply_pause(self) -> None:
+        """Reads from the client unless reading is paused."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.paused_since_s != math.inf:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def extend_deadlines(self, waited_s: float) -> None:
         """Extends the deadlines of the incoming request by time during which the gateway kept it waiting."""
@@ -170,7 +198,10 @@
         elif self.incoming is not None:
             if self.awaiting_since_s == math.inf:
                 self.awaiting_since_s = asyncio.get_running_loop().time()
-            self.begin_upload(self.incoming)
+            self.forward_body(self.incoming)
+            self.charge_incoming(self.incoming)
+            if not self.ignores_input:
+                self.begin_upload(self.incoming)
         if len(self.queue) > MAX_PIPELINED:
             self.pause_input()
         self.start_next()
@@ -182,10 +213,49 @@
             request.keep_alive = False
         self.ignores_input = True
 
+    def charge_incoming(self, request: Request) -> None:
+        """Charges what is held of the request being received, or refuses it for want of memory."""
+        if request.upload is not None or request.error is not None:
+            return  # what is held of it is charged until a host has been sent that
+        partial_head = self.head_size if self.in_head else 0
+        if self.charge(request, request.held_bytes + partial_head):
+            return
+        if self.in_head:
+            # Only the end of its parser frees what is held of a field.
+            self.reject(RequestError(503, "", RETRY_SOON))
+        else:
+            self.refuse_for_memory(request)
+
+    def charge(self, request: Request, held: int) -> bool:
+        """Charges a request with what is held of it now; returns whether the memory allows it."""
+        if held > request.charged and not self.account.grow(held - request.charged):
+            return False
+        if held < request.charged:
+            self.account.add(held - request.charged)
+        request.charged = held
+        return True
+
+    def release(self, request: Request) -> None:
+        """Releases all that a request was charged with."""
+        self.account.add(-request.charged)
+        request.charged = 0
+
+    def refuse_for_memory(self, request: Request) -> None:
+        """Drops what is held of a request; the rest of it is read and dropped, and it is answered 503."""
+        request.error = RequestError(503, "", RETRY_SOON)
+        request.headers.clear()
+        request.body.clear()
+        self.charge(request, 0)
+
+    def on_upload_started(self, request: Request) -> None:
+        """Releases the part of a streamed body that was held until a host was sent it."""
+        self.charge(request, min(request.charged, REQUEST_BYTES + PENDING_BYTES + request.head_bytes))
+
     def begin_upload(self, request: Request) -> None:
         """Queues a request whose body exceeds BODY_LIMIT; the rest of the body is streamed to the host."""
-        if request.upload is None and self.body_size > BODY_LIMIT and not self.in_head:
-            request.upload = Upload(bool(transfer_coding(request.headers)), self.resume_input)
+        if request.upload is None and request.error is None and self.body_size > BODY_LIMIT:
+            is_chunked = bool(transfer_coding(request.headers))
+            request.upload = Upload(is_chunked, self.resume_input, partial(self.on_upload_started, request))
             self.queue.append(request)
             self.pause_input()  # until a host has been sent the part read so far
 
@@ -196,6 +266,9 @@
             return
         self.ignores_input = True
         self.awaiting_since_s = math.inf
+        self.parser = httptools.HttpRequestParser(self)  # the old one holds what it read of the head
+        if self.incoming is not None and self.incoming.upload is None:
+            self.release(self.incoming)
         streamed = self.incoming if self.incoming is not None and self.incoming.upload is not None else None
         if streamed is not None and streamed in self.queue:
             self.queue.remove(streamed)
@@ -203,7 +276,7 @@
             # The host has received part of the body and must not take it for a complete one.
             self.server.gateway.client_gone(self.current_id)
             streamed.keep_alive = False
-            self.respond(fault.status, fault.headers, f"{fault}\n".encode())
+            self.respond(fault.status, fault.headers, fault.body)
             return
         request = Request()
         request.error = fault
@@ -231,11 +304,16 @@
     def on_url(self, url: bytes) -> None:
         assert self.incoming is not None
         self.incoming.target += url
+        self.incoming.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        assert self.incoming is not None
+        incoming = self.incoming
+        assert incoming is not None
         if self.in_head:  # otherwise a trailer field, which is dropped
-            self.incoming.headers.append((name, value.strip(OPTIONAL_WHITESPACE)))
+            if len(incoming.headers) >= MAX_FIELDS:
+                raise RequestError(431, "the head has too many fields")
+            incoming.headers.append((name, value.strip(OPTIONAL_WHITESPACE)))
+            incoming.head_bytes += len(name) + len(value) + FIELD_BYTES
 
     def on_headers_complete(self) -> None:
         assert self.incoming is not None
@@ -279,11 +357,17 @@
         self.body_size += len(data)
         if self.body_size > MAX_BODY_BYTES:
             raise RequestError(413, "the body is too long")
-        if request.answered:
+        if request.answered or request.error is not None:
             return
-        if request.upload is None:
-            request.body.append(data)
-        elif not request.upload.feed(data):
+        request.body += data
+
+    def forward_body(self, request: Request) -> None:
+        """Passes on what was read of a streamed body, as one piece, however small the client's chunks are."""
+        if request.upload is None or not request.body:
+            return
+        piece = bytes(request.body)
+        request.body.clear()
+        if not request.answered and not request.upload.feed(piece):
             self.pause_input()
 
     def on_message_complete(self) -> None:
@@ -292,10 +376,17 @@
         self.incoming = None
         self.awaiting_since_s = math.inf
         self.message_ended = request.complete = True
-        if request.upload is None:
-            if self.current is not None or self.queue:
-                request.queued_since_us = now_us()
-                request.arrival_config = self.server.config
-            self.queue.append(request)
-        elif not request.answered:
-            self.server.gateway.body_ended(self.current_id)
+        if request.upload is not None:
+            self.forward_body(request)
+            if not request.answered:
+                self.server.gateway.body_ended(self.current_id)
+            return
+        if request.error is None and not self.charge(request, request.held_bytes):
+            self.refuse_for_memory(request)
+        if request.error is not None and request.keep_alive and not request.is_http10:
+            self.release(request)
+            request = OVERLOADED
+        elif self.current is not None or self.queue:
+            request.queued_since_us = now_us()
+            request.arrival_config = self.server.config
+        self.queue.append(request)
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -13,12 +13,14 @@
 from cloverkeel.pending import Call
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.http1 import Header, Reply, end_to_end_headers, header
+from cloverkeel.memory import GROWING_BODY_FACTOR, REQUEST_BYTES
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.routes.serving import RouteTable
     from cloverkeel.transforms.active_set import ActiveSet, Refused
 
+RETRY_SOON: Header = (b"Retry-After", b"0.1")  # for a request that is refused for want of memory
 NO_TENANT = -1  # for a caller that the settings do not name; 0 would charge its requests to the first tenant
 UNFORWARDED_REQUEST_HEADERS = frozenset({b"x-budget-ms"})
 UNFORWARDED_RESPONSE_HEADERS = frozenset({b"x-load-report", b"x-rejected"})
@@ -31,6 +33,7 @@
         super().__init__(reason)
         self.status = status
         self.headers = list(headers)
+        self.body = f"{reason}\n".encode() if reason else b""
 
 
 class Request:
@@ -41,8 +44,10 @@
         "arrival_config",
         "awaits_continue_since_s",
         "body",
+        "charged",
         "complete",
         "error",
+        "head_bytes",
         "headers",
         "is_http10",
         "keep_alive",
@@ -58,7 +63,9 @@
         self.method = b""
         self.target = b""
         self.headers: list[Header] = []
-        self.body: list[bytes] = []
+        self.head_bytes = 0  # what the target and the headers take in memory
+        self.body = bytearray()
+        self.charged = 0  # to the account of its connection
         self.keep_alive = False
         self.is_http10 = False
         # Loop time since which the client waits for "100 Continue" before it sends the body; 0: no wait.
@@ -73,6 +80,19 @@
         self.transform_response: Callable[[list[Header]], list[Header] | Refused] | None = None
         self.report_outcome: Callable[[bool], None] | None = None  # called with whether the hosts failed it
 
+    @property
+    def held_bytes(self) -> int:
+        """What is held of it, in memory."""
+        return REQUEST_BYTES + self.head_bytes + int(len(self.body) * GROWING_BODY_FACTOR)
+
+
+# For complete requests that the memory does not allow to be held: one object stands for all of them. Its
+# error must not be raised, as each time would add to its traceback.
+OVERLOADED = Request()
+OVERLOADED.method = b"GET"
+OVERLOADED.keep_alive = OVERLOADED.complete = True
+OVERLOADED.error = RequestError(503, "", RETRY_SOON)
+
 
 class ResponseWriter(Protocol):
     """Receives what becomes of a request and writes the response to the client."""
@@ -131,8 +151,10 @@
     timeout_us = settings.give_up_us if budget_ms is None else budget_ms * 1000
     if request.queued_since_us:  # the client's time-out runs from arrival
         timeout_us = max(0, timeout_us - (now_us() - request.queued_since_us))
-    body = b"".join(request.body)
+    body = bytes(request.body)
     request.body.clear()
+    head = _build_head(request, forwarded, body)
+    request.headers = []  # only the head is needed from here on
     return Call(
         id=id_.decode("latin-1"),
         klass=klass,
@@ -141,7 +163,7 @@
         work_us=_parse_integer(headers.get(b"x-call-cost"), "X-Call-Cost"),
         is_retry=headers.get(b"x-again") == b"1",
         tenant=names.tenants.get(headers.get(b"x-caller", b""), NO_TENANT),
-        head=_build_head(request, forwarded, body),
+        head=head,
         body=body if request.upload is None else request.upload.frame(body),
         upload=request.upload,
         on_served=partial(writer.on_served, request),
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -189,6 +189,8 @@
             f"connections: {len(self.connections)} of clients, "
             f"{pools.open_connections} to hosts; {pools.counts}"
         )
+        if self.gateway.memory.denied:
+            log(str(self.gateway.memory))
 
     @property
     def free_descriptors(self) -> int:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -46,6 +46,7 @@
 from cloverkeel.discovery import Discovery
 from cloverkeel.host_entries import HostEntry
 from cloverkeel.fleet.snapshot import StoreCounters, Snapshot
+from cloverkeel.memory import MemoryBudget
 from cloverkeel.pending import Call, PendingRequest
 from cloverkeel.hosts.attempt import Attempt, parse_load_report
 from cloverkeel.hosts.pool import Pools
@@ -78,7 +79,8 @@
             from caperdrift.checks import attach_checks  # imported only where it is used
 
             attach_checks(self.balancer, config.seed, log)
-        self.buffer = ReadBuffer(config.memory_mb)
+        self.memory = MemoryBudget(config.memory_mb)
+        self.buffer = ReadBuffer(self.memory)
         self.pools = Pools(config.settings, self.telemetry, self.buffer)
         pushed = config.settings.list_is_pushed
         stop_sending_s = config.settings.stop_sending_within_us / 1e6
@@ -128,9 +130,15 @@
                 "in_progress": sum(request.is_in_progress for request in self.pending.values()),
                 "known_hosts": len(self.pools.hosts),
                 "skipped_hosts": self.balancer.count_skipped(now_us()),
+                "memory_held_bytes": self.memory.used,
+                "memory_capacity_bytes": self.memory.capacity,
                 **gauges,
             },
-            {**(self.store_counters.counters() if self.store_counters is not None else {}), **counters},
+            {
+                "memory_denied_total": self.memory.denied,
+                **(self.store_counters.counters() if self.store_counters is not None else {}),
+                **counters,
+            },
         )
 
     def reconfigure(self, config: Config) -> None:
@@ -139,7 +147,7 @@
         for klass in self.names.class_names:
             self.telemetry.add_class(klass)
         self.pools.settings = config.settings
-        self.buffer.set_memory_limit(config.memory_mb)
+        self.memory.set_limit(config.memory_mb)
         event = SettingsChanged(config.settings)
         self.post(lambda: event)
         self.discovery.names, self.discovery.pushed = config.names, config.settings.list_is_pushed
@@ -284,8 +292,15 @@
         pending.finished = True
         if result is not None:
             self.telemetry.count(self.names.class_names[pending.call.klass], result)
+        pending.call.head = pending.call.body = b""  # no further attempt is written
         if pending.in_flight == 0:
+            self.remove(id_, pending)
+
+    def remove(self, id_: str, pending: PendingRequest) -> None:
+        """Forget a finished request without attempts in flight."""
+        if self.pending.get(id_) is pending:
             del self.pending[id_]
+        pending.attempts = []  # they refer to it in turn: only the garbage collector would free them
 
     def send(self, action: Send) -> None:
         """Send an attempt, or report it as not sent if the request or the host no longer allows it."""
@@ -372,7 +387,7 @@
             self.finish(id_, pending, Result.PASSED)
             pending.call.on_served(reply)
         elif pending.finished and pending.in_flight == 0:
-            self.pending.pop(id_, None)
+            self.remove(id_, pending)
         if self.on_attempt_ended is not None:
             self.on_attempt_ended(attempt.host.id, outcome, attempt.latency_us)
         return AttemptEnded(
--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -9,6 +9,7 @@
 
 from cloverkeel.clock import now_us
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
+from cloverkeel.memory import HOST_CONNECTION_BYTES
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
@@ -17,10 +18,15 @@
     from cloverkeel.hosts.pool import Pools
 
 
+REPLY_READ_BYTES = 16 * 1024  # read at a time of a response that is held whole
+ALWAYS_HELD_BYTES = 2 * 1024  # of a response's body: a short one is never streamed for want of memory
+
+
 class HostConnection(asyncio.BufferedProtocol):
     """A connection to a host; it carries one attempt at a time."""
 
     __slots__ = (
+        "account",
         "address",
         "attempt",
         "closed",
@@ -40,7 +46,9 @@
         self.pools, self.host, self.attempt = pools, host, attempt
         self.address = host.address
         self.transport: asyncio.Transport | None = None
-        self.replies = ReplyReader(BODY_LIMIT, allows_streaming=True)
+        self.account = pools.buffer.memory.open_account()
+        self.account.add(HOST_CONNECTION_BYTES)
+        self.replies = ReplyReader(BODY_LIMIT, allows_streaming=True, may_hold=self.may_hold)
         self.on_piece: Callable[[bytes], None] | None = None  # consumer of the streamed response
         self.upload: Upload | None = None  # the streamed request body
         self.last_progress_us = 0  # when a piece of a streamed body was last written or read
@@ -56,6 +64,17 @@
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.pools.on_connected(self)
 
+    def may_hold(self, size: int) -> bool:
+        """Whether so many more bytes of a response may be held; if not, it is streamed."""
+        return size <= ALWAYS_HELD_BYTES or size <= self.pools.buffer.memory.free
+
+    def charge(self) -> None:
+        """Charges what is held of the response, and of the request that the host has not read yet."""
+        if self.closed:
+            return
+        unsent = 0 if self.flushed or self.transport is None else self.transport.get_write_buffer_size()
+        self.account.add(HOST_CONNECTION_BYTES + self.replies.held_bytes + unsent - self.account.held)
+
     def is_quiet(self) -> bool:
         """Returns whether the connection is open and has no unread input, according to the kernel.
 
@@ -106,9 +125,11 @@
 
     def pause_writing(self) -> None:
         self.flushed = False
+        self.charge()
 
     def resume_writing(self) -> None:
         self.flushed = True
+        self.charge()
         self.last_progress_us = now_us()
         if self.is_written:
             self.pools.on_written(self)
@@ -117,9 +138,14 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         buffer = self.pools.buffer
-        return buffer.streamed_view() if self.on_piece is not None else buffer.view
+        return buffer.view[: buffer.piece_bytes() if self.on_piece is not None else REPLY_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
+        self.handle_input(nbytes)
+        self.charge()
+
+    def handle_input(self, nbytes: int) -> None:
+        """Parses what was read into the buffer, and passes it on."""
         try:
             reply = self.replies.feed(bytes(self.pools.buffer.view[:nbytes]))
         except ReplyError:
@@ -143,3 +169,5 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pools.on_connection_lost(self)
+        self.account.close()
+        self.replies.close()
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import httptools
 
+from cloverkeel.memory import FIELD_BYTES
+
 Header = tuple[bytes, bytes]
 
 BODY_LIMIT = 64 * 1024  # bytes of a body that is held whole; longer ones are streamed or refused
 HEAD_LIMIT = 64 * 1024  # bytes of a head
+MAX_FIELDS = 128  # of a head: a short field takes many times its size in memory
+HELD_STEP_BYTES = 2 * 1024  # of a response's body for which the memory is asked at a time
 LINGER_S = 1.0  # in which the peer reads what was written and closes its side
 WRITE_STALL_S = 30.0  # a peer that reads nothing of what is written for so long is treated as gone
 OPTIONAL_WHITESPACE = b" \t"  # around a header's value; the parser leaves the trailing part
@@ -127,13 +131,19 @@
     """
 
     __slots__ = (
-        "_allows_streaming", "_body", "_ends_with_connection", "_headers", "_in_body",
-        "_length_unknown", "_limit", "_parser", "_replies", "_size", "framing_bytes",
+        "_allows_streaming", "_body", "_ends_with_connection", "_granted", "_headers", "_in_body",
+        "_length_unknown", "_limit", "_may_hold", "_parser", "_replies", "_size", "framing_bytes",
         "is_over_limit", "streamed_head",
     )  # fmt: skip
 
-    def __init__(self, limit: int = BODY_LIMIT, allows_streaming: bool = False) -> None:
+    def __init__(
+        self,
+        limit: int = BODY_LIMIT,
+        allows_streaming: bool = False,
+        may_hold: Callable[[int], bool] = lambda size: True,
+    ) -> None:
         self._limit, self._allows_streaming = limit, allows_streaming
+        self._may_hold = may_hold  # whether the memory allows so many more bytes of a body to be held
         self.streamed_head: Reply | None = None  # the head of the response being streamed
         self.is_over_limit = False  # its body is known to exceed the limit
         self._in_body = False
@@ -143,7 +153,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._replies: list[Reply] = []
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._granted = 0  # bytes of the body that the memory allows to be held
         self._size = 0  # bytes of the headers, then of the body
 
     def feed(self, data: bytes) -> Reply | None:
@@ -174,8 +185,8 @@
 
     def take_body(self) -> bytes:
         """What has been received of a streamed body since the last call."""
-        data = b"".join(self._body)
-        self._body.clear()
+        data = bytes(self._body)
+        self._body = bytearray()
         return data
 
     def begin_streaming(self, needs_body: bool = True) -> bool:
@@ -187,6 +198,15 @@
             self._set_streamed_head()
         return self.streamed_head is not None
 
+    @property
+    def held_bytes(self) -> int:
+        """What is held of the current response, in memory."""
+        return len(self._body) + (0 if self._in_body else self._size) + len(self._headers) * FIELD_BYTES
+
+    def close(self) -> None:
+        """Free the parser, which refers to this object, without the garbage collector. Nothing follows."""
+        del self._parser
+
     @property
     def size(self) -> int:
         """Bytes received so far of the current body, or of the last one."""
@@ -209,14 +229,14 @@
     def on_message_begin(self) -> None:
         if self._replies:
             raise ReplyError("a second response without a request")
-        self._headers, self._body, self._size = [], [], 0
+        self._headers, self._body, self._size, self._granted = [], bytearray(), 0, 0
         self.streamed_head, self.is_over_limit, self._in_body = None, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_body:
             return  # trailers are ignored
         self._size += len(name) + len(value)
-        if self._size > HEAD_LIMIT:
+        if self._size > HEAD_LIMIT or len(self._headers) >= MAX_FIELDS:
             raise ReplyError("the response head is too long")
         self._headers.append((name, value.strip(OPTIONAL_WHITESPACE)))
 
@@ -227,13 +247,19 @@
             raise ReplyError("the transfer coding of the response is not supported")
         self._length_unknown = length is None
         self._ends_with_connection = not coding and length is None
-        if self._allows_streaming and length is not None and int(length) > self._limit:
-            self.is_over_limit = True
-            self._set_streamed_head()
+        if self._allows_streaming and length is not None:
+            self.is_over_limit = int(length) > self._limit
+            if self.is_over_limit or not self._may_hold(int(length)):
+                self._set_streamed_head()
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
-        self._body.append(data)
+        self._body += data
+        if self._size > self._granted and self.streamed_head is None and self._allows_streaming:
+            if self._may_hold(HELD_STEP_BYTES):
+                self._granted = self._size + HELD_STEP_BYTES
+            else:
+                self._set_streamed_head()
         if self._size > self._limit and not self.is_over_limit:
             if not self._allows_streaming:
                 raise ReplyError("the response body is too long")
@@ -248,8 +274,8 @@
         status = self._parser.get_status_code()
         if status >= 200:  # interim (1xx) responses are dropped
             keep_alive = self._parser.should_keep_alive() and not self._ends_with_connection
-            body = b"" if self.streamed_head is not None else b"".join(self._body)
+            body = b"" if self.streamed_head is not None else bytes(self._body)
             self._replies.append(Reply(status, self._headers, body, keep_alive))
         if self.streamed_head is None:
-            self._body = []
+            self._body = bytearray()
         self._headers, self._in_body = [], False
--- /dev/null
+++ b/cloverkeel/memory.py
@@ -0,0 +1,100 @@
+"""Counts the memory that peers make the process hold, against the process's memory limit.
+
+Each connection has an account. What it holds on a peer's behalf (heads, fields, bodies, queued requests,
+output that the peer has not read) is charged there by what it takes in the process, not by its size on the
+wire. A charge that would exceed the budget is denied: the caller refuses the request, or streams the body.
+"""
+
+from __future__ import annotations
+
+import os
+
+MEBIBYTE = 1024 * 1024
+# Memory of the process before its first client, where it is not measured.
+DEFAULT_RESIDENT_BYTES = 26 * MEBIBYTE
+MARGIN_DIVISOR = 16  # of the limit: for what is not charged, and for fragments of free memory
+MIN_CAPACITY_BYTES = MEBIBYTE  # with a limit below what the process takes by itself
+# An account that holds more than SMALL_BYTES may use only this share of the capacity, so that a few large
+# bodies, or many half-sent ones, do not keep ordinary requests out.
+SMALL_BYTES = 16 * 1024
+LARGE_SHARE = 0.5
+
+FIELD_BYTES = 176  # held for a header field in addition to its name and value
+GROWING_BODY_FACTOR = 1.5  # of a body that grows piece by piece, as it is moved when it outgrows its place
+REQUEST_BYTES = 1024  # held for a request that has been read
+PENDING_BYTES = 5 * 1024  # held in addition for one that the gateway has accepted, with its attempts
+CLIENT_CONNECTION_BYTES = 3 * 1024
+HOST_CONNECTION_BYTES = 4 * 1024
+
+
+def resident_bytes() -> int:
+    """The memory of this process that is resident now; DEFAULT_RESIDENT_BYTES if it cannot be read."""
+    try:
+        with open("/proc/self/statm", "rb") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, ValueError, IndexError):
+        return DEFAULT_RESIDENT_BYTES
+
+
+class MemoryBudget:
+    """The memory that may be held on behalf of peers, and how much of it is in use."""
+
+    def __init__(self, memory_mb: float, own_bytes: int = DEFAULT_RESIDENT_BYTES) -> None:
+        self.own_bytes = own_bytes  # of the process itself
+        self.used = 0
+        self.denied = 0  # charges
+        self.set_limit(memory_mb)
+
+    def __str__(self) -> str:
+        kib = 1024
+        return f"memory: {self.used // kib} of {self.capacity // kib} KiB held, {self.denied} charges denied"
+
+    def set_limit(self, memory_mb: float) -> None:
+        """Set the process's memory limit."""
+        self.limit = int(memory_mb * MEBIBYTE)
+        available = self.limit - self.limit // MARGIN_DIVISOR - self.own_bytes
+        self.capacity = max(MIN_CAPACITY_BYTES, available)
+
+    def set_own_bytes(self, own_bytes: int) -> None:
+        """Set how much the process takes by itself, as measured after its start."""
+        self.own_bytes = own_bytes
+        self.set_limit(self.limit / MEBIBYTE)
+
+    @property
+    def free(self) -> int:
+        """Bytes that large holders may still be granted."""
+        return max(0, int(self.capacity * LARGE_SHARE) - self.used)
+
+    def open_account(self) -> MemoryAccount:
+        """A new account that holds nothing."""
+        return MemoryAccount(self)
+
+
+class MemoryAccount:
+    """What one connection holds."""
+
+    __slots__ = ("budget", "held")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.budget = budget
+        self.held = 0
+
+    def grow(self, size: int) -> bool:
+        """Charge `size` more bytes; False, and no change, if the budget does not allow it."""
+        budget = self.budget
+        is_large = self.held + size > SMALL_BYTES
+        limit = budget.capacity * LARGE_SHARE if is_large else budget.capacity
+        if budget.used + size > limit:
+            budget.denied += 1
+            return False
+        self.add(size)
+        return True
+
+    def add(self, size: int) -> None:
+        """Charge bytes that are held already; a negative size releases some."""
+        self.held += size
+        self.budget.used += size
+
+    def close(self) -> None:
+        """Release all that is held."""
+        self.add(-self.held)
--- a/cloverkeel/operator.py
+++ b/cloverkeel/operator.py
@@ -77,7 +77,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
         self.content_type = b""
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.size = 0  # bytes received
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
@@ -122,7 +122,7 @@
             self.content_type = value
 
     def on_body(self, body: bytes) -> None:
-        self.body.append(body)  # `data_received` limits the size
+        self.body += body  # `data_received` limits the size
 
     def on_message_complete(self) -> None:
         method = self.parser.get_method()
@@ -150,7 +150,7 @@
             self.answer(Answer(405, b"POST it\n", (b"Allow", b"POST")))
         elif self.content_type != POST_TYPE:
             self.answer(Answer(415, b"the Content-Type has to be " + POST_TYPE + b"\n"))
-        elif self.size > HEAD_LIMIT + POST_LIMIT or len(body := b"".join(self.body)) > POST_LIMIT:
+        elif self.size > HEAD_LIMIT + POST_LIMIT or len(body := bytes(self.body)) > POST_LIMIT:
             self.answer(Answer(413, b"the call is too long\n"))
         else:
             self._spawn(handler(query, body))
--- a/cloverkeel/streams.py
+++ b/cloverkeel/streams.py
@@ -5,29 +5,26 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from cloverkeel.memory import MemoryBudget
+
 PIECE_BYTES = 64 * 1024  # the most that is read at a time, and so held of one body
 MIN_PIECE_BYTES = 4 * 1024  # the least that is read at a time, however many bodies are streamed
 MIN_BYTES_PER_S = 32_000  # half the rate of the slowest client or host that has to be supported
-MEMORY_DIVISOR = 8  # the pieces of all streamed bodies may take 1/8 of the process's memory
+PIECES_HELD = 4  # of one streamed body, at most: read, in two write buffers, and as a copy
 
 
 class ReadBuffer:
     """The buffer that all connections read into; only one read uses it at a time."""
 
-    def __init__(self, memory_mb: float) -> None:
+    def __init__(self, memory: MemoryBudget) -> None:
+        self.memory = memory
         self.view = memoryview(bytearray(PIECE_BYTES))
         self.streamed_bodies = 0  # bodies being streamed now
-        self.set_memory_limit(memory_mb)
-
-    def set_memory_limit(self, memory_mb: float) -> None:
-        """Set the share of the process's memory that streamed bodies may take."""
-        self.max_streamed_bytes = int(memory_mb * 1024 * 1024 / MEMORY_DIVISOR)
 
-    def streamed_view(self) -> memoryview:
-        """The buffer for one piece of a streamed body: smaller, the more bodies are streamed."""
-        return self.view[
-            : max(MIN_PIECE_BYTES, min(PIECE_BYTES, self.max_streamed_bytes // max(1, self.streamed_bodies)))
-        ]
+    def piece_bytes(self) -> int:
+        """The most that is read of a streamed body at a time: less, the more bodies are streamed."""
+        share = self.memory.free // (PIECES_HELD * max(1, self.streamed_bodies))
+        return max(MIN_PIECE_BYTES, min(PIECE_BYTES, share))
 
 
 def encode_chunk(data: bytes) -> bytes:
@@ -49,11 +46,17 @@
 class Upload:
     """The rest of a streamed request body. It goes to a single host connection and can't be sent again."""
 
-    __slots__ = ("ended", "is_chunked", "on_writable", "sink")
+    __slots__ = ("ended", "is_chunked", "on_started", "on_writable", "sink")
 
-    def __init__(self, is_chunked: bool, on_writable: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        is_chunked: bool,
+        on_writable: Callable[[], None],
+        on_started: Callable[[], None] = lambda: None,
+    ) -> None:
         self.is_chunked = is_chunked
         self.on_writable = on_writable  # the client may send more
+        self.on_started = on_started  # a host has been sent what was held of the body
         self.sink: UploadSink | None = None
         self.ended = False
 
@@ -64,6 +67,7 @@
     def attach(self, sink: UploadSink) -> None:
         """Stream to `sink` from now on; it has been given what was held of the body."""
         self.sink = sink
+        self.on_started()
         self.on_writable()
 
     def feed(self, data: bytes) -> bool:
--- a/faultlab/exhaustion/host.py
+++ b/faultlab/exhaustion/host.py
@@ -93,6 +93,8 @@
     if headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readline(), 16):
             await reader.readexactly(size + 2)
+            if pace.kind == "reads":
+                await asyncio.sleep(size / pace.rate)
         await reader.readline()
         return
     left = int(headers.get("content-length") or 0)
--- a/faultlab/exhaustion/peers.py
+++ b/faultlab/exhaustion/peers.py
@@ -29,11 +29,11 @@
     return head if unfinished else head + b"\r\n"
 
 
-def chunked_request(body: bytes, size: int) -> bytes:
+def chunked_request(body: bytes, size: int, pace: str = "chunks") -> bytes:
     """A request whose body comes in chunks of `size` bytes."""
     pieces = (body[at : at + size] for at in range(0, len(body), size))
     chunks = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
-    return request_head("POST", "/transfer/chunks", "Transfer-Encoding: chunked") + chunks + b"0\r\n\r\n"
+    return request_head("POST", f"/transfer/{pace}", "Transfer-Encoding: chunked") + chunks + b"0\r\n\r\n"
 
 
 @dataclass
--- a/faultlab/exhaustion/scenarios.py
+++ b/faultlab/exhaustion/scenarios.py
@@ -49,6 +49,7 @@
         Scenario("many-fields", lambda: many_fields(60_000, False)),
         Scenario("one-long-field", lambda: b"GET /search/x HTTP/1.1\r\nA: " + b"x" * 60_000),
         Scenario("small-chunks", lambda: chunked_request(SHORT_BODY, 2)[:-20]),
+        Scenario("large-in-small-chunks", lambda: chunked_request(LARGE_BODY, 2, "reads-0-20000")),
         Scenario(
             "answers-not-read", _get("whole-60000-0"), reads_bytes=0, receive_buffer=SMALL_RECEIVE_BUFFER
         ),
--- a/tests/raw_host.py
+++ b/tests/raw_host.py
@@ -17,6 +17,7 @@
 from cloverkeel.hosts.idle import REUSE_DELAY_US
 from cloverkeel.hosts.pool import Pools
 from cloverkeel.http1 import Reply
+from cloverkeel.memory import MemoryBudget
 from cloverkeel.streams import ReadBuffer
 from cloverkeel.telemetry import Telemetry
 from tests.helpers import SAFE
@@ -106,7 +107,11 @@
 @asynccontextmanager
 async def raw_host(receive_buffer: int = 0) -> AsyncIterator[RawHost]:
     """Runs a host on a loopback port, and a pool that has only this host."""
-    pools = Pools(Settings(classes=(SAFE,), stop_sending_within_us=1_000_000), Telemetry(), ReadBuffer(192))
+    pools = Pools(
+        Settings(classes=(SAFE,), stop_sending_within_us=1_000_000),
+        Telemetry(),
+        ReadBuffer(MemoryBudget(192)),
+    )
     with socket.socket() as listener:
         if receive_buffer:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
--- a/tests/test_host_descriptors.py
+++ b/tests/test_host_descriptors.py
@@ -13,6 +13,7 @@
 from cloverkeel.hosts.attempt import Attempt
 from cloverkeel.hosts.pool import Pools
 from cloverkeel.http1 import Reply
+from cloverkeel.memory import MemoryBudget
 from cloverkeel.streams import ReadBuffer
 from cloverkeel.telemetry import Telemetry
 from tests.helpers import SAFE
@@ -55,7 +56,7 @@
     pools = Pools(
         Settings(classes=(SAFE,), connect_timeout_us=30_000, stop_sending_within_us=10_000),
         Telemetry(),
-        ReadBuffer(192),
+        ReadBuffer(MemoryBudget(192)),
     )
     with socket.socket() as full_listener:
         full_listener.bind(("127.0.0.1", 0))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,7 +10,8 @@
 from caperdrift.interface import BodyEnded, BodyPassing, Outcome, SettingsChanged, StreamStarted, TimerFired
 from caperdrift.policy.choice import is_unresponsive
 from cloverkeel.http1 import ReplyError, ReplyReader
-from cloverkeel.streams import MIN_PIECE_BYTES, PIECE_BYTES, ReadBuffer
+from cloverkeel.memory import MemoryBudget
+from cloverkeel.streams import MIN_PIECE_BYTES, PIECE_BYTES, ReadBuffer, PIECES_HELD
 from tests.helpers import SETTINGS, Driver, finals, sends
 from tests.sockets import Client, configuration, on_loop, peer, request, running, silent, until
 from tests.test_gateway_process import program
@@ -82,12 +83,17 @@
 
 
 def test_piece_size_falls_with_the_number_of_streamed_bodies() -> None:
-    buffer = ReadBuffer(memory_mb=64)
-    assert len(buffer.streamed_view()) == PIECE_BYTES
+    memory = MemoryBudget(memory_mb=64)
+    buffer = ReadBuffer(memory)
+    assert buffer.piece_bytes() == PIECE_BYTES
     buffer.streamed_bodies = 512
-    assert len(buffer.streamed_view()) == 64 * 1024 * 1024 // 8 // 512
+    assert MIN_PIECE_BYTES < buffer.piece_bytes() == memory.free // PIECES_HELD // 512
+    assert 512 * buffer.piece_bytes() <= 64 * 1024 * 1024 // 8
+    memory.open_account().add(memory.free)  # all that is left is in use
+    assert buffer.piece_bytes() == MIN_PIECE_BYTES
+    buffer = ReadBuffer(MemoryBudget(memory_mb=64))
     buffer.streamed_bodies = 1_000_000
-    assert len(buffer.streamed_view()) == MIN_PIECE_BYTES
+    assert buffer.piece_bytes() == MIN_PIECE_BYTES
 
 
 def resident_kb(pid: int) -> int:
