Clients that use much processor time wait for their turns

Callers saw: answers after 2.4 s or never while others sent small requests at full speed. Cause: a read's requests were all parsed and answered in one go, up to 32 reads of a connection in one iteration of the loop, for each connection. Change: FairShare (cloverkeel/front/fair_share.py). A connection that used more than 2 ms, forgotten at a quarter of the processor, is not read until its turn; the turns together use a quarter.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -113,7 +113,7 @@
     def discard_input(self) -> None:
         """Drops queued requests, and resumes reading so that the client's close is noticed."""
         self.clear_queue()
-        self.awaiting_since_s = math.inf
+        self.awaiting_since_s = self.turn_awaited_since_s = math.inf
         self.resume_input()
         self.apply_pause()
 
@@ -156,11 +156,13 @@
         """Lets the next queued request be dispatched in the loop's next iteration, once."""
         if self.queue and not self.start_scheduled:
             self.start_scheduled = True
-            asyncio.get_running_loop().call_soon(self.start_next)
+            asyncio.get_running_loop().call_soon(self.measured, self.start_next)
 
     def start_queued(self) -> None:
         """Dispatches queued requests until one waits for its response, or the connection has to wait."""
         while self.current is None and self.queue and not self.write_shut:
+            if self.turn_awaited_since_s < math.inf:
+                return  # goes on in `take_turn`
             if self.write_blocked_since_s < math.inf:
                 return  # the client reads no responses; more of them would fill the memory
             request = self.current = self.queue.popleft()
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -6,12 +6,14 @@
 import math
 import select
 from collections import deque
+from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
 import httptools
 
 from cloverkeel.clock import now_us
+from cloverkeel.front.fair_share import ProcessorUse, clock_s
 from cloverkeel.front.requests import OVERLOADED, RETRY_SOON, Request, RequestError
 from cloverkeel.http1 import (
     BODY_LIMIT,
@@ -55,6 +57,8 @@
         self.message_ended = False  # the last read contained the end of a request
         self.body_due_s = 0.0  # loop time by which the body must begin; the minimum rate extends it
         self.paused_since_s = math.inf  # loop time at which reading was paused; inf: it is not paused
+        self.turn_awaited_since_s = math.inf  # loop time since which the connection waits for its turn
+        self.processor_use = ProcessorUse()
         self.account = server.gateway.memory.open_account()
         # Loop time from which the request being received, or the connection's first one, is timed; inf: none.
         self.awaiting_since_s = math.inf
@@ -93,7 +97,33 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self.ignores_input:  # set, for example, after a request that could not be parsed
             return
-        self.feed(bytes(self.server.gateway.buffer.view[:nbytes]))
+        self.measured(self.feed, bytes(self.server.gateway.buffer.view[:nbytes]))
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether input is not read for now."""
+        return self.paused_since_s != math.inf or self.turn_awaited_since_s != math.inf
+
+    def measured(self, work: Callable[..., None], *arguments: bytes) -> None:
+        """Does some work of this connection; if that uses up its burst of the processor, it has to wait."""
+        began_s = clock_s()
+        work(*arguments)
+        ended_s = clock_s()
+        waits = self.turn_awaited_since_s < math.inf
+        if self.processor_use.add(ended_s - began_s, ended_s) and not waits and not self.ignores_input:
+            self.turn_awaited_since_s = asyncio.get_running_loop().time()
+            self.apply_pause()
+            self.server.fair_share.wait(self, ended_s - began_s)
+
+    def take_turn(self) -> None:
+        """Goes on after the connection had to wait for its turn."""
+        if self.turn_awaited_since_s == math.inf:
+            return
+        self.extend_deadlines(asyncio.get_running_loop().time() - self.turn_awaited_since_s)
+        self.turn_awaited_since_s = math.inf
+        self.apply_pause()
+        if self.queue:
+            self.measured(self.start_next)
 
     def eof_received(self) -> None:
         """Handles the client's close at once: `connection_lost` is called only after all output is sent."""
@@ -145,10 +175,10 @@
             self.apply_pause()
 
     def apply_pause(self) -> None:
-        """Reads from the client unless reading is paused."""
+        """Reads from the client unless reading is paused, or the connection waits for its turn."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self.paused_since_s != math.inf:
+        if self.is_paused:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
@@ -160,7 +190,7 @@
 
     def is_overdue(self, now_s: float) -> bool:
         """Returns whether the incoming request has exceeded its time, or its body the minimum rate."""
-        if self.paused_since_s != math.inf or self.awaiting_since_s == math.inf:
+        if self.is_paused or self.awaiting_since_s == math.inf:
             return False
         if self.incoming is not None and self.incoming.awaits_continue_since_s:
             return False  # the client waits for "100 Continue", which waits for earlier responses
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import math
 import select
 import socket
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 from cloverkeel.config import Config, merge_reloaded, load
 from cloverkeel.errors import ConfigError
 from cloverkeel.front.connection import FIRST_REQUEST_GRACE_S, ClientConnection
+from cloverkeel.front.fair_share import FairShare
 from cloverkeel.gateway import Gateway
 from cloverkeel.http1 import WRITE_STALL_S, log
 
@@ -48,6 +48,7 @@
         self.listener: asyncio.Server | None = None
         self.inherited_socket = inherited  # a listening socket that other processes accept from too
         self.accepting = False
+        self.fair_share = FairShare()
         self.other_descriptors: Callable[[], int] = int  # number held by other parts of the process
         self.reload_listeners: list[Callable[[Config], None]] = []  # called with each new configuration
         asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self.sweep)
@@ -156,7 +157,7 @@
             connection.on_request_timeout()
         for connection in [c for c in self.connections if c.write_blocked_since_s < now_s - WRITE_STALL_S]:
             connection.abort()
-        for connection in [c for c in self.connections if c.paused_since_s != math.inf]:
+        for connection in [c for c in self.connections if c.is_paused]:
             connection.check_gone()  # while reading is paused the loop does not notice a disconnect
 
     def reload(self) -> None:
@@ -189,8 +190,9 @@
             f"connections: {len(self.connections)} of clients, "
             f"{pools.open_connections} to hosts; {pools.counts}"
         )
-        if self.gateway.memory.denied:
-            log(str(self.gateway.memory))
+        memory, turns = self.gateway.memory, self.fair_share.turns
+        if memory.denied or turns:
+            log(f"{memory}; {turns} turns of clients that used much processor time")
 
     @property
     def free_descriptors(self) -> int:
