No attempt begins for a client whose close its own unread input may hide

Callers saw: a request sent on 0.2 s after its client had closed (retry of a pipelined request). Cause: a close arrives behind the data before it. While the receive window is full of unread requests the kernel reports nothing, so the client counted as there. Change: the connection notes since when input may have been waiting. The last byte of a streamed body is passed on after another look: all before it has been read then, so the close is visible.

--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import math
 import select
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -39,6 +42,11 @@
 MAX_PIPELINED = 16  # parsed requests that may wait on one connection before reading pauses
 HEAD_READ_BYTES = 2 * 1024  # read at a time outside of a body: bounds how many requests one read holds
 BODY_READ_BYTES = 16 * 1024  # read at a time of a body that is held whole
+# Once so much input has waited, the receive window may be closed, so that a close does not arrive; it is open
+# again once less than REOPENED_BYTES wait.
+CLOSED_WINDOW_BYTES = 48 * 1024
+REOPENED_BYTES = 16 * 1024
+HIDDEN_CLOSE_S = 0.06  # after which a close that unread input may hide is assumed; 0.1 s are allowed
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # poll flags of a close or reset
 
 
@@ -60,6 +68,9 @@
         self.turn_awaited_since_s = math.inf  # loop time since which the connection waits for its turn
         self.processor_use = ProcessorUse()
         self.account = server.gateway.memory.open_account()
+        # Loop time since which input may have been waiting unread; inf: all that had arrived was read.
+        self.lagging_since_s = math.inf
+        self.read_lagging = 0  # bytes read since then
         # Loop time from which the request being received, or the connection's first one, is timed; inf: none.
         self.awaiting_since_s = math.inf
         self.timeout_deferred = False  # a time-out was put off once, to read bytes that had already arrived
@@ -97,7 +108,14 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self.ignores_input:  # set, for example, after a request that could not be parsed
             return
+        now_s = asyncio.get_running_loop().time()
+        is_drained = nbytes < self.read_size()
+        self.read_lagging += nbytes
+        if not is_drained:
+            self.lagging_since_s = min(self.lagging_since_s, now_s)
         self.measured(self.feed, bytes(self.server.gateway.buffer.view[:nbytes]))
+        if is_drained:
+            self.note_all_read()
 
     @property
     def is_paused(self) -> bool:
@@ -136,11 +154,48 @@
         arrive in the same loop iteration as the event that starts an attempt.
         """
         if not self.client_gone and self.transport is not None:
-            ended = any(flags & DISCONNECT_EVENTS for _, flags in self.poll.poll(0))
-            if ended or self.transport.is_closing():
+            events = self.poll.poll(0)
+            if not events:
+                self.note_all_read()
+            if any(flags & DISCONNECT_EVENTS for _, flags in events) or self.transport.is_closing():
                 self.on_disconnect()
         return self.client_gone
 
+    def may_be_gone(self) -> bool:
+        """Returns whether the client has disconnected, or may have without this being visible.
+
+        The end of a connection arrives behind the data that was sent before it. While the receive window is
+        full of unread input, a close may be long past. It does not matter to a streamed body: its last byte
+        is not passed on without another check.
+        """
+        if self.check_gone():
+            return True
+        lagging_s = asyncio.get_running_loop().time() - self.lagging_since_s
+        if lagging_s <= HIDDEN_CLOSE_S or self.is_uploading:
+            return False
+        unread = self.unread_bytes()
+        return unread >= REOPENED_BYTES and unread + self.read_lagging >= CLOSED_WINDOW_BYTES
+
+    def note_all_read(self) -> None:
+        """Notes that no input waits to be read."""
+        self.lagging_since_s = asyncio.get_running_loop().time() if self.is_paused else math.inf
+        self.read_lagging = 0
+
+    @property
+    def is_uploading(self) -> bool:
+        """Whether the current request's body is still being streamed."""
+        return self.current is not None and self.current.upload is not None and not self.current.complete
+
+    def unread_bytes(self) -> int:
+        """Bytes that have arrived on this machine and are not read."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        try:
+            return int(struct.unpack("i", fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)))[0])
+        except OSError:
+            return 0
+
     def on_disconnect(self) -> None:
         """Drops the client's pending requests and closes the connection."""
         if self.client_gone:
@@ -179,6 +234,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         if self.is_paused:
+            self.lagging_since_s = min(self.lagging_since_s, asyncio.get_running_loop().time())
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
@@ -356,6 +412,8 @@
         length = header(headers, b"content-length")
         if length is not None and length.isdigit() and int(length) > MAX_BODY_BYTES:
             raise RequestError(413, "the body is too long")
+        if length is not None and length.isdigit():
+            self.incoming.content_length = int(length)
         if transfer_coding(headers) not in (b"", b"chunked"):
             raise RequestError(501, "the transfer coding is unknown")
         if self.parser.should_upgrade() and (transfer_coding(headers) or (length or b"0") != b"0"):
@@ -397,6 +455,8 @@
             return
         piece = bytes(request.body)
         request.body.clear()
+        if self.body_size == request.content_length and self.check_gone():
+            return  # the client has left: the host must not get the last byte
         if not request.answered and not request.upload.feed(piece):
             self.pause_input()
 
@@ -408,7 +468,7 @@
         self.message_ended = request.complete = True
         if request.upload is not None:
             self.forward_body(request)
-            if not request.answered:
+            if not request.answered and not self.check_gone():
                 self.server.gateway.body_ended(self.current_id)
             return
         if request.error is None and not self.charge(request, request.held_bytes):
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -46,6 +46,7 @@
         "body",
         "charged",
         "complete",
+        "content_length",
         "error",
         "head_bytes",
         "headers",
@@ -65,6 +66,7 @@
         self.headers: list[Header] = []
         self.head_bytes = 0  # what the target and the headers take in memory
         self.body = bytearray()
+        self.content_length = 0  # 0: none
         self.charged = 0  # to the account of its connection
         self.keep_alive = False
         self.is_http10 = False
@@ -104,7 +106,7 @@
     def on_broken(self, request: Request) -> None: ...
     def on_refused(self, request: Request, retry_after_us: int) -> None: ...
     def on_failed(self, request: Request, timed_out: bool) -> None: ...
-    def check_gone(self) -> bool: ...
+    def may_be_gone(self) -> bool: ...
 
 
 def build_call(
@@ -173,7 +175,7 @@
         on_broken=partial(writer.on_broken, request),
         on_refused=partial(writer.on_refused, request),
         on_failed=partial(writer.on_failed, request),
-        is_client_gone=writer.check_gone,
+        is_client_gone=writer.may_be_gone,
         route=route.number if route is not None else 0,
     )
 
