A large request that its host reads slowly is answered within its client's time

Callers saw: the final answer seconds after its time, where a host read a large request slowly. Cause: the client's time began when the gateway had read the last byte. While the host does not read, the gateway does not either, and the last byte waits in the system's buffers. Change: while reading is paused and input waits, the client's time runs from the last moment at which all input was read, unless more of the body is missing than the client's system can hold (4 MiB). When it is over the request is refused; else the time left counts from that moment.

--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -42,6 +42,7 @@
 MAX_PIPELINED = 16  # parsed requests that may wait on one connection before reading pauses
 HEAD_READ_BYTES = 2 * 1024  # read at a time outside of a body: bounds how many requests one read holds
 BODY_READ_BYTES = 16 * 1024  # read at a time of a body that is held whole
+MAX_UNSENT_BYTES = 4 * 1024 * 1024  # that a client's system may hold after the client has sent them
 # Once so much input has waited, the receive window may be closed, so that a close does not arrive; it is open
 # again once less than REOPENED_BYTES wait.
 CLOSED_WINDOW_BYTES = 48 * 1024
@@ -469,7 +470,7 @@
         if request.upload is not None:
             self.forward_body(request)
             if not request.answered and not self.check_gone():
-                self.server.gateway.body_ended(self.current_id)
+                self.server.gateway.body_ended(self.current_id, self.arrived_since_us())
             return
         if request.error is None and not self.charge(request, request.held_bytes):
             self.refuse_for_memory(request)
@@ -480,3 +481,23 @@
             request.queued_since_us = now_us()
             request.arrival_config = self.server.config
         self.queue.append(request)
+
+    def arrived_since_us(self) -> int:
+        """The earliest clock time at which the client may have sent the last byte that was read.
+
+        While reading was paused, it is not known when input has arrived.
+        """
+        waited_s = asyncio.get_running_loop().time() - self.lagging_since_s
+        return now_us() - max(0, int(max(0.0, waited_s) * 1e6))
+
+    def check_upload(self, now_s: float) -> None:
+        """Ends a streamed request whose last byte may have been waiting here for all of its client's time."""
+        request = self.current
+        if request is None or not self.is_uploading or self.lagging_since_s == math.inf:
+            return
+        unread = self.unread_bytes()
+        unsent = request.content_length - self.body_size - unread
+        if not unread or unsent > MAX_UNSENT_BYTES:
+            self.lagging_since_s = now_s  # the client still has to send some of it
+        else:
+            self.server.gateway.check_upload_time(self.current_id, self.arrived_since_us())
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -158,7 +158,8 @@
         for connection in [c for c in self.connections if c.write_blocked_since_s < now_s - WRITE_STALL_S]:
             connection.abort()
         for connection in [c for c in self.connections if c.is_paused]:
-            connection.check_gone()  # while reading is paused the loop does not notice a disconnect
+            if not connection.check_gone():  # while reading is paused the loop does not notice a disconnect
+                connection.check_upload(now_s)
 
     def reload(self) -> None:
         """Reloads the configuration file; if it is invalid, the current configuration stays in force."""
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -228,18 +228,37 @@
             elif attempt is pending.streaming_attempt or attempt.upload is not None:
                 self.pools.cancel(attempt)
 
-    def body_ended(self, id_: str) -> None:
-        """The client has sent the last byte of a streamed body; its time starts now."""
+    def body_ended(self, id_: str, sent_us: int) -> None:
+        """The last byte of a streamed body was read; the client's time runs since `sent_us`."""
         pending = self.pending.get(id_)
         if pending is None or not pending.body_incomplete:
             return
         pending.body_incomplete = False
-        pending.deadline_us = now_us() + pending.call.client_timeout_us
+        pending.deadline_us = sent_us + pending.call.client_timeout_us
         if pending.call.upload is not None:
             pending.call.upload.end()
         if not pending.finished:
             self.post(lambda: BodyEnded(id_))
 
+    def check_upload_time(self, id_: str, sent_us: int) -> None:
+        """End a request whose body is not read yet if its client's time, from `sent_us` on, is over.
+
+        A host that reads slowly keeps the rest of the body from being read, but not the client's time from
+        passing.
+        """
+        pending = self.pending.get(id_)
+        if pending is None or pending.finished or pending.streaming_attempt is not None:
+            return
+        if now_us() < sent_us + pending.call.client_timeout_us:
+            return
+        for attempt in list(pending.attempts):
+            if attempt is not None and not attempt.ended:
+                self.pools.time_out(attempt)
+        if not pending.finished:  # no attempt was in flight
+            self.finish(id_, pending, Result.BAD_GATEWAY)
+            pending.call.on_failed(True)
+            self.post(lambda: RequestGone(id_))
+
     def on_list(self, kind: ListKind, entries: list[HostEntry]) -> None:
         """Apply a list of hosts to the pools and pass it to the Balancer."""
         self.post(lambda: apply_list(self.pools, self.listed_hosts, kind, entries))
--- a/cloverkeel/hosts/streamed_bodies.py
+++ b/cloverkeel/hosts/streamed_bodies.py
@@ -49,7 +49,8 @@
         attempt.sent_us = now_us()
         if connection.on_piece is None:
             self.set_streaming(connection, False)
-            timeout_s = attempt.timeout_us / 1e6
+            # Less than the attempt's, if it is not known how long ago the client has sent the last byte.
+            timeout_s = max(0, min(attempt.timeout_us, attempt.remaining_us())) / 1e6
             attempt.timers.append(self.pools.loop.call_later(timeout_s, self.pools.on_timeout, attempt))
         if connection.is_written:
             self.pools.on_written(connection)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -212,7 +212,7 @@
             await until(lambda: not connection.poll.poll(0))
             run.server.draining = True
 
-            def body_ended(id_: str) -> None:
+            def body_ended(id_: str, sent_us: int) -> None:
                 assert connection.current is not None
                 connection.on_failed(connection.current, False)
 
