An id that may have run does not run again, at either process of an upgrade

Callers saw: an id ran twice when it came again after its client had left, or at the other process. Cause: an id was known only while its request was pending in this process. An id enters with its first attempt and leaves with the answer; it stays if the client has left and an attempt may have run. An id of over 256 bytes is answered 400, as comparisons of transforms keep ids too.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -68,6 +68,7 @@
     from cloverkeel.memory import resident_bytes
     from cloverkeel.operator import Answer, OperatorServer
     from cloverkeel.front.server import Server
+    from cloverkeel.recent_ids import open_recent_ids
     from cloverkeel.telemetry import CONTENT_TYPE
 
     async def serve() -> int:
@@ -89,7 +90,8 @@
                 inherited is not None,
                 store_counters,
             )
-        gateway = Gateway(config, warm, store_counters if keeper is not None else None)
+        recent_ids = open_recent_ids(inherited, config.state.directory)
+        gateway = Gateway(config, warm, store_counters if keeper is not None else None, recent_ids)
         if config.transforms is not None:
             from cloverkeel.transforms.loader import load as load_transforms
 
--- a/cloverkeel/front/requests.py
+++ b/cloverkeel/front/requests.py
@@ -22,6 +22,7 @@
 
 RETRY_SOON: Header = (b"Retry-After", b"0.1")  # for a request that is refused for want of memory
 NO_TENANT = -1  # for a caller that the settings do not name; 0 would charge its requests to the first tenant
+MAX_ID_BYTES = 256  # ids are kept beyond their requests
 UNFORWARDED_REQUEST_HEADERS = frozenset({b"x-budget-ms"})
 UNFORWARDED_RESPONSE_HEADERS = frozenset({b"x-load-report", b"x-rejected"})
 
@@ -141,6 +142,8 @@
     id_ = headers.get(b"x-call-id")
     if not id_:
         raise RequestError(400, "no X-Call-Id")
+    if len(id_) > MAX_ID_BYTES:
+        raise RequestError(400, "the X-Call-Id is too long")
     budget_ms = _parse_integer(headers.get(b"x-budget-ms"), "X-Budget-Ms")
     forwarded = end_to_end_headers(request.headers, UNFORWARDED_REQUEST_HEADERS)
     route = None
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -16,6 +16,7 @@
 
 from caperdrift.policy.balancer import Balancer
 from caperdrift.interface import (
+    NEVER_RAN,
     Action,
     AttemptEnded,
     BodyEnded,
@@ -53,6 +54,7 @@
 from cloverkeel.http1 import Reply, log
 from cloverkeel.host_list import ListSource, apply_list
 from cloverkeel.probing import probe
+from cloverkeel.recent_ids import RecentIds
 from cloverkeel.streams import ReadBuffer
 from cloverkeel.telemetry import Result, Telemetry
 
@@ -67,7 +69,11 @@
     """Feeds events to the Balancer, executes its actions, and keeps the pending requests."""
 
     def __init__(
-        self, config: Config, warm: Snapshot | None = None, store_counters: StoreCounters | None = None
+        self,
+        config: Config,
+        warm: Snapshot | None = None,
+        store_counters: StoreCounters | None = None,
+        recent_ids: RecentIds | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.settings, self.names = config.settings, config.names
@@ -89,6 +95,8 @@
         self.events: deque[Callable[[], Event | None]] = deque()  # queued, see `post`
         self.handling = False  # an event is being handled
         self.pending: dict[str, PendingRequest] = {}  # by id
+        self.recent_ids = recent_ids or RecentIds()  # of requests that may run, or have run for no client
+        self.repeated_ids = 0  # requests rejected because their id may have run
         self.closed = False
         self.known = config.known  # list of hosts to start with
         self.warm, self.store_counters = warm, store_counters  # snapshot to restore; the store's metrics
@@ -136,6 +144,7 @@
             },
             {
                 "memory_denied_total": self.memory.denied,
+                "repeated_ids_total": self.repeated_ids,
                 **(self.store_counters.counters() if self.store_counters is not None else {}),
                 **counters,
             },
@@ -190,8 +199,9 @@
             self.execute(action)
 
     def accept(self, call: Call) -> bool:
-        """Take over a request; False if one with the same id is already pending."""
-        if call.id in self.pending:
+        """Take over a request; False if one of the same id is pending, or may have run for a lost client."""
+        if call.id in self.pending or call.id in self.recent_ids:
+            self.repeated_ids += 1
             return False
         pending = PendingRequest(call, now_us() + call.client_timeout_us, self.settings.max_attempts)
         pending.body_incomplete = call.upload is not None
@@ -226,7 +236,12 @@
             if attempt is not pending.streaming_attempt and not self.pools.is_written(attempt):
                 self.pools.cancel(attempt, Outcome.NOT_SENT)
             elif attempt is pending.streaming_attempt or attempt.upload is not None:
+                pending.may_have_run = True
                 self.pools.cancel(attempt)
+            else:
+                pending.may_have_run = True
+        if not pending.may_have_run:
+            self.recent_ids.discard(id_)
 
     def body_ended(self, id_: str, sent_us: int) -> None:
         """The last byte of a streamed body was read; the client's time runs since `sent_us`."""
@@ -311,6 +326,8 @@
         pending.finished = True
         if result is not None:
             self.telemetry.count(self.names.class_names[pending.call.klass], result)
+            if pending.was_sent:
+                self.recent_ids.discard(id_)  # its client has the answer
         pending.call.head = pending.call.body = b""  # no further attempt is written
         if pending.in_flight == 0:
             self.remove(id_, pending)
@@ -365,6 +382,9 @@
         )  # fmt: skip
         pending.attempts.append(attempt)
         pending.in_flight += 1
+        if not pending.was_sent:
+            pending.was_sent = True
+            self.recent_ids.add(id_)
         if action.write_deadline_us:
             # An earlier attempt whose connection is still being opened could be written late, as a duplicate.
             for earlier in pending.attempts:
@@ -399,6 +419,7 @@
         id_ = pending.call.id
         pending.in_flight -= 1
         pending.timed_out = outcome is Outcome.TIMEOUT
+        pending.may_have_run |= outcome not in NEVER_RAN
         if pending.streaming_attempt is attempt and not pending.finished:
             self.finish(id_, pending, Result.PASSED if outcome is Outcome.OK else Result.BAD_GATEWAY)
             (pending.call.on_ended if outcome is Outcome.OK else pending.call.on_broken)()
--- a/cloverkeel/pending.py
+++ b/cloverkeel/pending.py
@@ -51,6 +51,8 @@
     finished: bool = False  # the response is final, or the client has gone
     body_incomplete: bool = False  # the client is still sending the body
     streaming_attempt: Attempt | None = None  # whose response is being streamed to the client
+    was_sent: bool = False  # an attempt was started
+    may_have_run: bool = False  # an attempt may have been carried out by a host
     timed_out: bool = False  # the last attempt to end timed out
 
     @property
