Descriptors: none beyond the limit for hosts, and local shortages blame no host

Change: such attempts are not sent (the request is refused), end within the class's time, and say nothing about the host; operators' connections count.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -107,7 +107,7 @@
             from cloverkeel.fleet.start import FleetParts
 
             fleet = FleetParts(config, config.cluster, gateway, keeper, inherited is not None)
-            server.other_descriptors = fleet.descriptors
+            server.descriptor_holders.append(fleet.descriptors)
             if fleet.rollout is not None:
                 server.reload_listeners.append(fleet.rollout.reconfigured)
 
@@ -145,6 +145,8 @@
             if config.operator
             else None
         )
+        if operator is not None:
+            server.descriptor_holders.append(lambda: len(operator.connections))
         address = config.operator or config.listen
         try:
             if operator is not None:
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -33,6 +33,7 @@
 # also close after a response, or are refused. This leaves descriptors for hosts and discovery.
 DESCRIPTOR_RESERVE = 64
 OWN_DESCRIPTORS = 24  # of the process itself: standard streams, loop, signals, listeners, discovery, store
+MIN_HOST_CONNECTIONS = 8  # that may be open even if no descriptor should be left for them
 MIN_CLIENT_IDLE_S = 2.0  # idle time after which a client's connection may be closed to free a descriptor
 
 
@@ -49,7 +50,7 @@
         self.inherited_socket = inherited  # a listening socket that other processes accept from too
         self.accepting = False
         self.fair_share = FairShare()
-        self.other_descriptors: Callable[[], int] = int  # number held by other parts of the process
+        self.descriptor_holders: list[Callable[[], int]] = []  # numbers held by other parts of the process
         self.reload_listeners: list[Callable[[Config], None]] = []  # called with each new configuration
         asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self.sweep)
         asyncio.get_running_loop().call_later(REPORT_INTERVAL_S, self.report)
@@ -204,7 +205,7 @@
             - OWN_DESCRIPTORS
             - clients
             - self.gateway.pools.open_connections
-            - self.other_descriptors()
+            - sum(held() for held in self.descriptor_holders)
         )
 
     @property
@@ -212,16 +213,20 @@
         """Whether too few descriptors are free to keep idle or lingering connections of clients open."""
         return self.free_descriptors < DESCRIPTOR_RESERVE // 2
 
-    def reclaim_descriptors(self) -> None:
-        """Closes idle connections if descriptors run short: clients' first, which costs the hosts no work."""
+    def reclaim_descriptors(self) -> bool:
+        """Closes idle connections if descriptors run short: clients' first, which costs the hosts no work.
+
+        Returns whether a descriptor is left for another connection.
+        """
         if self.free_descriptors > DESCRIPTOR_RESERVE:
-            return
+            return True
         self.abort_longest_lingering()
         if (
             not (self.close_longest_idle() or self.gateway.pools.close_longest_idle())
             and self.low_on_descriptors
         ):
             self.close_longest_idle(0.0, 0.0)
+        return self.free_descriptors > 0 or self.gateway.pools.open_connections < MIN_HOST_CONNECTIONS
 
     def admit_connection(self) -> bool:
         """Returns whether a client's new connection may stay; closes another one if descriptors run short.
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -145,6 +145,7 @@
             {
                 "memory_denied_total": self.memory.denied,
                 "repeated_ids_total": self.repeated_ids,
+                "no_descriptor_total": self.pools.counts.no_descriptor,
                 **(self.store_counters.counters() if self.store_counters is not None else {}),
                 **counters,
             },
@@ -240,6 +241,7 @@
                 self.pools.cancel(attempt)
             else:
                 pending.may_have_run = True
+                self.pools.limit_time(attempt, self.settings.classes[pending.call.klass].give_up_us)
         if not pending.may_have_run:
             self.recent_ids.discard(id_)
 
--- a/cloverkeel/hosts/host.py
+++ b/cloverkeel/hosts/host.py
@@ -37,3 +37,4 @@
     ended_idle: int = 0  # closed by the host while idle
     spare: int = 0  # closed after being idle too long
     given_up: int = 0  # idle, closed to free a descriptor
+    no_descriptor: int = 0  # not opened, as no descriptor was left
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 
 from caperdrift.interface import Outcome, Settings
@@ -18,6 +19,10 @@
 
 SWEEP_INTERVAL_S = 1.0
 MIN_TIMER_DELAY_S = 0.001  # the loop runs a timer with a shorter delay at once
+# Errors of a connect that this machine causes: no descriptors, ports or memory of the system are left.
+LOCAL_SHORTAGE = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN}
+)
 STALL_TIMEOUT_US = 30_000_000  # without progress of a streamed body that is not paused
 
 
@@ -29,13 +34,14 @@
         settings: Settings,
         telemetry: Telemetry,
         buffer: ReadBuffer,
-        before_open: Callable[[], None] = lambda: None,
+        before_open: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(settings)
         self.telemetry, self.buffer = telemetry, buffer
         self.bodies = StreamedBodies(self)
         self.loop = asyncio.get_running_loop()
-        self.before_open = before_open  # called before a connection is opened, to free a descriptor
+        # Called before a connection is opened, to free a descriptor; returns whether there is one.
+        self.before_open = before_open
         self.open_connections = 0
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
@@ -62,7 +68,10 @@
 
     def open_connection(self, attempt: Attempt) -> None:
         """Opens a new connection for an attempt."""
-        self.before_open()
+        if not self.before_open():
+            self.counts.no_descriptor += 1
+            self.end(attempt, Outcome.NOT_SENT)
+            return
         host = attempt.host
         connection = HostConnection(self, host, attempt)
         attempt.connection = connection
@@ -163,6 +172,10 @@
         attempt.connection = attempt.connect_task = None
         attempt.on_end(attempt, outcome, reply)
 
+    def limit_time(self, attempt: Attempt, timeout_us: int) -> None:
+        """Lets an attempt that no client waits for end after this time at the latest."""
+        attempt.timers.append(self.loop.call_later(timeout_us / 1e6, self.on_timeout, attempt))
+
     def on_timeout(self, attempt: Attempt) -> None:
         """Times out an attempt, after any input that has arrived on its connection is processed."""
         connection = attempt.connection
@@ -236,9 +249,16 @@
         if not connecting.cancelled() and connecting.exception() is None:
             return
         self.count_closed(connection)
-        if connection.attempt is not None:
-            written = connection.transport is not None
-            self.end(connection.attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
+        if connection.attempt is None:
+            return
+        error = None if connecting.cancelled() else connecting.exception()
+        if connection.transport is not None:
+            outcome = Outcome.RESET  # the attempt was written
+        elif isinstance(error, OSError) and error.errno in LOCAL_SHORTAGE:
+            outcome = Outcome.NOT_SENT  # tells nothing about the host
+        else:
+            outcome = Outcome.CONNECT_FAILED
+        self.end(connection.attempt, outcome)
 
     def on_reply(self, connection: HostConnection, reply: Reply) -> None:
         """Ends the attempt with a complete response, and keeps the connection if it can be reused."""
