A late body is begun by its own head only, not by that of an earlier response

Cause: begin_late_body took the head that the reader still has of the streamed response before. Change: only while a body of unknown length is being received.

--- a/cloverkeel/hosts/streamed_bodies.py
+++ b/cloverkeel/hosts/streamed_bodies.py
@@ -85,6 +85,8 @@
         if connection is None or connection.on_piece is not None:
             return False
         replies = connection.replies
+        if not replies.is_length_unknown:
+            return False  # also if what `replies` has is the head of an earlier response
         if replies.framing_bytes > CHUNK_LINE_BYTES:
             return False  # it goes on, but not with a body
         if not replies.begin_streaming(needs_body=False) or replies.streamed_head is None:
