--- a/faultlab/exhaustion/peers.py
+++ b/faultlab/exhaustion/peers.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import os
 import select
 import socket
 import time
@@ -16,7 +17,12 @@
 
 def request_head(method: str, target: str, *fields: str, length: int | None = None) -> bytes:
     """A request's head with an id of its own."""
-    lines = [f"{method} {target} HTTP/1.1", "Host: lab", f"X-Call-Id: peer-{next(_numbers):08x}", *fields]
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        "Host: lab",
+        f"X-Call-Id: peer-{os.getpid():x}-{next(_numbers):08x}",
+        *fields,
+    ]
     if length is not None:
         lines.append(f"Content-Length: {length}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
