Turns: a budget for each iteration of the loop, and for streamed responses of hosts

Cause: 341 connections within their bursts filled one iteration of the loop; streams read from hosts had no turns; what a connection used was forgotten at a quarter of the processor for each, not for all; by least use alone a connection could wait behind ever new ones; queued requests of one read were all started at once. Change: beyond 20 ms in one iteration each connection does one piece of work and waits; the share is common to all that wait; turns go by when use would be forgotten; starting queued requests ends after 1 ms; heads are read by 1 KiB, held bodies by 8 KiB; hosts' streams wait for turns as well. Idle connections to hosts are closed where no memory is free, and large holders have 0.4 of the capacity.

--- a/cloverkeel/fair_share.py
+++ b/cloverkeel/fair_share.py
@@ -1,16 +1,21 @@
-"""Shares the processor among clients' connections: one that used more than its burst waits for its turn."""
+"""Shares the processor among connections: one that used more than its burst waits for its turn."""
 
 from __future__ import annotations
 
 import asyncio
+import heapq
+import itertools
 import time
-from collections import deque
 from typing import Protocol
 
-BURST_S = 0.002  # processor time that a connection may use at once
+BURST_S = 0.002  # processor time that a connection may use at once while no other one waits
+MIN_BURST_S = 0.0002  # the same while many wait
+# Of all connections in one iteration of the loop. Beyond it, each does one piece of work and then waits.
+ITERATION_S = 0.02
 SHARE = 0.25  # of the processor: what a connection may use all the time, and what all that wait use together
 MAX_MEASURED_S = 0.02  # of one piece of work; a longer one shows a pause of the process
 MIN_TURN_S = 0.001  # between two turns
+MAX_TURN_S = 0.001  # of starting queued requests at once
 
 
 class Waiting(Protocol):
@@ -20,35 +25,59 @@
 
 
 class ProcessorUse:
-    """The recent processor time of one connection, which is forgotten at the rate of SHARE."""
+    """The recent processor time of one connection."""
 
-    __slots__ = ("_updated_s", "used_s")
+    __slots__ = ("updated_s", "used_s")
 
     def __init__(self) -> None:
         self.used_s = 0.0
-        self._updated_s = 0.0
-
-    def add(self, used_s: float, now_s: float) -> bool:
-        """Add processor time; returns whether the connection has used up its burst."""
-        forgotten_s = SHARE * (now_s - self._updated_s)
-        self.used_s = max(0.0, self.used_s - forgotten_s) + min(used_s, MAX_MEASURED_S)
-        self._updated_s = now_s
-        return self.used_s > BURST_S
+        self.updated_s = 0.0
 
 
 class FairShare:
-    """Gives connections that used up their bursts one turn after the other, with pauses between the turns."""
+    """Gives connections that used up their bursts one turn after the other, with pauses between the turns.
+
+    One that used little goes before those that used much, so that a client's single request does not wait
+    behind those that send at full speed.
+    """
 
     def __init__(self) -> None:
-        self._waiting: deque[Waiting] = deque()
-        self._timer: asyncio.TimerHandle | None = None
         self.turns = 0  # given so far
+        self._waiting: list[tuple[float, int, Waiting]] = []  # a heap, by when each is due
+        self._numbers = itertools.count()  # of those that are due at once, the first goes first
+        self._timer: asyncio.TimerHandle | None = None
+        self._iteration_s = 0.0  # processor time of all connections in the loop's present iteration
         self._last_turn_s = 0.0  # processor time of the last piece of work of a connection that waits
 
-    def wait(self, connection: Waiting, used_s: float) -> None:
-        """Queue a connection whose last piece of work took `used_s`."""
-        self._last_turn_s = min(used_s, MAX_MEASURED_S)
-        self._waiting.append(connection)
+    def add(self, use: ProcessorUse, began_s: float) -> bool:
+        """Add a piece of work that ends now to a connection's use; returns whether it has to wait.
+
+        Use is forgotten at the rate of SHARE, which all that wait have in common.
+        """
+        now_s = clock_s()
+        sharing = 1 + len(self._waiting)
+        forgotten_s = SHARE * (now_s - use.updated_s) / sharing
+        use.used_s = max(0.0, use.used_s - forgotten_s) + min(now_s - began_s, MAX_MEASURED_S)
+        use.updated_s = now_s
+        self._count_in_iteration(now_s - began_s)
+        if self._iteration_s > ITERATION_S:
+            return True
+        return use.used_s > max(MIN_BURST_S, BURST_S / sharing)
+
+    def _count_in_iteration(self, used_s: float) -> None:
+        if not self._iteration_s:
+            asyncio.get_running_loop().call_soon(self._end_iteration)
+        self._iteration_s += used_s
+
+    def _end_iteration(self) -> None:
+        self._iteration_s = 0.0
+
+    def wait(self, connection: Waiting, use: ProcessorUse, began_s: float) -> None:
+        """Queue a connection whose last piece of work ends now."""
+        self._last_turn_s = min(clock_s() - began_s, MAX_MEASURED_S)
+        # The time at which its use would be forgotten: no connection waits behind ever new ones.
+        due_s = use.updated_s + use.used_s * (1 + len(self._waiting)) / SHARE
+        heapq.heappush(self._waiting, (due_s, next(self._numbers), connection))
         self._schedule()
 
     def _schedule(self) -> None:
@@ -60,7 +89,7 @@
     def _next(self) -> None:
         self._timer = None
         self.turns += 1
-        self._waiting.popleft().take_turn()
+        heapq.heappop(self._waiting)[2].take_turn()
         self._schedule()
 
 
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -161,8 +161,8 @@
     def start_queued(self) -> None:
         """Dispatches queued requests until one waits for its response, or the connection has to wait."""
         while self.current is None and self.queue and not self.write_shut:
-            if self.turn_awaited_since_s < math.inf:
-                return  # goes on in `take_turn`
+            if self.turn_awaited_since_s < math.inf or self.turn_is_over:
+                return  # goes on in `take_turn`, or in the loop's next iteration
             if self.write_blocked_since_s < math.inf:
                 return  # the client reads no responses; more of them would fill the memory
             request = self.current = self.queue.popleft()
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -16,7 +16,7 @@
 import httptools
 
 from cloverkeel.clock import now_us
-from cloverkeel.front.fair_share import ProcessorUse, clock_s
+from cloverkeel.fair_share import MAX_TURN_S, ProcessorUse, clock_s
 from cloverkeel.front.requests import OVERLOADED, RETRY_SOON, Request, RequestError
 from cloverkeel.http1 import (
     BODY_LIMIT,
@@ -40,8 +40,8 @@
 BODY_GRACE_S = 1.0  # after the head, before the minimum rate applies to the body
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_PIPELINED = 16  # parsed requests that may wait on one connection before reading pauses
-HEAD_READ_BYTES = 2 * 1024  # read at a time outside of a body: bounds how many requests one read holds
-BODY_READ_BYTES = 16 * 1024  # read at a time of a body that is held whole
+HEAD_READ_BYTES = 1024  # read at a time outside of a body: bounds how many requests one read holds
+BODY_READ_BYTES = 8 * 1024  # read at a time of a body that is held whole
 MAX_UNSENT_BYTES = 4 * 1024 * 1024  # that a client's system may hold after the client has sent them
 # Once so much input has waited, the receive window may be closed, so that a close does not arrive; it is open
 # again once less than REOPENED_BYTES wait.
@@ -68,6 +68,7 @@
         self.paused_since_s = math.inf  # loop time at which reading was paused; inf: it is not paused
         self.turn_awaited_since_s = math.inf  # loop time since which the connection waits for its turn
         self.processor_use = ProcessorUse()
+        self.work_began_s = math.inf  # time at which the measured work in progress began
         self.account = server.gateway.memory.open_account()
         # Loop time since which input may have been waiting unread; inf: all that had arrived was read.
         self.lagging_since_s = math.inf
@@ -125,14 +126,28 @@
 
     def measured(self, work: Callable[..., None], *arguments: bytes) -> None:
         """Does some work of this connection; if that uses up its burst of the processor, it has to wait."""
-        began_s = clock_s()
+        began_s = self.work_began_s = clock_s()
         work(*arguments)
-        ended_s = clock_s()
-        waits = self.turn_awaited_since_s < math.inf
-        if self.processor_use.add(ended_s - began_s, ended_s) and not waits and not self.ignores_input:
+        self.work_began_s = math.inf
+        fair_share = self.server.gateway.fair_share
+        has_to_wait = fair_share.add(self.processor_use, began_s)
+        if self.ignores_input or self.turn_awaited_since_s < math.inf:
+            return
+        if has_to_wait:
             self.turn_awaited_since_s = asyncio.get_running_loop().time()
             self.apply_pause()
-            self.server.fair_share.wait(self, ended_s - began_s)
+            fair_share.wait(self, self.processor_use, began_s)
+        elif self.current is None:
+            self.schedule_start()
+
+    @property
+    def turn_is_over(self) -> bool:
+        """Whether the work in progress has taken as long as one piece of work may."""
+        return clock_s() - self.work_began_s > MAX_TURN_S
+
+    def schedule_start(self) -> None:
+        """Lets the next queued request be started in the loop's next iteration, once."""
+        raise NotImplementedError
 
     def take_turn(self) -> None:
         """Goes on after the connection had to wait for its turn."""
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -14,7 +14,6 @@
 from cloverkeel.config import Config, merge_reloaded, load
 from cloverkeel.errors import ConfigError
 from cloverkeel.front.connection import FIRST_REQUEST_GRACE_S, ClientConnection
-from cloverkeel.front.fair_share import FairShare
 from cloverkeel.gateway import Gateway
 from cloverkeel.http1 import WRITE_STALL_S, log
 
@@ -49,7 +48,6 @@
         self.listener: asyncio.Server | None = None
         self.inherited_socket = inherited  # a listening socket that other processes accept from too
         self.accepting = False
-        self.fair_share = FairShare()
         self.descriptor_holders: list[Callable[[], int]] = []  # numbers held by other parts of the process
         self.reload_listeners: list[Callable[[Config], None]] = []  # called with each new configuration
         asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self.sweep)
@@ -192,7 +190,7 @@
             f"connections: {len(self.connections)} of clients, "
             f"{pools.open_connections} to hosts; {pools.counts}"
         )
-        memory, turns = self.gateway.memory, self.fair_share.turns
+        memory, turns = self.gateway.memory, self.gateway.fair_share.turns
         if memory.denied or turns:
             log(f"{memory}; {turns} turns of clients that used much processor time")
 
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -45,6 +45,7 @@
 from cloverkeel.clock import now_us
 from cloverkeel.config import Config
 from cloverkeel.discovery import Discovery
+from cloverkeel.fair_share import FairShare
 from cloverkeel.host_entries import HostEntry
 from cloverkeel.fleet.snapshot import StoreCounters, Snapshot
 from cloverkeel.memory import MemoryBudget
@@ -87,7 +88,8 @@
             attach_checks(self.balancer, config.seed, log)
         self.memory = MemoryBudget(config.memory_mb)
         self.buffer = ReadBuffer(self.memory)
-        self.pools = Pools(config.settings, self.telemetry, self.buffer)
+        self.fair_share = FairShare()
+        self.pools = Pools(config.settings, self.telemetry, self.buffer, self.fair_share)
         pushed = config.settings.list_is_pushed
         stop_sending_s = config.settings.stop_sending_within_us / 1e6
         self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed, stop_sending_s)
--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverkeel.clock import now_us
+from cloverkeel.fair_share import ProcessorUse, clock_s
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
 from cloverkeel.memory import HOST_CONNECTION_BYTES
 from cloverkeel.streams import Upload
@@ -29,14 +30,17 @@
         "account",
         "address",
         "attempt",
+        "awaits_turn",
         "closed",
         "flushed",
         "host",
         "idle_since_us",
+        "is_held_back",
         "last_progress_us",
         "on_piece",
         "poll",
         "pools",
+        "processor_use",
         "replies",
         "transport",
         "upload",
@@ -54,6 +58,9 @@
         self.last_progress_us = 0  # when a piece of a streamed body was last written or read
         self.flushed = True  # the kernel has all that was written
         self.idle_since_us = 0
+        self.is_held_back = False  # reading is paused for the client
+        self.awaits_turn = False  # reading is paused until the connection's turn
+        self.processor_use = ProcessorUse()
         self.closed = False  # it is no longer counted as open
         self.poll = select.poll()
 
@@ -109,13 +116,28 @@
 
     def pause_reading(self) -> None:
         """Pauses reading while the client takes the response more slowly (backpressure)."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        self.is_held_back = True
+        self.apply_pause()
 
     def resume_reading(self) -> None:
         """Resumes reading once the client has caught up."""
         self.last_progress_us = now_us()
-        if self.transport is not None and not self.transport.is_closing():
+        self.is_held_back = False
+        self.apply_pause()
+
+    def take_turn(self) -> None:
+        """Goes on reading a streamed response after the connection had to wait for its turn."""
+        self.awaits_turn = False
+        self.last_progress_us = now_us()
+        self.apply_pause()
+
+    def apply_pause(self) -> None:
+        """Reads from the host unless the client takes the response more slowly, or it is others' turn."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.is_held_back or self.awaits_turn:
+            self.transport.pause_reading()
+        else:
             self.transport.resume_reading()
 
     def close(self) -> None:
@@ -141,8 +163,15 @@
         return buffer.view[: buffer.piece_bytes() if self.on_piece is not None else REPLY_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
+        began_s = clock_s()
         self.handle_input(nbytes)
         self.charge()
+        if self.on_piece is None or self.awaits_turn:
+            return
+        if self.pools.fair_share.add(self.processor_use, began_s):
+            self.awaits_turn = True
+            self.apply_pause()
+            self.pools.fair_share.wait(self, self.processor_use, began_s)
 
     def handle_input(self, nbytes: int) -> None:
         """Parses what was read into the buffer, and passes it on."""
--- a/cloverkeel/hosts/idle.py
+++ b/cloverkeel/hosts/idle.py
@@ -10,6 +10,7 @@
 from cloverkeel.config import Address
 from cloverkeel.hosts.connection import HostConnection
 from cloverkeel.hosts.host import Host, PoolCounts
+from cloverkeel.memory import MemoryBudget
 
 IDLE_TIMEOUT_SHARE = 0.8  # of the hosts' keep-alive time: a connection that was idle for longer is closed
 SPARE_IDLE_TIMEOUT_US = 5_000_000  # the same for surplus connections, left over from a burst
@@ -22,8 +23,8 @@
 class IdleConnections:
     """Keeps the known hosts, and for each of them a stack of idle connections."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, memory: MemoryBudget) -> None:
+        self.settings, self.memory = settings, memory
         self.hosts: dict[int, Host] = {}
         self.counts = PoolCounts()
 
@@ -87,6 +88,9 @@
         if host.draining_since_us is not None or connection.address != host.address:
             connection.close()
             return
+        if host.idle and not self.memory.free:
+            connection.close()  # what it holds is needed for requests
+            return
         connection.idle_since_us = now_us()
         host.idle.append(connection)
 
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -9,6 +9,7 @@
 from caperdrift.interface import Outcome, Settings
 
 from cloverkeel.clock import now_us
+from cloverkeel.fair_share import FairShare
 from cloverkeel.hosts.attempt import Attempt, outcome_of
 from cloverkeel.hosts.streamed_bodies import StreamedBodies
 from cloverkeel.hosts.connection import HostConnection
@@ -34,10 +35,12 @@
         settings: Settings,
         telemetry: Telemetry,
         buffer: ReadBuffer,
+        fair_share: FairShare | None = None,
         before_open: Callable[[], bool] = lambda: True,
     ) -> None:
-        super().__init__(settings)
+        super().__init__(settings, buffer.memory)
         self.telemetry, self.buffer = telemetry, buffer
+        self.fair_share = fair_share or FairShare()
         self.bodies = StreamedBodies(self)
         self.loop = asyncio.get_running_loop()
         # Called before a connection is opened, to free a descriptor; returns whether there is one.
--- a/cloverkeel/memory.py
+++ b/cloverkeel/memory.py
@@ -17,7 +17,7 @@
 # An account that holds more than SMALL_BYTES may use only this share of the capacity, so that a few large
 # bodies, or many half-sent ones, do not keep ordinary requests out.
 SMALL_BYTES = 16 * 1024
-LARGE_SHARE = 0.5
+LARGE_SHARE = 0.4
 
 FIELD_BYTES = 176  # held for a header field in addition to its name and value
 GROWING_BODY_FACTOR = 1.5  # of a body that grows piece by piece, as it is moved when it outgrows its place
