Turns: no request is started, and no response read on, once an iteration has had its share

Callers saw: a readiness check that took 1.0 s beside 341 peers that each pipelined 1,000 requests. Cause: each of 341 first requests was started in the iteration that read it, whatever that had taken. Change: beyond the iteration's 20 ms queued requests wait for their connections' turns; what is held of hosts' responses is read by turns too.

--- a/cloverkeel/fair_share.py
+++ b/cloverkeel/fair_share.py
@@ -60,10 +60,15 @@
         use.used_s = max(0.0, use.used_s - forgotten_s) + min(now_s - began_s, MAX_MEASURED_S)
         use.updated_s = now_s
         self._count_in_iteration(now_s - began_s)
-        if self._iteration_s > ITERATION_S:
+        if self.is_iteration_over:
             return True
         return use.used_s > max(MIN_BURST_S, BURST_S / sharing)
 
+    @property
+    def is_iteration_over(self) -> bool:
+        """Whether the loop's present iteration has had its share of work."""
+        return self._iteration_s > ITERATION_S
+
     def _count_in_iteration(self, used_s: float) -> None:
         if not self._iteration_s:
             asyncio.get_running_loop().call_soon(self._end_iteration)
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -142,8 +142,9 @@
 
     @property
     def turn_is_over(self) -> bool:
-        """Whether the work in progress has taken as long as one piece of work may."""
-        return clock_s() - self.work_began_s > MAX_TURN_S
+        """Whether the work in progress, or all of the loop's iteration, has taken as long as it may."""
+        fair_share = self.server.gateway.fair_share
+        return fair_share.is_iteration_over or clock_s() - self.work_began_s > MAX_TURN_S
 
     def schedule_start(self) -> None:
         """Lets the next queued request be started in the loop's next iteration, once."""
--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -126,7 +126,7 @@
         self.apply_pause()
 
     def take_turn(self) -> None:
-        """Goes on reading a streamed response after the connection had to wait for its turn."""
+        """Goes on reading a response after the connection had to wait for its turn."""
         self.awaits_turn = False
         self.last_progress_us = now_us()
         self.apply_pause()
@@ -166,7 +166,7 @@
         began_s = clock_s()
         self.handle_input(nbytes)
         self.charge()
-        if self.on_piece is None or self.awaits_turn:
+        if self.attempt is None or self.awaits_turn:
             return
         if self.pools.fair_share.add(self.processor_use, began_s):
             self.awaits_turn = True
