Incidents: why requests are refused, ended or not sent is counted, and logged at most ten a second

Tests of the budget, the turns and the table of ids by themselves: the last found that ids of one second were forgotten newest first (whole seconds in the table; the time is exact now, and the table 128 KiB).

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -31,6 +31,8 @@
 from cloverkeel.memory import CLIENT_CONNECTION_BYTES, PENDING_BYTES, REQUEST_BYTES
 from cloverkeel.streams import LAST_CHUNK, encode_chunk
 
+from cloverkeel.telemetry import Incident
+
 if TYPE_CHECKING:
     from cloverkeel.front.server import Server
 
@@ -194,6 +196,7 @@
             return
         gateway, config = self.server.gateway, request.arrival_config or self.server.config
         if not self.account.grow(PENDING_BYTES):
+            self.note(Incident.NO_MEMORY)
             raise RequestError(503, "", RETRY_SOON)
         request.charged += PENDING_BYTES
         call = build_call(config, request, path, self, gateway.transforms, gateway.routes)
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -31,6 +31,8 @@
 from cloverkeel.memory import FIELD_BYTES, PENDING_BYTES, REQUEST_BYTES
 from cloverkeel.streams import MIN_BYTES_PER_S, Upload
 
+from cloverkeel.telemetry import Incident
+
 if TYPE_CHECKING:
     from cloverkeel.front.server import Server
 
@@ -191,7 +193,14 @@
         if lagging_s <= HIDDEN_CLOSE_S or self.is_uploading:
             return False
         unread = self.unread_bytes()
-        return unread >= REOPENED_BYTES and unread + self.read_lagging >= CLOSED_WINDOW_BYTES
+        is_hidden = unread >= REOPENED_BYTES and unread + self.read_lagging >= CLOSED_WINDOW_BYTES
+        if is_hidden:
+            self.note(Incident.CLOSE_MAY_BE_HIDDEN)
+        return is_hidden
+
+    def note(self, incident: Incident) -> None:
+        """Counts and logs an incident of the current request, or of the one being received."""
+        self.server.gateway.telemetry.note(incident, self.current_id)
 
     def note_all_read(self) -> None:
         """Notes that no input waits to be read."""
@@ -324,6 +333,7 @@
         if self.charge(request, request.held_bytes + partial_head):
             return
         if self.in_head:
+            self.note(Incident.NO_MEMORY)
             # Only the end of its parser frees what is held of a field.
             self.reject(RequestError(503, "", RETRY_SOON))
         else:
@@ -345,6 +355,7 @@
 
     def refuse_for_memory(self, request: Request) -> None:
         """Drops what is held of a request; the rest of it is read and dropped, and it is answered 503."""
+        self.note(Incident.NO_MEMORY)
         request.error = RequestError(503, "", RETRY_SOON)
         request.headers.clear()
         request.body.clear()
@@ -395,6 +406,7 @@
         if self.incoming is None and not self.head_size:
             self.close()  # without a response: a client whose request crosses the close sends it again
             return
+        self.note(Incident.CLIENT_TOO_SLOW)
         self.reject(RequestError(408, "the request did not come in time"))
         self.start_next()
 
@@ -414,6 +426,7 @@
         assert incoming is not None
         if self.in_head:  # otherwise a trailer field, which is dropped
             if len(incoming.headers) >= MAX_FIELDS:
+                self.note(Incident.TOO_MANY_FIELDS)
                 raise RequestError(431, "the head has too many fields")
             incoming.headers.append((name, value.strip(OPTIONAL_WHITESPACE)))
             incoming.head_bytes += len(name) + len(value) + FIELD_BYTES
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -57,7 +57,7 @@
 from cloverkeel.probing import probe
 from cloverkeel.recent_ids import RecentIds
 from cloverkeel.streams import ReadBuffer
-from cloverkeel.telemetry import Result, Telemetry
+from cloverkeel.telemetry import Incident, Result, Telemetry
 
 if TYPE_CHECKING:
     from cloverkeel.fleet.routes.serving import RouteTable
@@ -98,7 +98,6 @@
         self.handling = False  # an event is being handled
         self.pending: dict[str, PendingRequest] = {}  # by id
         self.recent_ids = recent_ids or RecentIds()  # of requests that may run, or have run for no client
-        self.repeated_ids = 0  # requests rejected because their id may have run
         self.closed = False
         self.known = config.known  # list of hosts to start with
         self.warm, self.store_counters = warm, store_counters  # snapshot to restore; the store's metrics
@@ -146,8 +145,7 @@
             },
             {
                 "memory_denied_total": self.memory.denied,
-                "repeated_ids_total": self.repeated_ids,
-                "no_descriptor_total": self.pools.counts.no_descriptor,
+                "turns_total": self.fair_share.turns,
                 **(self.store_counters.counters() if self.store_counters is not None else {}),
                 **counters,
             },
@@ -204,7 +202,7 @@
     def accept(self, call: Call) -> bool:
         """Take over a request; False if one of the same id is pending, or may have run for a lost client."""
         if call.id in self.pending or call.id in self.recent_ids:
-            self.repeated_ids += 1
+            self.telemetry.note(Incident.ID_MAY_HAVE_RUN, call.id)
             return False
         pending = PendingRequest(call, now_us() + call.client_timeout_us, self.settings.max_attempts)
         pending.body_incomplete = call.upload is not None
@@ -270,6 +268,7 @@
             return
         if now_us() < sent_us + pending.call.client_timeout_us:
             return
+        self.telemetry.note(Incident.HOST_READS_SLOWLY, id_)
         for attempt in list(pending.attempts):
             if attempt is not None and not attempt.ended:
                 self.pools.time_out(attempt)
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -16,7 +16,7 @@
 from cloverkeel.hosts.idle import IdleConnections
 from cloverkeel.http1 import Reply
 from cloverkeel.streams import ReadBuffer
-from cloverkeel.telemetry import Telemetry
+from cloverkeel.telemetry import Incident, Telemetry
 
 SWEEP_INTERVAL_S = 1.0
 MIN_TIMER_DELAY_S = 0.001  # the loop runs a timer with a shorter delay at once
@@ -73,6 +73,7 @@
         """Opens a new connection for an attempt."""
         if not self.before_open():
             self.counts.no_descriptor += 1
+            self.telemetry.note(Incident.NO_DESCRIPTOR)
             self.end(attempt, Outcome.NOT_SENT)
             return
         host = attempt.host
@@ -259,6 +260,7 @@
             outcome = Outcome.RESET  # the attempt was written
         elif isinstance(error, OSError) and error.errno in LOCAL_SHORTAGE:
             outcome = Outcome.NOT_SENT  # tells nothing about the host
+            self.telemetry.note(Incident.LOCAL_SHORTAGE)
         else:
             outcome = Outcome.CONNECT_FAILED
         self.end(connection.attempt, outcome)
--- a/cloverkeel/hosts/streamed_bodies.py
+++ b/cloverkeel/hosts/streamed_bodies.py
@@ -10,6 +10,8 @@
 from cloverkeel.hosts.attempt import Attempt, outcome_of
 from cloverkeel.http1 import Reply
 
+from cloverkeel.telemetry import Incident
+
 if TYPE_CHECKING:
     from cloverkeel.hosts.connection import HostConnection
     from cloverkeel.hosts.pool import Pools
@@ -93,6 +95,7 @@
             return False
         if outcome_of(replies.streamed_head) is not Outcome.OK:
             return False
+        self.pools.telemetry.note(Incident.BODY_IS_LATE)
         self.forward_response(connection, replies.streamed_head)
         return True
 
@@ -149,6 +152,7 @@
         elif uploading or not connection.transport.is_reading() or keeps_min_rate(connection, attempt):
             self.schedule_rate_check(connection, attempt, RATE_CHECK_INTERVAL_S)
         else:
+            self.pools.telemetry.note(Incident.RESPONSE_TOO_SLOW)
             # Ends as if the host had broken it off: a TIMEOUT would indicate that the host is overloaded.
             self.pools.cancel(attempt, Outcome.RESET)
 
--- a/cloverkeel/recent_ids.py
+++ b/cloverkeel/recent_ids.py
@@ -19,7 +19,7 @@
 RETENTION_S = 60  # for which the id of a request is kept after it was sent
 BUCKETS = 1024
 SLOTS_PER_BUCKET = 8
-SLOT = struct.Struct("<QI")  # hash of the id, 0: free; second in which it was recorded (monotonic)
+SLOT = struct.Struct("<Qd")  # hash of the id, 0: free; monotonic time at which it was recorded
 BUCKET_BYTES = SLOT.size * SLOTS_PER_BUCKET
 TABLE_BYTES = BUCKETS * BUCKET_BYTES
 
@@ -51,12 +51,12 @@
         oldest_s = _now_s() - RETENTION_S
         return any(found == key and since_s >= oldest_s for found, since_s in self._slots(start))
 
-    def _slots(self, start: int) -> list[tuple[int, int]]:
+    def _slots(self, start: int) -> list[tuple[int, float]]:
         return list(SLOT.iter_unpack(self._table[start : start + BUCKET_BYTES]))
 
 
-def _now_s() -> int:
-    return int(time.monotonic())
+def _now_s() -> float:
+    return time.monotonic()
 
 
 def _locate(id_: str) -> tuple[int, int]:
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,122 @@
+"""The memory budget, the turns for the processor, and the table of ids, each by itself."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverkeel import fair_share, recent_ids
+from cloverkeel.fair_share import FairShare, ProcessorUse
+from cloverkeel.memory import LARGE_SHARE, MEBIBYTE, SMALL_BYTES, MemoryBudget
+from cloverkeel.recent_ids import RecentIds, open_shared
+from cloverkeel.telemetry import Incident, Telemetry
+from tests.sockets import on_loop
+
+CHARGES = st.lists(st.tuples(st.integers(0, 9), st.integers(1, 2 * SMALL_BYTES)), max_size=400)
+
+
+@given(CHARGES)
+def test_charges_never_exceed_the_capacity_and_all_are_released(charges: list[tuple[int, int]]) -> None:
+    budget = MemoryBudget(memory_mb=32, own_bytes=29 * MEBIBYTE)
+    accounts = [budget.open_account() for _ in range(10)]
+    for number, size in charges:
+        before = budget.used
+        granted = accounts[number].grow(size)
+        assert budget.used == before + size * granted <= budget.capacity
+        if granted and accounts[number].held > SMALL_BYTES:
+            assert budget.used <= budget.capacity * LARGE_SHARE
+    assert budget.used == sum(account.held for account in accounts)
+    for account in accounts:
+        account.close()
+    assert budget.used == 0
+
+
+def test_large_holders_leave_room_for_small_requests() -> None:
+    budget = MemoryBudget(memory_mb=64)
+    large = budget.open_account()
+    while large.grow(SMALL_BYTES):
+        pass
+    assert budget.denied == 1 and budget.open_account().grow(SMALL_BYTES)
+
+
+class Connection:
+    """Notes its turns."""
+
+    def __init__(self) -> None:
+        self.turns = 0
+        self.use = ProcessorUse()
+
+    def take_turn(self) -> None:
+        self.turns += 1
+
+
+@on_loop
+async def test_a_connection_that_used_little_goes_before_those_that_used_much(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = 100.0
+    monkeypatch.setattr(fair_share, "clock_s", lambda: now_s)
+    share, greedy, modest = FairShare(), [Connection() for _ in range(50)], Connection()
+    for connection in greedy:
+        assert share.add(connection.use, now_s - 0.01)
+        share.wait(connection, connection.use, now_s - 0.0001)
+    share.add(modest.use, now_s - 0.0001)
+    share.wait(modest, modest.use, now_s - 0.0001)
+    while not modest.turns:
+        await asyncio.sleep(0.001)
+    assert sum(connection.turns for connection in greedy) <= 1
+    while not all(connection.turns for connection in greedy):
+        await asyncio.sleep(0.001)
+    assert share.turns == 51
+
+
+@on_loop
+async def test_all_connections_wait_once_an_iteration_has_had_its_share(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = 100.0
+    monkeypatch.setattr(fair_share, "clock_s", lambda: now_s)
+    share = FairShare()
+    uses = [ProcessorUse() for _ in range(100)]
+    waiting = [share.add(use, now_s - 0.00099) for use in uses]
+    assert waiting.index(True) == 20 and all(waiting[20:])  # of 1 ms each, in 20 ms
+    await asyncio.sleep(0)
+    assert not share.is_iteration_over and not share.add(ProcessorUse(), now_s - 0.001)
+
+
+def test_ids_are_shared_and_forgotten_in_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = str(tmp_path / "ids")
+    one, other = open_shared(path), open_shared(path)
+    one.add("a")
+    one.add("b")
+    assert "a" in other and "b" in other and "c" not in other
+    other.discard("a")
+    assert "a" not in one
+    at_s = recent_ids._now_s() + recent_ids.RETENTION_S + 1
+    monkeypatch.setattr(recent_ids, "_now_s", lambda: at_s)
+    assert "b" not in one
+
+
+def test_the_newest_ids_are_kept_under_ever_new_ones() -> None:
+    ids, newest = RecentIds(), [f"id-{n}" for n in range(99_000, 100_000)]
+    for number in range(100_000):
+        ids.add(f"id-{number}")
+    assert sum(id_ in ids for id_ in newest) > 0.99 * len(newest)
+
+
+def test_a_file_of_ids_behind_a_link_is_not_used(tmp_path: Path) -> None:
+    (tmp_path / "link").symlink_to(tmp_path / "elsewhere")
+    with pytest.raises(OSError, match="link"):
+        open_shared(str(tmp_path / "link"))
+
+
+def test_incidents_are_counted_and_logged_at_a_bounded_rate(capsys: pytest.CaptureFixture[str]) -> None:
+    telemetry = Telemetry()
+    for _ in range(1000):
+        telemetry.note(Incident.NO_MEMORY, "r1")
+    assert b'lb_incidents_total{why="no_memory"} 1000' in telemetry.render({})
+    assert capsys.readouterr().err == "cloverkeel: event=request.no_memory id='r1'\n"
