--- a/cloverkeel/fair_share.py
+++ b/cloverkeel/fair_share.py
@@ -94,8 +94,10 @@
     def _next(self) -> None:
         self._timer = None
         self.turns += 1
-        heapq.heappop(self._waiting)[2].take_turn()
-        self._schedule()
+        try:
+            heapq.heappop(self._waiting)[2].take_turn()
+        finally:
+            self._schedule()
 
 
 def clock_s() -> float:
