Ids: the table is written for each request only where another process shares it

Change: without an inherited socket an id is recorded when its client leaves; nothing is looked up in a table that was never written.

--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -242,7 +242,9 @@
             else:
                 pending.may_have_run = True
                 self.pools.limit_time(attempt, self.settings.classes[pending.call.klass].give_up_us)
-        if not pending.may_have_run:
+        if pending.may_have_run:
+            self.recent_ids.add(id_)
+        elif self.recent_ids.is_shared:
             self.recent_ids.discard(id_)
 
     def body_ended(self, id_: str, sent_us: int) -> None:
@@ -329,7 +331,7 @@
         pending.finished = True
         if result is not None:
             self.telemetry.count(self.names.class_names[pending.call.klass], result)
-            if pending.was_sent:
+            if pending.was_sent and self.recent_ids.is_shared:
                 self.recent_ids.discard(id_)  # its client has the answer
         pending.call.head = pending.call.body = b""  # no further attempt is written
         if pending.in_flight == 0:
@@ -387,7 +389,8 @@
         pending.in_flight += 1
         if not pending.was_sent:
             pending.was_sent = True
-            self.recent_ids.add(id_)
+            if self.recent_ids.is_shared:
+                self.recent_ids.add(id_)  # here it is pending; the other process has to know
         if action.write_deadline_us:
             # An earlier attempt whose connection is still being opened could be written late, as a duplicate.
             for earlier in pending.attempts:
--- a/cloverkeel/recent_ids.py
+++ b/cloverkeel/recent_ids.py
@@ -28,10 +28,13 @@
     """Remembers ids for RETENTION_S; where too many fall into one bucket, the oldest there is forgotten."""
 
     def __init__(self, table: mmap.mmap | None = None) -> None:
+        self.is_shared = table is not None  # with another process
         self._table = table if table is not None else mmap.mmap(-1, TABLE_BYTES)
+        self._is_empty = not self.is_shared
 
     def add(self, id_: str) -> None:
         """Record an id, or record it anew."""
+        self._is_empty = False
         key, start = _locate(id_)
         slots = self._slots(start)
         place = next((n for n, (found, _) in enumerate(slots) if found == key), None)
@@ -47,6 +50,8 @@
                 SLOT.pack_into(self._table, start + place * SLOT.size, 0, 0)
 
     def __contains__(self, id_: str) -> bool:
+        if self._is_empty:
+            return False
         key, start = _locate(id_)
         oldest_s = _now_s() - RETENTION_S
         return any(found == key and since_s >= oldest_s for found, since_s in self._slots(start))
