Turns: blocked output schedules no start; reading of connections in a module of its own

Cause: since the turns a connection whose client reads nothing scheduled its next request in each iteration of the loop (seen by reading, forced in a test: it fails without the check).

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -156,7 +156,8 @@
 
     def schedule_start(self) -> None:
         """Lets the next queued request be dispatched in the loop's next iteration, once."""
-        if self.queue and not self.start_scheduled:
+        is_blocked = self.write_blocked_since_s < math.inf or self.write_shut
+        if self.queue and not self.start_scheduled and not is_blocked:
             self.start_scheduled = True
             asyncio.get_running_loop().call_soon(self.measured, self.start_next)
 
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -3,20 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import math
-import select
-import struct
-import termios
-from collections import deque
-from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
 import httptools
 
 from cloverkeel.clock import now_us
-from cloverkeel.fair_share import MAX_TURN_S, ProcessorUse, clock_s
+from cloverkeel.front.client_input import ClientInput
 from cloverkeel.front.requests import OVERLOADED, RETRY_SOON, Request, RequestError
 from cloverkeel.http1 import (
     BODY_LIMIT,
@@ -45,20 +39,13 @@
 HEAD_READ_BYTES = 1024  # read at a time outside of a body: bounds how many requests one read holds
 BODY_READ_BYTES = 8 * 1024  # read at a time of a body that is held whole
 MAX_UNSENT_BYTES = 4 * 1024 * 1024  # that a client's system may hold after the client has sent them
-# Once so much input has waited, the receive window may be closed, so that a close does not arrive; it is open
-# again once less than REOPENED_BYTES wait.
-CLOSED_WINDOW_BYTES = 48 * 1024
-REOPENED_BYTES = 16 * 1024
-HIDDEN_CLOSE_S = 0.06  # after which a close that unread input may hide is assumed; 0.1 s are allowed
-DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # poll flags of a close or reset
 
 
-class RequestReader(asyncio.BufferedProtocol):
+class RequestReader(ClientInput):
     """Turns the bytes of one connection into a queue of requests, in order; a subclass answers them."""
 
     def __init__(self, server: Server) -> None:
-        self.server = server
-        self.transport: asyncio.Transport | None = None
+        super().__init__(server)
         self.parser = httptools.HttpRequestParser(self)
         self.incoming: Request | None = None  # being received
         self.head_size = 0  # bytes read of the current head
@@ -67,27 +54,11 @@
         self.framing_bytes = 0  # bytes of chunk framing and trailers since the last byte of the body itself
         self.message_ended = False  # the last read contained the end of a request
         self.body_due_s = 0.0  # loop time by which the body must begin; the minimum rate extends it
-        self.paused_since_s = math.inf  # loop time at which reading was paused; inf: it is not paused
-        self.turn_awaited_since_s = math.inf  # loop time since which the connection waits for its turn
-        self.processor_use = ProcessorUse()
-        self.work_began_s = math.inf  # time at which the measured work in progress began
         self.account = server.gateway.memory.open_account()
-        # Loop time since which input may have been waiting unread; inf: all that had arrived was read.
-        self.lagging_since_s = math.inf
-        self.read_lagging = 0  # bytes read since then
         # Loop time from which the request being received, or the connection's first one, is timed; inf: none.
         self.awaiting_since_s = math.inf
         self.timeout_deferred = False  # a time-out was put off once, to read bytes that had already arrived
-        self.queue: deque[Request] = deque()  # parsed, waiting for the current request's response
-        self.current: Request | None = None  # being answered
         self.current_id = ""  # its call id at the gateway; empty: the gateway does not know it
-        self.ignores_input = False  # further input is not parsed
-        self.client_gone = False  # the client has closed, or the connection is lost
-        self.poll = select.poll()
-
-    def start_next(self) -> None:
-        """Starts the next queued request once the current one is answered."""
-        raise NotImplementedError
 
     def respond(self, status: int, headers: list[Header], body: bytes) -> None:
         """Writes the response to the current request."""
@@ -97,9 +68,6 @@
         """Ends the connection after all output is sent."""
         raise NotImplementedError
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.server.gateway.buffer.view[: self.read_size()]
-
     def read_size(self) -> int:
         """The most that is read at a time."""
         incoming = self.incoming
@@ -109,119 +77,10 @@
             return self.server.gateway.buffer.piece_bytes()
         return BODY_READ_BYTES
 
-    def buffer_updated(self, nbytes: int) -> None:
-        if self.ignores_input:  # set, for example, after a request that could not be parsed
-            return
-        now_s = asyncio.get_running_loop().time()
-        is_drained = nbytes < self.read_size()
-        self.read_lagging += nbytes
-        if not is_drained:
-            self.lagging_since_s = min(self.lagging_since_s, now_s)
-        self.measured(self.feed, bytes(self.server.gateway.buffer.view[:nbytes]))
-        if is_drained:
-            self.note_all_read()
-
-    @property
-    def is_paused(self) -> bool:
-        """Whether input is not read for now."""
-        return self.paused_since_s != math.inf or self.turn_awaited_since_s != math.inf
-
-    def measured(self, work: Callable[..., None], *arguments: bytes) -> None:
-        """Does some work of this connection; if that uses up its burst of the processor, it has to wait."""
-        began_s = self.work_began_s = clock_s()
-        work(*arguments)
-        self.work_began_s = math.inf
-        fair_share = self.server.gateway.fair_share
-        has_to_wait = fair_share.add(self.processor_use, began_s)
-        if self.ignores_input or self.turn_awaited_since_s < math.inf:
-            return
-        if has_to_wait:
-            self.turn_awaited_since_s = asyncio.get_running_loop().time()
-            self.apply_pause()
-            fair_share.wait(self, self.processor_use, began_s)
-        elif self.current is None:
-            self.schedule_start()
-
-    @property
-    def turn_is_over(self) -> bool:
-        """Whether the work in progress, or all of the loop's iteration, has taken as long as it may."""
-        fair_share = self.server.gateway.fair_share
-        return fair_share.is_iteration_over or clock_s() - self.work_began_s > MAX_TURN_S
-
-    def schedule_start(self) -> None:
-        """Lets the next queued request be started in the loop's next iteration, once."""
-        raise NotImplementedError
-
-    def take_turn(self) -> None:
-        """Goes on after the connection had to wait for its turn."""
-        if self.turn_awaited_since_s == math.inf:
-            return
-        self.extend_deadlines(asyncio.get_running_loop().time() - self.turn_awaited_since_s)
-        self.turn_awaited_since_s = math.inf
-        self.apply_pause()
-        if self.queue:
-            self.measured(self.start_next)
-
-    def eof_received(self) -> None:
-        """Handles the client's close at once: `connection_lost` is called only after all output is sent."""
-        self.on_disconnect()
-
-    def check_gone(self) -> bool:
-        """Returns whether the client has disconnected; if so, its pending requests are dropped.
-
-        Asks the kernel: while reading is paused the event loop does not notice a disconnect, and one may
-        arrive in the same loop iteration as the event that starts an attempt.
-        """
-        if not self.client_gone and self.transport is not None:
-            events = self.poll.poll(0)
-            if not events:
-                self.note_all_read()
-            if any(flags & DISCONNECT_EVENTS for _, flags in events) or self.transport.is_closing():
-                self.on_disconnect()
-        return self.client_gone
-
-    def may_be_gone(self) -> bool:
-        """Returns whether the client has disconnected, or may have without this being visible.
-
-        The end of a connection arrives behind the data that was sent before it. While the receive window is
-        full of unread input, a close may be long past. It does not matter to a streamed body: its last byte
-        is not passed on without another check.
-        """
-        if self.check_gone():
-            return True
-        lagging_s = asyncio.get_running_loop().time() - self.lagging_since_s
-        if lagging_s <= HIDDEN_CLOSE_S or self.is_uploading:
-            return False
-        unread = self.unread_bytes()
-        is_hidden = unread >= REOPENED_BYTES and unread + self.read_lagging >= CLOSED_WINDOW_BYTES
-        if is_hidden:
-            self.note(Incident.CLOSE_MAY_BE_HIDDEN)
-        return is_hidden
-
     def note(self, incident: Incident) -> None:
         """Counts and logs an incident of the current request, or of the one being received."""
         self.server.gateway.telemetry.note(incident, self.current_id)
 
-    def note_all_read(self) -> None:
-        """Notes that no input waits to be read."""
-        self.lagging_since_s = asyncio.get_running_loop().time() if self.is_paused else math.inf
-        self.read_lagging = 0
-
-    @property
-    def is_uploading(self) -> bool:
-        """Whether the current request's body is still being streamed."""
-        return self.current is not None and self.current.upload is not None and not self.current.complete
-
-    def unread_bytes(self) -> int:
-        """Bytes that have arrived on this machine and are not read."""
-        if self.transport is None or self.transport.is_closing():
-            return 0
-        descriptor = self.transport.get_extra_info("socket").fileno()
-        try:
-            return int(struct.unpack("i", fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)))[0])
-        except OSError:
-            return 0
-
     def on_disconnect(self) -> None:
         """Drops the client's pending requests and closes the connection."""
         if self.client_gone:
@@ -242,29 +101,6 @@
             self.release(request)
         self.queue.clear()
 
-    def pause_input(self) -> None:
-        """Pauses reading from the client."""
-        if self.paused_since_s == math.inf and self.transport is not None and not self.transport.is_closing():
-            self.paused_since_s = asyncio.get_running_loop().time()
-            self.apply_pause()
-
-    def resume_input(self) -> None:
-        """Resumes reading; the pause does not count against the client's deadlines."""
-        if self.paused_since_s != math.inf:
-            self.extend_deadlines(asyncio.get_running_loop().time() - self.paused_since_s)
-            self.paused_since_s = math.inf
-            self.apply_pause()
-
-    def apply_pause(self) -> None:
-        """Reads from the client unless reading is paused, or the connection waits for its turn."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        if self.is_paused:
-            self.lagging_since_s = min(self.lagging_since_s, asyncio.get_running_loop().time())
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
-
     def extend_deadlines(self, waited_s: float) -> None:
         """Extends the deadlines of the incoming request by time during which the gateway kept it waiting."""
         self.awaiting_since_s += waited_s
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -251,3 +251,32 @@
         assert run.server.config is before and run.gateway.settings is settings
         assert run.gateway.telemetry.load_errors == 1
         assert (await run.ask(request())).status == 200
+
+
+@on_loop
+async def test_queued_requests_of_a_client_that_reads_nothing_take_no_processor_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a start that is scheduled again in each iteration while output is blocked."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.writer.transport.pause_reading()
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        connection.pause_writing()  # as if the kernel took no more of the output
+        starts, start_queued = 0, connection.start_queued
+
+        def counting() -> None:
+            nonlocal starts
+            starts += 1
+            start_queued()
+
+        monkeypatch.setattr(connection, "start_queued", counting)
+        client.send(b"".join(request() for _ in range(10)))
+        await until(lambda: connection.queue)
+        for _ in range(100):
+            await asyncio.sleep(0)
+        assert starts < 20 and not host.seen
+        connection.resume_writing()
+        await until(lambda: len(host.seen) == 10)
+        client.close()
