Turns: connections within their bursts take theirs without a pause

Cause: seen by reading: a burst of ordinary requests that exceeds an iteration's 20 ms was paced like a flood, at a quarter of the processor, although nothing else ran. Change: who is within its burst takes its turn in the loop's next iteration, one an iteration, and does not wait for the end of a pause; pauses are for those that used more.

--- a/cloverkeel/fair_share.py
+++ b/cloverkeel/fair_share.py
@@ -35,17 +35,18 @@
 
 
 class FairShare:
-    """Gives connections that used up their bursts one turn after the other, with pauses between the turns.
+    """Gives connections that have to wait one turn after the other, at most one in an iteration of the loop.
 
-    One that used little goes before those that used much, so that a client's single request does not wait
-    behind those that send at full speed.
+    Those within their bursts wait because of what others do, and go first. Between the turns of those that
+    used more there are pauses, so that together they use SHARE.
     """
 
     def __init__(self) -> None:
         self.turns = 0  # given so far
         self._waiting: list[tuple[float, int, Waiting]] = []  # a heap, by when each is due
         self._numbers = itertools.count()  # of those that are due at once, the first goes first
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
+        self._is_paused = False  # the next turn comes after a pause
         self._iteration_s = 0.0  # processor time of all connections in the loop's present iteration
         self._last_turn_s = 0.0  # processor time of the last piece of work of a connection that waits
 
@@ -80,16 +81,24 @@
     def wait(self, connection: Waiting, use: ProcessorUse, began_s: float) -> None:
         """Queue a connection whose last piece of work ends now."""
         self._last_turn_s = min(clock_s() - began_s, MAX_MEASURED_S)
-        # The time at which its use would be forgotten: no connection waits behind ever new ones.
-        due_s = use.updated_s + use.used_s * (1 + len(self._waiting)) / SHARE
+        # The time at which its use beyond the burst would be forgotten: none waits behind ever new ones.
+        due_s = use.updated_s + max(0.0, use.used_s - BURST_S) * (1 + len(self._waiting)) / SHARE
         heapq.heappush(self._waiting, (due_s, next(self._numbers), connection))
+        if self._timer is not None and self._is_paused and due_s <= clock_s():
+            self._timer.cancel()  # this one need not wait for the end of the pause
+            self._timer = None
         self._schedule()
 
     def _schedule(self) -> None:
         if self._timer is not None or not self._waiting:
             return
+        loop = asyncio.get_running_loop()
+        self._is_paused = self._waiting[0][0] > clock_s()
+        if not self._is_paused:
+            self._timer = loop.call_soon(self._next)  # all events of one iteration come before it
+            return
         delay_s = max(MIN_TURN_S, self._last_turn_s * (1 / SHARE - 1))
-        self._timer = asyncio.get_running_loop().call_later(delay_s, self._next)
+        self._timer = loop.call_later(delay_s, self._next)
 
     def _next(self) -> None:
         self._timer = None
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -120,3 +120,20 @@
         telemetry.note(Incident.NO_MEMORY, "r1")
     assert b'lb_incidents_total{why="no_memory"} 1000' in telemetry.render({})
     assert capsys.readouterr().err == "cloverkeel: event=request.no_memory id='r1'\n"
+
+
+@on_loop
+async def test_a_connection_within_its_burst_does_not_wait_for_the_end_of_a_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against ordinary requests that wait behind the pauses of those that send at full speed."""
+    now_s = 100.0
+    monkeypatch.setattr(fair_share, "clock_s", lambda: now_s)
+    monkeypatch.setattr(fair_share, "MIN_TURN_S", 60.0)
+    share, greedy, modest = FairShare(), Connection(), Connection()
+    assert share.add(greedy.use, now_s - 0.02)
+    share.wait(greedy, greedy.use, now_s - 0.02)
+    share.wait(modest, modest.use, now_s)
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert modest.turns == 1 and not greedy.turns
