Connections to hosts that never came up leave no charge in the memory budget

Seen by reading, before a release: 4 KiB stayed charged for each connect that failed or was called off, so that after some thousand of them (1,000 at 32 MB) every request would have been refused. Cause: the account was closed where an established connection is lost. Change: it is closed where the connection is counted out. What is added to a closed account is ignored. Shown: test_connections_that_fail_or_are_left_half_way_leave_no_charge fails without (30 s) and passes; a connection that rests is charged with itself alone after each of nine kinds of requests.

--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -198,5 +198,4 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pools.on_connection_lost(self)
-        self.account.close()
         self.replies.close()
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -310,6 +310,7 @@
             return
         self.bodies.set_streaming(connection, False)
         connection.closed = True
+        connection.account.close()
         connection.host.open_connections -= 1
         self.open_connections -= 1
 
--- a/cloverkeel/memory.py
+++ b/cloverkeel/memory.py
@@ -73,11 +73,12 @@
 class MemoryAccount:
     """What one connection holds."""
 
-    __slots__ = ("budget", "held")
+    __slots__ = ("budget", "held", "is_closed")
 
     def __init__(self, budget: MemoryBudget) -> None:
         self.budget = budget
         self.held = 0
+        self.is_closed = False
 
     def grow(self, size: int) -> bool:
         """Charge `size` more bytes; False, and no change, if the budget does not allow it."""
@@ -91,10 +92,12 @@
         return True
 
     def add(self, size: int) -> None:
-        """Charge bytes that are held already; a negative size releases some."""
-        self.held += size
-        self.budget.used += size
+        """Charge bytes that are held already; a negative size releases some. Ignored once it is closed."""
+        if not self.is_closed:
+            self.held += size
+            self.budget.used += size
 
     def close(self) -> None:
         """Release all that is held."""
         self.add(-self.held)
+        self.is_closed = True
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -11,10 +12,12 @@
 
 from cloverkeel import fair_share, recent_ids
 from cloverkeel.fair_share import FairShare, ProcessorUse
-from cloverkeel.memory import LARGE_SHARE, MEBIBYTE, SMALL_BYTES, MemoryBudget
+from cloverkeel.memory import CLIENT_CONNECTION_BYTES, LARGE_SHARE, MEBIBYTE, SMALL_BYTES, MemoryBudget
 from cloverkeel.recent_ids import RecentIds, open_shared
 from cloverkeel.telemetry import Incident, Telemetry
-from tests.sockets import on_loop
+from tests.sockets import configuration, on_loop, peer, request, running, silent, until
+from tests.streaming import chunked, chunked_request, raw_host
+from tests.test_streamed_requests import HashingHost
 
 CHARGES = st.lists(st.tuples(st.integers(0, 9), st.integers(1, 2 * SMALL_BYTES)), max_size=400)
 
@@ -137,3 +140,63 @@
     for _ in range(5):
         await asyncio.sleep(0)
     assert modest.turns == 1 and not greedy.turns
+
+
+KINDS: dict[str, Callable[[], bytes]] = {
+    "short body": lambda: request("transfer", b"x" * 100),
+    "held body": lambda: request("transfer", bytes(60_000)),
+    "streamed body": lambda: request("transfer", bytes(200_000)),
+    "chunked body": lambda: chunked_request(chunked(bytes(100_000), 1000)),
+    "small chunks": lambda: chunked_request(chunked(bytes(5_000), 2)),
+    "unknown path": lambda: b"GET / HTTP/1.1\r\n\r\n",
+    "no id": lambda: b"GET /search HTTP/1.1\r\n\r\n",
+    "check": lambda: b"GET /health/ready HTTP/1.1\r\n\r\n",
+    "keyed": lambda: request("hold", b"keyed"),
+}
+
+
+@pytest.mark.parametrize("is_full", [False, True], ids=["memory", "no memory"])
+@on_loop
+async def test_a_connection_that_rests_is_charged_with_nothing_but_itself(is_full: bool) -> None:
+    """Guards against charges that add up over the requests of a connection, or are released twice."""
+    hashing_host = HashingHost()
+    async with raw_host(hashing_host) as host, running(configuration(host)) as run:
+        memory, client = run.gateway.memory, await run.connect()
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        other = memory.open_account()
+        other.add(memory.capacity * is_full)
+        for _ in range(3):
+            for make in KINDS.values():
+                client.send(make())
+                status = (await client.answer()).status
+                assert (status == 503) or not is_full or status in (200, 400, 404)
+                await until(lambda: connection.current is None and not connection.queue)
+                assert connection.account.held == CLIENT_CONNECTION_BYTES
+        client.send(b"".join(make() for make in KINDS.values()))
+        for _ in KINDS:
+            await client.answer()
+        await until(lambda: connection.current is None and not connection.queue)
+        assert connection.account.held == CLIENT_CONNECTION_BYTES
+        client.close()
+        await until(lambda: not run.server.connections)
+        run.gateway.pools.close()
+        other.close()
+        await until(lambda: not memory.used)
+
+
+@on_loop
+async def test_connections_that_fail_or_are_left_half_way_leave_no_charge() -> None:
+    """Guards against a budget that is used up by connections to hosts that never came up."""
+    async with peer(silent) as host, running(configuration("127.0.0.1:1", host, maxAttempts=4)) as run:
+        for number in range(40):
+            client = await run.connect()
+            client.send((request(), request("transfer", bytes(200_000))[:100_000], b"GET /")[number % 3])
+            await asyncio.sleep(0.002)
+            client.close()
+        await until(lambda: not run.server.connections)
+        for exchange in list(host.seen):
+            exchange.reset()
+        await until(lambda: not run.gateway.pending)
+        run.gateway.pools.close()
+        await until(lambda: not run.gateway.memory.used)
