A refused upgrade request does not close other clients' connections

Seen by reading: an upgrade refused for want of memory was answered by the object that stands for all such requests, and set its keep_alive to False for good. Change: an upgrade keeps its own object. Shown: the new test fails without.

--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -339,7 +339,8 @@
             return
         if request.error is None and not self.charge(request, request.held_bytes):
             self.refuse_for_memory(request)
-        if request.error is not None and request.keep_alive and not request.is_http10:
+        is_plain = request.keep_alive and not request.is_http10 and not self.parser.should_upgrade()
+        if request.error is not None and is_plain:
             self.release(request)
             request = OVERLOADED
         elif self.current is not None or self.queue:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -200,3 +200,19 @@
         await until(lambda: not run.gateway.pending)
         run.gateway.pools.close()
         await until(lambda: not run.gateway.memory.used)
+
+
+@on_loop
+async def test_a_refused_upgrade_closes_its_own_connection_only() -> None:
+    """Guards against changes to the one object that stands for all requests refused for want of memory."""
+    async with peer() as host, running(configuration(host)) as run:
+        other = run.gateway.memory.open_account()
+        other.add(run.gateway.memory.capacity)
+        upgrading, client = await run.connect(), await run.connect()
+        answer = await upgrading.ask(request(connection="upgrade", upgrade="h2c"))
+        assert answer.status == 503 and answer.headers["connection"] == "close"
+        for _ in range(2):
+            answer = await client.ask(request())
+            assert answer.status == 503 and "connection" not in answer.headers
+        upgrading.close()
+        client.close()
