A response without a body is not begun at the client's deadline

Change: a late body is begun only while its client's time runs; at the deadline it has 0.1 s left. Shown: the new test fails without (200, then a reset), those of the late bodies pass.

--- a/cloverkeel/hosts/streamed_bodies.py
+++ b/cloverkeel/hosts/streamed_bodies.py
@@ -25,9 +25,7 @@
 RATE_GRACE_S = 0.25
 RATE_CHECK_INTERVAL_S = 0.1
 CHUNK_LINE_BYTES = 32  # of a chunk's size, which may precede its data
-# After the client's deadline, for the first byte of a body whose head came before it. A final answer may come
-# half a second late.
-LATE_BODY_WAIT_S = 0.45
+LATE_BODY_WAIT_S = 0.1  # after the client's deadline, for the first byte of a response that has begun
 
 
 class StreamedBodies:
@@ -80,11 +78,11 @@
     def begin_late_body(self, attempt: Attempt) -> bool:
         """Starts streaming a response of unknown length whose head has come, although its body has not.
 
-        Returns False if the attempt has no such response. At the attempt's time-out no other host could
-        answer in time, and the body of a sound response may still come.
+        Returns False if the attempt has no such response, or its client's time is over. An attempt may time
+        out before that, where a later answer is worth nothing; the body of a sound response still comes.
         """
         connection = attempt.connection
-        if connection is None or connection.on_piece is not None:
+        if connection is None or connection.on_piece is not None or attempt.remaining_us() <= 0:
             return False
         replies = connection.replies
         if not replies.is_length_unknown:
--- a/tests/test_late_bodies.py
+++ b/tests/test_late_bodies.py
@@ -102,3 +102,20 @@
         await until(lambda: not run.gateway.pending)
         assert time.monotonic() - sent_s < budget_s + SLACK_S
         client.disconnect()
+
+
+@on_loop
+async def test_a_head_whose_body_never_comes_is_answered_at_the_deadline() -> None:
+    """Guards against a late final answer, where a response without a body is begun at the deadline."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        await reader.read()
+
+    async with raw_host(serve) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        sent_s = time.monotonic()
+        answer = await client.ask(request(budget_ms=300))
+        assert answer.status in (503, 504) and time.monotonic() - sent_s < 0.3 + SLACK_S
+        client.close()
