--- a/faultlab/exhaustion/peers.py
+++ b/faultlab/exhaustion/peers.py
@@ -49,11 +49,7 @@
     socket: socket.socket
     data: bytes
     sent: int = 0
-    received: int = 0
-    head: bytes = b""  # the first bytes that came back
     ended: bool = False  # the other side has closed or reset the connection
-    sent_all_s: float = 0.0  # monotonic time of the last byte written; 0: not yet
-    answered_s: float = 0.0  # monotonic time of the last byte that came back
 
 
 @dataclass
@@ -91,8 +87,6 @@
             return
         except OSError:
             peer.ended = True
-        if peer.sent == len(peer.data):
-            peer.sent_all_s = time.monotonic()
 
     def _read(self, peer: Peer) -> None:
         if not self.reads_bytes:
@@ -104,13 +98,7 @@
         except OSError:
             peer.ended = True
             return
-        if not data:
-            peer.ended = True
-            return
-        peer.received += len(data)
-        peer.answered_s = time.monotonic()
-        if len(peer.head) < 256:
-            peer.head += data[: 256 - len(peer.head)]
+        peer.ended = not data
 
     def run(self, seconds: float, interval_s: float = 0.01) -> None:
         """Move all peers for some time. Blocks: the gateway and its hosts are other processes."""
@@ -119,16 +107,6 @@
             self.step()
             select.select([], [], [], interval_s)
 
-    def statuses(self) -> dict[str, int]:
-        """Number of peers by the status that they got; "" for those without an answer."""
-        counts: dict[str, int] = {}
-        for peer in self.peers:
-            status = peer.head[9:12].decode("latin-1") if peer.head.startswith(b"HTTP/1.1 ") else ""
-            if not status and peer.ended:
-                status = "closed"
-            counts[status] = counts.get(status, 0) + 1
-        return counts
-
     def close(self) -> None:
         """Close all connections."""
         for peer in self.peers:
--- a/faultlab/exhaustion/site.py
+++ b/faultlab/exhaustion/site.py
@@ -79,18 +79,12 @@
 
     port: int
     process: subprocess.Popen[bytes]
-    log: Path
 
     @property
     def peak_mb(self) -> float:
         """The most memory that the gateway held at once."""
         return memory.peak_mb(self.process.pid)
 
-    @property
-    def resident_mb(self) -> float:
-        """What it holds now."""
-        return memory.resident_mb(self.process.pid)
-
 
 def start_gateway(
     folder: Path, config: dict[str, Any], name: str = "g", **variables: str
@@ -132,7 +126,7 @@
         process = start_gateway(Path(folder), config)
         try:
             wait_ready(port, process)
-            yield Site(port, process, Path(folder) / "g.log")
+            yield Site(port, process)
         finally:
             process.send_signal(signal.SIGKILL)
             process.wait()
