Errors are answered though an iteration of the loop has had its share

Seen by reading the whole change: a rejected request in a crowded iteration stayed queued for ever, so that its sender got neither an error nor a close. Change: a connection with queued requests waits for its turn, whether it parses or not; a time-out's answer is measured work too. Shown: both cases of the new test fail without (no answer in 2 s) and pass.

--- a/cloverkeel/front/client_input.py
+++ b/cloverkeel/front/client_input.py
@@ -102,7 +102,7 @@
         self.work_began_s = math.inf
         fair_share = self.server.gateway.fair_share
         has_to_wait = fair_share.add(self.processor_use, began_s)
-        if self.ignores_input or self.turn_awaited_since_s < math.inf:
+        if self.turn_awaited_since_s < math.inf or (self.ignores_input and not self.queue):
             return
         if has_to_wait:
             self.turn_awaited_since_s = asyncio.get_running_loop().time()
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -244,7 +244,7 @@
             return
         self.note(Incident.CLIENT_TOO_SLOW)
         self.reject(RequestError(408, "the request did not come in time"))
-        self.start_next()
+        self.measured(self.start_next)
 
     def on_message_begin(self) -> None:
         self.incoming = Request()
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -216,3 +216,30 @@
             assert answer.status == 503 and "connection" not in answer.headers
         upgrading.close()
         client.close()
+
+
+@pytest.mark.parametrize("kind", ["malformed", "late"])
+@on_loop
+async def test_an_error_is_answered_though_the_iteration_has_had_its_share(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against errors that stay queued: a rejected connection neither waited for a turn nor went on."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        if kind == "late":
+            client.send(request()[:-2])
+            await until(lambda: connection.incoming)
+        with monkeypatch.context() as patched:
+            patched.setattr(FairShare, "is_iteration_over", True)
+            if kind == "late":
+                connection.timeout_deferred = True
+                connection.on_request_timeout()
+            else:
+                client.send(b"\x00rubbish\r\n\r\n")
+                await until(lambda: connection.ignores_input)
+            assert connection.queue
+        async with asyncio.timeout(2):
+            assert (await client.answer()).status == (408 if kind == "late" else 400)
+        client.close()
