Incidents of a request that is being received do not name another request's id

Seen by reading: event=request.no_memory, too_many_fields and client_too_slow had the id of the request being answered. They have none; the id of the one being received is not known yet. Log lines only.

--- a/cloverkeel/front/client_input.py
+++ b/cloverkeel/front/client_input.py
@@ -35,6 +35,7 @@
         self.transport: asyncio.Transport | None = None
         self.queue: deque[Request] = deque()  # parsed, waiting for the current request's response
         self.current: Request | None = None  # being answered
+        self.current_id = ""  # its call id at the gateway; empty: the gateway does not know it
         self.paused_since_s = math.inf  # loop time at which reading was paused; inf: it is not paused
         self.turn_awaited_since_s = math.inf  # loop time since which the connection waits for its turn
         self.processor_use = ProcessorUse()
@@ -66,10 +67,6 @@
         """Drops the client's pending requests and closes the connection."""
         raise NotImplementedError
 
-    def note(self, incident: Incident) -> None:
-        """Counts and logs an incident of the current request, or of the one being received."""
-        raise NotImplementedError
-
     @property
     def is_uploading(self) -> bool:
         """Whether the current request's body is still being streamed."""
@@ -164,7 +161,7 @@
         unread = self.unread_bytes()
         is_hidden = unread >= REOPENED_BYTES and unread + self.read_lagging >= CLOSED_WINDOW_BYTES
         if is_hidden:
-            self.note(Incident.CLOSE_MAY_BE_HIDDEN)
+            self.server.gateway.telemetry.note(Incident.CLOSE_MAY_BE_HIDDEN, self.current_id)
         return is_hidden
 
     def note_all_read(self) -> None:
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -30,7 +30,6 @@
 )
 from cloverkeel.memory import CLIENT_CONNECTION_BYTES, PENDING_BYTES, REQUEST_BYTES
 from cloverkeel.streams import LAST_CHUNK, encode_chunk
-
 from cloverkeel.telemetry import Incident
 
 if TYPE_CHECKING:
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -24,7 +24,6 @@
 )
 from cloverkeel.memory import FIELD_BYTES, PENDING_BYTES, REQUEST_BYTES
 from cloverkeel.streams import MIN_BYTES_PER_S, Upload
-
 from cloverkeel.telemetry import Incident
 
 if TYPE_CHECKING:
@@ -58,7 +57,6 @@
         # Loop time from which the request being received, or the connection's first one, is timed; inf: none.
         self.awaiting_since_s = math.inf
         self.timeout_deferred = False  # a time-out was put off once, to read bytes that had already arrived
-        self.current_id = ""  # its call id at the gateway; empty: the gateway does not know it
 
     def respond(self, status: int, headers: list[Header], body: bytes) -> None:
         """Writes the response to the current request."""
@@ -78,8 +76,8 @@
         return BODY_READ_BYTES
 
     def note(self, incident: Incident) -> None:
-        """Counts and logs an incident of the current request, or of the one being received."""
-        self.server.gateway.telemetry.note(incident, self.current_id)
+        """Counts and logs an incident of the request being received, whose id is not known yet."""
+        self.server.gateway.telemetry.note(incident)
 
     def on_disconnect(self) -> None:
         """Drops the client's pending requests and closes the connection."""
--- a/cloverkeel/hosts/streamed_bodies.py
+++ b/cloverkeel/hosts/streamed_bodies.py
@@ -9,7 +9,6 @@
 from cloverkeel.clock import now_us
 from cloverkeel.hosts.attempt import Attempt, outcome_of
 from cloverkeel.http1 import Reply
-
 from cloverkeel.telemetry import Incident
 
 if TYPE_CHECKING:
