A head without a body is not passed on by a timer that fires before the deadline

Callers saw: a 200 with no body, then a reset, in place of the final answer at the deadline. Cause: the loop's timers count in whole milliseconds and may fire up to one early. An attempt that timed out at its client's deadline then had some microseconds left, so its response was begun. Forced in a new test by 900 us left: it failed before, and passes now. Change: less than a timer's inaccuracy counts as no time left.

--- a/cloverkeel/clock.py
+++ b/cloverkeel/clock.py
@@ -4,6 +4,8 @@
 
 import time
 
+TIMER_EARLY_US = 1_000  # by which a timer of the loop, which counts in milliseconds, may fire early
+
 _OFFSET_NS = time.time_ns() - time.monotonic_ns()
 
 
--- a/cloverkeel/hosts/streamed_bodies.py
+++ b/cloverkeel/hosts/streamed_bodies.py
@@ -6,7 +6,7 @@
 
 from caperdrift.interface import Outcome
 
-from cloverkeel.clock import now_us
+from cloverkeel.clock import TIMER_EARLY_US, now_us
 from cloverkeel.hosts.attempt import Attempt, outcome_of
 from cloverkeel.http1 import Reply
 from cloverkeel.telemetry import Incident
@@ -81,7 +81,9 @@
         out before that, where a later answer is worth nothing; the body of a sound response still comes.
         """
         connection = attempt.connection
-        if connection is None or connection.on_piece is not None or attempt.remaining_us() <= 0:
+        if connection is None or connection.on_piece is not None:
+            return False
+        if attempt.remaining_us() <= TIMER_EARLY_US:
             return False
         replies = connection.replies
         if not replies.is_length_unknown:
--- a/tests/test_late_bodies.py
+++ b/tests/test_late_bodies.py
@@ -119,3 +119,26 @@
         answer = await client.ask(request(budget_ms=300))
         assert answer.status in (503, 504) and time.monotonic() - sent_s < 0.3 + SLACK_S
         client.close()
+
+
+@on_loop
+async def test_no_response_is_begun_by_a_timer_that_fires_just_before_the_deadline() -> None:
+    """Guards against a head without a body being passed on, as timers may fire a millisecond early."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        await reader.read()
+
+    async with raw_host(serve) as host, running(configuration(host, maxAttempts=1)) as run:
+        client = await run.connect()
+        client.send(request())
+        await until(lambda: run.gateway.pending)
+        (pending,) = run.gateway.pending.values()
+        (attempt,) = pending.attempts
+        assert attempt is not None
+        await until(lambda: attempt.connection and attempt.connection.replies.is_length_unknown)
+        attempt.remaining_us = lambda: 900
+        run.gateway.pools.time_out(attempt)
+        assert (await client.answer()).status in (503, 504)
+        client.close()
