--- a/faultlab/exhaustion/peers.py
+++ b/faultlab/exhaustion/peers.py
@@ -12,15 +12,21 @@
 from dataclasses import dataclass, field
 
 SEND_BYTES = 1 << 18
+ID_FIELD = b"X-Call-Id: "
 _numbers = itertools.count(1)
 
 
+def next_id() -> str:
+    """An id that no other request has."""
+    return f"peer-{os.getpid():x}-{next(_numbers):08x}"
+
+
 def request_head(method: str, target: str, *fields: str, length: int | None = None) -> bytes:
     """A request's head with an id of its own."""
     lines = [
         f"{method} {target} HTTP/1.1",
         "Host: lab",
-        f"X-Call-Id: peer-{os.getpid():x}-{next(_numbers):08x}",
+        f"{ID_FIELD.decode()}{next_id()}",
         *fields,
     ]
     if length is not None:
@@ -28,6 +34,15 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def with_new_id(data: bytes) -> bytes:
+    """The same request with another id of the same length."""
+    at = data.find(ID_FIELD)
+    if at < 0:
+        return data
+    at += len(ID_FIELD)
+    return data[:at] + next_id().encode() + data[data.index(b"\r\n", at) :]
+
+
 def many_fields(size: int, unfinished: bool) -> bytes:
     """A head of `size` bytes made of the shortest fields; `unfinished` leaves out the blank line."""
     head = request_head("POST", "/transfer/many", length=0)[:-2]
@@ -59,6 +74,7 @@
     port: int
     peers: list[Peer] = field(default_factory=list)
     reads_bytes: int = 1 << 16  # read of each connection at a step; 0: they do not read
+    leaves: bool = False  # a peer that has written all of its data closes, and comes back
     writes_bytes: int = SEND_BYTES  # written to each connection at a step
 
     def connect(self, count: int, data: bytes | list[bytes], receive_buffer: int = 0) -> None:
@@ -77,6 +93,15 @@
             if not peer.ended:
                 self._write(peer)
                 self._read(peer)
+            if self.leaves and (peer.ended or peer.sent == len(peer.data)):
+                self._come_back(peer)
+
+    def _come_back(self, peer: Peer) -> None:
+        peer.socket.close()
+        peer.socket = socket.create_connection(("127.0.0.1", self.port))
+        peer.socket.setblocking(False)
+        peer.data = with_new_id(peer.data)
+        peer.sent, peer.ended = 0, False
 
     def _write(self, peer: Peer) -> None:
         if peer.sent == len(peer.data):
