A request is charged at its acceptance with what it will hold later

Callers saw: a process over its memory limit where many clients ask for long answers at once. Cause: a request was accepted for 6 KiB. Its connection to a host (4 KiB) and the output that its client does not read were added to the budget when they were there, whether there was room or not. Attempts for clients that have left were charged to nothing but their connections. Change: the connection, an ordinary head and the output and piece of a slow client are charged when the request is accepted; what is beyond is charged when it is there. A second attempt at a time, and one whose client has left, is charged by itself, and not made where nothing is left. The first read of an answer is no larger than a piece of a streamed one.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -28,7 +28,13 @@
     lingering_close,
     write_response,
 )
-from cloverkeel.memory import CLIENT_CONNECTION_BYTES, PENDING_BYTES, REQUEST_BYTES
+from cloverkeel.memory import (
+    ACCEPTED_BYTES,
+    CLIENT_CONNECTION_BYTES,
+    MIN_PIECE_BYTES,
+    REQUEST_BYTES,
+    RESPONSE_BYTES,
+)
 from cloverkeel.streams import LAST_CHUNK, encode_chunk
 from cloverkeel.telemetry import Incident
 
@@ -37,7 +43,7 @@
 
 READY_PATH = b"/health/ready"
 FIRST_REQUEST_GRACE_S = 0.5  # after its opening, a connection awaits a first request and is not idle
-OUTPUT_LIMIT_BYTES = 4 * 1024  # buffered output beyond which no further request is started
+OUTPUT_LIMIT_BYTES = MIN_PIECE_BYTES  # buffered output beyond which no further request is started
 UPLOAD_LINGER_S = 10.0  # for a client to finish sending a body that has already been answered
 
 
@@ -196,16 +202,16 @@
             self.respond(200 if self.server.is_ready else 503, [], b"")
             return
         gateway, config = self.server.gateway, request.arrival_config or self.server.config
-        if not self.account.grow(PENDING_BYTES):
+        if not self.account.reserve(ACCEPTED_BYTES):
             self.note(Incident.NO_MEMORY)
             raise RequestError(503, "", RETRY_SOON)
-        request.charged += PENDING_BYTES
+        request.charged += ACCEPTED_BYTES
         call = build_call(config, request, path, self, gateway.transforms, gateway.routes)
         if config is not self.server.config:
             # The configuration was reloaded while the request was queued: its class may be gone or changed.
             call.class_settings = config.settings.classes[call.klass]
         self.current_id = call.id
-        self.charge(request, REQUEST_BYTES + PENDING_BYTES + len(call.head) + len(call.body))
+        self.charge(request, REQUEST_BYTES + ACCEPTED_BYTES + len(call.head) + len(call.body))
         if not gateway.accept(call):
             self.current_id = ""
             raise RequestError(400, "this X-Call-Id is in use")
@@ -278,10 +284,12 @@
             self.body_source.pause_reading()
 
     def charge_output(self) -> None:
-        """Charges the output that the client has not read yet."""
+        """Charges the output that the client has not read yet, beyond what its request is charged with."""
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
-        self.account.add(unsent - self.output_charged)
-        self.output_charged = unsent
+        reserved = RESPONSE_BYTES if self.current_id else 0
+        charged = max(0, unsent - reserved)
+        self.account.add(charged - self.output_charged)
+        self.output_charged = charged
 
     def resume_writing(self) -> None:
         self.write_blocked_since_s = math.inf
@@ -348,6 +356,7 @@
         assert request is not None and transport is not None
         self.current, self.current_id = None, ""
         self.release(request)
+        self.charge_output()
         self.has_responded = True
         if not transport.is_closing():
             self.restart_idle_time()
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -22,7 +22,7 @@
     header,
     transfer_coding,
 )
-from cloverkeel.memory import FIELD_BYTES, PENDING_BYTES, REQUEST_BYTES
+from cloverkeel.memory import ACCEPTED_BYTES, FIELD_BYTES, REQUEST_BYTES
 from cloverkeel.streams import MIN_BYTES_PER_S, Upload
 from cloverkeel.telemetry import Incident
 
@@ -197,7 +197,7 @@
 
     def on_upload_started(self, request: Request) -> None:
         """Releases the part of a streamed body that was held until a host was sent it."""
-        self.charge(request, min(request.charged, REQUEST_BYTES + PENDING_BYTES + request.head_bytes))
+        self.charge(request, min(request.charged, REQUEST_BYTES + ACCEPTED_BYTES + request.head_bytes))
 
     def begin_upload(self, request: Request) -> None:
         """Queues a request whose body exceeds BODY_LIMIT; the rest of the body is streamed to the host."""
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -241,7 +241,7 @@
                 self.pools.cancel(attempt)
             else:
                 pending.may_have_run = True
-                self.pools.limit_time(attempt, self.settings.classes[pending.call.klass].give_up_us)
+                self.pools.detach(attempt, self.settings.classes[pending.call.klass].give_up_us)
         if pending.may_have_run:
             self.recent_ids.add(id_)
         elif self.recent_ids.is_shared:
@@ -381,7 +381,7 @@
         upload = pending.call.upload
         attempt = Attempt(
             host, payload, on_end, on_response_begin=on_response_begin, upload=upload,
-            on_upload_started=on_upload_started,
+            on_upload_started=on_upload_started, is_reserved=pending.in_flight == 0,
             is_wanted=lambda: self.may_start_attempt(pending),
             remaining_us=lambda: pending.deadline_us - now_us(),
         )  # fmt: skip
--- a/cloverkeel/hosts/attempt.py
+++ b/cloverkeel/hosts/attempt.py
@@ -26,6 +26,7 @@
     payload: Callable[[], bytes]  # called at the write, which may come long after the start of the attempt
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
     is_probe: bool = False
+    is_reserved: bool = False  # its request's account is charged with its connection
     # A streamed response begins: returns the consumer of its pieces, or None if there is none.
     on_response_begin: Callable[[Attempt, Reply], Callable[[bytes], None] | None] = (
         lambda attempt, reply: None
--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -10,7 +10,7 @@
 from cloverkeel.clock import now_us
 from cloverkeel.fair_share import ProcessorUse, processor_s
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
-from cloverkeel.memory import HOST_CONNECTION_BYTES
+from cloverkeel.memory import ATTEMPT_BYTES, HOST_CONNECTION_BYTES
 from cloverkeel.streams import Upload
 
 if TYPE_CHECKING:
@@ -51,7 +51,6 @@
         self.address = host.address
         self.transport: asyncio.Transport | None = None
         self.account = pools.buffer.memory.open_account()
-        self.account.add(HOST_CONNECTION_BYTES)
         self.replies = ReplyReader(BODY_LIMIT, allows_streaming=True, may_hold=self.may_hold)
         self.on_piece: Callable[[bytes], None] | None = None  # consumer of the streamed response
         self.upload: Upload | None = None  # the streamed request body
@@ -63,6 +62,7 @@
         self.processor_use = ProcessorUse()
         self.closed = False  # it is no longer counted as open
         self.poll = select.poll()
+        self.charge()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -76,11 +76,14 @@
         return size <= ALWAYS_HELD_BYTES or size <= self.pools.buffer.memory.free
 
     def charge(self) -> None:
-        """Charges what is held of the response, and of the request that the host has not read yet."""
+        """Charges the connection and what is held of the response and of the request that is not read yet."""
         if self.closed:
             return
         unsent = 0 if self.flushed or self.transport is None else self.transport.get_write_buffer_size()
-        self.account.add(HOST_CONNECTION_BYTES + self.replies.held_bytes + unsent - self.account.held)
+        held = HOST_CONNECTION_BYTES + self.replies.held_bytes + unsent
+        if self.attempt is not None and self.attempt.is_reserved:
+            held = max(0, held - ATTEMPT_BYTES)
+        self.account.add(held - self.account.held)
 
     def is_quiet(self) -> bool:
         """Returns whether the connection is open and has no unread input, according to the kernel.
@@ -159,8 +162,10 @@
             self.upload.on_writable()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        buffer = self.pools.buffer
-        return buffer.view[: buffer.piece_bytes() if self.on_piece is not None else REPLY_READ_BYTES]
+        size = self.pools.buffer.piece_bytes()
+        if self.on_piece is None:
+            size = min(size, REPLY_READ_BYTES)
+        return self.pools.buffer.view[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
         began_s = processor_s()
--- a/cloverkeel/hosts/idle.py
+++ b/cloverkeel/hosts/idle.py
@@ -91,6 +91,7 @@
         if host.idle and not self.memory.free:
             connection.close()  # what it holds is needed for requests
             return
+        connection.charge()
         connection.idle_since_us = now_us()
         host.idle.append(connection)
 
--- a/cloverkeel/hosts/pool.py
+++ b/cloverkeel/hosts/pool.py
@@ -76,6 +76,10 @@
             self.telemetry.note(Incident.NO_DESCRIPTOR)
             self.end(attempt, Outcome.NOT_SENT)
             return
+        if not (attempt.is_reserved or attempt.is_probe) and self.memory.is_full:
+            self.telemetry.note(Incident.NO_MEMORY)
+            self.end(attempt, Outcome.NOT_SENT)
+            return
         host = attempt.host
         connection = HostConnection(self, host, attempt)
         attempt.connection = connection
@@ -138,6 +142,7 @@
             return False  # another attempt is sending the body
         connection.attempt, attempt.connection = attempt, connection
         connection.upload = attempt.upload
+        connection.charge()
         if connection.write(attempt.payload()):
             if attempt.upload is not None:
                 self.bodies.set_streaming(connection, True)
@@ -176,8 +181,11 @@
         attempt.connection = attempt.connect_task = None
         attempt.on_end(attempt, outcome, reply)
 
-    def limit_time(self, attempt: Attempt, timeout_us: int) -> None:
+    def detach(self, attempt: Attempt, timeout_us: int) -> None:
         """Lets an attempt that no client waits for end after this time at the latest."""
+        attempt.is_reserved = False
+        if attempt.connection is not None:
+            attempt.connection.charge()
         attempt.timers.append(self.loop.call_later(timeout_us / 1e6, self.on_timeout, attempt))
 
     def on_timeout(self, attempt: Attempt) -> None:
--- a/cloverkeel/memory.py
+++ b/cloverkeel/memory.py
@@ -25,6 +25,12 @@
 PENDING_BYTES = 5 * 1024  # held in addition for one that the gateway has accepted, with its attempts
 CLIENT_CONNECTION_BYTES = 3 * 1024
 HOST_CONNECTION_BYTES = 4 * 1024
+MIN_PIECE_BYTES = 4 * 1024  # of a streamed body: the least that is read at a time
+RESPONSE_HEAD_BYTES = 1024  # held of a response's head, as long as its body is streamed
+RESPONSE_BYTES = 2 * MIN_PIECE_BYTES  # held of a response whose client reads slowly: its output and one piece
+# Charged once a request is accepted: what it will hold later can't be refused any more.
+ATTEMPT_BYTES = HOST_CONNECTION_BYTES + RESPONSE_HEAD_BYTES
+ACCEPTED_BYTES = PENDING_BYTES + ATTEMPT_BYTES + RESPONSE_BYTES
 
 
 def resident_bytes() -> int:
@@ -65,6 +71,11 @@
         """Bytes that large holders may still be granted."""
         return max(0, int(self.capacity * LARGE_SHARE) - self.used)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further connection to a host may be charged."""
+        return self.used + HOST_CONNECTION_BYTES > self.capacity
+
     def open_account(self) -> MemoryAccount:
         """A new account that holds nothing."""
         return MemoryAccount(self)
@@ -82,9 +93,15 @@
 
     def grow(self, size: int) -> bool:
         """Charge `size` more bytes; False, and no change, if the budget does not allow it."""
+        return self._charge(size, self.held + size)
+
+    def reserve(self, size: int) -> bool:
+        """Charge `size` bytes that every request needs, whether it is a large one or not."""
+        return self._charge(size, self.held)
+
+    def _charge(self, size: int, held: int) -> bool:
         budget = self.budget
-        is_large = self.held + size > SMALL_BYTES
-        limit = budget.capacity * LARGE_SHARE if is_large else budget.capacity
+        limit = budget.capacity * LARGE_SHARE if held > SMALL_BYTES else budget.capacity
         if budget.used + size > limit:
             budget.denied += 1
             return False
--- a/cloverkeel/streams.py
+++ b/cloverkeel/streams.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from cloverkeel.memory import MemoryBudget
+from cloverkeel.memory import MIN_PIECE_BYTES, MemoryBudget
 
 PIECE_BYTES = 64 * 1024  # the most that is read at a time, and so held of one body
-MIN_PIECE_BYTES = 4 * 1024  # the least that is read at a time, however many bodies are streamed
 MIN_BYTES_PER_S = 32_000  # half the rate of the slowest client or host that has to be supported
 PIECES_HELD = 4  # of one streamed body, at most: read, in two write buffers, and as a copy
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,8 +10,8 @@
 from caperdrift.interface import BodyEnded, BodyPassing, Outcome, SettingsChanged, StreamStarted, TimerFired
 from caperdrift.policy.choice import is_unresponsive
 from cloverkeel.http1 import ReplyError, ReplyReader
-from cloverkeel.memory import MemoryBudget
-from cloverkeel.streams import MIN_PIECE_BYTES, PIECE_BYTES, ReadBuffer, PIECES_HELD
+from cloverkeel.memory import MIN_PIECE_BYTES, MemoryBudget
+from cloverkeel.streams import PIECE_BYTES, ReadBuffer, PIECES_HELD
 from tests.helpers import SETTINGS, Driver, finals, sends
 from tests.sockets import Client, configuration, on_loop, peer, request, running, silent, until
 from tests.test_gateway_process import program
