Heads, unfinished fields and trailers of hosts' answers are charged, and refused in time

Cause: a field that is not complete and a trailer are held by the parser, and were charged with nothing; a head was charged once it was there; the text of a head was no longer charged once its body came. Whether the memory allows a body of unknown length was asked for 2 KiB at a time, which is always allowed. Change: all that is held of a head is charged, with the copy that is written to the client. Beyond 4 KiB it is held where the budget has room for both; else the attempt fails. A body of unknown length is streamed once all of it is more than the budget has left.

--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -12,6 +12,7 @@
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
 from cloverkeel.memory import ATTEMPT_BYTES, HOST_CONNECTION_BYTES
 from cloverkeel.streams import Upload
+from cloverkeel.telemetry import Incident
 
 if TYPE_CHECKING:
     from cloverkeel.hosts.attempt import Attempt
@@ -20,7 +21,8 @@
 
 
 REPLY_READ_BYTES = 16 * 1024  # read at a time of a response that is held whole
-ALWAYS_HELD_BYTES = 2 * 1024  # of a response's body: a short one is never streamed for want of memory
+ALWAYS_HELD_BYTES = 4 * 1024  # of a response's body: a short one is never streamed for want of memory
+ALWAYS_HELD_HEAD_BYTES = 4 * 1024  # of its head: an ordinary one never fails for want of memory
 
 
 class HostConnection(asyncio.BufferedProtocol):
@@ -51,7 +53,7 @@
         self.address = host.address
         self.transport: asyncio.Transport | None = None
         self.account = pools.buffer.memory.open_account()
-        self.replies = ReplyReader(BODY_LIMIT, allows_streaming=True, may_hold=self.may_hold)
+        self.replies = ReplyReader(BODY_LIMIT, True, self.may_hold, self.may_hold_head)
         self.on_piece: Callable[[bytes], None] | None = None  # consumer of the streamed response
         self.upload: Upload | None = None  # the streamed request body
         self.last_progress_us = 0  # when a piece of a streamed body was last written or read
@@ -72,15 +74,25 @@
         self.pools.on_connected(self)
 
     def may_hold(self, size: int) -> bool:
-        """Whether so many more bytes of a response may be held; if not, it is streamed."""
+        """Whether so many bytes of a response's body may be held; if not, it is streamed."""
         return size <= ALWAYS_HELD_BYTES or size <= self.pools.buffer.memory.free
 
+    def may_hold_head(self, size: int) -> bool:
+        """Whether so many bytes of a response's head and trailers may be held; if not, the attempt fails."""
+        memory = self.pools.buffer.memory
+        if size <= ALWAYS_HELD_HEAD_BYTES or memory.used + 2 * size <= memory.capacity:
+            return True
+        self.pools.telemetry.note(Incident.NO_MEMORY)
+        return False
+
     def charge(self) -> None:
         """Charges the connection and what is held of the response and of the request that is not read yet."""
         if self.closed:
             return
         unsent = 0 if self.flushed or self.transport is None else self.transport.get_write_buffer_size()
         held = HOST_CONNECTION_BYTES + self.replies.held_bytes + unsent
+        if self.on_piece is None:
+            held += self.replies.head_bytes  # as it will be written to the client
         if self.attempt is not None and self.attempt.is_reserved:
             held = max(0, held - ATTEMPT_BYTES)
         self.account.add(held - self.account.held)
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -131,9 +131,9 @@
     """
 
     __slots__ = (
-        "_allows_streaming", "_body", "_ends_with_connection", "_granted", "_headers", "_in_body",
-        "_length_unknown", "_limit", "_may_hold", "_parser", "_replies", "_size", "framing_bytes",
-        "is_over_limit", "streamed_head",
+        "_allows_streaming", "_body", "_ends_with_connection", "_granted", "_head_granted", "_head_size",
+        "_headers", "_in_body", "_length_unknown", "_limit", "_may_hold", "_may_hold_head", "_parser",
+        "_replies", "_size", "framing_bytes", "is_over_limit", "streamed_head",
     )  # fmt: skip
 
     def __init__(
@@ -141,9 +141,11 @@
         limit: int = BODY_LIMIT,
         allows_streaming: bool = False,
         may_hold: Callable[[int], bool] = lambda size: True,
+        may_hold_head: Callable[[int], bool] = lambda size: True,
     ) -> None:
         self._limit, self._allows_streaming = limit, allows_streaming
-        self._may_hold = may_hold  # whether the memory allows so many more bytes of a body to be held
+        # Whether the memory allows so many bytes of a body to be held, and so many of a head and trailers.
+        self._may_hold, self._may_hold_head = may_hold, may_hold_head
         self.streamed_head: Reply | None = None  # the head of the response being streamed
         self.is_over_limit = False  # its body is known to exceed the limit
         self._in_body = False
@@ -155,6 +157,8 @@
         self._headers: list[Header] = []
         self._body = bytearray()
         self._granted = 0  # bytes of the body that the memory allows to be held
+        self._head_granted = 0  # bytes of the head and trailers, likewise
+        self._head_size = 0  # bytes of the names and values of the headers
         self._size = 0  # bytes of the headers, then of the body
 
     def feed(self, data: bytes) -> Reply | None:
@@ -178,11 +182,20 @@
                 self.framing_bytes = 0  # those of the head do not count
             if self.framing_bytes > HEAD_LIMIT:
                 raise ReplyError("the response has too much framing without data")
+            self._check_head()
             return None
         reply, self.framing_bytes = self._replies[0], 0
         self._replies = []
         return reply
 
+    def _check_head(self) -> None:
+        """Raise ReplyError if the memory does not allow what is held of the head and the trailers."""
+        if self.head_bytes <= self._head_granted:
+            return
+        if not self._may_hold_head(self.head_bytes):
+            raise ReplyError("the response head takes more memory than there is")
+        self._head_granted = self.head_bytes
+
     def take_body(self) -> bytes:
         """What has been received of a streamed body since the last call."""
         data = bytes(self._body)
@@ -201,7 +214,12 @@
     @property
     def held_bytes(self) -> int:
         """What is held of the current response, in memory."""
-        return len(self._body) + (0 if self._in_body else self._size) + len(self._headers) * FIELD_BYTES
+        return len(self._body) + self.head_bytes
+
+    @property
+    def head_bytes(self) -> int:
+        """What is held of its head and trailers, with a field that is not complete."""
+        return self._head_size + len(self._headers) * FIELD_BYTES + self.framing_bytes
 
     def close(self) -> None:
         """Free the parser, which refers to this object, without the garbage collector. Nothing follows."""
@@ -230,12 +248,14 @@
         if self._replies:
             raise ReplyError("a second response without a request")
         self._headers, self._body, self._size, self._granted = [], bytearray(), 0, 0
+        self._head_size = self._head_granted = 0
         self.streamed_head, self.is_over_limit, self._in_body = None, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_body:
             return  # trailers are ignored
         self._size += len(name) + len(value)
+        self._head_size = self._size
         if self._size > HEAD_LIMIT or len(self._headers) >= MAX_FIELDS:
             raise ReplyError("the response head is too long")
         self._headers.append((name, value.strip(OPTIONAL_WHITESPACE)))
@@ -256,7 +276,7 @@
         self._size += len(data)
         self._body += data
         if self._size > self._granted and self.streamed_head is None and self._allows_streaming:
-            if self._may_hold(HELD_STEP_BYTES):
+            if self._may_hold(self._size + HELD_STEP_BYTES):
                 self._granted = self._size + HELD_STEP_BYTES
             else:
                 self._set_streamed_head()
@@ -278,4 +298,4 @@
             self._replies.append(Reply(status, self._headers, body, keep_alive))
         if self.streamed_head is None:
             self._body = bytearray()
-        self._headers, self._in_body = [], False
+        self._headers, self._head_size, self._in_body = [], 0, False
