Closed connections are freed without the garbage collector

Cause: closed connections were in cycles and waited for the collector: a connection and its reader of answers, which calls it; a request and its upload; a client's connection and its current request; a request and the attempt whose answer was streamed. Change: what refers back is dropped when a connection is lost or a request is forgotten.

--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -81,7 +81,10 @@
         self.on_disconnect()
         self.account.close()
         self.output_charged = 0
-        del self.parser  # which refers to this object: only the garbage collector would free the two
+        # These refer to this object: only the garbage collector would free them and it.
+        del self.parser
+        self.current = self.incoming = self.body_source = self.transport = None
+        self.current_id = ""
 
     def restart_idle_time(self) -> None:
         """Restarts the idle time, which moves the connection to the end of the server's idle order."""
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-from functools import partial
 from typing import TYPE_CHECKING
 
 import httptools
@@ -195,15 +194,17 @@
         request.body.clear()
         self.charge(request, 0)
 
-    def on_upload_started(self, request: Request) -> None:
-        """Releases the part of a streamed body that was held until a host was sent it."""
-        self.charge(request, min(request.charged, REQUEST_BYTES + ACCEPTED_BYTES + request.head_bytes))
+    def on_upload_started(self) -> None:
+        """Releases the part of the current streamed body that was held until a host was sent it."""
+        request = self.current
+        if request is not None:
+            self.charge(request, min(request.charged, REQUEST_BYTES + ACCEPTED_BYTES + request.head_bytes))
 
     def begin_upload(self, request: Request) -> None:
         """Queues a request whose body exceeds BODY_LIMIT; the rest of the body is streamed to the host."""
         if request.upload is None and request.error is None and self.body_size > BODY_LIMIT:
             is_chunked = bool(transfer_coding(request.headers))
-            request.upload = Upload(is_chunked, self.resume_input, partial(self.on_upload_started, request))
+            request.upload = Upload(is_chunked, self.resume_input, self.on_upload_started)
             self.queue.append(request)
             self.pause_input()  # until a host has been sent the part read so far
 
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -341,7 +341,8 @@
         """Forget a finished request without attempts in flight."""
         if self.pending.get(id_) is pending:
             del self.pending[id_]
-        pending.attempts = []  # they refer to it in turn: only the garbage collector would free them
+        # The attempts refer to it in turn: only the garbage collector would free them.
+        pending.attempts, pending.streaming_attempt = [], None
 
     def send(self, action: Send) -> None:
         """Send an attempt, or report it as not sent if the request or the host no longer allows it."""
--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -216,3 +216,4 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.pools.on_connection_lost(self)
         self.replies.close()
+        self.on_piece = self.upload = self.transport = None  # these refer to this connection
--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -222,8 +222,9 @@
         return self._head_size + len(self._headers) * FIELD_BYTES + self.framing_bytes
 
     def close(self) -> None:
-        """Free the parser, which refers to this object, without the garbage collector. Nothing follows."""
-        del self._parser
+        """Free what is held, and what refers to this object, without the collector. Nothing follows."""
+        del self._parser, self._may_hold, self._may_hold_head
+        self._headers, self._body, self.streamed_head = [], bytearray(), None
 
     @property
     def size(self) -> int:
