Trailers of requests are charged while they arrive

Cause: the parser holds a trailer field until it is complete, up to 64 KiB a connection, and only heads and bodies were charged. Change: what is framing or trailer since the last byte of the body is charged; a request whose trailer the budget has no room for is answered 503 and its parser is dropped, also where its body is streamed.

--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -50,6 +50,7 @@
         self.body_size = 0  # bytes read of the current body, without its framing
         self.in_head = True
         self.framing_bytes = 0  # bytes of chunk framing and trailers since the last byte of the body itself
+        self.framing_charged = 0  # to the account: the parser holds a trailer until it is complete
         self.message_ended = False  # the last read contained the end of a request
         self.body_due_s = 0.0  # loop time by which the body must begin; the minimum rate extends it
         self.account = server.gateway.memory.open_account()
@@ -138,6 +139,9 @@
         )
         if fault is None and self.framing_bytes > HEAD_LIMIT and not self.in_head:
             fault = RequestError(431, "nothing but framing")
+        if not self.charge_framing() and fault is None:
+            self.note(Incident.NO_MEMORY)
+            fault = RequestError(503, "", RETRY_SOON)
         if fault is not None:
             self.reject(fault)
         elif self.incoming is not None:
@@ -172,6 +176,17 @@
         else:
             self.refuse_for_memory(request)
 
+    def charge_framing(self) -> bool:
+        """Charges what the parser may hold of a trailer; returns whether the memory allows it."""
+        held = 0 if self.in_head or self.incoming is None else self.framing_bytes
+        growth = held - self.framing_charged
+        if growth > 0 and not self.account.grow(growth):
+            return False
+        if growth < 0:
+            self.account.add(growth)
+        self.framing_charged = held
+        return True
+
     def charge(self, request: Request, held: int) -> bool:
         """Charges a request with what is held of it now; returns whether the memory allows it."""
         if held > request.charged and not self.account.grow(held - request.charged):
@@ -215,7 +230,9 @@
             return
         self.ignores_input = True
         self.awaiting_since_s = math.inf
-        self.parser = httptools.HttpRequestParser(self)  # the old one holds what it read of the head
+        self.parser = httptools.HttpRequestParser(self)  # the old one holds what it read of a field
+        self.account.add(-self.framing_charged)
+        self.framing_charged = 0
         if self.incoming is not None and self.incoming.upload is None:
             self.release(self.incoming)
         streamed = self.incoming if self.incoming is not None and self.incoming.upload is not None else None
