Reading, and input that is discarded, counts as use of the processor

Callers saw: as before: a single answer after 1 s, and 4.0 s, beside rejected bodies of 8 MB. Cause: only parsing was measured. The read itself (the system's copy, the loop's work) takes four times as long; what is discarded after an error was not measured at all. So one iteration of the loop took 80 to 90 ms, with 4,700 reads of 4 KiB, where its share is 20 ms. No request was started in it. Change: a piece of work begins when its read begins, for clients and hosts; discarded input counts, and its connection waits for turns too. What is dropped is read by 64 KiB. Tests: tests/test_turns.py, two more, both fail before.

--- a/cloverkeel/front/client_input.py
+++ b/cloverkeel/front/client_input.py
@@ -74,17 +74,21 @@
         return self.current is not None and self.current.upload is not None and not self.current.complete
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.server.gateway.buffer.view[: self.read_size()]
+        return self.server.gateway.buffer.begin_read(self.read_size())
 
     def buffer_updated(self, nbytes: int) -> None:
+        read_began_s = self.server.gateway.buffer.read_began_s
         if self.ignores_input:  # set, for example, after a request that could not be parsed
+            self.finish_work(read_began_s)
             return
         now_s = asyncio.get_running_loop().time()
         is_drained = nbytes < self.read_size()
         self.read_lagging += nbytes
         if not is_drained:
             self.lagging_since_s = min(self.lagging_since_s, now_s)
-        self.measured(self.feed, bytes(self.server.gateway.buffer.view[:nbytes]))
+        self.work_began_s = read_began_s
+        self.feed(bytes(self.server.gateway.buffer.view[:nbytes]))
+        self.finish_work(read_began_s)
         if is_drained:
             self.note_all_read()
 
@@ -93,14 +97,18 @@
         """Whether input is not read for now."""
         return self.paused_since_s != math.inf or self.turn_awaited_since_s != math.inf
 
-    def measured(self, work: Callable[..., None], *arguments: bytes) -> None:
-        """Does some work of this connection; if that uses up its burst of the processor, it has to wait."""
+    def measured(self, work: Callable[[], None]) -> None:
+        """Does some work of this connection."""
         began_s = self.work_began_s = processor_s()
-        work(*arguments)
+        work()
+        self.finish_work(began_s)
+
+    def finish_work(self, began_s: float) -> None:
+        """Counts work of this connection; if that used up its burst of the processor, it has to wait."""
         self.work_began_s = math.inf
         fair_share = self.server.gateway.fair_share
         has_to_wait = fair_share.add(self.processor_use, began_s)
-        if self.turn_awaited_since_s < math.inf or (self.ignores_input and not self.queue):
+        if self.turn_awaited_since_s < math.inf:
             return
         if has_to_wait:
             self.turn_awaited_since_s = asyncio.get_running_loop().time()
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -22,7 +22,7 @@
     transfer_coding,
 )
 from cloverkeel.memory import ACCEPTED_BYTES, FIELD_BYTES, REQUEST_BYTES
-from cloverkeel.streams import MIN_BYTES_PER_S, Upload
+from cloverkeel.streams import MIN_BYTES_PER_S, PIECE_BYTES, Upload
 from cloverkeel.telemetry import Incident
 
 if TYPE_CHECKING:
@@ -69,6 +69,8 @@
     def read_size(self) -> int:
         """The most that is read at a time."""
         incoming = self.incoming
+        if self.ignores_input or (incoming is not None and incoming.answered):
+            return PIECE_BYTES  # nothing of it is held
         if incoming is None or self.in_head:
             return HEAD_READ_BYTES
         if incoming.upload is not None:
--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverkeel.clock import now_us
-from cloverkeel.fair_share import ProcessorUse, processor_s
+from cloverkeel.fair_share import ProcessorUse
 from cloverkeel.http1 import BODY_LIMIT, ReplyError, ReplyReader
 from cloverkeel.memory import ATTEMPT_BYTES, HOST_CONNECTION_BYTES
 from cloverkeel.streams import Upload
@@ -177,10 +177,10 @@
         size = self.pools.buffer.piece_bytes()
         if self.on_piece is None:
             size = min(size, REPLY_READ_BYTES)
-        return self.pools.buffer.view[:size]
+        return self.pools.buffer.begin_read(size)
 
     def buffer_updated(self, nbytes: int) -> None:
-        began_s = processor_s()
+        began_s = self.pools.buffer.read_began_s
         self.handle_input(nbytes)
         self.charge()
         if self.attempt is None or self.awaits_turn:
--- a/cloverkeel/streams.py
+++ b/cloverkeel/streams.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from cloverkeel.fair_share import processor_s
 from cloverkeel.memory import MIN_PIECE_BYTES, MemoryBudget
 
 PIECE_BYTES = 64 * 1024  # the most that is read at a time, and so held of one body
@@ -18,8 +19,14 @@
     def __init__(self, memory: MemoryBudget) -> None:
         self.memory = memory
         self.view = memoryview(bytearray(PIECE_BYTES))
+        self.read_began_s = 0.0  # processor time at which the read in progress began
         self.streamed_bodies = 0  # bodies being streamed now
 
+    def begin_read(self, size: int) -> memoryview:
+        """The part of the buffer for a read of at most `size` bytes, which begins now."""
+        self.read_began_s = processor_s()
+        return self.view[:size]
+
     def piece_bytes(self) -> int:
         """The most that is read of a streamed body at a time: less, the more bodies are streamed."""
         share = self.memory.free // (PIECES_HELD * max(1, self.streamed_bodies))
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import threading
 
 import pytest
@@ -16,6 +17,7 @@
 TURN_TIMEOUT_S = 0.5
 WAIT_S = 0.3
 SUSPENDED_S = 0.03
+READ_S = 0.003
 CLOCK_SLACK_S = 0.15  # by which the time passed to a host may exceed what is left
 
 
@@ -118,3 +120,21 @@
         assert (await client.ask(request(budget_ms=1000))).status == 200
         assert int(host.seen[0].message.headers["x-budget-ms"]) > 1000 * (1.0 - CLOCK_SLACK_S)
         client.close()
+
+
+@pytest.mark.parametrize("is_discarded", [False, True], ids=["parsed", "discarded"])
+@on_loop
+async def test_the_read_itself_counts_as_use(is_discarded: bool) -> None:
+    """Guards against connections whose data takes longer to be read than to be parsed or dropped."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        connection = await only_connection(run)
+        connection.ignores_input = is_discarded
+        connection.get_buffer(-1)[:1] = b"G"
+        began_s = processor_s()
+        while processor_s() < began_s + READ_S:
+            pass
+        connection.buffer_updated(1)
+        assert connection.processor_use.used_s >= READ_S
+        assert connection.turn_awaited_since_s < math.inf
+        client.close()
