Connections are charged with what they take, and crowds that leave are got through

Closed connections stayed in the queue for turns until their turn came. Connections were accepted whatever the budget had left. One turn was given in an iteration, in which one connection is accepted as well, so that those whose clients had left were never got through. Change: 5 KiB for a connection, attributes in slots; a closed connection leaves the queue; up to eight of those within their bursts have their turns in an iteration; no more connections are accepted at once than the budget has room for. Where a new one exceeds it, the oldest incomplete request is refused; where there is none and the excess grows, the new connection is closed unread. Tests: tests/test_reserved_memory.py, two more.

--- a/cloverkeel/fair_share.py
+++ b/cloverkeel/fair_share.py
@@ -17,6 +17,7 @@
 # Until a connection's turn is due, however much it used and however many wait: its requests have deadlines.
 MAX_WAIT_S = 0.3
 MIN_TURN_S = 0.001  # between two turns
+TURNS_PER_ITERATION = 8  # of connections that are within their bursts
 MAX_TURN_S = 0.001  # of starting queued requests at once
 
 
@@ -29,15 +30,16 @@
 class ProcessorUse:
     """The recent processor time of one connection."""
 
-    __slots__ = ("updated_s", "used_s")
+    __slots__ = ("updated_s", "used_s", "waiting")
 
     def __init__(self) -> None:
         self.used_s = 0.0
         self.updated_s = 0.0
+        self.waiting: Waiting | None = None  # the connection, while it waits for its turn
 
 
 class FairShare:
-    """Gives connections that have to wait one turn after the other, at most one in an iteration of the loop.
+    """Gives connections that have to wait one turn after the other, a few in an iteration of the loop.
 
     Those within their bursts wait because of what others do, and go first. Between the turns of those that
     used more there are pauses, so that together they use SHARE.
@@ -45,7 +47,8 @@
 
     def __init__(self) -> None:
         self.turns = 0  # given so far
-        self._waiting: list[tuple[float, int, Waiting]] = []  # a heap, by when each is due
+        # A heap, by when each is due. Connections that are closed leave their entries.
+        self._waiting: list[tuple[float, int, ProcessorUse]] = []
         self._numbers = itertools.count()  # of those that are due at once, the first goes first
         self._timer: asyncio.Handle | None = None
         self._is_paused = False  # the next turn comes after a pause
@@ -87,17 +90,24 @@
         # The time at which its use beyond the burst would be forgotten: none waits behind ever new ones.
         forgotten_in_s = max(0.0, use.used_s - BURST_S) * (1 + len(self._waiting)) / SHARE
         due_s = use.updated_s + min(MAX_WAIT_S, forgotten_in_s)
-        heapq.heappush(self._waiting, (due_s, next(self._numbers), connection))
+        use.waiting = connection
+        heapq.heappush(self._waiting, (due_s, next(self._numbers), use))
         if self._timer is not None and self._is_paused and due_s <= clock_s():
             self._timer.cancel()  # this one need not wait for the end of the pause
             self._timer = None
         self._schedule()
 
+    def leave(self, use: ProcessorUse) -> None:
+        """Give no turn to the connection, which is closed."""
+        use.waiting = None
+
     def _schedule(self) -> None:
+        while self._waiting and self._waiting[0][2].waiting is None:
+            heapq.heappop(self._waiting)
         if self._timer is not None or not self._waiting:
             return
         loop = asyncio.get_running_loop()
-        self._is_paused = self._waiting[0][0] > clock_s()
+        self._is_paused = not self._is_one_due
         if not self._is_paused:
             self._timer = loop.call_soon(self._next)  # all events of one iteration come before it
             return
@@ -106,12 +116,26 @@
 
     def _next(self) -> None:
         self._timer = None
-        self.turns += 1
+        most = 1 if self._is_paused else TURNS_PER_ITERATION
         try:
-            heapq.heappop(self._waiting)[2].take_turn()
+            for _ in range(most):
+                self._give_turn()
+                if not self._is_one_due or self.is_iteration_over:
+                    break
         finally:
             self._schedule()
 
+    def _give_turn(self) -> None:
+        use = heapq.heappop(self._waiting)[2]
+        connection, use.waiting = use.waiting, None
+        if connection is not None:
+            self.turns += 1
+            connection.take_turn()
+
+    @property
+    def _is_one_due(self) -> bool:
+        return bool(self._waiting) and self._waiting[0][0] <= clock_s()
+
 
 def clock_s() -> float:
     """The clock by which turns are due."""
--- a/cloverkeel/front/acceptor.py
+++ b/cloverkeel/front/acceptor.py
@@ -26,10 +26,10 @@
     def __init__(
         self,
         factory: ProtocolFactory,
-        free_descriptors: Callable[[], int],
+        free_connections: Callable[[], int],
         inherited: socket.socket | None = None,
     ) -> None:
-        self._factory, self._free_descriptors = factory, free_descriptors
+        self._factory, self._free_connections = factory, free_connections
         self._socket = inherited  # None: not open yet
         self._is_accepting_more = False
         self._tasks = BackgroundTasks()
@@ -67,7 +67,7 @@
         if self.listener is None or not self.listener.is_serving() or self._socket is None:
             return
         loop = asyncio.get_running_loop()
-        for _ in range(min(ACCEPTS_PER_ITERATION, self._free_descriptors())):
+        for _ in range(min(ACCEPTS_PER_ITERATION, self._free_connections())):
             try:
                 connection, _address = self._socket.accept()
             except ConnectionAbortedError:
--- a/cloverkeel/front/client_input.py
+++ b/cloverkeel/front/client_input.py
@@ -30,6 +30,12 @@
 class ClientInput(asyncio.BufferedProtocol):
     """Decides when a connection is read; a subclass parses what is read and queues requests."""
 
+    __slots__ = (
+        "client_gone", "current", "current_id", "has_turn", "ignores_input", "lagging_since_s",
+        "paused_since_s", "poll", "processor_use", "queue", "read_lagging", "server", "transport",
+        "turn_awaited_since_s", "work_began_s",
+    )  # fmt: skip
+
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
@@ -105,7 +111,7 @@
 
     def finish_work(self, began_s: float) -> None:
         """Counts work of this connection; if that used up its burst of the processor, it has to wait."""
-        self.work_began_s = math.inf
+        self.work_began_s, self.has_turn = math.inf, False
         fair_share = self.server.gateway.fair_share
         has_to_wait = fair_share.add(self.processor_use, began_s)
         if self.turn_awaited_since_s < math.inf:
@@ -143,7 +149,6 @@
         if self.queue:
             self.has_turn = True
             self.measured(self.start_next)
-            self.has_turn = False
 
     def eof_received(self) -> None:
         """Handles the client's close at once: `connection_lost` is called only after all output is sent."""
--- a/cloverkeel/front/connection.py
+++ b/cloverkeel/front/connection.py
@@ -79,6 +79,7 @@
         self.server.connections.pop(self, None)
         self.server.lingering.pop(self, None)
         self.on_disconnect()
+        self.server.gateway.fair_share.leave(self.processor_use)
         self.account.close()
         self.output_charged = 0
         # These refer to this object: only the garbage collector would free them and it.
--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -42,6 +42,11 @@
 class RequestReader(ClientInput):
     """Turns the bytes of one connection into a queue of requests, in order; a subclass answers them."""
 
+    __slots__ = (
+        "account", "awaiting_since_s", "body_due_s", "body_size", "framing_bytes", "framing_charged",
+        "head_size", "in_head", "incoming", "message_ended", "parser", "timeout_deferred",
+    )  # fmt: skip
+
     def __init__(self, server: Server) -> None:
         super().__init__(server)
         self.parser = httptools.HttpRequestParser(self)
@@ -250,6 +255,18 @@
         request.error = fault
         self.queue.append(request)
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether nothing but an incomplete request is held."""
+        return self.incoming is not None and self.current is None and not self.queue
+
+    def refuse_incoming(self) -> None:
+        """Refuses the incomplete request for want of memory; its connection closes."""
+        self.note(Incident.NO_MEMORY)
+        self.reject(RequestError(503, "", RETRY_SOON))
+        self.has_turn = True
+        self.measured(self.start_next)
+
     def on_request_timeout(self) -> None:
         """Rejects the request that did not arrive in time; closes if not a byte of it has arrived."""
         if not self.timeout_deferred and self.poll.poll(0):
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -17,6 +17,7 @@
 from cloverkeel.front.connection import FIRST_REQUEST_GRACE_S, ClientConnection
 from cloverkeel.gateway import Gateway
 from cloverkeel.http1 import WRITE_STALL_S, log
+from cloverkeel.telemetry import Incident
 
 ACCEPT_AFTER_TERM_S = 1.0  # accepting continues this long after SIGTERM, as clients connect for another 0.4 s
 # The platform kills the process at the longest deadline of a class plus this time after SIGTERM; a deadline
@@ -46,9 +47,7 @@
         self.draining = False
         self.deadline_passed = False  # draining took too long: pending requests are answered as failed
         self.inherited_socket = inherited  # a listening socket that other processes accept from too
-        self.acceptor = Acceptor(
-            partial(ClientConnection, self), lambda: self.free_descriptors - DESCRIPTOR_RESERVE, inherited
-        )
+        self.acceptor = Acceptor(partial(ClientConnection, self), lambda: self.free_connections, inherited)
         self.accepting = False
         self.descriptor_holders: list[Callable[[], int]] = []  # numbers held by other parts of the process
         self.reload_listeners: list[Callable[[Config], None]] = []  # called with each new configuration
@@ -204,6 +203,11 @@
             - sum(held() for held in self.descriptor_holders)
         )
 
+    @property
+    def free_connections(self) -> int:
+        """The number of clients' connections that may be accepted at once."""
+        return min(self.free_descriptors - DESCRIPTOR_RESERVE, self.gateway.memory.free_connections)
+
     @property
     def low_on_descriptors(self) -> bool:
         """Whether too few descriptors are free to keep idle or lingering connections of clients open."""
@@ -230,6 +234,12 @@
         Without this, idle clients that connect faster than they are closed leave no descriptors for hosts and
         discovery. The connection that has been idle the longest is closed first.
         """
+        memory = self.gateway.memory
+        if memory.used > memory.connection_capacity:
+            self.refuse_oldest_incomplete()
+        if memory.used > memory.max_connection_capacity:
+            self.gateway.telemetry.note(Incident.NO_MEMORY)
+            return False
         if self.free_descriptors > DESCRIPTOR_RESERVE:
             return True
         freed = self.abort_longest_lingering()
@@ -237,6 +247,12 @@
             return True
         return self.close_longest_idle(0.0, 0.0) or freed or self.gateway.pools.close_longest_idle()
 
+    def refuse_oldest_incomplete(self) -> None:
+        """Refuses the request that has been incomplete for the longest, and closes its connection."""
+        connection = next((c for c in self.connections if c.is_incomplete), None)
+        if connection is not None:
+            connection.refuse_incoming()
+
     def abort_longest_lingering(self) -> bool:
         """If low on descriptors, aborts the connection that lingers the longest; returns whether it did."""
         lingering = (
--- a/cloverkeel/hosts/connection.py
+++ b/cloverkeel/hosts/connection.py
@@ -215,5 +215,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pools.on_connection_lost(self)
+        self.pools.fair_share.leave(self.processor_use)
         self.replies.close()
         self.on_piece = self.upload = self.transport = None  # these refer to this connection
--- a/cloverkeel/memory.py
+++ b/cloverkeel/memory.py
@@ -23,7 +23,7 @@
 GROWING_BODY_FACTOR = 1.5  # of a body that grows piece by piece, as it is moved when it outgrows its place
 REQUEST_BYTES = 1024  # held for a request that has been read
 PENDING_BYTES = 5 * 1024  # held in addition for one that the gateway has accepted, with its attempts
-CLIENT_CONNECTION_BYTES = 3 * 1024
+CLIENT_CONNECTION_BYTES = 5 * 1024
 HOST_CONNECTION_BYTES = 4 * 1024
 MIN_PIECE_BYTES = 4 * 1024  # of a streamed body: the least that is read at a time
 RESPONSE_HEAD_BYTES = 1024  # held of a response's head, as long as its body is streamed
@@ -58,8 +58,12 @@
     def set_limit(self, memory_mb: float) -> None:
         """Set the process's memory limit."""
         self.limit = int(memory_mb * MEBIBYTE)
-        available = self.limit - self.limit // MARGIN_DIVISOR - self.own_bytes
-        self.capacity = max(MIN_CAPACITY_BYTES, available)
+        margin = self.limit // MARGIN_DIVISOR
+        self.capacity = max(MIN_CAPACITY_BYTES, self.limit - margin - self.own_bytes)
+        # Requests are refused before connections are: beyond the first figure the oldest request that is
+        # not complete is refused for each new connection, beyond the second the new connection itself is.
+        self.connection_capacity = self.capacity + margin // 4
+        self.max_connection_capacity = self.capacity + margin // 2
 
     def set_own_bytes(self, own_bytes: int) -> None:
         """Set how much the process takes by itself, as measured after its start."""
@@ -76,6 +80,11 @@
         """Whether no further connection to a host may be charged."""
         return self.used + HOST_CONNECTION_BYTES > self.capacity
 
+    @property
+    def free_connections(self) -> int:
+        """The number of clients' connections that leave room for a request of each."""
+        return max(0, self.capacity - self.used) // (CLIENT_CONNECTION_BYTES + REQUEST_BYTES)
+
     def open_account(self) -> MemoryAccount:
         """A new account that holds nothing."""
         return MemoryAccount(self)
--- a/tests/test_reserved_memory.py
+++ b/tests/test_reserved_memory.py
@@ -6,6 +6,8 @@
 import math
 import socket
 
+import pytest
+
 from cloverkeel.memory import CLIENT_CONNECTION_BYTES, HOST_CONNECTION_BYTES
 from tests.sockets import configuration, on_loop, peer, reply, request, running, silent, until
 
@@ -61,3 +63,33 @@
             await until(lambda: not run.server.connections)
             assert run.gateway.memory.used >= number * HOST_CONNECTION_BYTES
         assert run.gateway.memory.used < 3 * HOST_CONNECTION_BYTES + CLIENT_CONNECTION_BYTES
+
+
+@on_loop
+async def test_the_oldest_incomplete_request_is_refused_for_a_new_connection() -> None:
+    """Guards against new clients being turned away while those that stopped half way hold the memory."""
+    async with peer() as host, running(configuration(host)) as run:
+        halted, memory = await run.connect(), run.gateway.memory
+        halted.send(request("transfer", bytes(60_000))[:30_000])
+        await until(lambda: any(c.is_incomplete for c in run.server.connections))
+        other = memory.open_account()
+        other.add(memory.connection_capacity)
+        refused = await run.ask(request())
+        assert refused.status == 503 and "retry-after" in refused.headers
+        assert (await halted.answer()).status == 503
+        other.close()
+        halted.close()
+
+
+@on_loop
+async def test_a_connection_beyond_the_memory_is_closed_unread() -> None:
+    """Guards against connections that exceed the memory limit by their number."""
+    async with peer() as host, running(configuration(host)) as run:
+        memory = run.gateway.memory
+        other = memory.open_account()
+        other.add(memory.max_connection_capacity)
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await run.ask(request())
+        assert not host.seen
+        other.close()
+        assert (await run.ask(request())).status == 200
