Operators' calls are charged to the memory budget

Callers saw: nothing yet; found by a search for the class. 32 connections to the operators' address, each with 320 KiB of an unfinished call, hold 10 MB that nothing counted, at a limit of 32 MB. Change: what is held of a call is charged; beyond 4 KiB it is answered 503 where nothing is left, so that telemetry can be asked for in any case. Tests: tests/test_operator.py; the server took no budget before, so the test can't run on that code.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -141,7 +141,7 @@
             get_handlers[b"/api/duties"] = duties.status
             post_handlers[b"/api/duties/release"] = duties.release
         operator = (
-            OperatorServer(config.operator, get_handlers, post_handlers, async_get_handlers)
+            OperatorServer(config.operator, get_handlers, post_handlers, async_get_handlers, gateway.memory)
             if config.operator
             else None
         )
--- a/cloverkeel/operator.py
+++ b/cloverkeel/operator.py
@@ -10,12 +10,15 @@
 
 from cloverkeel.config import Address
 from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, lingering_close, write_response
+from cloverkeel.memory import GROWING_BODY_FACTOR, MemoryBudget
 from cloverkeel.tasks import BackgroundTasks, report_failure
 
 REQUEST_TIMEOUT_S = 3.0  # to receive a complete request
 MAX_CONNECTIONS = 32  # at once; a further one closes the oldest
 CALL_LIMIT = HEAD_LIMIT + BODY_LIMIT  # bytes of one request
 POST_LIMIT = 256 * 1024  # bytes of the body of a request to a PostHandler
+UNLIMITED_MB = 1_000_000  # where no budget is given
+ALWAYS_HELD_BYTES = 4 * 1024  # of a request: telemetry can be asked for however little memory is left
 HANDLER_TIMEOUT_S = 20.0  # for a PostHandler or an AsyncGetHandler
 POST_TYPE = b"application/octet-stream"  # a web page can't send it to another site without a CORS preflight
 
@@ -43,7 +46,9 @@
         get_handlers: GetHandlers,
         post_handlers: Mapping[bytes, PostHandler] | None = None,
         async_get_handlers: Mapping[bytes, AsyncGetHandler] | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory or MemoryBudget(UNLIMITED_MB)
         self.address, self.get_handlers, self.post_handlers, self.async_get_handlers = (
             address,
             get_handlers,
@@ -79,6 +84,7 @@
         self.content_type = b""
         self.body = bytearray()
         self.size = 0  # bytes received
+        self.account = operator.memory.open_account()
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
 
@@ -93,6 +99,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.operator.connections.pop(self, None)
+        self.account.close()
         if self.timer is not None:
             self.timer.cancel()
 
@@ -106,6 +113,9 @@
         if self.answered:
             return  # one request per connection
         self.size += len(data)
+        if not self._charge():
+            self.answer(Answer(503, b"no memory is left for the call\n"))
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -114,6 +124,14 @@
         if self.size > (HEAD_LIMIT + POST_LIMIT if is_post else CALL_LIMIT):
             self.answer(Answer(413, b"the call is too long\n"))
 
+    def _charge(self) -> bool:
+        """Charge what is held of the request; returns whether the memory allows it."""
+        growth = int(self.size * GROWING_BODY_FACTOR) - self.account.held
+        if self.size <= ALWAYS_HELD_BYTES:
+            self.account.add(growth)
+            return True
+        return self.account.grow(growth)
+
     def on_url(self, url: bytes) -> None:
         self.target += url
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cloverkeel import operator as operator_module
+from cloverkeel.memory import MEBIBYTE, MemoryBudget
 from cloverkeel.operator import POST_LIMIT, Answer, OperatorServer
 from tests.sockets import Client, Message, on_loop, until
 
@@ -16,7 +17,9 @@
 
 
 @asynccontextmanager
-async def operators(status: int = 200) -> AsyncIterator[tuple[OperatorServer, int]]:
+async def operators(
+    status: int = 200, memory: MemoryBudget | None = None
+) -> AsyncIterator[tuple[OperatorServer, int]]:
     async def post_handler(query: bytes, body: bytes) -> Answer:
         if query == b"never":
             await asyncio.Event().wait()
@@ -29,7 +32,7 @@
 
     get_handlers = {b"/api/ready": lambda: Answer(status, b"so\n")}
     server = OperatorServer(
-        ("127.0.0.1", 0), get_handlers, {b"/api/take": post_handler}, {b"/api/tell": get_handler}
+        ("127.0.0.1", 0), get_handlers, {b"/api/take": post_handler}, {b"/api/tell": get_handler}, memory
     )
     await server.start()
     assert server.listener is not None
@@ -154,3 +157,23 @@
         for client in holding:
             client.close()
         await until(lambda: not server.connections)
+
+
+@on_loop
+async def test_calls_do_not_take_more_memory_than_is_left() -> None:
+    """Guards against operators' bodies and fields that nothing counts against the memory limit."""
+    memory = MemoryBudget(32, own_bytes=31 * MEBIBYTE)
+    head = b"POST /api/take HTTP/1.1\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n"
+    unfinished = head % POST_LIMIT + bytes(100_000)
+    async with operators(memory=memory) as (server, port):
+        clients = [await connect(port) for _ in range(20)]
+        for client in clients:
+            client.send(unfinished)
+        refused = asyncio.gather(*(client.answer() for client in clients[10:]))
+        assert all(answer.status == 503 for answer in await refused)
+        assert memory.used <= memory.capacity
+        assert (await call(port, READY)).status == 200  # still answered
+        for client in clients:
+            client.close()
+        await until(lambda: not server.connections)
+        assert memory.used == 0
