--- a/cloverkeel/front/acceptor.py
+++ b/cloverkeel/front/acceptor.py
@@ -35,6 +35,11 @@
         self._tasks = BackgroundTasks()
         self.listener: asyncio.Server | None = None
 
+    @property
+    def connecting(self) -> int:
+        """The number of accepted connections that have no protocol yet."""
+        return len(self._tasks)
+
     async def open(self, address: Address) -> None:
         """Bind to the address, unless the socket is inherited; does not accept yet. Raises OSError."""
         if self._socket is None:
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -194,7 +194,7 @@
     @property
     def free_descriptors(self) -> int:
         """The number of file descriptors that the process may still open."""
-        clients = len(self.connections) + len(self.lingering)
+        clients = len(self.connections) + len(self.lingering) + self.acceptor.connecting
         return (
             self.config.sockets
             - OWN_DESCRIPTORS
