Connections behind hundreds that wait for the processor wait to be accepted

Cause: connections were accepted by dozens while up to a thousand waited for their turns, most of them of clients that had left behind unread input.

--- a/cloverkeel/fair_share.py
+++ b/cloverkeel/fair_share.py
@@ -55,6 +55,11 @@
         self._iteration_s = 0.0  # processor time of all connections in the loop's present iteration
         self._last_turn_s = 0.0  # processor time of the last piece of work of a connection that waits
 
+    @property
+    def waiting(self) -> int:
+        """The number of connections that wait for their turns."""
+        return len(self._waiting)
+
     def add(self, use: ProcessorUse, began_s: float) -> bool:
         """Add a piece of work that ends now to a connection's use; returns whether it has to wait.
 
--- a/cloverkeel/front/server.py
+++ b/cloverkeel/front/server.py
@@ -34,6 +34,7 @@
 DESCRIPTOR_RESERVE = 64
 OWN_DESCRIPTORS = 24  # of the process itself: standard streams, loop, signals, listeners, discovery, store
 MIN_HOST_CONNECTIONS = 8  # that may be open even if no descriptor should be left for them
+MAX_WAITING = 400  # connections that wait for the processor: those behind them wait to be accepted
 MIN_CLIENT_IDLE_S = 2.0  # idle time after which a client's connection may be closed to free a descriptor
 
 
@@ -206,7 +207,11 @@
     @property
     def free_connections(self) -> int:
         """The number of clients' connections that may be accepted at once."""
-        return min(self.free_descriptors - DESCRIPTOR_RESERVE, self.gateway.memory.free_connections)
+        return min(
+            self.free_descriptors - DESCRIPTOR_RESERVE,
+            self.gateway.memory.free_connections,
+            MAX_WAITING - self.gateway.fair_share.waiting,
+        )
 
     @property
     def low_on_descriptors(self) -> bool:
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 
+from cloverkeel.fair_share import ProcessorUse, clock_s, processor_s
+from cloverkeel.front.server import MAX_WAITING
 from tests.sockets import configuration, on_loop, peer, request, running
 
 CLIENTS = 200
@@ -53,3 +55,23 @@
         assert len(run.server.connections) == accepted
         for client in clients:
             client.close()
+
+
+@on_loop
+async def test_nobody_is_accepted_early_behind_connections_that_wait_for_the_processor() -> None:
+    """Guards against descriptors and memory that are filled by connections which can't be served yet."""
+
+    class Waiter:
+        def take_turn(self) -> None:
+            pass
+
+    async with peer() as host, running(configuration(host)) as run:
+        fair_share = run.gateway.fair_share
+        uses = [ProcessorUse() for _ in range(MAX_WAITING)]
+        for use in uses:
+            use.updated_s = clock_s() + 60
+            fair_share.wait(Waiter(), use, processor_s())
+        assert run.server.free_connections <= 0
+        for use in uses:
+            fair_share.leave(use)
+        assert (await run.ask(request())).status == 200
