--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -9,7 +9,7 @@
 import httptools
 
 from cloverkeel.clock import now_us
-from cloverkeel.front.client_input import ClientInput
+from cloverkeel.front.request_memory import RequestMemory
 from cloverkeel.front.requests import OVERLOADED, RETRY_SOON, Request, RequestError
 from cloverkeel.http1 import (
     BODY_LIMIT,
@@ -21,7 +21,7 @@
     header,
     transfer_coding,
 )
-from cloverkeel.memory import ACCEPTED_BYTES, FIELD_BYTES, REQUEST_BYTES
+from cloverkeel.memory import FIELD_BYTES
 from cloverkeel.streams import MIN_BYTES_PER_S, PIECE_BYTES, Upload
 from cloverkeel.telemetry import Incident
 
@@ -39,11 +39,11 @@
 MAX_UNSENT_BYTES = 4 * 1024 * 1024  # that a client's system may hold after the client has sent them
 
 
-class RequestReader(ClientInput):
+class RequestReader(RequestMemory):
     """Turns the bytes of one connection into a queue of requests, in order; a subclass answers them."""
 
     __slots__ = (
-        "account", "awaiting_since_s", "body_due_s", "body_size", "framing_bytes", "framing_charged",
+        "awaiting_since_s", "body_due_s", "body_size", "framing_bytes",
         "head_size", "in_head", "incoming", "message_ended", "parser", "timeout_deferred",
     )  # fmt: skip
 
@@ -55,10 +55,8 @@
         self.body_size = 0  # bytes read of the current body, without its framing
         self.in_head = True
         self.framing_bytes = 0  # bytes of chunk framing and trailers since the last byte of the body itself
-        self.framing_charged = 0  # to the account: the parser holds a trailer until it is complete
         self.message_ended = False  # the last read contained the end of a request
         self.body_due_s = 0.0  # loop time by which the body must begin; the minimum rate extends it
-        self.account = server.gateway.memory.open_account()
         # Loop time from which the request being received, or the connection's first one, is timed; inf: none.
         self.awaiting_since_s = math.inf
         self.timeout_deferred = False  # a time-out was put off once, to read bytes that had already arrived
@@ -82,10 +80,6 @@
             return self.server.gateway.buffer.piece_bytes()
         return BODY_READ_BYTES
 
-    def note(self, incident: Incident) -> None:
-        """Counts and logs an incident of the request being received, whose id is not known yet."""
-        self.server.gateway.telemetry.note(incident)
-
     def on_disconnect(self) -> None:
         """Drops the client's pending requests and closes the connection."""
         if self.client_gone:
@@ -146,7 +140,8 @@
         )
         if fault is None and self.framing_bytes > HEAD_LIMIT and not self.in_head:
             fault = RequestError(431, "nothing but framing")
-        if not self.charge_framing() and fault is None:
+        is_trailer = self.incoming is not None and not self.in_head
+        if not self.charge_framing(self.framing_bytes if is_trailer else 0) and fault is None:
             self.note(Incident.NO_MEMORY)
             fault = RequestError(503, "", RETRY_SOON)
         if fault is not None:
@@ -183,45 +178,6 @@
         else:
             self.refuse_for_memory(request)
 
-    def charge_framing(self) -> bool:
-        """Charges what the parser may hold of a trailer; returns whether the memory allows it."""
-        held = 0 if self.in_head or self.incoming is None else self.framing_bytes
-        growth = held - self.framing_charged
-        if growth > 0 and not self.account.grow(growth):
-            return False
-        if growth < 0:
-            self.account.add(growth)
-        self.framing_charged = held
-        return True
-
-    def charge(self, request: Request, held: int) -> bool:
-        """Charges a request with what is held of it now; returns whether the memory allows it."""
-        if held > request.charged and not self.account.grow(held - request.charged):
-            return False
-        if held < request.charged:
-            self.account.add(held - request.charged)
-        request.charged = held
-        return True
-
-    def release(self, request: Request) -> None:
-        """Releases all that a request was charged with."""
-        self.account.add(-request.charged)
-        request.charged = 0
-
-    def refuse_for_memory(self, request: Request) -> None:
-        """Drops what is held of a request; the rest of it is read and dropped, and it is answered 503."""
-        self.note(Incident.NO_MEMORY)
-        request.error = RequestError(503, "", RETRY_SOON)
-        request.headers.clear()
-        request.body.clear()
-        self.charge(request, 0)
-
-    def on_upload_started(self) -> None:
-        """Releases the part of the current streamed body that was held until a host was sent it."""
-        request = self.current
-        if request is not None:
-            self.charge(request, min(request.charged, REQUEST_BYTES + ACCEPTED_BYTES + request.head_bytes))
-
     def begin_upload(self, request: Request) -> None:
         """Queues a request whose body exceeds BODY_LIMIT; the rest of the body is streamed to the host."""
         if request.upload is None and request.error is None and self.body_size > BODY_LIMIT:
@@ -238,8 +194,7 @@
         self.ignores_input = True
         self.awaiting_since_s = math.inf
         self.parser = httptools.HttpRequestParser(self)  # the old one holds what it read of a field
-        self.account.add(-self.framing_charged)
-        self.framing_charged = 0
+        self.charge_framing(0)
         if self.incoming is not None and self.incoming.upload is None:
             self.release(self.incoming)
         streamed = self.incoming if self.incoming is not None and self.incoming.upload is not None else None
--- a/cloverkeel/memory.py
+++ b/cloverkeel/memory.py
@@ -117,6 +117,13 @@
         self.add(size)
         return True
 
+    def change(self, old: int, new: int) -> bool:
+        """Charge `new` bytes in place of `old`; False, and no change, if the budget does not allow it."""
+        if new > old:
+            return self.grow(new - old)
+        self.add(new - old)
+        return True
+
     def add(self, size: int) -> None:
         """Charge bytes that are held already; a negative size releases some. Ignored once it is closed."""
         if not self.is_closed:
--- a/tests/test_late_bodies.py
+++ b/tests/test_late_bodies.py
@@ -104,16 +104,18 @@
         client.disconnect()
 
 
+async def send_head_only(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """A host that answers with a head whose body never comes."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    await reader.read()
+
+
 @on_loop
 async def test_a_head_whose_body_never_comes_is_answered_at_the_deadline() -> None:
     """Guards against a late final answer, where a response without a body is begun at the deadline."""
 
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        await reader.read()
-
-    async with raw_host(serve) as host, running(configuration(host)) as run:
+    async with raw_host(send_head_only) as host, running(configuration(host)) as run:
         client = await run.connect()
         sent_s = time.monotonic()
         answer = await client.ask(request(budget_ms=300))
@@ -125,12 +127,7 @@
 async def test_no_response_is_begun_by_a_timer_that_fires_just_before_the_deadline() -> None:
     """Guards against a head without a body being passed on, as timers may fire a millisecond early."""
 
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        await reader.read()
-
-    async with raw_host(serve) as host, running(configuration(host, maxAttempts=1)) as run:
+    async with raw_host(send_head_only) as host, running(configuration(host, maxAttempts=1)) as run:
         client = await run.connect()
         client.send(request())
         await until(lambda: run.gateway.pending)
