--- a/cloverkeel/front/request_reader.py
+++ b/cloverkeel/front/request_reader.py
@@ -200,6 +200,7 @@
         streamed = self.incoming if self.incoming is not None and self.incoming.upload is not None else None
         if streamed is not None and streamed in self.queue:
             self.queue.remove(streamed)
+            self.release(streamed)
         elif streamed is not None and streamed is self.current:
             # The host has received part of the body and must not take it for a complete one.
             self.server.gateway.client_gone(self.current_id)
