What is held of a rejected request is dropped with its answer, not at its end

Callers saw: a process over its limit where many clients send large bodies to a path that is rejected. Cause: a request that is answered before its body has come was released in the budget, but up to 64 KiB of its body, and its fields, stayed until its end. Change: a request is cleared where its charge is released. Tests: tests/test_reserved_memory.py, one more, fails before.

--- a/cloverkeel/front/request_memory.py
+++ b/cloverkeel/front/request_memory.py
@@ -42,15 +42,15 @@
         return True
 
     def release(self, request: Request) -> None:
-        """Releases all that a request was charged with."""
+        """Drops what is held of a request, and releases all that it was charged with."""
+        request.headers.clear()
+        request.body.clear()
         self.charge(request, 0)
 
     def refuse_for_memory(self, request: Request) -> None:
         """Drops what is held of a request; the rest of it is read and dropped, and it is answered 503."""
         self.note(Incident.NO_MEMORY)
         request.error = RequestError(503, "", RETRY_SOON)
-        request.headers.clear()
-        request.body.clear()
         self.release(request)
 
     def on_upload_started(self) -> None:
--- a/tests/test_reserved_memory.py
+++ b/tests/test_reserved_memory.py
@@ -93,3 +93,17 @@
         assert not host.seen
         other.close()
         assert (await run.ask(request())).status == 200
+
+
+@on_loop
+async def test_nothing_is_held_of_a_rejected_request_while_its_body_comes() -> None:
+    """Guards against bodies and fields held, uncharged, until the end of a request that was answered."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(b"POST /x HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + bytes(100_000))
+        assert (await client.answer()).status == 404
+        (connection,) = run.server.connections
+        assert connection.incoming is not None and connection.incoming.answered
+        assert not connection.incoming.body and not connection.incoming.headers
+        assert connection.account.held == CLIENT_CONNECTION_BYTES
+        client.close()
