Turns: the test of errors asserts again that the error waits

Cause: as turns start a request in any case now, the test had come to take 'has had a turn' for 'waits', which an error that is answered at once would pass too. Change: the turn is held back until the test has looked, and assert connection.queue is as it was.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from cloverkeel import fair_share, recent_ids
-from cloverkeel.fair_share import FairShare, ProcessorUse
+from cloverkeel.fair_share import FairShare, ProcessorUse, Waiting
 from cloverkeel.memory import CLIENT_CONNECTION_BYTES, LARGE_SHARE, MEBIBYTE, SMALL_BYTES, MemoryBudget
 from cloverkeel.recent_ids import RecentIds, open_shared
 from cloverkeel.telemetry import Incident, Telemetry
@@ -237,15 +237,19 @@
         if kind == "late":
             client.send(request()[:-2])
             await until(lambda: connection.incoming)
+        waiting: list[tuple[Waiting, ProcessorUse, float]] = []
         with monkeypatch.context() as patched:
             patched.setattr(FairShare, "is_iteration_over", True)
+            patched.setattr(FairShare, "wait", lambda share, *arguments: waiting.append(arguments))
             if kind == "late":
                 connection.timeout_deferred = True
                 connection.on_request_timeout()
             else:
                 client.send(b"\x00rubbish\r\n\r\n")
                 await until(lambda: connection.ignores_input)
-            assert connection.queue or run.gateway.fair_share.turns  # it waits, or has waited
+            assert connection.queue
+        for arguments in waiting:
+            run.gateway.fair_share.wait(*arguments)
         async with asyncio.timeout(2):
             assert (await client.answer()).status == (408 if kind == "late" else 400)
         client.close()
